--- a/include/cowslipknot/settings.h
+++ b/include/cowslipknot/settings.h
@@ -17,6 +17,7 @@
   Endpoint callers;
   Endpoint operators;
   Endpoint peers;
+  Endpoint peers_advertised;  ///< what peers connect to; `peers` by default
   Endpoint platform;
   Milliseconds platform_poll{2000};
   Milliseconds platform_timeout{1000};
--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -24,7 +24,7 @@
 MemberInfo BuildSelf(const Settings& settings) {
   MemberInfo self;
   self.node = settings.node;
-  self.peers = settings.peers;
+  self.peers = settings.peers_advertised;
   self.operators = settings.operators;
   self.domain = settings.domain;
   return self;
@@ -40,7 +40,7 @@
       m_membership(BuildOptions(settings), BuildSelf(settings),
                    Incarnation(static_cast<std::uint64_t>(NowWall().Count())),
                    m_records),
-      m_client(executor),
+      m_client(executor, settings.peers.host),
       m_random(settings.seed),
       m_pause(executor) {}
 
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -338,6 +338,9 @@
       }
       co_return co_await AnswerWhole(run);
     }
+    const ControlHooks& hooks = m_worker.Hooks();
+    const bool held = co_await RunOn(hooks.executor, hooks.holds(m_id));
+    if (held) co_return Fail(ResultCode::kStillRunning, "at its owner");
     const bool forwarded = !m_exchange.Request()["X-Forwarded-By"].empty();
     if (forwarded) co_return Fail(ResultCode::kUnknownRequest);
     if (m_id.Text().starts_with("k-") || m_id.Text().starts_with("r-")) {
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -74,6 +74,9 @@
   m_hooks.discard = [this, executor](const RequestId& id) {
     asio::co_spawn(executor, m_requests->Discard(id), asio::detached);
   };
+  m_hooks.holds = [this](RequestId id) -> Awaitable<bool> {
+    co_return m_requests->Holds(id);
+  };
   m_hooks.locate = [this](RequestId id) { return m_requests->Locate(id); };
   if (!m_settings.trace) return;
   m_hooks.trace = [executor](std::string line) {
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -37,8 +37,12 @@
       : m_worker(worker), m_request(std::move(request)) {}
 
   Awaitable<Result<HttpResponse>> Run() {
-    auto outcome = co_await (m_request.route.repeatable ? RunRepeatable()
-                                                        : RunOnce());
+    Result<HttpResponse> outcome = Fail(ResultCode::kInternal);
+    if (m_request.route.repeatable) {
+      outcome = co_await RunRepeatable();
+    } else {
+      outcome = co_await RunOnce();
+    }
     const std::string name =
         outcome ? "ok" : std::string(Describe(outcome.error().code).name);
     m_worker.Metrics().Add("cowslipknot_requests_total",
--- a/src/serve/request_keeper.h
+++ b/src/serve/request_keeper.h
@@ -42,6 +42,7 @@
   /// The caller-facing address of the instance that knows a request.
   Awaitable<Result<Endpoint>> Locate(RequestId id);
 
+  bool Holds(const RequestId& id) const { return m_held.contains(id); }
   std::size_t HeldCount() const { return m_held.size(); }
 
  private:
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -29,6 +29,8 @@
   /// Gives a copy of a request to a peer; used once a reclaim is announced.
   std::function<Awaitable<bool>(std::shared_ptr<ModelRun>)> keep;
   std::function<void(const RequestId&)> discard;
+  /// Whether a copy of a peer's request is held here.
+  std::function<Awaitable<bool>(RequestId)> holds;
   /// Finds the instance that knows a request.
   std::function<Awaitable<Result<Endpoint>>(RequestId)> locate;
   SpanSink trace;
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -95,6 +95,10 @@
     settings.callers = ReadEndpoint(reader, "callers");
     settings.operators = ReadEndpoint(reader, "operators");
     settings.peers = ReadEndpoint(reader, "peers");
+    settings.peers_advertised = settings.peers;
+    if (reader.Has("peers_advertised")) {
+      settings.peers_advertised = ReadEndpoint(reader, "peers_advertised");
+    }
   });
   sections.Section("platform", true, [&](ObjectReader& reader) {
     settings.platform = ReadEndpoint(reader, "address");
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -76,6 +76,26 @@
 
 }  // namespace
 
+Awaitable<Result<FrameClient::StreamPtr>> FrameClient::Connect(
+    const Endpoint& peer, Milliseconds timeout) {
+  const auto address = ToTcpEndpoint(peer);
+  if (!address) co_return tl::make_unexpected(address.error());
+  const auto source = ToTcpEndpoint(Endpoint{m_source, 0});
+  if (!source) co_return tl::make_unexpected(source.error());
+  auto stream = std::make_unique<beast::tcp_stream>(m_executor);
+  error_code bind_error;
+  stream->socket().open(source->protocol(), bind_error);
+  if (!bind_error) stream->socket().bind(*source, bind_error);
+  if (bind_error) {
+    co_return Fail(ResultCode::kPeerUnreachable, bind_error.message());
+  }
+  stream->expires_after(timeout);
+  auto [error] = co_await stream->async_connect(*address, kAsTuple);
+  if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
+  stream->socket().set_option(tcp::no_delay(true), error);
+  co_return stream;
+}
+
 Awaitable<Result<FrameBytes>> FrameClient::Attempt(const Endpoint& peer,
                                                    const FrameBytes& frame,
                                                    Milliseconds timeout,
@@ -89,13 +109,9 @@
     --m_idle_count;
     stream->expires_after(timeout);
   } else {
-    const auto address = ToTcpEndpoint(peer);
-    if (!address) co_return tl::make_unexpected(address.error());
-    stream = std::make_unique<beast::tcp_stream>(m_executor);
-    stream->expires_after(timeout);
-    auto [error] = co_await stream->async_connect(*address, kAsTuple);
-    if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
-    stream->socket().set_option(tcp::no_delay(true), error);
+    auto connected = co_await Connect(peer, timeout);
+    if (!connected) co_return tl::make_unexpected(connected.error());
+    stream = std::move(*connected);
   }
   if (!co_await WriteFrame(*stream, frame)) {
     co_return Fail(ResultCode::kPeerUnreachable, "write");
--- a/src/transport/frame_link.h
+++ b/src/transport/frame_link.h
@@ -34,8 +34,9 @@
 /// Calls peers over pooled connections. Single-threaded.
 class FrameClient {
  public:
-  explicit FrameClient(asio::any_io_executor executor)
-      : m_executor(std::move(executor)) {}
+  /// @param source  IP number that connections are made from
+  FrameClient(asio::any_io_executor executor, std::string source)
+      : m_executor(std::move(executor)), m_source(std::move(source)) {}
 
   /// Sends a frame and waits for the answering frame.
   Awaitable<Result<FrameBytes>> Call(Endpoint peer, FrameBytes frame,
@@ -51,8 +52,11 @@
                                         Milliseconds timeout, bool& reused);
 
   void CloseIdle(const Endpoint& peer);
+  Awaitable<Result<StreamPtr>> Connect(const Endpoint& peer,
+                                       Milliseconds timeout);
 
   asio::any_io_executor m_executor;
+  std::string m_source;
   std::map<Endpoint, std::deque<StreamPtr>> m_idle;
   std::size_t m_idle_count = 0;
   LinkTraffic m_traffic;
--- a/tests/failure/cluster.py
+++ b/tests/failure/cluster.py
@@ -105,7 +105,16 @@
         return f"127.0.0.1:{self.base + 500 + index}"
 
     def peers(self, index):
-        return f"127.0.0.1:{self.base + 900 + index}"
+        return f"{self.peer_host(index)}:{self.base + 900 + index}"
+
+    def peer_host(self, index):
+        """Each entry has its own loopback address, so that links can be cut by pair."""
+        return f"127.0.1.{index + 1}" if self.through_forwarder else "127.0.0.1"
+
+    def peers_advertised(self, index):
+        if not self.through_forwarder:
+            return self.peers(index)
+        return f"127.0.0.1:{self.base + 1100 + index}"
 
     def platform_link(self, index):
         """The platform as entry `index` reaches it."""
@@ -136,6 +145,9 @@
             links = ",".join(
                 f"platform-{i}={self.platform_link(i)}={self.platform()}"
                 for i in range(self.entry_count))
+            links += "," + ",".join(
+                f"peers-{i}={self.peers_advertised(i)}={self.peers(i)}"
+                for i in range(self.entry_count))
             self.start_process("forwarder", [
                 BUILD / "fake_forwarder", "--port", self.base + 1, "--links", links])
             wait_for(lambda: http_json("POST", self.forwarder(), "/test/links", {}))
@@ -162,11 +174,12 @@
             "--platform", self.platform(), "--history", self.history_path])
 
     def settings_text(self, index):
-        seeds = ", ".join(f'"{self.peers(i)}"' for i in range(min(3, self.entry_count)))
+        seeds = ", ".join(f'"{self.peers_advertised(i)}"' for i in range(min(3, self.entry_count)))
         sections = {
             "node": {"name": f"entry-{index}", "domain": self.domain_of(index)},
             "listen": {"callers": self.entry(index), "operators": self.operators(index),
-                       "peers": self.peers(index)},
+                       "peers": self.peers(index),
+                       "peers_advertised": self.peers_advertised(index)},
             "platform": {"address": self.platform_link(index), "poll_ms": 1000},
             "peers": {"token": PEER_TOKEN},
             "operators": {"token": OPERATOR_TOKEN},
@@ -249,9 +262,24 @@
     def remove(self, *names):
         http_json("POST", self.platform(), "/test/instances", {"remove": list(names)})
 
-    def links(self, **modes):
-        http_json("POST", self.forwarder(), "/test/links",
-                  {name.replace("_", "-"): mode for name, mode in modes.items()})
+    def links(self, modes):
+        """Sets link modes, see fake_forwarder.cc."""
+        http_json("POST", self.forwarder(), "/test/links", modes)
+
+    def cut_domain(self, index, mode="cut", platform=True, peers=True):
+        """Cuts entry `index`'s whole domain off from the others or the platform."""
+        inside = [i for i in range(self.entry_count)
+                  if self.domain_of(i) == self.domain_of(index)]
+        modes = {}
+        for i in inside:
+            if platform:
+                modes[f"platform-{i}"] = mode
+            for other in range(self.entry_count):
+                if peers and other not in inside:
+                    modes[f"{self.peer_host(i)}>peers-{other}"] = mode
+                    modes[f"{self.peer_host(other)}>peers-{i}"] = mode
+        self.links(modes)
+        return inside
 
     def kill(self, name):
         self.processes[name].send(signal.SIGKILL)
--- a/tests/fakes/fake_forwarder.cc
+++ b/tests/fakes/fake_forwarder.cc
@@ -1,6 +1,8 @@
 // Forwards TCP connections so that tests can cut links or make them go silent.
-// Links are named; POST /test/links {"name": "pass" | "cut" | "silent"}.
+// Links are named; POST /test/links {"name": "pass" | "cut" | "silent"}. The
+// name "SOURCE>LINK" sets the mode for connections from one source address.
 #include <list>
+#include <set>
 #include <sstream>
 
 #include "base/endpoint_text.h"
@@ -20,8 +22,9 @@
   Endpoint listen;
   Endpoint target;
   bool cut = false;
+  std::set<std::string> cut_sources;
   std::uint64_t silence_epoch = 0;
-  std::list<std::weak_ptr<tcp::socket>> sockets;
+  std::list<std::pair<std::string, std::weak_ptr<tcp::socket>>> sockets;
 };
 
 using SocketPtr = std::shared_ptr<tcp::socket>;
@@ -47,17 +50,19 @@
   while (true) {
     auto [error, accepted] = co_await acceptor.async_accept(kAsTuple);
     if (error) continue;
-    if (link->cut) continue;  // closed at once
+    error_code ignored;
+    const std::string source =
+        accepted.remote_endpoint(ignored).address().to_string();
+    if (link->cut || link->cut_sources.contains(source)) continue;
     auto inner = std::make_shared<tcp::socket>(std::move(accepted));
     auto outer = std::make_shared<tcp::socket>(executor);
     const auto target = ToTcpEndpoint(link->target);
     auto [connect_error] = co_await outer->async_connect(*target, kAsTuple);
     if (connect_error) continue;
-    error_code ignored;
     inner->set_option(tcp::no_delay(true), ignored);
     outer->set_option(tcp::no_delay(true), ignored);
-    link->sockets.push_back(inner);
-    link->sockets.push_back(outer);
+    link->sockets.emplace_back(source, inner);
+    link->sockets.emplace_back(source, outer);
     asio::co_spawn(executor, Pump(link, inner, outer, link->silence_epoch),
                    asio::detached);
     asio::co_spawn(executor, Pump(link, outer, inner, link->silence_epoch),
@@ -65,16 +70,28 @@
   }
 }
 
-void SetMode(Link& link, const std::string& mode) {
-  link.cut = mode == "cut";
-  if (mode == "silent") ++link.silence_epoch;
-  if (!link.cut) return;
-  for (const auto& weak : link.sockets) {
-    const auto socket = weak.lock();
+void CloseFrom(Link& link, const std::string& source) {
+  link.sockets.remove_if([&source](const auto& entry) {
+    if (!source.empty() && entry.first != source) return false;
+    const auto socket = entry.second.lock();
     error_code ignored;
     if (socket) socket->close(ignored);
+    return true;
+  });
+}
+
+/// @param source  the connections concerned; empty for all
+void SetMode(Link& link, const std::string& source, const std::string& mode) {
+  const bool cut = mode == "cut";
+  if (mode == "silent") ++link.silence_epoch;
+  if (source.empty()) {
+    link.cut = cut;
+  } else if (cut) {
+    link.cut_sources.insert(source);
+  } else {
+    link.cut_sources.erase(source);
   }
-  link.sockets.clear();
+  if (cut) CloseFrom(link, source);
 }
 
 }  // namespace
@@ -108,10 +125,15 @@
       [&links](HttpExchange& exchange) -> Awaitable<void> {
         const auto modes = boost::json::parse(exchange.Request().body());
         for (const auto& [name, mode] : modes.as_object()) {
+          const std::string wanted(name);
+          const std::size_t split = wanted.find('>');
+          const bool from_one = split != std::string::npos;
+          const std::string source = from_one ? wanted.substr(0, split) : "";
+          const std::string link_name =
+              from_one ? wanted.substr(split + 1) : wanted;
           for (const auto& link : links) {
-            if (link->name == std::string(name)) {
-              fakes::SetMode(*link, std::string(mode.as_string()));
-            }
+            if (link->name != link_name) continue;
+            fakes::SetMode(*link, source, std::string(mode.as_string()));
           }
         }
         co_await exchange.Respond(fakes::JsonAnswer(boost::json::object()));
