Write a key at most once in a shared transaction

Cause: two claims of one idempotency key that reached an instance together shared a transaction; its conditions are checked before its writes, so both inserts were applied and the filing ran twice. Ruled out: the table service (each transaction alone was serializable), retry after a reset (the two runs are 0 ms apart). Conclusion: a second write of a key waits for the next transaction.

--- a/src/coordination/row_writer.cc
+++ b/src/coordination/row_writer.cc
@@ -1,6 +1,7 @@
 #include "coordination/row_writer.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cowslipknot {
 namespace {
@@ -47,14 +48,29 @@
   co_return *pending->outcome;
 }
 
+std::vector<RowWriter::PendingPtr> RowWriter::TakeGroup() {
+  std::vector<PendingPtr> group;
+  std::deque<PendingPtr> later;
+  std::set<std::string> keys;
+  while (!m_queue.empty() && group.size() < kMaxRowsPerTransaction) {
+    PendingPtr pending = std::move(m_queue.front());
+    m_queue.pop_front();
+    // Conditions are checked before any write of the same transaction, so two
+    // writes of one key would both be applied.
+    if (keys.insert(pending->change.key).second) {
+      group.push_back(std::move(pending));
+    } else {
+      later.push_back(std::move(pending));
+    }
+  }
+  m_queue.insert(m_queue.begin(), later.begin(), later.end());
+  return group;
+}
+
 Awaitable<void> RowWriter::Flush() {
   while (!m_queue.empty()) {
     co_await SleepFor(m_gather);
-    std::vector<PendingPtr> group;
-    while (!m_queue.empty() && group.size() < kMaxRowsPerTransaction) {
-      group.push_back(std::move(m_queue.front()));
-      m_queue.pop_front();
-    }
+    std::vector<PendingPtr> group = TakeGroup();
     asio::co_spawn(m_executor, WriteTogether(std::move(group)), asio::detached);
   }
   m_flushing = false;
--- a/src/coordination/row_writer.h
+++ b/src/coordination/row_writer.h
@@ -48,6 +48,8 @@
   using PendingPtr = std::shared_ptr<Pending>;
 
   void Enqueue(const PendingPtr& pending);
+  /// Takes the next writes that may share a transaction.
+  std::vector<PendingPtr> TakeGroup();
   Awaitable<void> Flush();
   Awaitable<void> WriteTogether(std::vector<PendingPtr> group);
   Awaitable<void> ReadBack(PendingPtr pending);
