Build the address of an indirect probe before awaiting

Cause: GCC 12 destroys an aggregate temporary twice when it is built inside a co_await expression; an indirect probe freed its target's host twice and the instance aborted. Ruled out: the forwarder (it kept running). Before: cut_domain and stale_configuration: instances end with 'free(): invalid pointer' when a domain is cut off.

--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -146,9 +146,10 @@
   if (frame.kind == wire::Kind::ProbeFor) {
     PeerFrame relayed;
     relayed.kind = wire::Kind::Probe;
-    const auto reply = co_await CallAddress(
-        Endpoint{frame.target_host, frame.target_port}, std::move(relayed),
-        m_settings.probe_timeout);
+    // GCC 12 destroys an aggregate twice when it is built within a co_await.
+    const Endpoint target{frame.target_host, frame.target_port};
+    const auto reply = co_await CallAddress(target, std::move(relayed),
+                                            m_settings.probe_timeout);
     PeerFrame answer = NewsFrame(wire::Kind::Answer);
     if (!reply) {
       answer.code = static_cast<std::uint16_t>(reply.error().code);
