Keep a request's copy until its caller has the answer, and act on told deaths

Ruled out: lookups that asked the wrong holder (the log shows the copy there). Conclusion: delivery, not completion, ends a copy.

--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -63,6 +63,11 @@
   return frame;
 }
 
+void PeerMesh::NoteDeath(const NodeId& node) {
+  LogEvent(Event::kMemberDead, {{"member", node.Text()}});
+  m_hooks.on_dead(node);
+}
+
 void PeerMesh::MergeAll(const PeerFrame& frame) {
   const WallTime now = NowWall();
   for (const auto& record : TakeRecords(frame)) {
@@ -74,6 +79,9 @@
       if (news && !before) {
         LogEvent(Event::kMemberJoined, {{"member", member->info.node.Text()}});
       }
+      if (news && member->status == MemberStatus::kDead) {
+        NoteDeath(member->info.node);
+      }
     } else if (m_hooks.accepts(record)) {
       news = m_records.Merge(record);
     }
@@ -171,10 +179,7 @@
         m_settings.probe_interval * spread);
     m_pause.expires_after(interval);
     co_await m_pause.async_wait(kAsTuple);
-    for (const auto& node : m_membership.Tick(NowWall())) {
-      LogEvent(Event::kMemberDead, {{"member", node.Text()}});
-      m_hooks.on_dead(node);
-    }
+    for (const auto& node : m_membership.Tick(NowWall())) NoteDeath(node);
     const auto target = m_membership.NextProbe(Draw());
     if (target) asio::co_spawn(m_executor, Probe(*target), asio::detached);
   }
--- a/src/coordination/peer_mesh.h
+++ b/src/coordination/peer_mesh.h
@@ -20,6 +20,7 @@
   struct Hooks {
     /// A record that was news; member records included.
     std::function<void(const SpreadRecord&)> on_record;
+    /// A member is dead, as found here or told by a peer. May be repeated.
     std::function<void(const NodeId&)> on_dead;
     /// Whether a record that is no member's may be merged.
     std::function<bool(const SpreadRecord&)> accepts;
@@ -51,6 +52,7 @@
  private:
   Awaitable<void> Probe(ProbeTarget target);
   Awaitable<void> ExchangeAll(Endpoint peer);
+  void NoteDeath(const NodeId& node);
   void MergeAll(const PeerFrame& frame);
   PeerFrame NewsFrame(wire::Kind kind);
   UnitDraw Draw();
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -259,7 +259,8 @@
     HttpResponse response =
         JsonResponse(http::status::ok, FormatWholeAnswer(info, chunks));
     response.set("X-Request-Id", m_id.Text());
-    co_await m_exchange.Respond(std::move(response));
+    const bool delivered = co_await m_exchange.Respond(std::move(response));
+    if (delivered) PostToOwner(run, &ModelRun::MarkDelivered);
     co_return Result<void>();
   }
 
@@ -307,7 +308,8 @@
       if (progress.finished) break;
       if (alive) progress = co_await Read(run, position);
     }
-    if (alive) co_await m_exchange.EndStream();
+    if (alive) alive = co_await m_exchange.EndStream();
+    if (alive && !progress.failure) PostToOwner(run, &ModelRun::MarkDelivered);
     PostToOwner(run, &ModelRun::RemoveReader);
   }
 
--- a/src/serve/control_drain.cc
+++ b/src/serve/control_drain.cc
@@ -58,6 +58,7 @@
 }
 
 Awaitable<void> Control::Leave() {
+  co_await m_requests->DiscardAll();
   m_mesh->Members().Leave();
   std::vector<NodeId> peers;
   for (const auto& member : m_mesh->Members().Live()) {
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -87,7 +87,6 @@
                          Labels() + "," + Label("outcome", outcome));
   m_worker.Metrics().Observe("cowslipknot_request_ms", Labels(),
                              Since(m_started));
-  if (m_kept && !m_handed_over) m_worker.Hooks().discard(m_id);
   m_changed.cancel();
 }
 
@@ -103,6 +102,11 @@
   asio::co_spawn(m_worker.Executor(), CancelWhenUnread(), asio::detached);
 }
 
+void ModelRun::MarkDelivered() {
+  if (m_kept && !m_handed_over) m_worker.Hooks().discard(m_id);
+  m_kept = false;
+}
+
 Awaitable<void> ModelRun::CancelWhenUnread() {
   const auto self = shared_from_this();
   co_await SleepFor(kUnreadWindow);
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -44,6 +44,8 @@
   /// after a while, unless it was taken over.
   void AddReader() { ++m_readers; }
   void RemoveReader();
+  /// Notes that a caller has the whole answer, so that no copy is needed.
+  void MarkDelivered();
 
   Descriptor Describe() const;
   void Restore(const Descriptor& descriptor);
--- a/src/serve/request_keeper.cc
+++ b/src/serve/request_keeper.cc
@@ -74,6 +74,13 @@
   co_await m_mesh.Call(holder, RequestFrame(wire::Kind::Discard, id));
 }
 
+Awaitable<void> RequestKeeper::DiscardAll() {
+  while (!m_given.empty()) {
+    const RequestId id = m_given.begin()->first;
+    co_await Discard(id);
+  }
+}
+
 Awaitable<bool> RequestKeeper::HandOver(Descriptor descriptor) {
   const RequestId id(descriptor.request);
   // The copy is renewed, so that the holder goes on after the last token.
--- a/src/serve/request_keeper.h
+++ b/src/serve/request_keeper.h
@@ -31,6 +31,8 @@
   Awaitable<void> Discard(RequestId id);
   /// Tells the holder to go on with the request. @return false if none will
   Awaitable<bool> HandOver(Descriptor descriptor);
+  /// Tells all holders that this instance's requests have ended.
+  Awaitable<void> DiscardAll();
   /// Passes on the copies held for others.
   Awaitable<void> PassOnHeld();
 
