Raise a move's share as far as the evidence bounds the harm

Cause: each step asked for evidence that the excess of bad answers is under the full margin on every route; at a share of 5% a route gets too few requests. Ruled out: a looser error rate (it stays at 0.005 a criterion). Conclusion: harm, not share, is what the evidence has to bound.

--- a/include/cowslipknot/coordination/sequential_test.h
+++ b/include/cowslipknot/coordination/sequential_test.h
@@ -25,6 +25,11 @@
 /// 1 - alpha (beta-binomial mixture; Robbins 1970).
 RateBounds ConfidenceSequence(const Tally& tally, double alpha);
 
+/// How far the new version's rate may exceed the old one's, at most, with
+/// probability 1 - alpha at all times together.
+double BoundExcess(const Tally& old_version, const Tally& new_version,
+                   double alpha);
+
 enum class Verdict : std::uint8_t { kUndecided, kGood, kBad };
 
 /// Compares a new version's rate with the old one's.
--- a/src/coordination/move_decision.cc
+++ b/src/coordination/move_decision.cc
@@ -9,6 +9,7 @@
 
 constexpr double kAlpha = 0.005;  ///< per route and criterion
 constexpr double kRaiseFactor = 2.0;
+constexpr double kSmallestRaise = 1.2;  ///< smaller steps cost revisions
 constexpr double kPlannedPart = 0.8;  ///< of the duration, until full share
 constexpr double kFullShare = 1.0;
 
@@ -32,15 +33,27 @@
                        kAlpha)};
 }
 
-/// Evidence suffices for a step when no route is undecided on errors.
-bool EvidenceSuffices(const Move& move, const MoveEvidence& evidence) {
-  if (evidence.empty()) return false;
-  return std::all_of(
-      evidence.begin(), evidence.end(), [&move](const auto& entry) {
-        const Criteria criteria = Judge(move, entry.second);
-        return criteria.errors == Verdict::kGood &&
-               criteria.slow == Verdict::kGood;
-      });
+/// The largest share at which the new version's excess, as far as evidence
+/// bounds it, costs no more of the traffic than the move's margin.
+double ShareForExcess(const Tally& old_tally, const Tally& new_tally,
+                      double margin) {
+  const double excess = BoundExcess(old_tally, new_tally, kAlpha);
+  if (excess <= margin) return kFullShare;
+  return margin / excess;
+}
+
+/// The share that the evidence of all routes allows.
+double AllowedShare(const Move& move, const MoveEvidence& evidence) {
+  if (evidence.empty()) return 0;
+  double allowed = kFullShare;
+  for (const auto& [route, seen] : evidence) {
+    allowed = std::min(allowed,
+                       ShareForExcess(seen.old_errors, seen.new_errors,
+                                      move.bad_error_share));
+    allowed = std::min(allowed, ShareForExcess(seen.old_slow, seen.new_slow,
+                                               move.bad_slow_share));
+  }
+  return allowed;
 }
 
 std::int64_t Elapsed(WallTime since, WallTime now) {
@@ -100,16 +113,17 @@
     return {MoveAction::kComplete, kFullShare, "watched at full share"};
   }
   const bool late = Elapsed(state.started, now) >= move.duration.count();
-  const bool proved = EvidenceSuffices(move, evidence);
+  const double allowed = AllowedShare(move, evidence);
+  const bool proved = allowed >= kFullShare;
   if (state.share >= kFullShare) {
     if (proved) return {MoveAction::kStartWatch, kFullShare, "full share"};
     if (late) return {MoveAction::kTakeBack, 0, "too little evidence in time"};
     return {};
   }
   if (late) return {MoveAction::kTakeBack, 0, "too little evidence in time"};
-  const double next =
-      std::min(state.share * kRaiseFactor, PlannedShare(move, state, now));
-  if (!proved || next <= state.share) return {};
+  const double next = std::min({state.share * kRaiseFactor,
+                                PlannedShare(move, state, now), allowed});
+  if (next < state.share * kSmallestRaise) return {};
   return {MoveAction::kRaise, next, "evidence suffices"};
 }
 
