Take the instance list from peers in an outage, and find keyed copies

Cause: a fresh instance was ready in a platform outage without knowing any server, and refused requests; a caller that repeats a keyed request at another instance started it anew while a copy of it lived on. Ruled out: waiting for the platform (outages are long).

--- a/include/cowslipknot/coordination/membership.h
+++ b/include/cowslipknot/coordination/membership.h
@@ -78,6 +78,8 @@
   const MemberInfo& Self() const { return m_self.info; }
   /// Alive and suspect members, this one included.
   std::vector<Member> Live() const;
+  /// Whether a member is stopping, or is or lately was without an answer.
+  bool AnyUnsettled() const;
   std::optional<Member> Find(const NodeId& node) const;
 
  private:
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -55,6 +55,7 @@
   std::set<MoveId> taken_back;  ///< starts of moves no longer followed
   std::size_t members = 1;      ///< live entry instances, itself included
   bool draining = false;
+  bool instances_known = false;  ///< an instance list has been received
 };
 
 using FleetSnapshotPtr = std::shared_ptr<const FleetSnapshot>;
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -220,6 +220,13 @@
   return live;
 }
 
+bool Membership::AnyUnsettled() const {
+  return std::any_of(m_members.begin(), m_members.end(), [](const auto& entry) {
+    return entry.second.status != MemberStatus::kAlive ||
+           entry.second.info.draining;
+  });
+}
+
 std::optional<Member> Membership::Find(const NodeId& node) const {
   const auto found = m_members.find(node);
   if (found == m_members.end()) return std::nullopt;
--- a/src/protocol/platform_client.cc
+++ b/src/protocol/platform_client.cc
@@ -40,6 +40,21 @@
   return record;
 }
 
+json::object EncodeInstance(const InstanceRecord& record) {
+  json::object encoded;
+  encoded["id"] = record.id.Text();
+  encoded["kind"] = record.kind;
+  encoded["host"] = record.address.host;
+  encoded["port"] = record.address.port;
+  encoded["domain"] = record.domain.Text();
+  encoded["pool"] = record.pool.Text();
+  encoded["incarnation"] = record.incarnation.Count();
+  encoded["leaving"] = record.leaving;
+  encoded["reclaimable"] = record.reclaimable;
+  encoded["price"] = record.price_per_hour;
+  return encoded;
+}
+
 Awaitable<Result<std::string>> PlatformClient::Post(std::string path,
                                                     std::string body) {
   HttpRequest request(http::verb::post, path, 11);
--- a/src/protocol/platform_client.h
+++ b/src/protocol/platform_client.h
@@ -76,5 +76,6 @@
 
 /// One instance-list row as the platform writes it.
 Result<InstanceRecord> DecodeInstance(const boost::json::value& value);
+boost::json::object EncodeInstance(const InstanceRecord& record);
 
 }  // namespace cowslipknot
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -63,8 +63,8 @@
 
  private:
   Awaitable<void> AnswerReady() {
-    const bool ready =
-        m_snapshot->configuration != nullptr && !m_context.draining();
+    const bool ready = m_snapshot->configuration != nullptr &&
+                       m_snapshot->instances_known && !m_context.draining();
     const auto status =
         ready ? http::status::ok : http::status::service_unavailable;
     co_await m_exchange.Respond(
@@ -190,6 +190,10 @@
       co_return Fail(ResultCode::kBodyTooLarge);
     }
     m_id = MakeId();
+    if (!m_key.empty() && co_await IsKeptElsewhere()) {
+      co_await SendElsewhere();
+      co_return Result<void>();
+    }
     const bool stream = parsed->stream;
     const std::string body = parsed->body;
     auto run = co_await FindOrStart(*found, std::move(*parsed));
@@ -201,6 +205,12 @@
     co_return co_await AnswerWhole(run);
   }
 
+  /// Whether a keyed request already lives with an instance that took it over.
+  Awaitable<bool> IsKeptElsewhere() {
+    const ControlHooks& hooks = m_worker.Hooks();
+    co_return co_await RunOn(hooks.executor, hooks.find_kept(m_id));
+  }
+
   Awaitable<std::shared_ptr<ModelRun>> FindOrStart(Route route,
                                                    ModelRequest request) {
     Worker& owner = WorkerOf(m_id);
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -1,6 +1,7 @@
 #include "serve/control.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <charconv>
 #include <iostream>
 
@@ -9,6 +10,8 @@
 namespace cowslipknot {
 namespace {
 
+namespace json = boost::json;
+
 constexpr ByteCount kMaxPlatformAnswer(64 << 20);
 constexpr Milliseconds kClaimGather(2);
 constexpr Milliseconds kMoveInterval(500);
@@ -77,6 +80,9 @@
   m_hooks.holds = [this](RequestId id) -> Awaitable<bool> {
     co_return m_requests->Holds(id);
   };
+  m_hooks.find_kept = [this](RequestId id) {
+    return m_requests->FindKept(id);
+  };
   m_hooks.locate = [this](RequestId id) { return m_requests->Locate(id); };
   if (!m_settings.trace) return;
   m_hooks.trace = [executor](std::string line) {
@@ -108,6 +114,7 @@
   snapshot->taken_back = m_moves->TakenBack();
   snapshot->members = m_mesh->Members().Live().size();
   snapshot->draining = m_draining;
+  snapshot->instances_known = m_instances_known;
   if (snapshot->configuration) {
     for (const auto& [name, workspace] :
          snapshot->configuration->objects.workspaces) {
@@ -180,30 +187,65 @@
   const auto delta = co_await m_platform->Instances(m_instance_sequence);
   if (!delta) co_return false;
   m_instance_sequence = delta->sequence;
-  if (delta->changed.empty() && delta->removed.empty()) co_return true;
-  if (!IsDisabled(m_settings, "leaving")) {
-    for (const auto& row : delta->changed) {
-      if (!row.leaving) continue;
-      if (row.id.Text() == m_settings.node.Text() && m_on_reclaim) {
-        m_on_reclaim();
-      }
-      if (row.kind != "entry") MarkLeaving(row.id, row.incarnation);
-    }
-    m_fleet.Apply(delta->changed);
-  } else {
-    auto rows = delta->changed;
-    for (auto& row : rows) row.leaving = false;
-    m_fleet.Apply(rows);
+  const bool first = !m_instances_known;
+  m_instances_known = true;
+  if (!first && delta->changed.empty() && delta->removed.empty()) {
+    co_return true;
   }
   for (const auto& id : delta->removed) m_fleet.Remove(id);
-  PublishSnapshot();
+  ApplyInstances(delta->changed);
   co_return true;
 }
 
+void Control::ApplyInstances(std::vector<InstanceRecord> rows) {
+  if (IsDisabled(m_settings, "leaving")) {
+    for (auto& row : rows) row.leaving = false;
+  }
+  for (const auto& row : rows) {
+    if (!row.leaving) continue;
+    const bool own = row.id.Text() == m_settings.node.Text();
+    if (own && m_on_reclaim) m_on_reclaim();
+    if (row.kind != "entry") MarkLeaving(row.id, row.incarnation);
+  }
+  m_fleet.Apply(rows);
+  PublishSnapshot();
+}
+
+std::string Control::EncodeInstances() const {
+  json::array rows;
+  for (const auto& [id, record] : m_fleet.Records()) {
+    rows.push_back(EncodeInstance(record));
+  }
+  return json::serialize(rows);
+}
+
+Awaitable<void> Control::FetchInstances() {
+  for (const auto& member : m_mesh->Members().Live()) {
+    if (member.info.node == m_settings.node) continue;
+    PeerFrame frame;
+    frame.kind = wire::Kind::FetchInstances;
+    const auto answer =
+        co_await m_mesh->Call(member.info.node, std::move(frame));
+    if (!answer || answer->text.empty()) continue;
+    error_code error;
+    const json::value parsed = json::parse(answer->text, error);
+    if (error || !parsed.is_array()) continue;
+    std::vector<InstanceRecord> rows;
+    for (const auto& value : parsed.get_array()) {
+      auto record = DecodeInstance(value);
+      if (record) rows.push_back(std::move(*record));
+    }
+    m_instances_known = true;
+    ApplyInstances(std::move(rows));
+    co_return;
+  }
+}
+
 Awaitable<void> Control::PollPlatform() {
   std::uniform_real_distribution<double> jitter(0.8, 1.0);
   while (true) {
     const bool listed = co_await PollInstances();
+    if (!listed && !m_instances_known) co_await FetchInstances();
     const bool polled = co_await m_keeper->Poll();
     const bool reachable = listed && polled;
     if (reachable != m_platform_reachable) {
@@ -251,6 +293,10 @@
         answer.text = EncodeConfiguration(*m_keeper->Current());
       }
       break;
+    case wire::Kind::FetchInstances:
+      answer.kind = wire::Kind::Answer;
+      if (m_instances_known) answer.text = EncodeInstances();
+      break;
     case wire::Kind::Evidence:
       answer = m_moves->Handle(*frame);
       break;
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -62,6 +62,10 @@
   Awaitable<void> FetchConfiguration(NodeId peer);
   Awaitable<void> PollPlatform();
   Awaitable<bool> PollInstances();
+  /// Takes the instance list from peers while the platform does not answer.
+  Awaitable<void> FetchInstances();
+  std::string EncodeInstances() const;
+  void ApplyInstances(std::vector<InstanceRecord> rows);
   Awaitable<void> StepMoves();
   Awaitable<FrameBytes> HandleFrame(FrameBytes bytes);
   Awaitable<std::vector<std::shared_ptr<ModelRun>>> RunsInFlight();
@@ -84,6 +88,7 @@
   std::mt19937_64 m_random;
   Fleet m_fleet;
   std::uint64_t m_instance_sequence = 0;
+  bool m_instances_known = false;
   bool m_platform_reachable = true;
   bool m_draining = false;
   bool m_fetching = false;
--- a/src/serve/request_keeper.cc
+++ b/src/serve/request_keeper.cc
@@ -168,6 +168,13 @@
   for (const auto& id : orphans) TakeOver(id);
 }
 
+Awaitable<bool> RequestKeeper::FindKept(RequestId id) {
+  if (m_held.contains(id)) co_return true;
+  if (!m_mesh.Members().AnyUnsettled()) co_return false;
+  const auto located = co_await Locate(id);
+  co_return located.has_value();
+}
+
 Awaitable<Result<Endpoint>> RequestKeeper::Locate(RequestId id) {
   std::vector<NodeId> candidates;
   const NodeId minted = MintingNode(id);
--- a/src/serve/request_keeper.h
+++ b/src/serve/request_keeper.h
@@ -44,6 +44,10 @@
   /// The caller-facing address of the instance that knows a request.
   Awaitable<Result<Endpoint>> Locate(RequestId id);
 
+  /// Whether a copy of a keyed request is held or runs here or at a peer.
+  /// Asks peers only while some instance is stopping or does not answer.
+  Awaitable<bool> FindKept(RequestId id);
+
   bool Holds(const RequestId& id) const { return m_held.contains(id); }
   std::size_t HeldCount() const { return m_held.size(); }
 
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -31,6 +31,8 @@
   std::function<void(const RequestId&)> discard;
   /// Whether a copy of a peer's request is held here.
   std::function<Awaitable<bool>(RequestId)> holds;
+  /// Whether a request lives on as a copy after its owner stopped.
+  std::function<Awaitable<bool>(RequestId)> find_kept;
   /// Finds the instance that knows a request.
   std::function<Awaitable<Result<Endpoint>>(RequestId)> locate;
   SpanSink trace;
