Make each failure case fail without its mechanism

Cause: with completeness, silent_links or take_back switched off, their cases still passed: the engine's cut broke the framing too, a retry elsewhere hid the silent link, and the lease's holder still took the version back. Ruled out: weakening a check; each case got a stricter fault or rule instead.

--- a/src/coordination/move_controller.cc
+++ b/src/coordination/move_controller.cc
@@ -172,7 +172,9 @@
     if (mark != nullptr) {
       decision = {MoveAction::kTakeBack, 0, mark->payload};
     }
-    if (decision.action == MoveAction::kHold) continue;
+    const bool ignored = decision.action == MoveAction::kTakeBack &&
+                         IsDisabled(m_settings, "take_back");
+    if (decision.action == MoveAction::kHold || ignored) continue;
     MoveState next = state;
     next.reason = decision.reason;
     switch (decision.action) {
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -282,6 +282,13 @@
         exchange.Abort();
         break;
       }
+      if (m_end_after > 0 && position >= m_end_after) {
+        // The framing ends well, but the answer is not whole.
+        co_await exchange.WriteChunk(piece);
+        co_await exchange.EndStream();
+        --stream->readers;
+        co_return;
+      }
       const bool whole = position >= stream->total;
       if (whole) piece += "data: [DONE]\n\n";
       if (!piece.empty()) alive = co_await exchange.WriteChunk(piece);
@@ -313,6 +320,7 @@
     number("fail_above", m_fail_above);
     number("slow_ms", m_slow_ms);
     number("cut_after", m_cut_after);
+    number("end_after", m_end_after);
     if (faults.contains("silence")) ++m_silence_epoch;
     if (faults.contains("leaving")) m_leaving = faults.at("leaving").as_bool();
     if (faults.contains("cross")) m_cross = faults.at("cross").as_bool();
@@ -330,6 +338,7 @@
   std::int64_t m_fail_above;
   std::int64_t m_slow_ms;
   std::size_t m_cut_after = 0;
+  std::size_t m_end_after = 0;
   std::uint64_t m_silence_epoch = 0;
   bool m_leaving = false;
   bool m_cross = false;
