--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+BUILD := build
+CASE ?= short
+SEED ?= 1
+WITHOUT ?=
+
+.PHONY: all setup build demo test unit failure lint experiment capacity clean
+
+all: build
+
+setup:
+	sh scripts/install.sh
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD)
+
+# Runs the main job on embedded stand-ins.
+demo: build
+	python3 scripts/demo.py
+
+unit: build
+	RC_PARAMS="seed=1" $(BUILD)/unit_tests
+	python3 -m unittest discover -s tests/failure -p '*_test.py'
+
+# make failure CASE=kill_engine SEED=1-10 [WITHOUT=retry]
+failure: build
+	python3 tests/failure/run.py --case $(CASE) --seed $(SEED) --without "$(WITHOUT)"
+
+lint: setup
+	cmake -S . -B build-lint -G Ninja -DCMAKE_CXX_COMPILER=g++ \
+	  -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
+	sh scripts/lint.sh
+
+test: unit failure
+
+experiment: build
+	python3 benchmark/experiment.py
+
+capacity: build
+	python3 benchmark/capacity.py
+
+clean:
+	rm -rf $(BUILD) build-lint
--- a/benchmark/load_options.cc
+++ b/benchmark/load_options.cc
@@ -85,8 +85,7 @@
   long_options.push_back({nullptr, 0, nullptr, 0});
   int index = 0;
   while (true) {
-    const int found =
-        getopt_long(argc, argv, "", long_options.data(), &index);
+    const int found = getopt_long(argc, argv, "", long_options.data(), &index);
     if (found == -1) break;
     if (found != 0) return std::nullopt;
     const std::string name = long_options.at(index).name;
--- a/benchmark/load_tool.cc
+++ b/benchmark/load_tool.cc
@@ -68,9 +68,9 @@
     while (true) {
       at_s += gap(m_random);
       if (at_s >= m_options.seconds) co_return;
-      const auto due = start + std::chrono::duration_cast<
-                                   SteadyClock::duration>(
-                                   std::chrono::duration<double>(at_s));
+      const auto due =
+          start + std::chrono::duration_cast<SteadyClock::duration>(
+                      std::chrono::duration<double>(at_s));
       asio::steady_timer timer(m_context, due);
       co_await timer.async_wait(kAsTuple);
       Launch(++number);
@@ -196,8 +196,8 @@
       }
       posted = true;
       reading.accepted = true;
-      const bool stream = header[http::field::content_type].starts_with(
-          "text/event-stream");
+      const bool stream =
+          header[http::field::content_type].starts_with("text/event-stream");
       if (stream) {
         co_await ReadStream(**opened, prompt, reading, sample, start);
       } else {
@@ -213,8 +213,8 @@
     } else if (reading.whole) {
       sample.outcome = "ok";
     } else {
-      sample.outcome = reading.refused && !reading.accepted ? "refused"
-                                                            : "lost";
+      sample.outcome =
+          reading.refused && !reading.accepted ? "refused" : "lost";
     }
     m_report.Write("outcome", {{"kind", sample.kind},
                                {"call", reading.id},
@@ -329,8 +329,7 @@
       } else {
         const bool not_run = (*answer)["X-Execution"] == "not-run";
         // An earlier ask of this call may have run.
-        sample.outcome =
-            not_run && sample.resumed == 0 ? "refused" : "unknown";
+        sample.outcome = not_run && sample.resumed == 0 ? "refused" : "unknown";
       }
       break;
     }
--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -20,16 +20,16 @@
 /// What a choice needs to know of a request.
 struct RequestCost {
   TokenCount prompt;
-  TokenCount output;           ///< expected
+  TokenCount output;              ///< expected
   std::uint64_t prefix_hash = 0;  ///< of the prompt's shared beginning
-  TokenCount prefix;           ///< length of that beginning
-  ServerId last_prefix_server;  ///< where this instance sent the prefix last
+  TokenCount prefix;              ///< length of that beginning
+  ServerId last_prefix_server;    ///< where this instance sent the prefix last
 };
 
 /// The circumstances of one choice.
 struct ChoiceContext {
   RoutingPolicy policy = RoutingPolicy::kPredicted;
-  DomainId domain;       ///< of the entry instance
+  DomainId domain;  ///< of the entry instance
   WallTime now;
   std::uint64_t turn = 0;  ///< for round robin
   UnitDraw draw = 0;       ///< samples candidates
--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -54,8 +54,8 @@
   std::optional<LeaseRow> m_row;
   std::uint64_t m_version = 0;
   bool m_observed = false;
-  Time m_changed{};       ///< when a row of this version was first seen
-  Time m_held_since{};    ///< start of the own write last known to hold
+  Time m_changed{};          ///< when a row of this version was first seen
+  Time m_held_since{};       ///< start of the own write last known to hold
   bool m_own_write = false;  ///< the row was written by this process
 };
 
--- a/include/cowslipknot/coordination/membership.h
+++ b/include/cowslipknot/coordination/membership.h
@@ -32,8 +32,8 @@
 };
 
 struct MembershipOptions {
-  Milliseconds suspicion{2500};  ///< from suspect to dead
-  Milliseconds forget{600000};   ///< from dead to forgotten
+  Milliseconds suspicion{2500};          ///< from suspect to dead
+  Milliseconds forget{600000};           ///< from dead to forgotten
   std::uint32_t revisit_dead_every = 5;  ///< one probe in this many
   std::vector<Endpoint> seeds;
 };
--- a/include/cowslipknot/coordination/rendezvous.h
+++ b/include/cowslipknot/coordination/rendezvous.h
@@ -22,7 +22,8 @@
 /// Orders the instances that should take over a request, best first.
 ///
 /// Any instance computes the same order from the same members. Draining
-/// instances are left out, and so is a whole domain whose reclaim was announced.
+/// instances are left out, and so is a whole domain whose reclaim was
+/// announced.
 /// @param self  the asking instance, which is left out
 std::vector<NodeId> RankHolders(const RequestId& request, const NodeId& self,
                                 const std::vector<HolderCandidate>& members);
--- a/include/cowslipknot/state/claim.h
+++ b/include/cowslipknot/state/claim.h
@@ -30,9 +30,9 @@
 
 /// What a caller is told when its key has been claimed before.
 enum class ClaimAnswer : std::uint8_t {
-  kRun,              ///< the row is this attempt's own
-  kReplay,           ///< answer with the recorded outcome
-  kWait,             ///< another attempt runs
+  kRun,     ///< the row is this attempt's own
+  kReplay,  ///< answer with the recorded outcome
+  kWait,    ///< another attempt runs
   kOutcomeUnknown,
   kKeyReused,
 };
@@ -40,8 +40,7 @@
 std::string ClaimKey(const WorkspaceId& workspace, std::string_view key);
 
 std::string EncodeClaim(const Claim& claim);
-std::optional<Claim> DecodeClaim(const std::string& key,
-                                 std::string_view text);
+std::optional<Claim> DecodeClaim(const std::string& key, std::string_view text);
 
 /// Decides what an attempt may do, given the row found under its key.
 ClaimAnswer JudgeClaim(const Claim& found, const Claim& wanted);
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -50,7 +50,7 @@
 struct FleetSnapshot {
   ConfigurationPtr configuration;  ///< null until the first is received
   std::map<std::string, WorkspaceId> api_keys;
-  DomainId domain;                 ///< of this instance
+  DomainId domain;                                    ///< of this instance
   std::map<PoolId, std::vector<ServerView>> servers;  ///< none is leaving
   std::set<MoveId> taken_back;  ///< starts of moves no longer followed
   std::size_t members = 1;      ///< live entry instances, itself included
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,88 @@
+"""The main job on embedded stand-ins: both users' deployments, one after another."""
+
+import json
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(ROOT / "tests" / "failure"))
+
+from cluster import (Cluster, PLUMECRAFT_DOMAINS, STEIGERVERGUNNING_DOMAINS,  # noqa: E402
+                     http_json)
+
+DEPLOYMENTS = [
+    {"name": "Steigervergunning Samen", "file": "steigervergunning.toml",
+     "domains": STEIGERVERGUNNING_DOMAINS, "engines": 20, "plain_pool": "desks", "key": "key-clerks",
+     "long": "notice-draft", "short": "neighbour-letter", "once": "/filings/2026-17",
+     "lookup": "/lookups/dossier-9", "prompt": "Draft the licence notice for dossier 9."},
+    {"name": "Plumecraft Analytics", "file": "plumecraft.toml",
+     "domains": PLUMECRAFT_DOMAINS, "engines": 10, "plain_pool": "gates", "key": "key-sorters",
+     "long": "lot-certificate", "short": "grade-call", "once": "/gates/bin-4/release",
+     "lookup": "/stock/bin-4", "prompt": "Certify lot 77 of quill, bin 4."},
+]
+
+
+def served_by(cluster, index, before):
+    """The server that the last request of entry `index` went to, from its history."""
+    new = [event for event in cluster.history()[before:]
+           if event["what"] in ("dispatch", "execute")]
+    server = new[-1]["server"] if new else "no server (a recorded outcome)"
+    return f"entry-{index} -> {server}"
+
+
+def call(cluster, title, index, method, path, body, headers):
+    before = len(cluster.history())
+    status, answer_headers, answer = http_json(
+        method, cluster.entry(index), path, body, headers, timeout=30)
+    if status != 200:
+        raise SystemExit(f"{title}: status {status}: {answer}")
+    if isinstance(answer, str):
+        words = [json.loads(line[6:]) for line in answer.splitlines()
+                 if line.startswith("data: {")]
+        text = "".join(word["choices"][0]["text"] for word in words if word["choices"])
+        usage = next(word["usage"] for word in words if "usage" in word)
+        done = "data: [DONE]" in answer
+        shown = f"{text!r} usage={usage} done={done}"
+    elif "choices" in answer:
+        shown = repr(answer["choices"][0]["message"]["content"])
+    else:
+        shown = json.dumps(answer)
+    if answer_headers.get("Idempotent-Replayed"):
+        shown += "  (recorded outcome, not run again)"
+    print(f"  {title}\n    {served_by(cluster, index, before)}\n    {shown}")
+
+
+def run(deployment, base):
+    print(f"\n== {deployment['name']} ==")
+    with Cluster(base=base, domains=deployment["domains"], engines=deployment["engines"],
+                 plains=4, plain_pool=deployment["plain_pool"]) as cluster:
+        cluster.start_ready(ROOT / "examples" / deployment["file"])
+        bearer = {"Authorization": f"Bearer {deployment['key']}"}
+        call(cluster, "streamed draft", 0, "POST", "/v1/completions",
+             {"model": deployment["long"], "prompt": deployment["prompt"],
+              "max_tokens": 8, "stream": True}, bearer)
+        call(cluster, "whole letter", 1, "POST", "/v1/chat/completions",
+             {"model": deployment["short"], "max_tokens": 6,
+              "messages": [{"role": "user", "content": deployment["prompt"]}]}, bearer)
+        once = {**bearer, "Idempotency-Key": "demo-1"}
+        call(cluster, "call that may not be repeated", 2, "POST", deployment["once"],
+             {"lot": 77}, once)
+        call(cluster, "the same call again, at another instance", 3, "POST",
+             deployment["once"], {"lot": 77}, once)
+        call(cluster, "idempotent lookup", 4, "GET", deployment["lookup"], None, bearer)
+        status, headers, _ = http_json("GET", cluster.entry(0), deployment["lookup"], None,
+                                       {"Authorization": "Bearer nobody"})
+        print(f"  unknown key\n    status {status}, code {headers['X-Result-Code']}, "
+              f"{headers['X-Execution']}")
+        print()
+        print(cluster.command(0, "status").stdout)
+
+
+def main():
+    for number, deployment in enumerate(DEPLOYMENTS):
+        run(deployment, 30000 + number * 2500)
+    print("demo: ok; all processes have been stopped")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -26,8 +26,9 @@
                         const std::string& labels) const;
 
  private:
-  using Axis = boost::histogram::axis::regular<
-      double, boost::histogram::axis::transform::log>;
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
   using Histogram = boost::histogram::histogram<std::tuple<Axis>>;
   struct Series {
     std::string name;
--- a/src/base/trace.cc
+++ b/src/base/trace.cc
@@ -54,9 +54,8 @@
       m_parent(parent.span_id),
       m_sink(std::move(sink)),
       m_start_ns(NowNs()) {
-  m_context.trace_id = parent.trace_id.empty()
-                           ? RandomHex(random, kTraceDigits)
-                           : parent.trace_id;
+  m_context.trace_id = parent.trace_id.empty() ? RandomHex(random, kTraceDigits)
+                                               : parent.trace_id;
   m_context.span_id = RandomHex(random, kSpanDigits);
 }
 
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -106,8 +106,8 @@
   OperatorClient client(options);
   const auto current = client.Get("/v1/objects");
   if (!current) return Report(current.error());
-  PrintChanges(DiffObjects(
-      std::string(current->at("objects").as_string()), *text));
+  PrintChanges(
+      DiffObjects(std::string(current->at("objects").as_string()), *text));
   return kExitOk;
 }
 
@@ -163,8 +163,8 @@
     const auto newer = client.Get("/v1/objects");
     if (newer) {
       std::cerr << "changed meanwhile:\n";
-      PrintChanges(DiffObjects(
-          before, std::string(newer->at("objects").as_string())));
+      PrintChanges(
+          DiffObjects(before, std::string(newer->at("objects").as_string())));
     }
   }
   if (!applied) return Report(applied.error());
@@ -297,7 +297,8 @@
   static const std::map<std::string, Command> commands = {
       {"serve", {RunServe, "--config FILE [--check]  run an entry instance"}},
       {"check", {RunCheck, "FILE  check an object file"}},
-      {"diff", {RunDiff, "FILE  show how a file differs from what is in force"}},
+      {"diff",
+       {RunDiff, "FILE  show how a file differs from what is in force"}},
       {"apply", {RunApply, "FILE  publish an object file and wait for it"}},
       {"get", {RunGet, "print the objects in force"}},
       {"describe", {RunDescribe, "KIND NAME  print one object"}},
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -19,8 +19,8 @@
   try {
     const json::value body = json::parse(response.body());
     const json::object& fields = body.at("error").as_object();
-    error.code = static_cast<ResultCode>(
-        fields.at("number").to_number<std::uint16_t>());
+    error.code =
+        static_cast<ResultCode>(fields.at("number").to_number<std::uint16_t>());
     error.detail = std::string(fields.at("message").as_string());
   } catch (const std::exception&) {
     return error;
@@ -43,8 +43,8 @@
                                          std::string body) {
   const auto endpoint = ParseEndpointText(m_options.server);
   if (!endpoint) {
-    return Fail(ResultCode::kInvalidSettings, "--server: " +
-                                                  endpoint.error().detail);
+    return Fail(ResultCode::kInvalidSettings,
+                "--server: " + endpoint.error().detail);
   }
   HttpRequest request(post ? http::verb::post : http::verb::get, path, 11);
   request.set(http::field::authorization, "Bearer " + m_options.token);
--- a/src/cli/print.cc
+++ b/src/cli/print.cc
@@ -94,8 +94,8 @@
       now.Count() > move.at("deadline_ms").to_number<std::int64_t>();
   if (!platform_reachable) {
     return std::string("undecided: the platform does not answer; ") +
-           (late ? "the deadline has passed; " : "") +
-           "traffic stays at " + share + " and can only be lowered";
+           (late ? "the deadline has passed; " : "") + "traffic stays at " +
+           share + " and can only be lowered";
   }
   if (move.at("not_used_here").as_bool()) {
     return "being taken back: the new version is no longer used here";
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -48,8 +48,8 @@
 std::size_t LeastOutstanding(const std::vector<ServerView>& servers,
                              const std::vector<std::size_t>& usable,
                              UnitDraw draw) {
-  const auto offset = static_cast<std::size_t>(
-      draw * static_cast<double>(usable.size()));
+  const auto offset =
+      static_cast<std::size_t>(draw * static_cast<double>(usable.size()));
   std::size_t best = usable[offset % usable.size()];
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const std::size_t candidate = usable[(offset + i) % usable.size()];
@@ -97,8 +97,8 @@
              bool prefix_cached, const ChoiceContext& context) {
   const Milliseconds first =
       PredictFirstToken(request, server, prefix_cached, context);
-  const double remaining_s = static_cast<double>(request.output.Count()) *
-                             kDecodeMsPerToken / 1000.0;
+  const double remaining_s =
+      static_cast<double>(request.output.Count()) * kDecodeMsPerToken / 1000.0;
   const double risk =
       server.record.reclaimable ? kRecomputeRiskMs * remaining_s : 0;
   return static_cast<double>(first.count()) + risk;
@@ -126,9 +126,8 @@
   double best_score = 0;
   bool first = true;
   for (const std::size_t candidate : candidates) {
-    const bool cached =
-        candidate == home ||
-        servers[candidate].record.id == request.last_prefix_server;
+    const bool cached = candidate == home || servers[candidate].record.id ==
+                                                 request.last_prefix_server;
     const double score = Score(request, servers[candidate], cached, context);
     if (!first && score >= best_score) continue;
     best = candidate;
--- a/src/coordination/evidence_text.cc
+++ b/src/coordination/evidence_text.cc
@@ -9,8 +9,8 @@
 
 json::array EncodeRoute(const RouteEvidence& seen) {
   json::array counts;
-  for (const Tally& tally : {seen.old_errors, seen.new_errors, seen.old_slow,
-                             seen.new_slow}) {
+  for (const Tally& tally :
+       {seen.old_errors, seen.new_errors, seen.old_slow, seen.new_slow}) {
     counts.emplace_back(tally.seen);
     counts.emplace_back(tally.bad);
   }
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -37,14 +37,12 @@
 
 SpreadRecord EncodeMember(const Member& member) {
   const MemberInfo& info = member.info;
-  const json::array fields = {info.peers.host,
-                              info.peers.port,
-                              info.operators.host,
-                              info.operators.port,
-                              info.domain.Text(),
-                              info.revision.Count(),
+  const json::array fields = {info.peers.host,     info.peers.port,
+                              info.operators.host, info.operators.port,
+                              info.domain.Text(),  info.revision.Count(),
                               info.draining};
-  return {MemberKey(info.node), EncodeVersion(member.incarnation, member.status),
+  return {MemberKey(info.node),
+          EncodeVersion(member.incarnation, member.status),
           json::serialize(fields)};
 }
 
@@ -112,8 +110,7 @@
   const bool known = m_members.contains(node);
   if (!known && !Reachable(member->status)) return false;
   if (!m_records.Merge(record)) return false;
-  const bool changed =
-      !known || m_members.at(node).status != member->status;
+  const bool changed = !known || m_members.at(node).status != member->status;
   m_members[node] = *member;
   if (changed) m_since[node] = now;
   return true;
--- a/src/coordination/move_controller.cc
+++ b/src/coordination/move_controller.cc
@@ -53,9 +53,8 @@
 bool MoveController::AnyActive() const {
   const auto& current = m_keeper.Current();
   if (!current) return false;
-  return std::any_of(
-      current->moves.begin(), current->moves.end(),
-      [](const auto& entry) { return IsActive(entry.second); });
+  return std::any_of(current->moves.begin(), current->moves.end(),
+                     [](const auto& entry) { return IsActive(entry.second); });
 }
 
 NodeId MoveController::LeaseHolder() const {
@@ -118,9 +117,8 @@
     members.push_back({member.info.node, member.info.draining});
   }
   const auto ranked = RankHolders(RequestId(kLeaseKey), NodeId(), members);
-  const auto end =
-      ranked.begin() + static_cast<std::ptrdiff_t>(
-                           std::min(kLeaseCandidates, ranked.size()));
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                        kLeaseCandidates, ranked.size()));
   return std::find(ranked.begin(), end, m_settings.node) != end;
 }
 
@@ -148,8 +146,7 @@
   }
   m_lease.NoteOwnWrite(next, written->current.version, sent);
   if (held) co_return;
-  LogEvent(Event::kLeaseTaken,
-           {{"epoch", std::to_string(next.epoch.Count())}});
+  LogEvent(Event::kLeaseTaken, {{"epoch", std::to_string(next.epoch.Count())}});
   m_mesh.Spread({kHolderKey, next.epoch.Count(), m_settings.node.Text()});
 }
 
--- a/src/coordination/move_decision.cc
+++ b/src/coordination/move_decision.cc
@@ -10,7 +10,7 @@
 constexpr double kAlpha = 0.005;  ///< per route and criterion
 constexpr double kRaiseFactor = 2.0;
 constexpr double kSmallestRaise = 1.2;  ///< smaller steps cost revisions
-constexpr double kPlannedPart = 0.8;  ///< of the duration, until full share
+constexpr double kPlannedPart = 0.8;    ///< of the duration, until full share
 constexpr double kFullShare = 1.0;
 
 std::string DescribeRates(const RouteId& route, const std::string& what,
@@ -27,10 +27,10 @@
 };
 
 Criteria Judge(const Move& move, const RouteEvidence& seen) {
-  return {CompareRates(seen.old_errors, seen.new_errors, move.bad_error_share,
-                       kAlpha),
-          CompareRates(seen.old_slow, seen.new_slow, move.bad_slow_share,
-                       kAlpha)};
+  return {
+      CompareRates(seen.old_errors, seen.new_errors, move.bad_error_share,
+                   kAlpha),
+      CompareRates(seen.old_slow, seen.new_slow, move.bad_slow_share, kAlpha)};
 }
 
 /// The largest share at which the new version's excess, as far as evidence
@@ -47,9 +47,8 @@
   if (evidence.empty()) return 0;
   double allowed = kFullShare;
   for (const auto& [route, seen] : evidence) {
-    allowed = std::min(allowed,
-                       ShareForExcess(seen.old_errors, seen.new_errors,
-                                      move.bad_error_share));
+    allowed = std::min(allowed, ShareForExcess(seen.old_errors, seen.new_errors,
+                                               move.bad_error_share));
     allowed = std::min(allowed, ShareForExcess(seen.old_slow, seen.new_slow,
                                                move.bad_slow_share));
   }
@@ -88,8 +87,7 @@
 }
 
 double PlannedShare(const Move& move, const MoveState& state, WallTime now) {
-  const double steps =
-      std::ceil(std::log2(kFullShare / move.first_share)) + 1;
+  const double steps = std::ceil(std::log2(kFullShare / move.first_share)) + 1;
   const double step_ms =
       static_cast<double>(move.duration.count()) * kPlannedPart / steps;
   const double passed =
@@ -100,15 +98,13 @@
 
 MoveDecision DecideMove(const Move& move, const MoveState& state,
                         const MoveEvidence& evidence, WallTime now) {
-  if (state.phase == MovePhase::kDone ||
-      state.phase == MovePhase::kTakenBack) {
+  if (state.phase == MovePhase::kDone || state.phase == MovePhase::kTakenBack) {
     return {};
   }
   const std::string bad = FindBadRoute(move, evidence);
   if (!bad.empty()) return {MoveAction::kTakeBack, 0, bad};
   if (state.phase == MovePhase::kWatching) {
-    const bool watched =
-        Elapsed(state.full_since, now) >= move.watch.count();
+    const bool watched = Elapsed(state.full_since, now) >= move.watch.count();
     if (!watched) return {};
     return {MoveAction::kComplete, kFullShare, "watched at full share"};
   }
@@ -121,8 +117,8 @@
     return {};
   }
   if (late) return {MoveAction::kTakeBack, 0, "too little evidence in time"};
-  const double next = std::min({state.share * kRaiseFactor,
-                                PlannedShare(move, state, now), allowed});
+  const double next = std::min(
+      {state.share * kRaiseFactor, PlannedShare(move, state, now), allowed});
   if (next < state.share * kSmallestRaise) return {};
   return {MoveAction::kRaise, next, "evidence suffices"};
 }
--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -112,14 +112,13 @@
   PeerFrame frame;
   frame.kind = wire::Kind::Exchange;
   AddRecords(frame, m_records.All());
-  auto answer =
-      co_await CallAddress(peer, std::move(frame), kExchangeTimeout);
+  auto answer = co_await CallAddress(peer, std::move(frame), kExchangeTimeout);
   if (answer) MergeAll(*answer);
 }
 
 Awaitable<void> PeerMesh::Probe(ProbeTarget target) {
-  auto answer = co_await CallAddress(
-      target.peers, NewsFrame(wire::Kind::Probe), m_settings.probe_timeout);
+  auto answer = co_await CallAddress(target.peers, NewsFrame(wire::Kind::Probe),
+                                     m_settings.probe_timeout);
   if (answer) {
     MergeAll(*answer);
     const bool differ = answer->digest != m_records.Digest();
--- a/src/coordination/rendezvous.cc
+++ b/src/coordination/rendezvous.cc
@@ -29,8 +29,8 @@
   std::vector<Ranked> ranked;
   for (const auto& member : members) {
     if (member.draining || member.node == self) continue;
-    ranked.push_back({RendezvousWeight(request.Text(), member.node.Text()),
-                      member.node});
+    ranked.push_back(
+        {RendezvousWeight(request.Text(), member.node.Text()), member.node});
   }
   std::sort(ranked.begin(), ranked.end(), Better);
   std::vector<NodeId> nodes;
--- a/src/protocol/model_api.cc
+++ b/src/protocol/model_api.cc
@@ -65,9 +65,9 @@
 json::object Envelope(const AnswerInfo& info, bool streamed) {
   json::object envelope;
   envelope["id"] = info.id;
-  envelope["object"] = info.chat ? (streamed ? "chat.completion.chunk"
-                                             : "chat.completion")
-                                 : "text_completion";
+  envelope["object"] =
+      info.chat ? (streamed ? "chat.completion.chunk" : "chat.completion")
+                : "text_completion";
   envelope["created"] = 0;
   envelope["model"] = info.model;
   return envelope;
@@ -101,8 +101,8 @@
   if (!error.detail.empty()) message += ": " + error.detail;
   json::object fields;
   fields["message"] = message;
-  fields["type"] = row.http_status < 500 ? "invalid_request_error"
-                                         : "server_error";
+  fields["type"] =
+      row.http_status < 500 ? "invalid_request_error" : "server_error";
   fields["param"] = nullptr;
   fields["code"] = row.name;
   fields["number"] = static_cast<std::uint16_t>(error.code);
@@ -212,8 +212,7 @@
     if (!event.id.empty()) parsed.index = std::stoull(event.id);
     if (fields.contains("load")) {
       const json::object& load = fields.at("load").as_object();
-      parsed.queue_tokens =
-          load.at("queue_tokens").to_number<std::uint64_t>();
+      parsed.queue_tokens = load.at("queue_tokens").to_number<std::uint64_t>();
       parsed.recomputed_tokens =
           load.at("recomputed_tokens").to_number<std::uint64_t>();
     }
@@ -254,13 +253,13 @@
 
 std::string FormatStreamEnd(const AnswerInfo& info, std::uint64_t chunks) {
   json::object finish = Envelope(info, true);
-  finish["choices"] = json::array{
-      StreamChoice(info, "", json::value(info.finish_reason))};
+  finish["choices"] =
+      json::array{StreamChoice(info, "", json::value(info.finish_reason))};
   json::object usage = Envelope(info, true);
   usage["choices"] = json::array();
   usage["usage"] = Usage(info, chunks);
-  return DataLine(finish) + DataLine(usage) + "data: " +
-         std::string(kDoneMarker) + "\n\n";
+  return DataLine(finish) + DataLine(usage) +
+         "data: " + std::string(kDoneMarker) + "\n\n";
 }
 
 std::string FormatStreamError(const Error& error, const std::string& id) {
--- a/src/protocol/model_api.h
+++ b/src/protocol/model_api.h
@@ -55,12 +55,12 @@
 
 /// What one engine event says.
 struct EngineEvent {
-  bool done = false;                  ///< the [DONE] marker
-  std::string text;                   ///< one piece of output
-  std::string finish_reason;          ///< empty until the last piece
-  std::uint64_t index = 0;            ///< position of the piece
+  bool done = false;          ///< the [DONE] marker
+  std::string text;           ///< one piece of output
+  std::string finish_reason;  ///< empty until the last piece
+  std::uint64_t index = 0;    ///< position of the piece
   std::uint64_t recomputed_tokens = 0;
-  std::uint64_t queue_tokens = 0;     ///< the engine's load
+  std::uint64_t queue_tokens = 0;  ///< the engine's load
 };
 
 Result<EngineEvent> ParseEngineEvent(const SseEvent& event);
--- a/src/protocol/platform_client.cc
+++ b/src/protocol/platform_client.cc
@@ -77,8 +77,8 @@
     std::vector<RowCondition> conditions, std::vector<RowWrite> writes) {
   json::array condition_list;
   for (const auto& condition : conditions) {
-    condition_list.push_back(json::object(
-        {{"key", condition.key}, {"version", condition.version}}));
+    condition_list.push_back(
+        json::object({{"key", condition.key}, {"version", condition.version}}));
   }
   json::array write_list;
   for (const auto& write : writes) {
@@ -90,8 +90,7 @@
   json::object body;
   body["conditions"] = std::move(condition_list);
   body["writes"] = std::move(write_list);
-  auto answer =
-      co_await Post("/table/transact", json::serialize(body));
+  auto answer = co_await Post("/table/transact", json::serialize(body));
   if (!answer) co_return tl::make_unexpected(answer.error());
   try {
     co_return DecodeReply(json::parse(*answer).as_object());
@@ -102,7 +101,7 @@
 }
 
 Awaitable<Result<TableRow>> PlatformClient::Read(std::string key,
-                                                std::uint64_t known) {
+                                                 std::uint64_t known) {
   ++m_use.reads;
   json::object body;
   body["key"] = key;
--- a/src/protocol/platform_client.h
+++ b/src/protocol/platform_client.h
@@ -29,7 +29,7 @@
 
 struct TransactReply {
   bool committed = false;
-  std::uint64_t version = 0;            ///< of every row written
+  std::uint64_t version = 0;           ///< of every row written
   std::vector<std::string> conflicts;  ///< keys whose condition failed
 };
 
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -40,8 +40,7 @@
         m_context(context),
         m_exchange(exchange),
         m_snapshot(worker.SnapshotPtr()),
-        m_span("caller",
-               ParseTraceparent(exchange.Request()["traceparent"]),
+        m_span("caller", ParseTraceparent(exchange.Request()["traceparent"]),
                worker.Random(), worker.Hooks().trace) {}
 
   Awaitable<void> Run() {
@@ -72,9 +71,8 @@
   }
 
   Awaitable<void> Refuse(const Error& error) {
-    m_worker.Metrics().Add(
-        "cowslipknot_refusals_total",
-        Label("code", Describe(error.code).name));
+    m_worker.Metrics().Add("cowslipknot_refusals_total",
+                           Label("code", Describe(error.code).name));
     HttpResponse response = ErrorResponse(error);
     if (!m_id.Empty()) response.set("X-Request-Id", m_id.Text());
     co_await m_exchange.Respond(std::move(response));
@@ -171,9 +169,8 @@
          m_snapshot->configuration->objects.routes) {
       if (route.path_prefix.empty()) continue;
       if (!path.starts_with(route.path_prefix)) continue;
-      const bool longer =
-          best == nullptr ||
-          route.path_prefix.size() > best->path_prefix.size();
+      const bool longer = best == nullptr ||
+                          route.path_prefix.size() > best->path_prefix.size();
       if (longer) best = &route;
     }
     return best;
@@ -229,9 +226,9 @@
       asio::co_spawn(worker.Executor(), run->Execute(parent), asio::detached);
       co_return run;
     };
-    co_return co_await RunOn(
-        owner.Executor(), start(owner, m_id, m_workspace, std::move(route),
-                                std::move(request), m_span.Context(), keep));
+    co_return co_await RunOn(owner.Executor(),
+                             start(owner, m_id, m_workspace, std::move(route),
+                                   std::move(request), m_span.Context(), keep));
   }
 
   Awaitable<RunProgress> Read(const std::shared_ptr<ModelRun>& run,
@@ -340,8 +337,7 @@
       co_return worker.FindRun(wanted);
     };
     Worker& owner = WorkerOf(m_id);
-    const auto run =
-        co_await RunOn(owner.Executor(), find(owner, m_id));
+    const auto run = co_await RunOn(owner.Executor(), find(owner, m_id));
     const bool own = run && run->GetWorkspace() == m_workspace;
     if (own) {
       if (run->Request().stream) {
@@ -363,8 +359,7 @@
 
   Awaitable<Result<void>> ForwardLookup() {
     const ControlHooks& hooks = m_worker.Hooks();
-    const auto address =
-        co_await RunOn(hooks.executor, hooks.locate(m_id));
+    const auto address = co_await RunOn(hooks.executor, hooks.locate(m_id));
     if (!address) co_return tl::make_unexpected(address.error());
     HttpRequest request(http::verb::get, m_exchange.Request().target(), 11);
     request.set("X-Forwarded-By", m_worker.GetSettings().node.Text());
@@ -379,9 +374,9 @@
     if (!opened) co_return tl::make_unexpected(opened.error());
     HttpResponse header;
     header.base() = (*opened)->Header();
-    for (const auto field : {http::field::content_length,
-                             http::field::transfer_encoding,
-                             http::field::connection}) {
+    for (const auto field :
+         {http::field::content_length, http::field::transfer_encoding,
+          http::field::connection}) {
       header.erase(field);
     }
     bool alive = co_await m_exchange.BeginStream(std::move(header));
@@ -402,8 +397,7 @@
   Awaitable<Result<void>> AnswerClaim() {
     const ControlHooks& hooks = m_worker.Hooks();
     const std::string key = ClaimKey(m_workspace, m_id.Text());
-    auto claim =
-        co_await RunOn(hooks.executor, hooks.claims->Find(key));
+    auto claim = co_await RunOn(hooks.executor, hooks.claims->Find(key));
     if (!claim) co_return tl::make_unexpected(claim.error());
     if (!*claim) co_return Fail(ResultCode::kUnknownRequest);
     json::object body;
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -56,9 +56,8 @@
   m_moves = std::make_unique<MoveController>(settings, *m_platform, *m_rows,
                                              *m_mesh, *m_keeper);
   m_requests = std::make_unique<RequestKeeper>(
-      settings, *m_mesh, [this](const Descriptor& descriptor) {
-        StartTakenOver(descriptor);
-      });
+      settings, *m_mesh,
+      [this](const Descriptor& descriptor) { StartTakenOver(descriptor); });
   BuildHooks();
 }
 
@@ -80,9 +79,7 @@
   m_hooks.holds = [this](RequestId id) -> Awaitable<bool> {
     co_return m_requests->Holds(id);
   };
-  m_hooks.find_kept = [this](RequestId id) {
-    return m_requests->FindKept(id);
-  };
+  m_hooks.find_kept = [this](RequestId id) { return m_requests->FindKept(id); };
   m_hooks.locate = [this](RequestId id) { return m_requests->Locate(id); };
   if (!m_settings.trace) return;
   m_hooks.trace = [executor](std::string line) {
@@ -96,14 +93,13 @@
   asio::co_spawn(executor, m_mesh->Run(), asio::detached);
   asio::co_spawn(executor, PollPlatform(), asio::detached);
   asio::co_spawn(executor, StepMoves(), asio::detached);
-  asio::co_spawn(executor,
-                 ServeFrames(
-                     std::move(peers),
-                     [this](const FrameBytes& bytes) {
-                       return HandleFrame(bytes);
-                     },
-                     m_served),
-                 asio::detached);
+  asio::co_spawn(
+      executor,
+      ServeFrames(
+          std::move(peers),
+          [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
+          m_served),
+      asio::detached);
 }
 
 void Control::PublishSnapshot() {
@@ -169,8 +165,8 @@
   LogEvent(Event::kServerLeaving,
            {{"server", id.Text()},
             {"incarnation", std::to_string(incarnation.Count())}});
-  m_mesh->Spread({LeavingKey(id, incarnation), 1,
-                  std::to_string(NowWall().Count())});
+  m_mesh->Spread(
+      {LeavingKey(id, incarnation), 1, std::to_string(NowWall().Count())});
   PublishSnapshot();
 }
 
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -36,7 +36,6 @@
   /// Tells peers that this instance is gone.
   Awaitable<void> Leave();
 
-
   PeerMesh& Mesh() { return *m_mesh; }
   ConfigurationKeeper& Keeper() { return *m_keeper; }
   MoveController& Moves() { return *m_moves; }
--- a/src/serve/control_drain.cc
+++ b/src/serve/control_drain.cc
@@ -8,7 +8,8 @@
 namespace cowslipknot {
 
 Awaitable<Descriptor> Control::DescribeRun(std::shared_ptr<ModelRun> run) {
-  auto describe = [](std::shared_ptr<ModelRun> target) -> Awaitable<Descriptor> {
+  auto describe =
+      [](std::shared_ptr<ModelRun> target) -> Awaitable<Descriptor> {
     target->MarkKept();
     co_return target->Describe();
   };
@@ -50,8 +51,7 @@
   if (IsDisabled(m_settings, "hand_over")) co_return;
   for (const auto& run : co_await RunsInFlight()) {
     Descriptor descriptor = co_await DescribeRun(run);
-    const bool handed =
-        co_await m_requests->HandOver(std::move(descriptor));
+    const bool handed = co_await m_requests->HandOver(std::move(descriptor));
     if (!handed) continue;
     asio::post(run->Owner().Executor(), [run] { run->HandOver(); });
   }
@@ -80,16 +80,15 @@
 void Control::StartTakenOver(const Descriptor& descriptor) {
   const auto& current = m_keeper->Current();
   if (!current) return;
-  const auto route =
-      current->objects.routes.find(RouteId(descriptor.route));
+  const auto route = current->objects.routes.find(RouteId(descriptor.route));
   auto request = ParseModelRequest(descriptor.path, descriptor.body);
   if (route == current->objects.routes.end() || !request) return;
   const std::size_t hash =
       XXH3_64bits(descriptor.request.data(), descriptor.request.size());
   Worker& worker = *m_workers.at(hash % m_workers.size());
-  auto run = std::make_shared<ModelRun>(
-      worker, RequestId(descriptor.request),
-      WorkspaceId(descriptor.workspace), route->second, std::move(*request));
+  auto run = std::make_shared<ModelRun>(worker, RequestId(descriptor.request),
+                                        WorkspaceId(descriptor.workspace),
+                                        route->second, std::move(*request));
   run->Restore(descriptor);
   asio::post(worker.Executor(), [&worker, run] {
     if (worker.FindRun(run->Id())) return;
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -154,16 +154,15 @@
   m_worker.Retries().NoteRequest();
   AdmissionRequest wanted;
   wanted.workspace = m_workspace;
-  wanted.cost = TokenCount(m_request.cost.prompt.Count() +
-                           m_request.cost.output.Count());
+  wanted.cost =
+      TokenCount(m_request.cost.prompt.Count() + m_request.cost.output.Count());
   const auto& workspaces =
       m_worker.Snapshot().configuration->objects.workspaces;
   const auto workspace = workspaces.find(m_workspace);
   if (workspace != workspaces.end()) wanted.weight = workspace->second.weight;
   wanted.request_class = m_route.request_class;
   wanted.arrived = NowWall();
-  const bool interactive =
-      m_route.request_class == RequestClass::kInteractive;
+  const bool interactive = m_route.request_class == RequestClass::kInteractive;
   const Milliseconds patience =
       interactive ? m_route.first_token : m_route.timeout;
   wanted.give_up = WallTime(wanted.arrived.Count() + patience.count());
@@ -197,8 +196,8 @@
     }
     if (error.code == ResultCode::kNoServer) m_tried.clear();
     m_worker.Metrics().Add("cowslipknot_retries_total", Labels());
-    const bool at_once = error.code != ResultCode::kNoServer &&
-                         m_worker.Retries().TrySpend();
+    const bool at_once =
+        error.code != ResultCode::kNoServer && m_worker.Retries().TrySpend();
     if (!at_once) co_await SleepFor(kRetryPause);
   }
 }
@@ -327,8 +326,7 @@
       m_worker.Metrics().Observe("cowslipknot_first_token_ms", Labels(), first);
       attempt.slow = Since(attempt.started) > m_route.first_token;
     } else {
-      const auto pieces =
-          static_cast<std::int64_t>(m_chunks.size() - before);
+      const auto pieces = static_cast<std::int64_t>(m_chunks.size() - before);
       m_worker.Metrics().Observe("cowslipknot_between_tokens_ms", Labels(),
                                  Since(last_piece) / pieces);
     }
@@ -347,10 +345,10 @@
 }
 
 Awaitable<Result<void>> ModelRun::ReconnectStream(Attempt& attempt) {
-  HttpRequest request(http::verb::get,
-                      "/v1/streams/" + attempt.id +
-                          "?from=" + std::to_string(m_chunks.size()),
-                      11);
+  HttpRequest request(
+      http::verb::get,
+      "/v1/streams/" + attempt.id + "?from=" + std::to_string(m_chunks.size()),
+      11);
   CallProgress progress;
   auto opened = co_await m_worker.Http().Open(
       attempt.server.record.address, std::move(request), m_route.stall_timeout,
@@ -378,14 +376,13 @@
                    std::string id) -> Awaitable<void> {
     HttpRequest request(http::verb::delete_, "/v1/streams/" + id, 11);
     CallProgress progress;
-    co_await run->m_worker.Http().Call(address, std::move(request),
-                                       kCancelTimeout, Reuse::kAllowed,
-                                       progress);
+    co_await run->m_worker.Http().Call(
+        address, std::move(request), kCancelTimeout, Reuse::kAllowed, progress);
   };
-  asio::co_spawn(m_worker.Executor(),
-                 cancel(shared_from_this(), attempt.server.record.address,
-                        attempt.id),
-                 asio::detached);
+  asio::co_spawn(
+      m_worker.Executor(),
+      cancel(shared_from_this(), attempt.server.record.address, attempt.id),
+      asio::detached);
 }
 
 }  // namespace cowslipknot
--- a/src/serve/operator_api.cc
+++ b/src/serve/operator_api.cc
@@ -154,8 +154,7 @@
     base = Revision(body.at("base_revision").to_number<std::uint64_t>());
     next.objects_text = std::string(body.at("objects").as_string());
   } catch (const std::exception& error) {
-    co_return ErrorResponse(
-        Error{ResultCode::kMalformedRequest, error.what()});
+    co_return ErrorResponse(Error{ResultCode::kMalformedRequest, error.what()});
   }
   auto parsed = ParseObjects(next.objects_text, "objects");
   if (!parsed) {
@@ -181,8 +180,7 @@
                                                 const HttpRequest& request) {
   const std::string rest = path.substr(kMovesPath.size());
   const std::size_t slash = rest.rfind('/');
-  if (slash == std::string::npos ||
-      request.method() != http::verb::post) {
+  if (slash == std::string::npos || request.method() != http::verb::post) {
     co_return ErrorResponse(Error{ResultCode::kNoRoute, path});
   }
   const MoveId move(rest.substr(0, slash));
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -14,11 +14,10 @@
 constexpr std::size_t kMaxKeptBody = 32 * 1024;
 constexpr int kTokenDigits = 32;
 
-const http::field kForwarded[] = {http::field::content_type,
-                                  http::field::accept,
-                                  http::field::accept_language,
-                                  http::field::if_match,
-                                  http::field::if_none_match};
+const http::field kForwarded[] = {
+    http::field::content_type, http::field::accept,
+    http::field::accept_language, http::field::if_match,
+    http::field::if_none_match};
 
 bool IsNotRunRefusal(const HttpResponse& response) {
   return response.result() == http::status::service_unavailable &&
@@ -97,9 +96,8 @@
     const Endpoint address = choice.server.record.address;
     const auto started = SteadyClock::now();
     CallProgress progress;
-    auto answer =
-        co_await m_worker.Http().Call(address, BuildRequest(span.Context()),
-                                      TimeLeft(), reuse, progress);
+    auto answer = co_await m_worker.Http().Call(
+        address, BuildRequest(span.Context()), TimeLeft(), reuse, progress);
     if (!answer && progress.reused_connection) {
       m_worker.Http().Forget(address);
     }
@@ -161,9 +159,9 @@
     Claim claim;
     claim.key = ClaimKey(m_request.workspace, m_request.idempotency_key);
     claim.token = RandomHex(m_worker.Random(), kTokenDigits);
-    const std::string text =
-        std::string(m_request.http.method_string()) + " " +
-        std::string(m_request.http.target()) + "\n" + m_request.http.body();
+    const std::string text = std::string(m_request.http.method_string()) + " " +
+                             std::string(m_request.http.target()) + "\n" +
+                             m_request.http.body();
     claim.fingerprint = std::to_string(XXH3_64bits(text.data(), text.size()));
     claim.node = m_worker.GetSettings().node;
     return claim;
@@ -231,9 +229,8 @@
         co_return std::move(outcome.answer);
       }
       // Not one byte was sent: no server can have run the request.
-      const bool may_retry =
-          !outcome.progress.first_byte_sent ||
-          IsDisabled(m_worker.GetSettings(), "claims");
+      const bool may_retry = !outcome.progress.first_byte_sent ||
+                             IsDisabled(m_worker.GetSettings(), "claims");
       if (may_retry) continue;
       LogEvent(Event::kOutcomeUnknown,
                {{"request", m_request.id.Text()},
@@ -257,8 +254,7 @@
     }
     held.row.state = ClaimState::kDone;
     held.row.status = answer->result_int();
-    held.row.content_type =
-        std::string((*answer)[http::field::content_type]);
+    held.row.content_type = std::string((*answer)[http::field::content_type]);
     held.row.body_kept = answer->body().size() <= kMaxKeptBody;
     if (held.row.body_kept) held.row.body = answer->body();
     Record(std::move(held));
--- a/src/serve/request_keeper.cc
+++ b/src/serve/request_keeper.cc
@@ -87,8 +87,8 @@
   const bool kept = co_await Keep(std::move(descriptor));
   if (!kept) co_return false;
   const NodeId holder = m_given[id];
-  const auto answer = co_await m_mesh.Call(
-      holder, RequestFrame(wire::Kind::TakeOver, id));
+  const auto answer =
+      co_await m_mesh.Call(holder, RequestFrame(wire::Kind::TakeOver, id));
   if (!answer || answer->code != 0) co_return false;
   m_given.erase(id);
   LogEvent(Event::kRequestHandedOver,
@@ -184,8 +184,8 @@
   const auto holders = Holders(id);
   candidates.insert(candidates.end(), holders.begin(), holders.end());
   for (const auto& candidate : candidates) {
-    const auto answer = co_await m_mesh.Call(
-        candidate, RequestFrame(wire::Kind::Lookup, id));
+    const auto answer =
+        co_await m_mesh.Call(candidate, RequestFrame(wire::Kind::Lookup, id));
     if (!answer || answer->code != 0) continue;
     co_return Endpoint{answer->target_host, answer->target_port};
   }
--- a/src/serve/request_keeper.h
+++ b/src/serve/request_keeper.h
@@ -21,9 +21,7 @@
   using StartRun = std::function<void(const Descriptor&)>;
 
   RequestKeeper(const Settings& settings, PeerMesh& mesh, StartRun start_run)
-      : m_settings(settings),
-        m_mesh(mesh),
-        m_start_run(std::move(start_run)) {}
+      : m_settings(settings), m_mesh(mesh), m_start_run(std::move(start_run)) {}
 
   /// Gives a copy of a request to the first peer that takes it.
   Awaitable<bool> Keep(Descriptor descriptor);
@@ -64,7 +62,7 @@
   PeerMesh& m_mesh;
   StartRun m_start_run;
   std::map<RequestId, Held> m_held;
-  std::map<RequestId, NodeId> m_given;       ///< own requests kept by peers
+  std::map<RequestId, NodeId> m_given;  ///< own requests kept by peers
   std::map<RequestId, SteadyClock::time_point> m_running;  ///< taken over here
 };
 
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -98,7 +98,8 @@
       if (!error) BeginDrain();
     });
     asio::co_spawn(m_control.Context(), ReportReady(), asio::detached);
-    LogEvent(Event::kStarted, {{"callers", FormatEndpoint(m_settings.callers)}});
+    LogEvent(Event::kStarted,
+             {{"callers", FormatEndpoint(m_settings.callers)}});
   }
 
   Awaitable<void> ReportReady() {
--- a/src/state/claim.cc
+++ b/src/state/claim.cc
@@ -15,14 +15,10 @@
 
 std::string EncodeClaim(const Claim& claim) {
   const json::object encoded = {
-      {"token", claim.token},
-      {"fingerprint", claim.fingerprint},
-      {"node", claim.node.Text()},
-      {"state", static_cast<int>(claim.state)},
-      {"status", claim.status},
-      {"content_type", claim.content_type},
-      {"body", claim.body},
-      {"body_kept", claim.body_kept}};
+      {"token", claim.token},      {"fingerprint", claim.fingerprint},
+      {"node", claim.node.Text()}, {"state", static_cast<int>(claim.state)},
+      {"status", claim.status},    {"content_type", claim.content_type},
+      {"body", claim.body},        {"body_kept", claim.body_kept}};
   return json::serialize(encoded);
 }
 
--- a/src/state/configuration.cc
+++ b/src/state/configuration.cc
@@ -57,8 +57,7 @@
     const json::object& encoded = parsed.as_object();
     configuration.revision =
         Revision(encoded.at("revision").to_number<std::uint64_t>());
-    configuration.objects_text =
-        std::string(encoded.at("objects").as_string());
+    configuration.objects_text = std::string(encoded.at("objects").as_string());
     for (const auto& [name, move] : encoded.at("moves").as_object()) {
       configuration.moves[MoveId(std::string(name))] =
           DecodeMove(move.as_object());
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -9,8 +9,8 @@
 void Fleet::Apply(const std::vector<InstanceRecord>& rows) {
   for (const auto& row : rows) {
     const auto known = m_records.find(row.id);
-    const bool fresh = known == m_records.end() ||
-                       known->second.incarnation < row.incarnation;
+    const bool fresh =
+        known == m_records.end() || known->second.incarnation < row.incarnation;
     if (!fresh && row.incarnation < known->second.incarnation) continue;
     if (fresh) m_live[row.id] = std::make_shared<ServerLive>();
     m_records[row.id] = row;
--- a/src/state/object_reader.cc
+++ b/src/state/object_reader.cc
@@ -117,8 +117,8 @@
   const toml::node* node = Find(key, false);
   if (node == nullptr) return 0;
   const auto text = node->value_exact<std::string>();
-  const auto found = std::find(choices.begin(), choices.end(),
-                               text.value_or(std::string()));
+  const auto found =
+      std::find(choices.begin(), choices.end(), text.value_or(std::string()));
   if (found == choices.end()) {
     std::string wanted = "one of";
     for (const auto& choice : choices) wanted += " '" + choice + "'";
--- a/src/state/record_set.cc
+++ b/src/state/record_set.cc
@@ -37,8 +37,7 @@
   return found == m_records.end() ? nullptr : &found->second;
 }
 
-std::vector<SpreadRecord> RecordSet::WithPrefix(
-    std::string_view prefix) const {
+std::vector<SpreadRecord> RecordSet::WithPrefix(std::string_view prefix) const {
   std::vector<SpreadRecord> matching;
   for (auto entry = m_records.lower_bound(std::string(prefix));
        entry != m_records.end() && entry->first.starts_with(prefix); ++entry) {
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -17,7 +17,7 @@
 const std::vector<std::string> kPolicies = {"predicted", "round_robin",
                                             "least_outstanding", "affinity"};
 const std::vector<std::string> kMechanisms = {
-    "claims", "retry",    "leaving",  "hand_over", "completeness",
+    "claims", "retry",     "leaving",  "hand_over", "completeness",
     "drain",  "take_back", "revision", "fencing",   "silent_links"};
 
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key) {
@@ -73,9 +73,9 @@
       const auto line = static_cast<int>(node.source().begin.line);
       m_problems.push_back(
           {m_file, line, name,
-           "unknown section" +
-               (near.empty() ? std::string() : "; did you mean '" + near +
-                                                   "'?")});
+           "unknown section" + (near.empty()
+                                    ? std::string()
+                                    : "; did you mean '" + near + "'?")});
     }
   }
 
@@ -102,8 +102,7 @@
   });
   sections.Section("platform", true, [&](ObjectReader& reader) {
     settings.platform = ReadEndpoint(reader, "address");
-    settings.platform_poll =
-        reader.Duration("poll_ms", settings.platform_poll);
+    settings.platform_poll = reader.Duration("poll_ms", settings.platform_poll);
     settings.platform_timeout =
         reader.Duration("timeout_ms", settings.platform_timeout);
   });
@@ -153,8 +152,8 @@
     settings.trace = reader.Flag("stdout", settings.trace);
   });
   sections.Section("experiment", false, [&](ObjectReader& reader) {
-    settings.seed = static_cast<std::uint64_t>(
-        reader.Whole("seed", 1, 0, 1LL << 62));
+    settings.seed =
+        static_cast<std::uint64_t>(reader.Whole("seed", 1, 0, 1LL << 62));
     if (!reader.Has("disable")) return;
     settings.disabled = reader.TextList("disable");
     for (const auto& name : settings.disabled) {
@@ -169,8 +168,8 @@
 void CheckTogether(const Settings& settings, const std::string& file,
                    Problems& problems) {
   if (settings.hand_over_margin >= settings.drain_limit) {
-    problems.push_back({file, 1, "drain",
-                        "'hand_over_margin_ms' must be under 'limit_ms'"});
+    problems.push_back(
+        {file, 1, "drain", "'hand_over_margin_ms' must be under 'limit_ms'"});
   }
   if (settings.probe_timeout > settings.probe_interval) {
     problems.push_back({file, 1, "peers",
--- a/src/transport/endpoint.cc
+++ b/src/transport/endpoint.cc
@@ -26,9 +26,9 @@
   if (!error) acceptor.bind(*address, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) {
-    return Fail(ResultCode::kInvalidSettings,
-                "cannot listen on " + FormatEndpoint(endpoint) + ": " +
-                    error.message());
+    return Fail(ResultCode::kInvalidSettings, "cannot listen on " +
+                                                  FormatEndpoint(endpoint) +
+                                                  ": " + error.message());
   }
   return acceptor;
 }
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -142,7 +142,8 @@
   auto answer = co_await Attempt(peer, frame, timeout, reused);
   if (!answer) CloseIdle(peer);
   // Frames are idempotent, so one that met a stale connection is sent again.
-  if (!answer && reused) answer = co_await Attempt(peer, frame, timeout, reused);
+  if (!answer && reused)
+    answer = co_await Attempt(peer, frame, timeout, reused);
   if (!answer) ++m_traffic.failures;
   co_return answer;
 }
@@ -160,10 +161,10 @@
     }
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    asio::co_spawn(executor,
-                   ServeLink(beast::tcp_stream(std::move(socket)), handler,
-                             traffic),
-                   asio::detached);
+    asio::co_spawn(
+        executor,
+        ServeLink(beast::tcp_stream(std::move(socket)), handler, traffic),
+        asio::detached);
   }
 }
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -22,8 +22,8 @@
 
 tl::unexpected<Error> CallFailure(error_code error,
                                   const CallProgress& progress) {
-  const Execution execution = progress.first_byte_sent ? Execution::kUnknown
-                                                       : Execution::kNotRun;
+  const Execution execution =
+      progress.first_byte_sent ? Execution::kUnknown : Execution::kNotRun;
   if (error == beast::error::timeout) {
     return Fail(ResultCode::kBackendTimeout, error.message(), execution);
   }
@@ -34,9 +34,9 @@
       error.category() ==
           http::make_error_code(http::error::bad_version).category() &&
       error != http::error::end_of_stream;
-  return Fail(malformed ? ResultCode::kBackendMalformed
-                        : ResultCode::kBackendFailed,
-              error.message(), execution);
+  return Fail(
+      malformed ? ResultCode::kBackendMalformed : ResultCode::kBackendFailed,
+      error.message(), execution);
 }
 
 class PooledStream : public ResponseStream {
@@ -135,8 +135,7 @@
   if (!address) co_return tl::make_unexpected(address.error());
   auto connection = std::make_shared<Connection>(m_executor, endpoint);
   connection->stream.expires_after(timeout);
-  auto [error] =
-      co_await connection->stream.async_connect(*address, kAsTuple);
+  auto [error] = co_await connection->stream.async_connect(*address, kAsTuple);
   if (error) {
     co_return Fail(ResultCode::kConnectFailed,
                    FormatEndpoint(endpoint) + ": " + error.message());
@@ -166,12 +165,10 @@
 Awaitable<Result<std::unique_ptr<ResponseStream>>> HttpClient::Open(
     Endpoint endpoint, HttpRequest request, Milliseconds timeout, Reuse reuse,
     CallProgress& progress) {
-  auto sent =
-      co_await SendRequest(endpoint, request, timeout, reuse, progress);
+  auto sent = co_await SendRequest(endpoint, request, timeout, reuse, progress);
   if (!sent) co_return tl::make_unexpected(sent.error());
-  auto stream = std::make_unique<PooledStream>(weak_from_this(),
-                                               std::move(*sent),
-                                               m_max_response);
+  auto stream = std::make_unique<PooledStream>(
+      weak_from_this(), std::move(*sent), m_max_response);
   const error_code error = co_await stream->ReadHeader(timeout);
   if (error) co_return CallFailure(error, progress);
   progress.response_started = true;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -16,8 +16,8 @@
 
 /// How far a call got; read it after a failure.
 struct CallProgress {
-  bool first_byte_sent = false;      ///< request bytes may have left
-  bool reused_connection = false;    ///< the connection came from the pool
+  bool first_byte_sent = false;    ///< request bytes may have left
+  bool reused_connection = false;  ///< the connection came from the pool
   bool response_started = false;
 };
 
--- a/tests/failure/cluster.py
+++ b/tests/failure/cluster.py
@@ -74,7 +74,7 @@
     def __init__(self, base=21000, entries=5, engines=4, plains=2, domains=None,
                  disable=(), policy="predicted", through_forwarder=False,
                  engine_arguments=(), settings_overrides=None, seed=1,
-                 keep_history=True, traffic_threads=1):
+                 keep_history=True, traffic_threads=1, plain_pool="desks"):
         self.base = base
         self.domains = domains or STEIGERVERGUNNING_DOMAINS
         self.entry_count = entries
@@ -87,6 +87,7 @@
         self.overrides = settings_overrides or {}
         self.seed = seed
         self.traffic_threads = traffic_threads
+        self.plain_pool = plain_pool
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cowslipknot-"))
         self.history_path = self.folder / "history.jsonl" if keep_history else ""
         self.processes = {}
@@ -166,10 +167,10 @@
             "--platform", self.platform(), "--history", self.history_path,
             *self.engine_arguments, *extra])
 
-    def start_plain(self, index, pool="desks", incarnation=1):
+    def start_plain(self, index, incarnation=1):
         self.start_process(f"plain-{index}", [
             BUILD / "fake_plain_service", "--name", f"plain-{index}",
-            "--port", self.base + 1900 + index, "--pool", pool,
+            "--port", self.base + 1900 + index, "--pool", self.plain_pool,
             "--domain", self.domain_of(index), "--incarnation", incarnation,
             "--platform", self.platform(), "--history", self.history_path])
 
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -26,7 +26,7 @@
   std::uint64_t seed = 0;  ///< determines the output's text
   bool chat = false;
   int priority = 0;
-  std::size_t first = 0;   ///< position at which this stream began
+  std::size_t first = 0;  ///< position at which this stream began
   std::size_t total = 0;
   std::size_t produced = 0;
   double prefill_left = 0;
@@ -50,9 +50,9 @@
         m_prefill_rate(arguments.Number("prefill-rate", 8000)),
         m_decode_ms(arguments.Number("decode-ms", 10)),
         m_decode_ms_per_stream(arguments.Number("decode-ms-per-stream", 0.2)),
-        m_cache_blocks(static_cast<std::size_t>(
-            arguments.Whole("cache-tokens", 64000) * kCharsPerToken /
-            kBlockChars)),
+        m_cache_blocks(
+            static_cast<std::size_t>(arguments.Whole("cache-tokens", 64000) *
+                                     kCharsPerToken / kBlockChars)),
         m_fail_every(arguments.Whole("fail-every", 0)),
         m_fail_after(arguments.Whole("fail-after", 0)),
         m_fail_above(arguments.Whole("fail-above", 0)),
@@ -123,7 +123,8 @@
       co_return;
     }
     if (m_slow_ms > 0) co_await SleepFor(Milliseconds(m_slow_ms));
-    stream = MakeStream(body.as_object(), id, path.ends_with("chat/completions"));
+    stream =
+        MakeStream(body.as_object(), id, path.ends_with("chat/completions"));
     stream->priority = exchange.Request()["X-Priority"] == "1" ? 1 : 0;
     m_streams[id] = stream;
     co_await Send(exchange, stream, stream->first);
@@ -217,9 +218,8 @@
                        return left->priority > right->priority;
                      });
     double budget = m_prefill_rate * seconds;
-    const double step_ms =
-        m_decode_ms +
-        m_decode_ms_per_stream * static_cast<double>(order.size());
+    const double step_ms = m_decode_ms + m_decode_ms_per_stream *
+                                             static_cast<double>(order.size());
     for (const auto& stream : order) {
       if (stream->prefill_left > 0) {
         const double used = std::min(budget, stream->prefill_left);
@@ -256,8 +256,8 @@
     json::object event;
     event["choices"] = json::array{choice};
     event["load"] = std::move(load);
-    return "id: " + std::to_string(index) + "\ndata: " +
-           json::serialize(event) + "\n\n";
+    return "id: " + std::to_string(index) +
+           "\ndata: " + json::serialize(event) + "\n\n";
   }
 
   Awaitable<void> Send(HttpExchange& exchange, StreamPtr stream,
@@ -360,10 +360,10 @@
   asio::co_spawn(context, engine.Run(), asio::detached);
   const auto platform = ParseEndpointText(arguments.Text("platform"));
   if (platform) {
-    asio::co_spawn(context,
-                   fakes::Register(*platform,
-                                   fakes::InstanceRow(arguments, "engine")),
-                   asio::detached);
+    asio::co_spawn(
+        context,
+        fakes::Register(*platform, fakes::InstanceRow(arguments, "engine")),
+        asio::detached);
   }
   return fakes::RunServer(
       context, static_cast<std::uint16_t>(arguments.Whole("port", 0)),
--- a/tests/fakes/fake_plain_service.cc
+++ b/tests/fakes/fake_plain_service.cc
@@ -31,10 +31,9 @@
     const std::string key(exchange.Request()["Idempotency-Key"]);
     const std::string id(exchange.Request()["X-Request-Id"]);
     ++m_executions;
-    m_history.Write("execute", {{"server", m_name},
-                                {"key", key},
-                                {"id", id},
-                                {"path", path}});
+    m_history.Write(
+        "execute",
+        {{"server", m_name}, {"key", key}, {"id", id}, {"path", path}});
     co_await SleepFor(m_delay);
     if (m_lose_every > 0 && m_executions % m_lose_every == 0) {
       exchange.Abort();
@@ -93,10 +92,10 @@
   asio::io_context context;
   const auto platform = ParseEndpointText(arguments.Text("platform"));
   if (platform) {
-    asio::co_spawn(context,
-                   fakes::Register(*platform,
-                                   fakes::InstanceRow(arguments, "plain")),
-                   asio::detached);
+    asio::co_spawn(
+        context,
+        fakes::Register(*platform, fakes::InstanceRow(arguments, "plain")),
+        asio::detached);
   }
   return fakes::RunServer(
       context, static_cast<std::uint16_t>(arguments.Whole("port", 0)),
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -63,8 +63,7 @@
       const std::string key(condition.at("key").as_string());
       const auto wanted = condition.at("version").to_number<std::uint64_t>();
       const auto row = m_rows.find(key);
-      const std::uint64_t held =
-          row == m_rows.end() ? 0 : row->second.version;
+      const std::uint64_t held = row == m_rows.end() ? 0 : row->second.version;
       if (held != wanted) conflicts.emplace_back(key);
     }
     json::object answer;
@@ -180,8 +179,8 @@
     if (found == m_instances.end()) return;
     found->second["leaving"] = true;
     AddChange({{"row", found->second}});
-    m_history.Write("leaving", {{"server", id},
-                                {"kind", found->second.at("kind")}});
+    m_history.Write("leaving",
+                    {{"server", id}, {"kind", found->second.at("kind")}});
   }
 
   History m_history;
--- /dev/null
+++ b/tests/unit/coordination_test.cc
@@ -0,0 +1,188 @@
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "cowslipknot/coordination/choose_server.h"
+#include "cowslipknot/coordination/fair_queue.h"
+#include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/coordination/rendezvous.h"
+#include "cowslipknot/coordination/retry_budget.h"
+
+using namespace cowslipknot;
+
+namespace {
+
+std::vector<ServerView> MakeServers(int count) {
+  std::vector<ServerView> servers;
+  for (int i = 0; i < count; ++i) {
+    ServerView server;
+    server.record.id = ServerId("s" + std::to_string(i));
+    server.record.domain = DomainId("d");
+    server.live = std::make_shared<ServerLive>();
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+RequestCost MakeCost() {
+  RequestCost cost;
+  cost.prompt = TokenCount(500);
+  cost.output = TokenCount(100);
+  cost.prefix = TokenCount(400);
+  cost.prefix_hash = 42;
+  return cost;
+}
+
+AdmissionRequest MakeAdmission(std::uint64_t ticket, const char* workspace,
+                               std::uint64_t cost) {
+  AdmissionRequest request;
+  request.ticket = ticket;
+  request.workspace = WorkspaceId(workspace);
+  request.cost = TokenCount(cost);
+  request.give_up = WallTime(1000);
+  return request;
+}
+
+}  // namespace
+
+Test(choose_server, same_arguments_give_the_same_answer) {
+  const auto servers = MakeServers(20);
+  ChoiceContext context;
+  context.draw = 0.3;
+  const auto first = ChooseServer(MakeCost(), servers, context);
+  const auto second = ChooseServer(MakeCost(), servers, context);
+  cr_assert(first.has_value());
+  cr_expect_eq(*first, *second);
+}
+
+Test(choose_server, a_loaded_home_is_left_for_a_free_server) {
+  const auto servers = MakeServers(8);
+  ChoiceContext context;
+  context.now = WallTime(1700000000000);
+  const auto home = ChooseServer(MakeCost(), servers, context);
+  servers[*home].live->in_flight_tokens = 100000;
+  const auto other = ChooseServer(MakeCost(), servers, context);
+  cr_expect_neq(*home, *other);
+}
+
+Test(choose_server, failing_servers_are_avoided_until_most_of_them_fail) {
+  const auto servers = MakeServers(4);
+  ChoiceContext context;
+  context.policy = RoutingPolicy::kLeastOutstanding;
+  for (int i = 0; i < 3; ++i) NoteAttempt(*servers[0].live, false, WallTime(1));
+  for (int turn = 0; turn < 20; ++turn) {
+    context.draw = turn / 20.0;
+    cr_expect_neq(*ChooseServer(RequestCost(), servers, context), 0u);
+  }
+  for (std::size_t s = 1; s < 4; ++s) {
+    for (int i = 0; i < 3; ++i) {
+      NoteAttempt(*servers[s].live, false, WallTime(1));
+    }
+  }
+  cr_expect(ChooseServer(RequestCost(), servers, context).has_value());
+}
+
+Test(choose_server, no_server_is_an_error_with_its_code) {
+  const auto answer = ChooseServer(RequestCost(), {}, ChoiceContext());
+  cr_assert_not(answer.has_value());
+  cr_expect(answer.error().code == ResultCode::kNoServer);
+}
+
+Test(rendezvous, removing_a_member_moves_only_its_own_keys) {
+  std::vector<HolderCandidate> members;
+  for (int i = 0; i < 10; ++i) {
+    members.push_back({NodeId("n" + std::to_string(i)), false});
+  }
+  auto fewer = members;
+  fewer.pop_back();
+  int moved = 0;
+  for (int i = 0; i < 500; ++i) {
+    const RequestId id("r" + std::to_string(i));
+    const auto before = RankHolders(id, NodeId(), members).front();
+    const auto after = RankHolders(id, NodeId(), fewer).front();
+    if (before.Text() != "n9") cr_expect(before == after);
+    moved += before.Text() == "n9";
+  }
+  cr_expect_gt(moved, 0);
+}
+
+Test(rendezvous, draining_instances_hold_nothing) {
+  const std::vector<HolderCandidate> members = {{NodeId("a"), true},
+                                                {NodeId("b"), false}};
+  const auto ranked = RankHolders(RequestId("x"), NodeId("c"), members);
+  cr_assert_eq(ranked.size(), 1u);
+  cr_expect_eq(ranked.front().Text(), std::string("b"));
+}
+
+Test(fair_queue, a_surging_workspace_cannot_starve_another) {
+  FairQueue queue(TokenCount(100));
+  std::uint64_t ticket = 0;
+  for (int i = 0; i < 50; ++i) queue.Offer(MakeAdmission(++ticket, "big", 50));
+  queue.Offer(MakeAdmission(1000, "small", 50));
+  std::set<std::uint64_t> admitted;
+  for (int i = 0; i < 3; ++i) {
+    for (const auto next : queue.Release(TokenCount(50), WallTime(0))) {
+      admitted.insert(next);
+    }
+  }
+  cr_expect(admitted.contains(1000));
+}
+
+Test(fair_queue, never_exceeds_its_limit_but_for_a_single_large_request) {
+  FairQueue queue(TokenCount(100));
+  cr_expect(queue.Offer(MakeAdmission(1, "a", 500)) == Admission::kAdmitted);
+  cr_expect(queue.Offer(MakeAdmission(2, "a", 10)) == Admission::kQueued);
+  cr_expect_eq(queue.Release(TokenCount(500), WallTime(0)).size(), 1u);
+  cr_expect_leq(queue.InFlight().Count(), 100u);
+}
+
+Test(fair_queue, interactive_requests_go_before_patient_ones) {
+  FairQueue queue(TokenCount(10));
+  queue.Offer(MakeAdmission(1, "a", 10));
+  auto patient = MakeAdmission(2, "a", 10);
+  patient.request_class = RequestClass::kPatient;
+  queue.Offer(patient);
+  queue.Offer(MakeAdmission(3, "a", 10));
+  const auto admitted = queue.Release(TokenCount(10), WallTime(0));
+  cr_assert_eq(admitted.size(), 1u);
+  cr_expect_eq(admitted.front(), 3u);
+}
+
+Test(retry_budget, retries_stay_a_share_of_requests) {
+  RetryBudget budget(0.1, 5);
+  int spent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.NoteRequest();
+    spent += budget.TrySpend() ? 1 : 0;
+  }
+  cr_expect_leq(spent, 105);
+  cr_expect_geq(spent, 95);
+}
+
+Test(lease, no_two_instances_act_at_once_whatever_the_delays) {
+  using Time = LeaseView::Time;
+  const Milliseconds duration(1000);
+  LeaseView old_holder(NodeId("a"), duration);
+  LeaseView taker(NodeId("b"), duration);
+  const Time start{};
+  old_holder.Observe(std::nullopt, 0, start);
+  const LeaseRow row = old_holder.NextRow();
+  old_holder.NoteOwnWrite(row, 1, start);
+  // The taker reads the row late or early; it counts from its own reading.
+  for (int seen_ms = 0; seen_ms <= 3000; seen_ms += 100) {
+    LeaseView reader(NodeId("b"), duration);
+    const Time seen = start + Milliseconds(seen_ms);
+    reader.Observe(row, 1, seen);
+    for (int at_ms = seen_ms; at_ms <= 6000; at_ms += 50) {
+      const Time at = start + Milliseconds(at_ms);
+      cr_expect_not(old_holder.MayAct(at) && reader.MayTake(at));
+    }
+  }
+}
+
+Test(lease, a_restarted_holder_does_not_act_on_its_forerunners_row) {
+  LeaseView view(NodeId("a"), Milliseconds(1000));
+  view.Observe(LeaseRow{NodeId("a"), Epoch(4), 9}, 17, LeaseView::Time{});
+  cr_expect_not(view.MayAct(LeaseView::Time{}));
+  cr_expect_eq(view.NextRow().epoch.Count(), 5u);
+}
--- /dev/null
+++ b/tests/unit/move_test.cc
@@ -0,0 +1,146 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "coordination/move_controller.h"
+#include "cowslipknot/coordination/move_decision.h"
+#include "cowslipknot/coordination/sequential_test.h"
+
+using namespace cowslipknot;
+
+namespace {
+
+constexpr int kRuns = 400;
+constexpr int kRequests = 1500;
+constexpr double kAlpha = 0.005;
+
+/// Share of runs in which looking after every request gives `verdict`.
+double VerdictShare(double old_rate, double new_rate, Verdict verdict) {
+  std::mt19937_64 random(11);
+  std::uniform_real_distribution<double> draw(0, 1);
+  int found = 0;
+  for (int run = 0; run < kRuns; ++run) {
+    Tally old_tally;
+    Tally new_tally;
+    for (int i = 0; i < kRequests; ++i) {
+      ++old_tally.seen;
+      old_tally.bad += draw(random) < old_rate;
+      if (i % 5 != 0) continue;
+      ++new_tally.seen;
+      new_tally.bad += draw(random) < new_rate;
+      if (CompareRates(old_tally, new_tally, 0.05, kAlpha) == verdict) {
+        ++found;
+        break;
+      }
+    }
+  }
+  return static_cast<double>(found) / kRuns;
+}
+
+Move MakeMove() {
+  Move move;
+  move.name = MoveId("m");
+  move.duration = Milliseconds(100000);
+  move.watch = Milliseconds(1000);
+  move.first_share = 0.1;
+  return move;
+}
+
+MoveEvidence MakeEvidence(Tally old_errors, Tally new_errors) {
+  RouteEvidence seen;
+  seen.old_errors = old_errors;
+  seen.new_errors = new_errors;
+  seen.old_slow = {old_errors.seen, 0};
+  seen.new_slow = {new_errors.seen, 0};
+  return {{RouteId("r"), seen}};
+}
+
+}  // namespace
+
+Test(sequential_test, an_equal_version_is_rarely_called_bad_despite_looking) {
+  cr_expect_leq(VerdictShare(0.02, 0.02, Verdict::kBad), 0.01);
+}
+
+Test(sequential_test, a_version_over_the_margin_is_rarely_called_good) {
+  cr_expect_leq(VerdictShare(0.02, 0.10, Verdict::kGood), 0.01);
+}
+
+Test(sequential_test, a_version_that_fails_half_its_requests_is_found) {
+  cr_expect_geq(VerdictShare(0.02, 0.5, Verdict::kBad), 0.99);
+}
+
+Test(sequential_test, bounds_enclose_the_measured_rate) {
+  const auto bounds = ConfidenceSequence({100, 10}, 0.01);
+  cr_expect_lt(bounds.low, 0.1);
+  cr_expect_gt(bounds.high, 0.1);
+  cr_expect_eq(ConfidenceSequence({}, 0.01).high, 1.0);
+}
+
+Test(move_decision, no_evidence_raises_no_share) {
+  MoveState state;
+  state.share = 0.1;
+  const auto decision = DecideMove(MakeMove(), state, {}, WallTime(50000));
+  cr_expect(decision.action == MoveAction::kHold);
+}
+
+Test(move_decision, evidence_raises_the_share_no_faster_than_planned) {
+  MoveState state;
+  state.share = 0.1;
+  const auto evidence = MakeEvidence({1000, 0}, {1000, 0});
+  const auto early = DecideMove(MakeMove(), state, evidence, WallTime(0));
+  cr_expect(early.action == MoveAction::kHold);
+  const auto later = DecideMove(MakeMove(), state, evidence, WallTime(50000));
+  cr_assert(later.action == MoveAction::kRaise);
+  cr_expect_float_eq(later.share, 0.2, 1e-9);
+}
+
+Test(move_decision, a_bad_route_takes_the_move_back_and_is_named) {
+  MoveState state;
+  state.share = 0.1;
+  auto evidence = MakeEvidence({1000, 0}, {1000, 0});
+  evidence[RouteId("other")] =
+      MakeEvidence({500, 0}, {20, 10}).at(RouteId("r"));
+  const auto decision = DecideMove(MakeMove(), state, evidence, WallTime(0));
+  cr_assert(decision.action == MoveAction::kTakeBack);
+  cr_expect(decision.reason.find("other") != std::string::npos);
+}
+
+Test(move_decision, the_deadline_without_evidence_takes_the_move_back) {
+  MoveState state;
+  state.share = 0.1;
+  const auto decision = DecideMove(MakeMove(), state, {}, WallTime(100000));
+  cr_expect(decision.action == MoveAction::kTakeBack);
+}
+
+Test(move_decision, full_share_is_watched_before_it_is_done) {
+  MoveState state;
+  state.share = 1;
+  const auto evidence = MakeEvidence({1000, 0}, {1000, 0});
+  const auto full = DecideMove(MakeMove(), state, evidence, WallTime(90000));
+  cr_expect(full.action == MoveAction::kStartWatch);
+  state.phase = MovePhase::kWatching;
+  state.full_since = WallTime(90000);
+  const auto watching =
+      DecideMove(MakeMove(), state, evidence, WallTime(90500));
+  cr_expect(watching.action == MoveAction::kHold);
+  const auto done = DecideMove(MakeMove(), state, evidence, WallTime(91000));
+  cr_expect(done.action == MoveAction::kComplete);
+}
+
+Test(move_decision, shares_split_requests_by_their_hash) {
+  int chosen = 0;
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 10000; ++i) chosen += InShare(random(), 0.1);
+  cr_expect_geq(chosen, 900);
+  cr_expect_leq(chosen, 1100);
+  cr_expect_not(InShare(0, 0.0));
+}
+
+Test(evidence, survives_its_encoding_and_rejects_nonsense) {
+  EvidenceByMove evidence;
+  evidence[MoveId("m@1")] = MakeEvidence({10, 2}, {5, 1});
+  const auto decoded = DecodeEvidence(EncodeEvidence(evidence));
+  cr_expect_eq(decoded.at(MoveId("m@1")).at(RouteId("r")).new_errors.bad, 1u);
+  cr_expect(DecodeEvidence("{\"m\":{\"r\":[1,2,0,0,0,0,0,0]}}").empty());
+  cr_expect(DecodeEvidence("nonsense").empty());
+}
--- /dev/null
+++ b/tests/unit/protocol_test.cc
@@ -0,0 +1,119 @@
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "base/trace.h"
+#include "cowslipknot/state/claim.h"
+#include "protocol/model_api.h"
+#include "protocol/peer_frame.h"
+
+using namespace cowslipknot;
+
+Test(sse, events_do_not_depend_on_how_bytes_are_split) {
+  std::string text;
+  for (int i = 0; i < 20; ++i) {
+    text += "id: " + std::to_string(i) + "\ndata: {\"n\":" + std::to_string(i) +
+            "}\n\n";
+  }
+  cr_assert(rc::check([&text] {
+    SseParser parser;
+    std::vector<SseEvent> events;
+    std::size_t at = 0;
+    while (at < text.size()) {
+      const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, 40));
+      const auto part = parser.Feed(std::string_view(text).substr(at, size));
+      RC_ASSERT(part.has_value());
+      events.insert(events.end(), part->begin(), part->end());
+      at += size;
+    }
+    RC_ASSERT(events.size() == 20u);
+    RC_ASSERT(events[19].id == "19");
+  }));
+}
+
+Test(sse, an_endless_event_is_an_error) {
+  SseParser parser;
+  const std::string piece(1 << 18, 'x');
+  bool failed = false;
+  for (int i = 0; i < 8; ++i) failed = failed || !parser.Feed(piece);
+  cr_expect(failed);
+}
+
+Test(model_api, malformed_requests_are_numbered_errors) {
+  for (const auto* body : {"", "[]", "{}", "{\"model\":1}", "{\"model\":\"m\"}",
+                           "{\"model\":\"m\",\"prompt\":3}",
+                           "{\"model\":\"m\",\"prompt\":\"x\","
+                           "\"stream\":\"yes\"}"}) {
+    const auto parsed = ParseModelRequest("/v1/completions", body);
+    cr_assert_not(parsed.has_value(), "%s", body);
+    cr_expect(parsed.error().code == ResultCode::kMalformedRequest);
+  }
+}
+
+Test(model_api, random_bodies_never_crash_the_parser) {
+  cr_assert(rc::check([] {
+    const auto body = *rc::gen::arbitrary<std::string>();
+    ParseModelRequest("/v1/chat/completions", body);
+    ParseEngineEvent({"", body});
+  }));
+}
+
+Test(model_api, an_engine_error_event_is_an_error) {
+  cr_expect_not(ParseEngineEvent({"", "{\"error\":{\"m\":1}}"}).has_value());
+  cr_expect(ParseEngineEvent({"", "[DONE]"})->done);
+}
+
+Test(peer_frame, survives_its_encoding) {
+  PeerFrame frame;
+  frame.token = "secret-token";
+  frame.sender = "n1";
+  AddRecords(frame, {{"k", 3, "payload"}});
+  const auto decoded = DecodeFrame(EncodeFrame(frame), "secret-token");
+  cr_assert(decoded.has_value());
+  cr_expect_eq(TakeRecords(*decoded).front().version, 3u);
+}
+
+Test(peer_frame, hostile_and_truncated_bytes_are_rejected) {
+  PeerFrame frame;
+  frame.token = "secret-token";
+  AddRecords(frame, {{"k", 3, "payload"}});
+  const FrameBytes good = EncodeFrame(frame);
+  cr_assert(rc::check([&good] {
+    FrameBytes bytes = good;
+    bytes.resize(static_cast<std::size_t>(
+        *rc::gen::inRange(0, static_cast<int>(good.size()))));
+    const auto cut = DecodeFrame(bytes, "secret-token");
+    RC_ASSERT(!cut.has_value());
+    const auto noise = *rc::gen::arbitrary<FrameBytes>();
+    RC_ASSERT(!DecodeFrame(noise, "secret-token").has_value());
+  }));
+  cr_expect_not(DecodeFrame(good, "other-token").has_value());
+}
+
+Test(claim, only_the_attempt_whose_token_the_row_holds_may_run) {
+  Claim wanted;
+  wanted.token = "t1";
+  wanted.fingerprint = "f";
+  Claim found = wanted;
+  cr_expect(JudgeClaim(found, wanted) == ClaimAnswer::kRun);
+  found.token = "t2";
+  cr_expect(JudgeClaim(found, wanted) == ClaimAnswer::kWait);
+  found.state = ClaimState::kOutcomeUnknown;
+  cr_expect(JudgeClaim(found, wanted) == ClaimAnswer::kOutcomeUnknown);
+  found.state = ClaimState::kDone;
+  cr_expect(JudgeClaim(found, wanted) == ClaimAnswer::kReplay);
+  found.fingerprint = "g";
+  cr_expect(JudgeClaim(found, wanted) == ClaimAnswer::kKeyReused);
+}
+
+Test(claim, bad_rows_are_no_claims) {
+  cr_expect_not(DecodeClaim("k", "").has_value());
+  cr_expect_not(DecodeClaim("k", "{\"state\":9}").has_value());
+}
+
+Test(trace, malformed_parents_start_a_new_trace) {
+  cr_expect(ParseTraceparent("").trace_id.empty());
+  cr_expect(ParseTraceparent(std::string(55, 'z')).trace_id.empty());
+  const std::string good =
+      "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  cr_expect_eq(FormatTraceparent(ParseTraceparent(good)), good);
+}
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,112 @@
+#include "cowslipknot/settings.h"
+
+#include <criterion/criterion.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "coordination/configuration_keeper.h"
+#include "cowslipknot/events.h"
+
+using namespace cowslipknot;
+
+namespace {
+
+std::string ReadSource(const std::string& path) {
+  std::ifstream file(std::string(SOURCE_DIR) + "/" + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string EncodedRevision(std::uint64_t revision) {
+  Configuration configuration;
+  configuration.revision = Revision(revision);
+  return EncodeConfiguration(configuration);
+}
+
+/// Feeds a keeper revisions as they might arrive. @return those in force
+std::vector<std::uint64_t> Feed(const Settings& settings,
+                                const std::vector<std::uint64_t>& arriving) {
+  asio::io_context context;
+  const auto http = HttpClient::Create(context.get_executor(), ByteCount(1000));
+  PlatformClient platform(http, Endpoint(), Milliseconds(1));
+  RowWriter rows(context.get_executor(), platform, Milliseconds(1));
+  std::vector<std::uint64_t> in_force;
+  ConfigurationKeeper* keeper_pointer = nullptr;
+  ConfigurationKeeper keeper(settings, platform, rows, [&] {
+    in_force.push_back(keeper_pointer->CurrentRevision().Count());
+  });
+  keeper_pointer = &keeper;
+  for (const auto revision : arriving) keeper.Adopt(EncodedRevision(revision));
+  return in_force;
+}
+
+}  // namespace
+
+Test(settings, example_files_are_valid) {
+  const auto settings =
+      ParseSettings(ReadSource("examples/entry.toml"), "entry.toml");
+  cr_assert(settings.has_value());
+  cr_expect_eq(settings->callers.port, 8080);
+  for (const auto* file : {"steigervergunning", "plumecraft"}) {
+    const std::string path = std::string("examples/") + file + ".toml";
+    cr_expect(ParseObjects(ReadSource(path), path).has_value());
+  }
+}
+
+Test(settings, each_error_gives_one_line_and_all_are_reported) {
+  const auto settings = ParseSettings(
+      "[node]\nname = \"a\"\ndomian = \"d\"\n[listen]\ncallers = \"x\"\n"
+      "operators = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[platform]\n"
+      "address = \"127.0.0.1:4\"\npoll_ms = -1\n[peers]\nseeds = [\"h:1\"]\n"
+      "token = \"long enough\"\n[operators]\ntoken = \"short\"\n",
+      "f");
+  cr_assert_not(settings.has_value());
+  // domain missing, domian unknown, callers, poll_ms, seed, token.
+  cr_expect_eq(settings.error().size(), 6u);
+}
+
+Test(configuration, revisions_never_fall_in_whatever_order_they_arrive) {
+  const auto in_force = Feed(Settings(), {3, 1, 4, 4, 2, 5, 3});
+  const std::vector<std::uint64_t> wanted = {3, 4, 5};
+  cr_expect(in_force == wanted);
+}
+
+Test(configuration, without_the_revision_rule_an_old_set_would_come_back) {
+  Settings settings;
+  settings.disabled = {"revision"};
+  const auto in_force = Feed(settings, {3, 1, 4});
+  const std::vector<std::uint64_t> wanted = {3, 1, 4};
+  cr_expect(in_force == wanted);
+}
+
+Test(configuration, an_unreadable_set_leaves_the_one_in_force) {
+  asio::io_context context;
+  const Settings settings;
+  const auto http = HttpClient::Create(context.get_executor(), ByteCount(1000));
+  PlatformClient platform(http, Endpoint(), Milliseconds(1));
+  RowWriter rows(context.get_executor(), platform, Milliseconds(1));
+  ConfigurationKeeper keeper(settings, platform, rows, [] {});
+  keeper.Adopt(EncodedRevision(2));
+  for (const auto* bad : {"", "{}", "{\"revision\":9}"}) {
+    cr_expect_not(keeper.Adopt(bad).has_value());
+  }
+  cr_expect_eq(keeper.CurrentRevision().Count(), 2u);
+}
+
+Test(docs, every_result_code_and_event_is_in_its_catalogue) {
+  const std::string codes = ReadSource("docs/result_codes.md");
+  for (const auto& row : ResultCodeTable()) {
+    const std::string line = "| " + std::to_string(static_cast<int>(row.code)) +
+                             " | " + std::string(row.name) + " |";
+    cr_expect(codes.find(line) != std::string::npos, "%s", line.c_str());
+  }
+  const std::string events = ReadSource("docs/events.md");
+  for (const auto& row : EventTable()) {
+    const std::string line = "| " +
+                             std::to_string(static_cast<int>(row.event)) +
+                             " | " + std::string(row.name) + " |";
+    cr_expect(events.find(line) != std::string::npos, "%s", line.c_str());
+  }
+}
