Probe seeds only when no live member answers for them; count members in place

Cause: one probe in five went to a seed and exchanged whole states with it, so traffic grew with the number of instances; each probe copied the member list several times. Ruled out: the news itself (832 B/s a node with no news at any size).

--- /dev/null
+++ b/benchmark/overhead.py
@@ -0,0 +1,70 @@
+"""What an entry instance adds over calling a server directly, and its rate per core.
+
+One run measures both ways in turn, several times, so that the machine's noise
+falls on both. Writes benchmark/results/overhead.json.
+"""
+
+import json
+import subprocess
+
+from measure import RESULTS, ROOT, cpu_seconds
+
+from cluster import BUILD, Cluster
+
+ROUNDS = 3
+LETTER_RATE = 60
+LOOKUP_RATE = 3000
+
+
+def load(targets, **options):
+    command = [BUILD / "load_tool", "--targets", ",".join(targets)]
+    for name, value in options.items():
+        command += ["--" + name.replace("_", "-"), str(value)]
+    return json.loads(subprocess.run([str(part) for part in command], check=True,
+                                     capture_output=True, text=True).stdout)
+
+
+def main():
+    rows = []
+    only_letters = {"drafts": 0, "filings": 0, "lookups": 0, "letters": 1,
+                    "letter_tokens": 10, "reuse": "yes"}
+    only_lookups = {"drafts": 0, "filings": 0, "lookups": 1, "letters": 0, "reuse": "yes"}
+    with Cluster(entries=1, engines=1, plains=1, keep_history=False,
+                 engine_arguments=["--prefill-rate", 1000000]) as cluster:
+        cluster.start_ready(ROOT / "examples" / "steigervergunning.toml")
+        entry = cluster.processes["entry-0"].child.pid
+        for seed in range(1, ROUNDS + 1):
+            direct = load([cluster.engine(0)], seed=seed, rate=LETTER_RATE, seconds=5,
+                          direct="yes", **only_letters)["letter"]
+            through = load([cluster.entry(0)], seed=seed, rate=LETTER_RATE, seconds=5,
+                           **only_letters)["letter"]
+            cpu = cpu_seconds(entry)
+            lookups = load([cluster.entry(0)], seed=seed, rate=LOOKUP_RATE, seconds=5,
+                           **only_lookups)
+            cpu = cpu_seconds(entry) - cpu
+            answered = lookups["lookup"]["outcomes"].get("ok", 0)
+            direct_lookup = load([cluster.plain(0)], seed=seed, rate=300, seconds=5,
+                                 **only_lookups)["lookup"]
+            through_lookup = load([cluster.entry(0)], seed=seed, rate=300, seconds=5,
+                                  **only_lookups)["lookup"]
+            row = {
+                "seed": seed,
+                "first_token_direct_ms": direct["first_token_ms"],
+                "first_token_through_ms": through["first_token_ms"],
+                "total_direct_ms": direct["total_ms"],
+                "total_through_ms": through["total_ms"],
+                "lookup_direct_ms": direct_lookup["total_ms"],
+                "lookup_through_ms": through_lookup["total_ms"],
+                "lookups_ok": answered,
+                "lookups_per_s": answered / lookups["elapsed_s"],
+                "lookups_per_core_s": answered / cpu,
+            }
+            print(json.dumps(row), flush=True)
+            rows.append(row)
+    RESULTS.mkdir(exist_ok=True)
+    (RESULTS / "overhead.json").write_text(json.dumps(
+        {"command": "python3 benchmark/overhead.py", "rows": rows}, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/include/cowslipknot/coordination/membership.h
+++ b/include/cowslipknot/coordination/membership.h
@@ -78,12 +78,16 @@
   const MemberInfo& Self() const { return m_self.info; }
   /// Alive and suspect members, this one included.
   std::vector<Member> Live() const;
+  std::size_t LiveCount() const;
   /// Whether a member is stopping, or is or lately was without an answer.
   bool AnyUnsettled() const;
   std::optional<Member> Find(const NodeId& node) const;
 
  private:
   void PublishSelf();
+  /// Dead members and seeds that no live member answers for.
+  std::vector<ProbeTarget> LostTargets() const;
+  bool IsLiveAddress(const Endpoint& address) const;
   void SetStatus(const Member& member, MemberStatus status);
 
   MembershipOptions m_options;
--- a/include/cowslipknot/settings.h
+++ b/include/cowslipknot/settings.h
@@ -26,7 +26,7 @@
   std::string operator_token;
   std::uint32_t traffic_threads = 2;
   RoutingPolicy policy = RoutingPolicy::kPredicted;
-  ByteCount max_header{16 * 1024};
+  ByteCount max_header{16 << 10};
   ByteCount max_body{8 << 20};
   TokenCount in_flight_tokens{400000};  ///< admitted at once, per instance
   Milliseconds probe_interval{500};
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -116,19 +116,32 @@
   return true;
 }
 
-std::optional<ProbeTarget> Membership::NextProbe(UnitDraw draw) {
-  ++m_probes;
+bool Membership::IsLiveAddress(const Endpoint& address) const {
+  return std::any_of(m_members.begin(), m_members.end(),
+                     [&address](const auto& entry) {
+                       return Reachable(entry.second.status) &&
+                              entry.second.info.peers == address;
+                     });
+}
+
+std::vector<ProbeTarget> Membership::LostTargets() const {
   std::vector<ProbeTarget> lost;
   for (const auto& [node, member] : m_members) {
     if (member.status == MemberStatus::kDead) {
       lost.push_back({node, member.info.peers});
     }
   }
-  const bool alone = Live().size() <= 1;
+  for (const auto& seed : m_options.seeds) {
+    if (!IsLiveAddress(seed)) lost.push_back({NodeId(), seed});
+  }
+  return lost;
+}
+
+std::optional<ProbeTarget> Membership::NextProbe(UnitDraw draw) {
+  ++m_probes;
+  const bool alone = LiveCount() <= 1;
   if (alone || m_probes % m_options.revisit_dead_every == 0) {
-    for (const auto& seed : m_options.seeds) {
-      if (seed != m_self.info.peers) lost.push_back({NodeId(), seed});
-    }
+    const auto lost = LostTargets();
     if (!lost.empty()) return lost[Pick(draw, lost.size())];
   }
   while (!m_round.empty()) {
@@ -141,10 +154,9 @@
     }
     return ProbeTarget{node, member->second.info.peers};
   }
-  for (const auto& member : Live()) {
-    if (member.info.node != m_self.info.node) {
-      m_round.push_back(member.info.node);
-    }
+  for (const auto& [node, member] : m_members) {
+    const bool other = node != m_self.info.node;
+    if (other && Reachable(member.status)) m_round.push_back(node);
   }
   if (m_round.empty()) return std::nullopt;
   return NextProbe(draw);
@@ -217,6 +229,12 @@
   return live;
 }
 
+std::size_t Membership::LiveCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_members.begin(), m_members.end(),
+      [](const auto& entry) { return Reachable(entry.second.status); }));
+}
+
 bool Membership::AnyUnsettled() const {
   return std::any_of(m_members.begin(), m_members.end(), [](const auto& entry) {
     return entry.second.status != MemberStatus::kAlive ||
--- a/src/coordination/move_controller.cc
+++ b/src/coordination/move_controller.cc
@@ -81,7 +81,7 @@
   if (holder.Empty() || holder == m_settings.node) co_return;
   std::string report = EncodeEvidence(m_local);
   if (report == m_last_report && holder == m_last_reported_to) co_return;
-  const std::size_t members = m_mesh.Members().Live().size();
+  const std::size_t members = m_mesh.Members().LiveCount();
   const Milliseconds period(1000 * members / kReportsPerSecond);
   const bool worse = BadCount(m_local) > bad_before;
   if (!worse && Since(m_last_report_at) < period) co_return;
--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-PeerMesh::PeerMesh(const Settings& settings, asio::any_io_executor executor,
-                   Hooks hooks)
+PeerMesh::PeerMesh(const Settings& settings,
+                   const asio::any_io_executor& executor, Hooks hooks)
     : m_settings(settings),
       m_executor(executor),
       m_hooks(std::move(hooks)),
@@ -53,7 +53,7 @@
 }
 
 PeerFrame PeerMesh::NewsFrame(wire::Kind kind) {
-  const double members = static_cast<double>(m_membership.Live().size());
+  const double members = static_cast<double>(m_membership.LiveCount());
   const auto sends = static_cast<std::uint32_t>(
       std::ceil(kSendsPerDoubling * std::log2(members + 1)));
   PeerFrame frame;
@@ -125,7 +125,7 @@
     const bool settled = !m_records.HasNews();
     const bool paused = Since(m_last_exchange) >= kExchangePause;
     const bool first = target.node.Empty();
-    if (first || (differ && settled && paused)) {
+    if (differ && (first || (settled && paused))) {
       co_await ExchangeAll(target.peers);
     }
     co_return;
--- a/src/coordination/peer_mesh.h
+++ b/src/coordination/peer_mesh.h
@@ -26,7 +26,7 @@
     std::function<bool(const SpreadRecord&)> accepts;
   };
 
-  PeerMesh(const Settings& settings, asio::any_io_executor executor,
+  PeerMesh(const Settings& settings, const asio::any_io_executor& executor,
            Hooks hooks);
 
   Awaitable<void> Run();
--- a/src/protocol/model_api.cc
+++ b/src/protocol/model_api.cc
@@ -150,7 +150,7 @@
     std::string text;
     for (const auto& chunk : chunks) text += chunk;
     json::object resume;
-    resume["text"] = std::move(text);
+    resume["text"] = text;
     resume["tokens"] = chunks.size();
     body.as_object()["continue_from"] = std::move(resume);
   }
@@ -171,7 +171,7 @@
       const std::size_t stop = std::min(m_buffer.find('\n', line), end);
       const std::string_view text =
           std::string_view(m_buffer).substr(line, stop - line);
-      if (text.starts_with("id: ")) event.id = std::string(text.substr(4));
+      if (text.starts_with("id: ")) event.id = text.substr(4);
       if (text.starts_with("data: ")) event.data += text.substr(6);
       line = stop + 1;
     }
@@ -232,10 +232,10 @@
   if (info.chat) {
     json::object message;
     message["role"] = "assistant";
-    message["content"] = std::move(text);
+    message["content"] = text;
     choice["message"] = std::move(message);
   } else {
-    choice["text"] = std::move(text);
+    choice["text"] = text;
   }
   choice["finish_reason"] = info.finish_reason;
   json::object envelope = Envelope(info, false);
--- a/src/protocol/platform_client.h
+++ b/src/protocol/platform_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/json.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -18,7 +18,7 @@
 constexpr std::string_view kLeavingPrefix = "leaving/";
 constexpr std::string_view kTakenBackPrefix = "taken_back/";
 constexpr std::string_view kHolderPrefix = "holder/";
-constexpr std::int64_t kMarkLifetimeMs = 3600 * 1000;
+constexpr std::int64_t kMarkLifetimeMs = 3600000;
 
 /// The payload of a mark is the wall time at which it was made.
 bool IsRecentMark(const SpreadRecord& record) {
@@ -79,8 +79,12 @@
   m_hooks.holds = [this](RequestId id) -> Awaitable<bool> {
     co_return m_requests->Holds(id);
   };
-  m_hooks.find_kept = [this](RequestId id) { return m_requests->FindKept(id); };
-  m_hooks.locate = [this](RequestId id) { return m_requests->Locate(id); };
+  m_hooks.find_kept = [this](RequestId id) {
+    return m_requests->FindKept(std::move(id));
+  };
+  m_hooks.locate = [this](RequestId id) {
+    return m_requests->Locate(std::move(id));
+  };
   if (!m_settings.trace) return;
   m_hooks.trace = [executor](std::string line) {
     asio::post(executor,
@@ -108,7 +112,7 @@
   snapshot->domain = m_settings.domain;
   snapshot->servers = m_fleet.Available();
   snapshot->taken_back = m_moves->TakenBack();
-  snapshot->members = m_mesh->Members().Live().size();
+  snapshot->members = m_mesh->Members().LiveCount();
   snapshot->draining = m_draining;
   snapshot->instances_known = m_instances_known;
   if (snapshot->configuration) {
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -11,7 +11,7 @@
 
 constexpr Milliseconds kRetryPause(100);
 constexpr Milliseconds kWaitPause(200);
-constexpr std::size_t kMaxKeptBody = 32 * 1024;
+constexpr std::size_t kMaxKeptBody = 32 << 10;
 constexpr int kTokenDigits = 32;
 
 const http::field kForwarded[] = {
--- a/src/state/object_reader.cc
+++ b/src/state/object_reader.cc
@@ -6,7 +6,7 @@
 namespace cowslipknot {
 namespace {
 
-constexpr std::int64_t kLongestDurationMs = 30LL * 24 * 3600 * 1000;
+constexpr std::int64_t kLongestDurationMs = 30LL * 24 * 3600000;
 
 }  // namespace
 
--- a/src/state/objects.cc
+++ b/src/state/objects.cc
@@ -140,6 +140,7 @@
                const std::string& kind, const std::string& object, int line) {
     if (wanted.Empty() || known.contains(wanted)) return;
     std::vector<std::string> names;
+    names.reserve(known.size());
     for (const auto& [key, value] : known) names.push_back(key.Text());
     const std::string near = SuggestName(wanted.Text(), names);
     Add(object, line,
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -136,7 +136,7 @@
   });
   sections.Section("limits", false, [&](ObjectReader& reader) {
     settings.max_header = ByteCount(static_cast<std::uint64_t>(
-        reader.Whole("header_bytes", 16 * 1024, 1024, 1 << 20)));
+        reader.Whole("header_bytes", 16 << 10, 1024, 1 << 20)));
     settings.max_body = ByteCount(static_cast<std::uint64_t>(
         reader.Whole("body_bytes", 8 << 20, 1024, 64 << 20)));
     settings.in_flight_tokens = TokenCount(static_cast<std::uint64_t>(
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr std::size_t kMaxIdlePerEndpoint = 32;
-constexpr std::size_t kPieceBytes = 16 * 1024;
-constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
+constexpr std::size_t kPieceBytes = 16 << 10;
+constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
 constexpr std::chrono::seconds kMaxIdle(15);
 
 tl::unexpected<Error> CallFailure(error_code error,
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -13,7 +13,7 @@
 namespace cowslipknot {
 
 struct HttpServerLimits {
-  ByteCount header{16 * 1024};
+  ByteCount header{16 << 10};
   ByteCount body{8 << 20};
   Milliseconds idle{60000};
   Milliseconds write{30000};
--- a/tests/fakes/fake_forwarder.cc
+++ b/tests/fakes/fake_forwarder.cc
@@ -14,7 +14,7 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = 16 << 10;
 
 /// One forwarded address.
 struct Link {
--- a/tests/unit/coordination_test.cc
+++ b/tests/unit/coordination_test.cc
@@ -1,4 +1,3 @@
-#include <criterion/criterion.h>
 
 #include <set>
 
@@ -7,6 +6,7 @@
 #include "cowslipknot/coordination/lease.h"
 #include "cowslipknot/coordination/rendezvous.h"
 #include "cowslipknot/coordination/retry_budget.h"
+#include "unit_test.h"
 
 using namespace cowslipknot;
 
@@ -90,6 +90,7 @@
 
 Test(rendezvous, removing_a_member_moves_only_its_own_keys) {
   std::vector<HolderCandidate> members;
+  members.reserve(10);
   for (int i = 0; i < 10; ++i) {
     members.push_back({NodeId("n" + std::to_string(i)), false});
   }
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -1,10 +1,10 @@
 #include "cowslipknot/coordination/membership.h"
 
-#include <criterion/criterion.h>
-
 #include <memory>
 #include <random>
 
+#include "unit_test.h"
+
 using namespace cowslipknot;
 
 namespace {
--- a/tests/unit/move_test.cc
+++ b/tests/unit/move_test.cc
@@ -1,10 +1,10 @@
-#include <criterion/criterion.h>
 
 #include <random>
 
 #include "coordination/move_controller.h"
 #include "cowslipknot/coordination/move_decision.h"
 #include "cowslipknot/coordination/sequential_test.h"
+#include "unit_test.h"
 
 using namespace cowslipknot;
 
--- a/tests/unit/objects_test.cc
+++ b/tests/unit/objects_test.cc
@@ -1,6 +1,6 @@
 #include "cowslipknot/state/objects.h"
 
-#include <criterion/criterion.h>
+#include "unit_test.h"
 
 using namespace cowslipknot;
 
--- a/tests/unit/protocol_test.cc
+++ b/tests/unit/protocol_test.cc
@@ -1,10 +1,10 @@
-#include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 #include "base/trace.h"
 #include "cowslipknot/state/claim.h"
 #include "protocol/model_api.h"
 #include "protocol/peer_frame.h"
+#include "unit_test.h"
 
 using namespace cowslipknot;
 
--- a/tests/unit/record_set_test.cc
+++ b/tests/unit/record_set_test.cc
@@ -1,10 +1,11 @@
 #include "cowslipknot/state/record_set.h"
 
-#include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
 
+#include "unit_test.h"
+
 using namespace cowslipknot;
 
 namespace {
@@ -21,6 +22,7 @@
   cr_assert(rc::check([] {
     std::vector<SpreadRecord> records;
     const int count = *rc::gen::inRange(0, 30);
+    records.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) records.push_back(RandomRecord());
     RecordSet forward;
     for (const auto& record : records) forward.Merge(record);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -1,12 +1,11 @@
 #include "cowslipknot/settings.h"
 
-#include <criterion/criterion.h>
-
 #include <fstream>
 #include <sstream>
 
 #include "coordination/configuration_keeper.h"
 #include "cowslipknot/events.h"
+#include "unit_test.h"
 
 using namespace cowslipknot;
 
--- /dev/null
+++ b/tests/unit/unit_test.h
@@ -0,0 +1,8 @@
+#pragma once
+
+// Criterion's macro Test breaks Boost headers that are read after it.
+// clang-format off
+#include "base/precompiled.h"
+#include <boost/histogram.hpp>
+#include <criterion/criterion.h>
+// clang-format on
