--- a/benchmark/module_bench.cc
+++ b/benchmark/module_bench.cc
@@ -27,13 +27,15 @@
 constexpr int kMeasuredRounds = 40;
 constexpr int kRepeats = 20000;
 
+/// @param value  any number
+template <class Number>
 void Report(const std::string& name, std::size_t n, const std::string& unit,
-            double value) {
+            Number value) {
   json::object line;
   line["name"] = name;
   line["n"] = n;
   line["unit"] = unit;
-  line["value"] = value;
+  line["value"] = static_cast<double>(value);
   std::cout << json::serialize(line) << "\n";
 }
 
@@ -95,17 +97,17 @@
   }
 
   /// A new revision at one instance. @return rounds until all have heard of it
-  int Spread(Revision revision) {
-    m_members[0]->UpdateSelf(revision, false);
-    const NodeId source = m_members[0]->Self().node;
+  int Spread(std::uint64_t revision) {
+    const std::string key = "revision/latest";
+    m_records[0]->Merge({key, revision, ""});
     for (int round = 1;; ++round) {
       Round();
       std::size_t heard = 0;
-      for (const auto& member : m_members) {
-        const auto found = member->Find(source);
-        heard += found && found->info.revision == revision ? 1 : 0;
+      for (const auto& records : m_records) {
+        const SpreadRecord* hint = records->Find(key);
+        heard += hint != nullptr && hint->version == revision ? 1 : 0;
       }
-      if (heard == m_members.size()) return round;
+      if (heard == m_records.size()) return round;
     }
   }
 
@@ -127,7 +129,12 @@
     m_largest = std::max(m_largest, bytes.size());
     const auto decoded = DecodeFrame(bytes, frame.token);
     for (const auto& record : TakeRecords(*decoded)) {
-      m_members[to]->Merge(record, WallTime(0));
+      const bool member = DecodeMember(record).has_value();
+      if (member) {
+        m_members[to]->Merge(record, WallTime(0));
+      } else {
+        m_records[to]->Merge(record);
+      }
     }
   }
 
@@ -153,7 +160,7 @@
     Report("membership_idle_cpu", size, "share of a core a node",
            idle_us * kProbesPerSecond / 1e6 / static_cast<double>(size));
     const std::uint64_t calm = mesh.Bytes();
-    const int rounds = mesh.Spread(Revision(2));
+    const int rounds = mesh.Spread(2);
     Report("revision_heard_by_all", size, "s", rounds / kProbesPerSecond);
     // News goes on after all have heard of it.
     for (int i = rounds; i < kMeasuredRounds; ++i) mesh.Round();
--- a/include/cowslipknot/coordination/membership.h
+++ b/include/cowslipknot/coordination/membership.h
@@ -21,7 +21,6 @@
   Endpoint peers;
   Endpoint operators;
   DomainId domain;
-  Revision revision;  ///< in force there
   bool draining = false;
 };
 
@@ -57,7 +56,7 @@
              Incarnation incarnation, RecordSet& records);
 
   /// Publishes a change of what this instance says of itself.
-  void UpdateSelf(Revision revision, bool draining);
+  void UpdateSelf(bool draining);
   /// Announces that this instance stops for good.
   void Leave();
 
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -39,8 +39,7 @@
   const MemberInfo& info = member.info;
   const json::array fields = {info.peers.host,     info.peers.port,
                               info.operators.host, info.operators.port,
-                              info.domain.Text(),  info.revision.Count(),
-                              info.draining};
+                              info.domain.Text(),  info.draining};
   return {MemberKey(info.node),
           EncodeVersion(member.incarnation, member.status),
           json::serialize(fields)};
@@ -58,8 +57,7 @@
     member.info.peers = DecodeEndpoint(fields.at(0), fields.at(1));
     member.info.operators = DecodeEndpoint(fields.at(2), fields.at(3));
     member.info.domain = DomainId(std::string(fields.at(4).as_string()));
-    member.info.revision = Revision(fields.at(5).to_number<std::uint64_t>());
-    member.info.draining = fields.at(6).as_bool();
+    member.info.draining = fields.at(5).as_bool();
   } catch (const std::exception&) {
     return std::nullopt;
   }
@@ -79,11 +77,8 @@
   m_members[m_self.info.node] = m_self;
 }
 
-void Membership::UpdateSelf(Revision revision, bool draining) {
-  if (m_self.info.revision == revision && m_self.info.draining == draining) {
-    return;
-  }
-  m_self.info.revision = revision;
+void Membership::UpdateSelf(bool draining) {
+  if (m_self.info.draining == draining) return;
   m_self.info.draining = draining;
   m_self.incarnation = Incarnation(m_self.incarnation.Count() + 1);
   PublishSelf();
--- a/src/coordination/peer_mesh.cc
+++ b/src/coordination/peer_mesh.cc
@@ -85,7 +85,7 @@
     } else if (m_hooks.accepts(record)) {
       news = m_records.Merge(record);
     }
-    if (news) m_hooks.on_record(record);
+    if (news) m_hooks.on_record(record, NodeId(frame.sender));
   }
 }
 
--- a/src/coordination/peer_mesh.h
+++ b/src/coordination/peer_mesh.h
@@ -18,8 +18,8 @@
 class PeerMesh {
  public:
   struct Hooks {
-    /// A record that was news; member records included.
-    std::function<void(const SpreadRecord&)> on_record;
+    /// A record that was news, from `sender`; member records included.
+    std::function<void(const SpreadRecord&, const NodeId& sender)> on_record;
     /// A member is dead, as found here or told by a peer. May be repeated.
     std::function<void(const NodeId&)> on_dead;
     /// Whether a record that is no member's may be merged.
--- a/src/protocol/model_api.cc
+++ b/src/protocol/model_api.cc
@@ -169,10 +169,10 @@
     std::size_t line = start;
     while (line < end) {
       const std::size_t stop = std::min(m_buffer.find('\n', line), end);
-      const std::string_view text =
+      const std::string_view field =
           std::string_view(m_buffer).substr(line, stop - line);
-      if (text.starts_with("id: ")) event.id = text.substr(4);
-      if (text.starts_with("data: ")) event.data += text.substr(6);
+      if (field.starts_with("id: ")) event.id.assign(field.substr(4));
+      if (field.starts_with("data: ")) event.data.append(field.substr(6));
       line = stop + 1;
     }
     if (!event.data.empty()) events.push_back(std::move(event));
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -15,6 +15,10 @@
 constexpr ByteCount kMaxPlatformAnswer(64 << 20);
 constexpr Milliseconds kClaimGather(2);
 constexpr Milliseconds kMoveInterval(500);
+constexpr int kFetchTries = 10;
+constexpr Milliseconds kFetchPause(100);
+constexpr std::size_t kAskedAtOnce = 16;
+constexpr std::string_view kRevisionKey = "revision/latest";
 constexpr std::string_view kLeavingPrefix = "leaving/";
 constexpr std::string_view kTakenBackPrefix = "taken_back/";
 constexpr std::string_view kHolderPrefix = "holder/";
@@ -44,7 +48,9 @@
                                              *m_platform, *m_rows)),
       m_random(settings.seed) {
   PeerMesh::Hooks hooks;
-  hooks.on_record = [this](const SpreadRecord& record) { OnRecord(record); };
+  hooks.on_record = [this](const SpreadRecord& record, const NodeId& sender) {
+    OnRecord(record, sender);
+  };
   hooks.on_dead = [this](const NodeId& node) { m_requests->OwnerDied(node); };
   hooks.accepts = [this](const SpreadRecord& record) {
     return AcceptsRecord(record);
@@ -123,7 +129,11 @@
       }
     }
   }
-  m_mesh->Members().UpdateSelf(m_keeper->CurrentRevision(), m_draining);
+  m_mesh->Members().UpdateSelf(m_draining);
+  const Revision revision = m_keeper->CurrentRevision();
+  if (revision > Revision(0)) {
+    m_mesh->Spread({std::string(kRevisionKey), revision.Count(), ""});
+  }
   m_mesh->Hurry();
   for (const auto& worker : m_workers) {
     asio::post(worker->Executor(), [target = worker.get(), snapshot] {
@@ -136,18 +146,16 @@
   if (record.key.starts_with(kLeavingPrefix)) {
     return !IsDisabled(m_settings, "leaving") && IsRecentMark(record);
   }
-  return record.key.starts_with(kTakenBackPrefix) ||
+  return record.key == kRevisionKey ||
+         record.key.starts_with(kTakenBackPrefix) ||
          record.key.starts_with(kHolderPrefix);
 }
 
-void Control::OnRecord(const SpreadRecord& record) {
-  const auto member = DecodeMember(record);
-  if (member) {
-    const bool newer = member->info.revision > m_keeper->CurrentRevision();
-    if (newer && !m_fetching) {
-      asio::co_spawn(m_context, FetchConfiguration(member->info.node),
-                     asio::detached);
-    }
+void Control::OnRecord(const SpreadRecord& record, const NodeId& sender) {
+  if (record.key == kRevisionKey) {
+    m_hinted = std::max(m_hinted, Revision(record.version));
+    if (m_fetching || m_hinted <= m_keeper->CurrentRevision()) return;
+    asio::co_spawn(m_context, FetchConfiguration(sender), asio::detached);
     return;
   }
   if (record.key.starts_with(kLeavingPrefix)) {
@@ -174,13 +182,59 @@
   PublishSnapshot();
 }
 
-Awaitable<void> Control::FetchConfiguration(NodeId peer) {
+Awaitable<void> Control::FetchConfiguration(NodeId first) {
   m_fetching = true;
-  PeerFrame frame;
-  frame.kind = wire::Kind::FetchConfiguration;
-  const auto answer = co_await m_mesh->Call(peer, std::move(frame));
+  NodeId peer = std::move(first);
+  for (int i = 0; i < kFetchTries; ++i) {
+    PeerFrame frame;
+    frame.kind = wire::Kind::FetchConfiguration;
+    const auto answer = co_await m_mesh->Call(peer, std::move(frame));
+    if (answer && !answer->text.empty()) m_keeper->Adopt(answer->text);
+    if (m_keeper->CurrentRevision() >= m_hinted) break;
+    // The peer passed the hint on before it had the revision: ask another.
+    co_await SleepFor(kFetchPause);
+    const auto members = m_mesh->Members().Live();
+    std::uniform_int_distribution<std::size_t> pick(0, members.size() - 1);
+    peer = members[pick(m_random)].info.node;
+  }
   m_fetching = false;
-  if (answer && !answer->text.empty()) m_keeper->Adopt(answer->text);
+}
+
+Awaitable<std::map<NodeId, Revision>> Control::CollectRevisions() {
+  struct Gathering {
+    explicit Gathering(asio::io_context& context) : done(context) {}
+    std::map<NodeId, Revision> revisions;
+    std::vector<NodeId> waiting;
+    std::size_t running = 0;
+    asio::steady_timer done;
+  };
+  auto gathering = std::make_shared<Gathering>(m_context);
+  gathering->revisions[m_settings.node] = m_keeper->CurrentRevision();
+  for (const auto& member : m_mesh->Members().Live()) {
+    if (member.info.node == m_settings.node) continue;
+    gathering->waiting.push_back(member.info.node);
+  }
+  auto ask = [](Control& control,
+                std::shared_ptr<Gathering> shared) -> Awaitable<void> {
+    while (!shared->waiting.empty()) {
+      const NodeId node = shared->waiting.back();
+      shared->waiting.pop_back();
+      PeerFrame frame;
+      frame.kind = wire::Kind::AskRevision;
+      const auto answer = co_await control.m_mesh->Call(node, std::move(frame));
+      if (answer) shared->revisions[node] = Revision(answer->digest);
+    }
+    if (--shared->running == 0) shared->done.cancel();
+  };
+  gathering->done.expires_at(SteadyClock::time_point::max());
+  gathering->running = kAskedAtOnce;
+  for (std::size_t i = 0; i < kAskedAtOnce; ++i) {
+    asio::co_spawn(m_context, ask(*this, gathering), asio::detached);
+  }
+  while (gathering->running > 0) {
+    co_await gathering->done.async_wait(kAsTuple);
+  }
+  co_return gathering->revisions;
 }
 
 Awaitable<bool> Control::PollInstances() {
@@ -293,6 +347,10 @@
         answer.text = EncodeConfiguration(*m_keeper->Current());
       }
       break;
+    case wire::Kind::AskRevision:
+      answer.kind = wire::Kind::Answer;
+      answer.digest = m_keeper->CurrentRevision().Count();
+      break;
     case wire::Kind::FetchInstances:
       answer.kind = wire::Kind::Answer;
       if (m_instances_known) answer.text = EncodeInstances();
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -50,15 +50,18 @@
     m_on_reclaim = std::move(hook);
   }
   Awaitable<MetricSet> CollectMetrics();
+  /// Asks each live instance which revision is in force there. Those that do
+  /// not answer are left out.
+  Awaitable<std::map<NodeId, Revision>> CollectRevisions();
 
  private:
   void BuildHooks();
   void PublishSnapshot();
-  void OnRecord(const SpreadRecord& record);
+  void OnRecord(const SpreadRecord& record, const NodeId& sender);
   bool AcceptsRecord(const SpreadRecord& record) const;
   void MarkLeaving(const ServerId& id, Incarnation incarnation);
   void StartTakenOver(const Descriptor& descriptor);
-  Awaitable<void> FetchConfiguration(NodeId peer);
+  Awaitable<void> FetchConfiguration(NodeId first);
   Awaitable<void> PollPlatform();
   Awaitable<bool> PollInstances();
   /// Takes the instance list from peers while the platform does not answer.
@@ -90,6 +93,7 @@
   bool m_instances_known = false;
   bool m_platform_reachable = true;
   bool m_draining = false;
+  Revision m_hinted;  ///< highest revision heard of
   bool m_fetching = false;
   std::function<void()> m_on_reclaim;
 };
--- a/src/serve/operator_api.cc
+++ b/src/serve/operator_api.cc
@@ -41,14 +41,17 @@
   }
 }
 
-json::array DescribeMembers(Control& control) {
+json::array DescribeMembers(Control& control,
+                            const std::map<NodeId, Revision>& revisions) {
   json::array members;
   for (const auto& member : control.Mesh().Members().Live()) {
     json::object row;
     row["node"] = member.info.node.Text();
     row["domain"] = member.info.domain.Text();
     row["status"] = StatusName(member.status);
-    row["revision"] = member.info.revision.Count();
+    const auto revision = revisions.find(member.info.node);
+    row["revision"] =
+        revision == revisions.end() ? 0 : revision->second.Count();
     row["draining"] = member.info.draining;
     members.push_back(std::move(row));
   }
@@ -122,7 +125,8 @@
                        token.size()) == 0;
 }
 
-std::string OperatorApi::Status() const {
+Awaitable<std::string> OperatorApi::Status() {
+  const auto revisions = co_await m_control.CollectRevisions();
   json::object status;
   status["node"] = m_control.GetSettings().node.Text();
   status["domain"] = m_control.GetSettings().domain.Text();
@@ -132,10 +136,10 @@
       m_control.PlatformReachable() ? "reachable" : "unreachable";
   status["holds_lease"] = m_control.Moves().HoldsLease();
   status["held_requests"] = m_control.Requests().HeldCount();
-  status["members"] = DescribeMembers(m_control);
+  status["members"] = DescribeMembers(m_control, revisions);
   status["servers"] = DescribeServers(m_control.GetFleet());
   status["moves"] = DescribeMoves(m_control);
-  return json::serialize(status);
+  co_return json::serialize(status);
 }
 
 std::string OperatorApi::Objects() const {
@@ -209,7 +213,7 @@
     co_return ErrorResponse(Error{ResultCode::kUnauthorized});
   }
   if (path == "/metrics") co_return co_await Metrics();
-  if (path == "/v1/status") co_return JsonAnswer(Status());
+  if (path == "/v1/status") co_return JsonAnswer(co_await Status());
   if (path == "/v1/objects" && request.method() == http::verb::get) {
     co_return JsonAnswer(Objects());
   }
--- a/src/serve/operator_api.h
+++ b/src/serve/operator_api.h
@@ -19,7 +19,7 @@
   Awaitable<HttpResponse> ChangeMove(const std::string& path,
                                      const HttpRequest& request);
   Awaitable<HttpResponse> Metrics();
-  std::string Status() const;
+  Awaitable<std::string> Status();
   std::string Objects() const;
   bool Authorized(const HttpRequest& request) const;
 
