--- a/benchmark/load_tool.cc
+++ b/benchmark/load_tool.cc
@@ -204,7 +204,7 @@
         co_await ReadWhole(**opened, prompt, reading, sample, start);
       }
     }
-    sample.total_ms = static_cast<double>(Since(start).count());
+    sample.total_ms = FractionalMsSince(start);
     const bool lost = sample.outcome == "lost";
     if (reading.wrong) {
       sample.outcome = "wrong";
@@ -255,7 +255,7 @@
         ++reading.received;
         const auto now = SteadyClock::now();
         if (sample.first_ms < 0) {
-          sample.first_ms = static_cast<double>(Since(start).count());
+          sample.first_ms = FractionalMsSince(start);
         } else {
           const std::chrono::duration<double, std::milli> gap =
               now - reading.last;
@@ -287,7 +287,7 @@
     const json::value& choice = parsed.at("choices").at(0);
     reading.whole = choice.at("text").as_string() == wanted;
     reading.wrong = !reading.whole;
-    sample.first_ms = static_cast<double>(Since(start).count());
+    sample.first_ms = FractionalMsSince(start);
   }
 
   Awaitable<void> CallPlain(std::string kind, std::string key) {
@@ -333,7 +333,7 @@
       }
       break;
     }
-    sample.total_ms = static_cast<double>(Since(start).count());
+    sample.total_ms = FractionalMsSince(start);
     m_report.Write("outcome", {{"kind", kind},
                                {"key", key},
                                {"call", call},
--- a/benchmark/overhead.py
+++ b/benchmark/overhead.py
@@ -14,6 +14,8 @@
 ROUNDS = 3
 LETTER_RATE = 60
 LOOKUP_RATE = 3000
+STREAM_RATE = 60
+STREAM_TOKENS = 200
 
 
 def load(targets, **options):
@@ -39,6 +41,11 @@
             through = load([cluster.entry(0)], seed=seed, rate=LETTER_RATE, seconds=5,
                            **only_letters)["letter"]
             cpu = cpu_seconds(entry)
+            streams = load([cluster.entry(0)], seed=seed, rate=STREAM_RATE, seconds=5,
+                           **{**only_letters, "letter_tokens": STREAM_TOKENS})["letter"]
+            stream_cpu = cpu_seconds(entry) - cpu
+            tokens = streams["outcomes"].get("ok", 0) * STREAM_TOKENS
+            cpu = cpu_seconds(entry)
             lookups = load([cluster.entry(0)], seed=seed, rate=LOOKUP_RATE, seconds=5,
                            **only_lookups)
             cpu = cpu_seconds(entry) - cpu
@@ -55,6 +62,7 @@
                 "total_through_ms": through["total_ms"],
                 "lookup_direct_ms": direct_lookup["total_ms"],
                 "lookup_through_ms": through_lookup["total_ms"],
+                "tokens_per_core_s": tokens / stream_cpu,
                 "lookups_ok": answered,
                 "lookups_per_s": answered / lookups["elapsed_s"],
                 "lookups_per_core_s": answered / cpu,
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -16,6 +16,13 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+/// Milliseconds since a point in time, with their fraction.
+inline double FractionalMsSince(SteadyClock::time_point start) {
+  const std::chrono::duration<double, std::milli> passed =
+      SteadyClock::now() - start;
+  return passed.count();
+}
+
 /// Whole milliseconds since a point in time.
 inline Milliseconds Since(SteadyClock::time_point start) {
   return std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - start);
