Choose by drained reports, block hashes and the target, not the least wait

Cause: the prediction believed a prefix cached wherever it had been sent last and left its home for the least wait; prefixes spread over all engines, their caches thrashed, and each move cost 800 tokens of prompt anew. Its queue counted prompts as waiting until the whole answer had come. Conclusion: a home is kept while the target holds; overflow goes to the next homes.

--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -32,7 +32,9 @@
 /// Shared by all threads of the process; every member is atomic.
 struct ServerLive {
   std::atomic<std::uint64_t> in_flight{0};
+  /// Prompt tokens sent from here whose first output token is not back yet.
   std::atomic<std::uint64_t> in_flight_tokens{0};
+  std::atomic<std::uint64_t> tokens_since_report{0};  ///< sent from here
   std::atomic<std::uint64_t> reported_queue_tokens{0};
   std::atomic<std::uint64_t> prefill_tokens_per_second{4000};
   std::atomic<std::int64_t> reported_at_ms{0};
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -8,10 +8,19 @@
 namespace cowslipknot {
 namespace {
 
-constexpr std::size_t kRandomCandidates = 4;
+constexpr std::size_t kRandomCandidates = 2;
+constexpr std::size_t kPrefixHomes = 3;
+/// A home is kept while its predicted time is within this part of the target.
+constexpr double kTargetPart = 0.6;
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr std::int64_t kEjectionMs = 5000;
-constexpr double kReportHalfLifeMs = 500;
+/// Weight of one observation in a server's believed speed.
+constexpr double kSpeedWeight = 0.2;
+/// Shorter computations say more of the network than of the server.
+constexpr std::uint64_t kLeastWorkTokens = 100;
+constexpr double kSlowestRate = 10;       ///< tokens a second
+constexpr double kFastestRate = 1000000;  ///< tokens a second
+constexpr double kMsPerSecond = 1000;
 constexpr double kOtherDomainMs = 2;
 constexpr double kRecomputeRiskMs = 5;  ///< reclaimable, per expected second
 constexpr double kDecodeMsPerToken = 20;
@@ -92,83 +101,75 @@
   return LeastOutstanding(servers, usable, draw);
 }
 
+/// Usable servers in the order in which they should hold the prefix.
+std::vector<std::size_t> PrefixOrder(const RequestCost& request,
+                                     const std::vector<ServerView>& servers,
+                                     const std::vector<std::size_t>& usable) {
+  const std::string key = std::to_string(request.prefix_hash);
+  std::vector<std::pair<std::uint64_t, std::size_t>> weighted;
+  weighted.reserve(usable.size());
+  for (const std::size_t i : usable) {
+    weighted.emplace_back(RendezvousWeight(key, servers[i].record.id.Text()),
+                          i);
+  }
+  const std::size_t count = std::min(kPrefixHomes, weighted.size());
+  const auto middle = weighted.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(weighted.begin(), middle, weighted.end(), std::greater<>());
+  std::vector<std::size_t> order;
+  for (auto entry = weighted.begin(); entry != middle; ++entry) {
+    order.push_back(entry->second);
+  }
+  return order;
+}
+
 /// A score in milliseconds; lower is better.
 double Score(const RequestCost& request, const ServerView& server,
              bool prefix_cached, const ChoiceContext& context) {
   const Milliseconds first =
       PredictFirstToken(request, server, prefix_cached, context);
-  const double remaining_s =
-      static_cast<double>(request.output.Count()) * kDecodeMsPerToken / 1000.0;
+  const double remaining_s = static_cast<double>(request.output.Count()) *
+                             kDecodeMsPerToken / kMsPerSecond;
   const double risk =
       server.record.reclaimable ? kRecomputeRiskMs * remaining_s : 0;
   return static_cast<double>(first.count()) + risk;
 }
 
+/// The first home of the prefix that is expected to answer well within the
+/// target; without one, the best of the homes and some others.
+///
+/// Computing a prefix anew where it is not cached takes capacity from all
+/// requests, so a home is left only when the target calls for it.
 std::size_t ChooseByPrediction(const RequestCost& request,
                                const std::vector<ServerView>& servers,
                                const std::vector<std::size_t>& usable,
                                const ChoiceContext& context) {
-  const std::size_t home = PrefixHome(request, servers, usable);
-  std::vector<std::size_t> candidates = {home};
-  const auto stride = std::max<std::size_t>(
-      1, usable.size() / std::min(usable.size(), kRandomCandidates));
+  const double enough =
+      kTargetPart * static_cast<double>(context.target.count());
+  std::vector<std::size_t> candidates = PrefixOrder(request, servers, usable);
+  const std::size_t home = candidates.front();
+  const auto score = [&](std::size_t i) {
+    const bool cached =
+        i == home || servers[i].record.id == request.last_prefix_server;
+    return Score(request, servers[i], cached, context);
+  };
+  for (const std::size_t candidate : candidates) {
+    if (score(candidate) <= enough) return candidate;
+  }
   const auto offset = static_cast<std::size_t>(
       context.draw * static_cast<double>(usable.size()));
   for (std::size_t i = 0; i < kRandomCandidates; ++i) {
-    candidates.push_back(usable[(offset + i * stride) % usable.size()]);
+    candidates.push_back(usable[(offset + i) % usable.size()]);
   }
-  for (const std::size_t i : usable) {
-    if (servers[i].record.id == request.last_prefix_server) {
-      candidates.push_back(i);
-    }
-  }
-  std::size_t best = home;
-  double best_score = 0;
-  bool first = true;
-  for (const std::size_t candidate : candidates) {
-    const bool cached = candidate == home || servers[candidate].record.id ==
-                                                 request.last_prefix_server;
-    const double score = Score(request, servers[candidate], cached, context);
-    if (!first && score >= best_score) continue;
-    best = candidate;
-    best_score = score;
-    first = false;
-  }
-  return best;
-}
-
-}  // namespace
-
-Milliseconds PredictFirstToken(const RequestCost& request,
-                               const ServerView& server, bool prefix_cached,
-                               const ChoiceContext& context) {
-  const ServerLive& live = *server.live;
-  const double rate = std::max<double>(
-      1, static_cast<double>(live.prefill_tokens_per_second.load()));
-  const auto age = static_cast<double>(
-      std::max<std::int64_t>(0, context.now.Count() - live.reported_at_ms));
-  const double trust = std::exp2(-age / kReportHalfLifeMs);
-  const auto reported = static_cast<double>(live.reported_queue_tokens.load());
-  // Without a fresh report the peers are taken to send as much as this one.
-  const double local =
-      static_cast<double>(live.in_flight_tokens.load()) *
-      static_cast<double>(std::max<std::size_t>(1, context.entry_instances));
-  const double queue = trust * reported + (1 - trust) * local;
-  const double cached =
-      prefix_cached ? static_cast<double>(request.prefix.Count()) : 0;
-  const double own =
-      std::max(0.0, static_cast<double>(request.prompt.Count()) - cached);
-  const double distance =
-      server.record.domain == context.domain ? 0 : kOtherDomainMs;
-  return Milliseconds(
-      static_cast<std::int64_t>((queue + own) / rate * 1000 + distance));
+  return *std::min_element(candidates.begin(), candidates.end(),
+                           [&score](std::size_t left, std::size_t right) {
+                             return score(left) < score(right);
+                           });
 }
 
-Result<std::size_t> ChooseServer(const RequestCost& request,
-                                 const std::vector<ServerView>& servers,
-                                 const ChoiceContext& context) {
-  const std::vector<std::size_t> usable = Usable(servers, context);
-  if (usable.empty()) return Fail(ResultCode::kNoServer);
+std::size_t ChooseIndex(const RequestCost& request,
+                        const std::vector<ServerView>& servers,
+                        const std::vector<std::size_t>& usable,
+                        const ChoiceContext& context) {
   switch (context.policy) {
     case RoutingPolicy::kRoundRobin:
       return usable[context.turn % usable.size()];
@@ -185,6 +186,73 @@
   return ChooseByPrediction(request, servers, usable, context);
 }
 
+TokenCount Uncached(const RequestCost& request, bool prefix_cached) {
+  const std::uint64_t cached =
+      prefix_cached ? request.prefix.Count() : std::uint64_t{0};
+  return TokenCount(request.prompt.Count() -
+                    std::min(request.prompt.Count(), cached));
+}
+
+}  // namespace
+
+Milliseconds PredictFirstToken(const RequestCost& request,
+                               const ServerView& server, bool prefix_cached,
+                               const ChoiceContext& context) {
+  const auto rate = static_cast<double>(
+      std::max<std::uint64_t>(1, server.live->prefill_tokens_per_second));
+  const TokenCount queue = EstimateQueue(*server.live, context.now);
+  const TokenCount own = Uncached(request, prefix_cached);
+  const double distance =
+      server.record.domain == context.domain ? 0 : kOtherDomainMs;
+  const auto work = static_cast<double>(queue.Count() + own.Count());
+  return Milliseconds(
+      static_cast<std::int64_t>(work / rate * kMsPerSecond + distance));
+}
+
+TokenCount EstimateQueue(const ServerLive& live, WallTime now) {
+  const auto rate = static_cast<double>(live.prefill_tokens_per_second.load());
+  const auto age_ms = static_cast<double>(
+      std::max<std::int64_t>(0, now.Count() - live.reported_at_ms));
+  const auto reported = static_cast<double>(live.reported_queue_tokens.load());
+  const double left = std::max(0.0, reported - rate * age_ms / kMsPerSecond);
+  const std::uint64_t queue =
+      static_cast<std::uint64_t>(left) + live.tokens_since_report;
+  return TokenCount(std::max<std::uint64_t>(queue, live.in_flight_tokens));
+}
+
+void NoteReport(ServerLive& live, TokenCount queue, WallTime now) {
+  live.reported_queue_tokens = queue.Count();
+  live.reported_at_ms = now.Count();
+  live.tokens_since_report = 0;
+}
+
+void NoteFirstToken(ServerLive& live, TokenCount work, Milliseconds took) {
+  if (work.Count() < kLeastWorkTokens || took.count() <= 0) return;
+  const double observed = static_cast<double>(work.Count()) * kMsPerSecond /
+                          static_cast<double>(took.count());
+  const auto believed =
+      static_cast<double>(live.prefill_tokens_per_second.load());
+  const double next = believed + kSpeedWeight * (observed - believed);
+  live.prefill_tokens_per_second =
+      static_cast<std::uint64_t>(std::clamp(next, kSlowestRate, kFastestRate));
+}
+
+Result<ServerPick> ChooseServer(const RequestCost& request,
+                                const std::vector<ServerView>& servers,
+                                const ChoiceContext& context) {
+  const std::vector<std::size_t> usable = Usable(servers, context);
+  if (usable.empty()) return Fail(ResultCode::kNoServer);
+  ServerPick pick;
+  pick.index = ChooseIndex(request, servers, usable, context);
+  const ServerView& server = servers[pick.index];
+  const bool cached = request.prompt.Count() > 0 &&
+                      (server.record.id == request.last_prefix_server ||
+                       PrefixHome(request, servers, usable) == pick.index);
+  pick.queue = EstimateQueue(*server.live, context.now);
+  pick.uncached = Uncached(request, cached);
+  return pick;
+}
+
 void NoteAttempt(ServerLive& live, bool succeeded, WallTime now) {
   if (succeeded) {
     live.failures_in_row = 0;
--- a/src/protocol/model_api.cc
+++ b/src/protocol/model_api.cc
@@ -11,8 +11,9 @@
 namespace json = boost::json;
 
 constexpr std::size_t kMaxEventBytes = 1 << 20;
-constexpr std::size_t kCharsPerToken = 4;
-constexpr std::size_t kPrefixChars = 2048;
+constexpr std::size_t kBlockChars = 256;
+constexpr std::size_t kPrefixChars = 1024;
+constexpr std::size_t kMaxBlocks = 64;
 constexpr std::uint64_t kDefaultOutputTokens = 64;
 constexpr std::uint64_t kMaxOutputTokens = 1 << 20;
 constexpr std::string_view kDoneMarker = "[DONE]";
@@ -47,6 +48,18 @@
   return text;
 }
 
+std::vector<std::uint64_t> HashBlocks(const std::string& prompt) {
+  std::vector<std::uint64_t> blocks;
+  std::uint64_t chain = 0;
+  for (std::size_t at = 0;
+       at + kBlockChars <= prompt.size() && blocks.size() < kMaxBlocks;
+       at += kBlockChars) {
+    chain = XXH3_64bits_withSeed(prompt.data() + at, kBlockChars, chain);
+    blocks.push_back(chain);
+  }
+  return blocks;
+}
+
 std::uint64_t OutputTokens(const json::object& body) {
   for (const auto* key : {"max_completion_tokens", "max_tokens"}) {
     if (!body.contains(key) || body.at(key).is_null()) continue;
@@ -127,8 +140,8 @@
     request.cost.prompt = TokenCount(prompt.size() / kCharsPerToken + 1);
     request.cost.output = TokenCount(OutputTokens(fields));
     const std::size_t prefix = std::min(prompt.size(), kPrefixChars);
-    request.cost.prefix = TokenCount(prefix / kCharsPerToken);
     request.cost.prefix_hash = XXH3_64bits(prompt.data(), prefix);
+    request.cost.blocks = HashBlocks(prompt);
     if (fields.contains("stream") && !fields.at("stream").is_null()) {
       request.stream = fields.at("stream").as_bool();
     }
--- a/src/protocol/model_api.h
+++ b/src/protocol/model_api.h
@@ -13,6 +13,9 @@
 /// The OpenAI-compatible completion interface, towards callers and engines.
 namespace cowslipknot {
 
+inline constexpr std::size_t kCharsPerToken = 4;
+inline constexpr std::uint64_t kBlockTokens = 64;  ///< of RequestCost::blocks
+
 /// A caller's completion request.
 struct ModelRequest {
   bool chat = false;
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "cowslipknot/coordination/choose_server.h"
 #include "cowslipknot/state/fleet.h"
 #include "serve/model_run.h"
 
@@ -16,12 +17,19 @@
       : m_live(std::move(live)), m_tokens(tokens) {
     ++m_live->in_flight;
     m_live->in_flight_tokens += m_tokens.Count();
+    m_live->tokens_since_report += m_tokens.Count();
   }
   InFlightGuard(const InFlightGuard&) = delete;
   InFlightGuard& operator=(const InFlightGuard&) = delete;
   ~InFlightGuard() {
     --m_live->in_flight;
+    ReleaseTokens();
+  }
+
+  /// The prompt has been computed.
+  void ReleaseTokens() {
     m_live->in_flight_tokens -= m_tokens.Count();
+    m_tokens = TokenCount(0);
   }
 
  private:
@@ -34,7 +42,10 @@
   std::string id;
   ServerView server;
   VersionChoice choice;
+  ServerPick pick;
+  std::unique_ptr<InFlightGuard> in_flight;
   SteadyClock::time_point started = SteadyClock::now();
+  bool answered = false;  ///< the first output has come
   bool slow = false;
   bool saw_finish = false;
   bool saw_done = false;
@@ -44,9 +55,10 @@
 struct ServerChoice {
   ServerView server;
   VersionChoice version;
+  ServerPick pick;
 };
 
-Result<ServerChoice> ChooseForService(Worker& worker, const ServiceId& service,
+Result<ServerChoice> ChooseForService(Worker& worker, const Route& route,
                                       const RequestId& request,
                                       const RequestCost& cost,
                                       const std::vector<ServerId>& tried);
--- a/src/serve/choose_for_service.cc
+++ b/src/serve/choose_for_service.cc
@@ -3,8 +3,14 @@
 #include "serve/attempt.h"
 
 namespace cowslipknot {
+namespace {
 
-Result<ServerChoice> ChooseForService(Worker& worker, const ServiceId& service,
+/// Patient requests leave a prefix's home only for a long queue.
+constexpr Milliseconds kPatientTarget(10000);
+
+}  // namespace
+
+Result<ServerChoice> ChooseForService(Worker& worker, const Route& route,
                                       const RequestId& request,
                                       const RequestCost& cost,
                                       const std::vector<ServerId>& tried) {
@@ -13,11 +19,11 @@
   const std::uint64_t hash =
       XXH3_64bits(request.Text().data(), request.Text().size());
   const ObjectSet& objects = snapshot.configuration->objects;
-  if (!objects.services.contains(service)) {
+  if (!objects.services.contains(route.service)) {
     return Fail(ResultCode::kNoServer, "the service was removed");
   }
   ServerChoice choice;
-  choice.version = ChooseVersion(snapshot, service, hash);
+  choice.version = ChooseVersion(snapshot, route.service, hash);
   const PoolId& pool = objects.versions.at(choice.version.version).pool;
   const auto servers = snapshot.servers.find(pool);
   if (servers == snapshot.servers.end()) {
@@ -30,10 +36,13 @@
   context.turn = worker.NextTurn();
   context.draw = worker.Draw();
   context.tried = tried;
+  const bool patient = route.request_class == RequestClass::kPatient;
+  context.target = patient ? kPatientTarget : route.first_token;
   context.entry_instances = snapshot.members;
-  const auto index = ChooseServer(cost, servers->second, context);
-  if (!index) return tl::make_unexpected(index.error());
-  choice.server = servers->second[*index];
+  const auto pick = ChooseServer(cost, servers->second, context);
+  if (!pick) return tl::make_unexpected(pick.error());
+  choice.server = servers->second[pick->index];
+  choice.pick = *pick;
   return choice;
 }
 
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -204,16 +204,18 @@
 
 Result<void> ModelRun::Select(Attempt& attempt) {
   RequestCost cost = m_request.cost;
-  cost.last_prefix_server = m_worker.LastPrefixServer(cost.prefix_hash);
-  auto choice =
-      ChooseForService(m_worker, m_route.service, m_id, cost, m_tried);
+  m_worker.MatchPrefix(cost);
+  auto choice = ChooseForService(m_worker, m_route, m_id, cost, m_tried);
   if (!choice) return tl::make_unexpected(choice.error());
   attempt.server = std::move(choice->server);
   attempt.choice = std::move(choice->version);
+  attempt.pick = choice->pick;
+  attempt.in_flight = std::make_unique<InFlightGuard>(attempt.server.live,
+                                                      attempt.pick.uncached);
   attempt.id = m_id.Text() + "." + RandomHex(m_worker.Random(), kSpanIdDigits);
   m_tried.push_back(attempt.server.record.id);
   m_server = attempt.server.record.id;
-  m_worker.NotePrefix(cost.prefix_hash, m_server);
+  m_worker.NotePrefix(cost, m_server);
   return {};
 }
 
@@ -224,7 +226,6 @@
   Span span("attempt", parent, m_worker.Random(), m_worker.Hooks().trace);
   span.Set("server", m_server.Text());
   span.Set("version", attempt.choice.version.Text());
-  const InFlightGuard guard(attempt.server.live, m_request.cost.prompt);
   m_worker.Metrics().Add("cowslipknot_attempts_total", Labels());
   HttpRequest request = BuildEngineRequest(m_request, attempt.id, m_chunks);
   request.set("traceparent", FormatTraceparent(span.Context()));
@@ -280,8 +281,8 @@
       m_worker.Metrics().Add("cowslipknot_recomputed_tokens_total", Labels(),
                              event->recomputed_tokens);
     }
-    attempt.server.live->reported_queue_tokens = event->queue_tokens;
-    attempt.server.live->reported_at_ms = NowWall().Count();
+    NoteReport(*attempt.server.live, TokenCount(event->queue_tokens),
+               NowWall());
     if (!event->finish_reason.empty()) {
       attempt.saw_finish = true;
       m_finish_reason = event->finish_reason;
@@ -301,6 +302,15 @@
   return grew;
 }
 
+void ModelRun::NoteFirstOutput(Attempt& attempt) {
+  if (attempt.answered) return;
+  attempt.answered = true;
+  attempt.in_flight->ReleaseTokens();
+  const TokenCount work(attempt.pick.queue.Count() +
+                        attempt.pick.uncached.Count());
+  NoteFirstToken(*attempt.server.live, work, Since(attempt.started));
+}
+
 Awaitable<Result<void>> ModelRun::ReadAnswer(
     Attempt& attempt, std::unique_ptr<ResponseStream> stream) {
   SseParser parser;
@@ -320,6 +330,7 @@
     const auto grew = ApplyEvents(attempt, *piece, parser);
     if (!grew) co_return tl::make_unexpected(grew.error());
     if (!*grew) continue;
+    NoteFirstOutput(attempt);
     if (!m_first_token_noted) {
       m_first_token_noted = true;
       const Milliseconds first = Since(m_started);
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -67,6 +67,8 @@
   Awaitable<Result<void>> ReconnectStream(Attempt& attempt);
   Result<bool> ApplyEvents(Attempt& attempt, std::string_view bytes,
                            SseParser& parser);
+  /// Takes the first output of an attempt as a reading of the server's speed.
+  void NoteFirstOutput(Attempt& attempt);
   Result<void> Select(Attempt& attempt);
   void NoteEvidence(const Attempt& attempt, bool failed);
   void Finish(std::optional<Error> failure);
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -82,7 +82,7 @@
   }
 
   Result<ServerChoice> Choose() {
-    return ChooseForService(m_worker, m_request.route.service, m_request.id,
+    return ChooseForService(m_worker, m_request.route, m_request.id,
                             RequestCost(), m_tried);
   }
 
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -7,7 +7,7 @@
 
 constexpr double kRetryShare = 0.1;
 constexpr double kRetryReserve = 50;
-constexpr std::size_t kMaxPrefixes = 4096;
+constexpr std::size_t kMaxBlocksKnown = 32768;
 constexpr std::size_t kMaxFinishedRuns = 256;
 constexpr ByteCount kMaxResponse(16 << 20);
 
@@ -57,14 +57,26 @@
   }
 }
 
-ServerId Worker::LastPrefixServer(std::uint64_t prefix) const {
-  const auto found = m_prefixes.find(prefix);
-  return found == m_prefixes.end() ? ServerId() : found->second;
+void Worker::MatchPrefix(RequestCost& cost) const {
+  for (std::size_t depth = cost.blocks.size(); depth > 0; --depth) {
+    const auto found = m_blocks.find(cost.blocks[depth - 1]);
+    if (found == m_blocks.end()) continue;
+    cost.last_prefix_server = found->second;
+    cost.prefix = TokenCount(depth * kBlockTokens);
+    return;
+  }
 }
 
-void Worker::NotePrefix(std::uint64_t prefix, const ServerId& server) {
-  if (m_prefixes.size() >= kMaxPrefixes) m_prefixes.erase(m_prefixes.begin());
-  m_prefixes[prefix] = server;
+void Worker::NotePrefix(const RequestCost& cost, const ServerId& server) {
+  for (const std::uint64_t block : cost.blocks) {
+    if (m_blocks.insert_or_assign(block, server).second) {
+      m_block_order.push_back(block);
+    }
+  }
+  while (m_block_order.size() > kMaxBlocksKnown) {
+    m_blocks.erase(m_block_order.front());
+    m_block_order.pop_front();
+  }
 }
 
 void Worker::AddRun(const std::shared_ptr<ModelRun>& run) {
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_map>
 
 #include "base/clock.h"
 #include "base/metrics.h"
@@ -83,9 +85,10 @@
   RetryBudget& Retries() { return m_retries; }
   std::map<MoveId, MoveEvidence>& Evidence() { return m_evidence; }
 
-  /// Where this thread sent a prompt prefix last.
-  ServerId LastPrefixServer(std::uint64_t prefix) const;
-  void NotePrefix(std::uint64_t prefix, const ServerId& server);
+  /// Fills in where this thread sent the longest known beginning of the
+  /// prompt last, and how long that is.
+  void MatchPrefix(RequestCost& cost) const;
+  void NotePrefix(const RequestCost& cost, const ServerId& server);
 
   /// Runs by request, finished ones included until they are dropped.
   std::map<RequestId, std::shared_ptr<ModelRun>>& Runs() { return m_runs; }
@@ -111,7 +114,8 @@
   std::uint64_t m_turn = 0;
   std::uint64_t m_exchanges = 0;
   std::map<MoveId, MoveEvidence> m_evidence;
-  std::map<std::uint64_t, ServerId> m_prefixes;
+  std::unordered_map<std::uint64_t, ServerId> m_blocks;  ///< sent last to
+  std::deque<std::uint64_t> m_block_order;
   std::map<RequestId, std::shared_ptr<ModelRun>> m_runs;
   std::deque<RequestId> m_run_order;
 };
--- a/tests/unit/coordination_test.cc
+++ b/tests/unit/coordination_test.cc
@@ -52,7 +52,7 @@
   const auto first = ChooseServer(MakeCost(), servers, context);
   const auto second = ChooseServer(MakeCost(), servers, context);
   cr_assert(first.has_value());
-  cr_expect_eq(*first, *second);
+  cr_expect_eq(first->index, second->index);
 }
 
 Test(choose_server, a_loaded_home_is_left_for_a_free_server) {
@@ -60,9 +60,27 @@
   ChoiceContext context;
   context.now = WallTime(1700000000000);
   const auto home = ChooseServer(MakeCost(), servers, context);
-  servers[*home].live->in_flight_tokens = 100000;
+  servers[home->index].live->in_flight_tokens = 100000;
   const auto other = ChooseServer(MakeCost(), servers, context);
-  cr_expect_neq(*home, *other);
+  cr_expect_neq(home->index, other->index);
+}
+
+Test(choose_server, a_report_is_drained_by_the_time_since_it_came) {
+  ServerLive live;
+  live.prefill_tokens_per_second = 1000;
+  NoteReport(live, TokenCount(500), WallTime(10000));
+  cr_expect_eq(EstimateQueue(live, WallTime(10000)).Count(), 500u);
+  cr_expect_eq(EstimateQueue(live, WallTime(10250)).Count(), 250u);
+  cr_expect_eq(EstimateQueue(live, WallTime(99999)).Count(), 0u);
+}
+
+Test(choose_server, a_slow_server_is_believed_slower_with_each_answer) {
+  ServerLive live;
+  const auto before = live.prefill_tokens_per_second.load();
+  for (int i = 0; i < 20; ++i) {
+    NoteFirstToken(live, TokenCount(1000), Milliseconds(4000));
+  }
+  cr_expect_lt(live.prefill_tokens_per_second.load(), before / 4);
 }
 
 Test(choose_server, failing_servers_are_avoided_until_most_of_them_fail) {
@@ -72,7 +90,7 @@
   for (int i = 0; i < 3; ++i) NoteAttempt(*servers[0].live, false, WallTime(1));
   for (int turn = 0; turn < 20; ++turn) {
     context.draw = turn / 20.0;
-    cr_expect_neq(*ChooseServer(RequestCost(), servers, context), 0u);
+    cr_expect_neq(ChooseServer(RequestCost(), servers, context)->index, 0u);
   }
   for (std::size_t s = 1; s < 4; ++s) {
     for (int i = 0; i < 3; ++i) {
