--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -37,7 +37,6 @@
   std::atomic<std::uint64_t> tokens_since_report{0};  ///< sent from here
   std::atomic<std::uint64_t> reported_queue_tokens{0};
   std::atomic<std::uint64_t> prefill_tokens_per_second{4000};
-  std::atomic<std::uint32_t> speed_readings{0};
   std::atomic<std::int64_t> reported_at_ms{0};
   std::atomic<std::uint32_t> failures_in_row{0};
   std::atomic<std::int64_t> ejected_until_ms{0};
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -14,7 +14,7 @@
 constexpr double kTargetPart = 0.6;
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr std::int64_t kEjectionMs = 5000;
-/// Least weight of one observation in a server's believed speed.
+/// Weight of one observation in a server's believed speed.
 constexpr double kSpeedWeight = 0.2;
 /// Shorter computations say more of the network than of the server.
 constexpr std::uint64_t kLeastWorkTokens = 100;
@@ -232,9 +232,7 @@
                           static_cast<double>(took.count());
   const auto believed =
       static_cast<double>(live.prefill_tokens_per_second.load());
-  const double count = static_cast<double>(++live.speed_readings);
-  const double weight = std::max(kSpeedWeight, 1 / count);
-  const double next = believed + weight * (observed - believed);
+  const double next = believed + kSpeedWeight * (observed - believed);
   live.prefill_tokens_per_second =
       static_cast<std::uint64_t>(std::clamp(next, kSlowestRate, kFastestRate));
 }
