--- a/benchmark/module_bench.cc
+++ b/benchmark/module_bench.cc
@@ -222,9 +222,9 @@
         "\"v\"\n[[version]]\nname = \"v\"\nservice = \"s\"\npool = \"p\"\n";
     for (std::size_t i = 0; i < size; ++i) {
       const std::string name = "route-" + std::to_string(i);
-      text += "[[route]]\nname = \"" + name +
-              "\"\nservice = \"s\"\nmodel = \"" + name +
-              "\"\nclass = \"interactive\"\nfirst_token_ms = 1400\n";
+      text.append("[[route]]\nname = \"").append(name);
+      text.append("\"\nservice = \"s\"\nmodel = \"").append(name);
+      text.append("\"\nclass = \"interactive\"\nfirst_token_ms = 1400\n");
     }
     const std::string encoded = EncodeConfiguration(configuration);
     const double us = MicrosecondsEach(
--- a/src/protocol/model_api.cc
+++ b/src/protocol/model_api.cc
@@ -182,8 +182,8 @@
     std::size_t line = start;
     while (line < end) {
       const std::size_t stop = std::min(m_buffer.find('\n', line), end);
-      const std::string_view field =
-          std::string_view(m_buffer).substr(line, stop - line);
+      const std::string_view bytes_held = m_buffer;
+      const std::string_view field = bytes_held.substr(line, stop - line);
       if (field.starts_with("id: ")) event.id.assign(field.substr(4));
       if (field.starts_with("data: ")) event.data.append(field.substr(6));
       line = stop + 1;
--- a/tests/unit/protocol_test.cc
+++ b/tests/unit/protocol_test.cc
@@ -41,8 +41,7 @@
 Test(model_api, malformed_requests_are_numbered_errors) {
   for (const auto* body : {"", "[]", "{}", "{\"model\":1}", "{\"model\":\"m\"}",
                            "{\"model\":\"m\",\"prompt\":3}",
-                           "{\"model\":\"m\",\"prompt\":\"x\","
-                           "\"stream\":\"yes\"}"}) {
+                           R"({"model":"m","prompt":"x","stream":"yes"})"}) {
     const auto parsed = ParseModelRequest("/v1/completions", body);
     cr_assert_not(parsed.has_value(), "%s", body);
     cr_expect(parsed.error().code == ResultCode::kMalformedRequest);
