--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -393,14 +393,17 @@
 
 
 def send_raw(address, payload):
-    """Sends bytes and returns what comes back before the peer closes or waits."""
+    """Sends bytes and returns what comes back, at least until the result's header."""
     host, port = address.rsplit(":", 1)
     with socket.create_connection((host, int(port)), timeout=5) as connection:
         connection.sendall(payload)
-        connection.settimeout(2)
+        connection.settimeout(5)
         answer = b""
         try:
-            while piece := connection.recv(65536):
+            while b"\r\n\r\n" not in answer:
+                piece = connection.recv(65536)
+                if not piece:
+                    break
                 answer += piece
         except (TimeoutError, ConnectionResetError):
             pass
