--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -17,8 +17,8 @@
 const std::vector<std::string> kPolicies = {"predicted", "round_robin",
                                             "least_outstanding", "affinity"};
 const std::vector<std::string> kMechanisms = {
-    "claims", "retry",     "leaving",  "hand_over", "completeness",
-    "drain",  "take_back", "revision", "fencing",   "silent_links"};
+    "claims", "retry",     "leaving",  "hand_over",   "completeness",
+    "drain",  "take_back", "revision", "silent_links"};
 
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key) {
   const std::string text = reader.Text(key, true);
