Refuse hopeless interactive requests early; serve equal priorities in order

Cause: (1) interactive requests that could not meet their target queued all the same; (2) the stand-in engine took streams of one priority in the order of their ids, so some starved and every policy's tail was the stand-in's.

--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -43,11 +43,18 @@
 
 /// A chosen server and what the choice rests on.
 struct ServerPick {
-  std::size_t index = 0;  ///< into the servers offered
-  TokenCount queue;       ///< believed to be ahead of the request
-  TokenCount uncached;    ///< prompt tokens believed to need computing
+  std::size_t index = 0;        ///< into the servers offered
+  TokenCount queue;             ///< believed to be ahead of the request
+  TokenCount uncached;          ///< prompt tokens believed to need computing
+  Milliseconds first_token{0};  ///< predicted time until it
 };
 
+/// Whether an interactive request should be refused at once, because the pick
+/// misses its target by far. A server with nothing in flight from here is
+/// always worth a try, since only answers correct the prediction.
+bool IsHopeless(const ServerPick& pick, const ServerLive& live,
+                Milliseconds target);
+
 /// Prompt tokens believed to wait at a server: its last report, less what it
 /// has computed since, plus what was sent from here since.
 TokenCount EstimateQueue(const ServerLive& live, WallTime now);
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kPrefixHomes = 3;
 /// A home is kept while its predicted time is within this part of the target.
 constexpr double kTargetPart = 0.6;
+/// A request is refused when its first token is predicted after this many
+/// targets.
+constexpr int kHopelessTargets = 2;
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr std::int64_t kEjectionMs = 5000;
 /// Weight of one observation in a server's believed speed.
@@ -250,9 +253,16 @@
                        PrefixHome(request, servers, usable) == pick.index);
   pick.queue = EstimateQueue(*server.live, context.now);
   pick.uncached = Uncached(request, cached);
+  pick.first_token = PredictFirstToken(request, server, cached, context);
   return pick;
 }
 
+bool IsHopeless(const ServerPick& pick, const ServerLive& live,
+                Milliseconds target) {
+  if (live.in_flight == 0) return false;
+  return pick.first_token > target * kHopelessTargets;
+}
+
 void NoteAttempt(ServerLive& live, bool succeeded, WallTime now) {
   if (succeeded) {
     live.failures_in_row = 0;
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -206,6 +206,12 @@
   m_worker.MatchPrefix(cost);
   auto choice = ChooseForService(m_worker, m_route, m_id, cost, m_tried);
   if (!choice) return tl::make_unexpected(choice.error());
+  const bool fresh = m_tried.empty() && m_chunks.empty() && !m_taken_over;
+  const bool interactive = m_route.request_class == RequestClass::kInteractive;
+  if (fresh && interactive &&
+      IsHopeless(choice->pick, *choice->server.live, m_route.first_token)) {
+    return Fail(ResultCode::kTargetUnreachable);
+  }
   attempt.server = std::move(choice->server);
   attempt.choice = std::move(choice->version);
   attempt.pick = choice->pick;
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -26,6 +26,7 @@
   std::uint64_t seed = 0;  ///< determines the output's text
   bool chat = false;
   int priority = 0;
+  std::int64_t arrival = 0;
   std::size_t first = 0;  ///< position at which this stream began
   std::size_t total = 0;
   std::size_t produced = 0;
@@ -125,6 +126,7 @@
     if (m_slow_ms > 0) co_await SleepFor(Milliseconds(m_slow_ms));
     stream =
         MakeStream(body.as_object(), id, path.ends_with("chat/completions"));
+    stream->arrival = m_requests;
     stream->priority = exchange.Request()["X-Priority"] == "1" ? 1 : 0;
     m_streams[id] = stream;
     co_await Send(exchange, stream, stream->first);
@@ -215,7 +217,8 @@
     }
     std::stable_sort(order.begin(), order.end(),
                      [](const StreamPtr& left, const StreamPtr& right) {
-                       return left->priority > right->priority;
+                       return std::tuple(-left->priority, left->arrival) <
+                              std::tuple(-right->priority, right->arrival);
                      });
     double budget = m_prefill_rate * seconds;
     const double step_ms = m_decode_ms + m_decode_ms_per_stream *
--- a/tests/unit/coordination_test.cc
+++ b/tests/unit/coordination_test.cc
@@ -83,6 +83,18 @@
   cr_expect_lt(live.prefill_tokens_per_second.load(), before / 4);
 }
 
+Test(choose_server, only_busy_servers_that_miss_the_target_by_far_are_refused) {
+  const Milliseconds target(1000);
+  ServerLive live;
+  ServerPick pick;
+  pick.first_token = Milliseconds(9000);
+  cr_expect_not(IsHopeless(pick, live, target));
+  live.in_flight = 1;
+  cr_expect(IsHopeless(pick, live, target));
+  pick.first_token = Milliseconds(1500);
+  cr_expect_not(IsHopeless(pick, live, target));
+}
+
 Test(choose_server, failing_servers_are_avoided_until_most_of_them_fail) {
   const auto servers = MakeServers(4);
   ChoiceContext context;
