Keep the test clusters' ports below the ephemeral range

Cause: the fifth cluster's ports reached 32900; an outgoing connection held one, so a plain service could not listen and the case never started. Ruled out: the early refusal; the logs say 'cannot listen on 127.0.0.1:32900'. The demo's ports were in it as well.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -80,7 +80,7 @@
 
 def main():
     for number, deployment in enumerate(DEPLOYMENTS):
-        run(deployment, 30000 + number * 2500)
+        run(deployment, 12000 + number * 2500)
     print("demo: ok; all processes have been stopped")
 
 
--- a/tests/failure/cluster.py
+++ b/tests/failure/cluster.py
@@ -17,6 +17,8 @@
 STEIGERVERGUNNING_DOMAINS = ["nl-west-a", "nl-west-b", "nl-west-c", "nl-west-d"]
 PLUMECRAFT_DOMAINS = ["couva-a", "couva-b", "chag-lab", "pt-lisas"]
 START_TIMEOUT_S = 20
+PORTS_PER_CLUSTER = 2000
+FIRST_EPHEMERAL_PORT = 32768  # outgoing connections may hold ports from here on
 
 
 def http_json(method, address, path, body=None, headers=None, timeout=5):
@@ -75,6 +77,8 @@
                  disable=(), policy="predicted", through_forwarder=False,
                  engine_arguments=(), settings_overrides=None, seed=1,
                  keep_history=True, traffic_threads=1, plain_pool="desks"):
+        if base + PORTS_PER_CLUSTER > FIRST_EPHEMERAL_PORT:
+            raise ValueError(f"ports from {base} reach into the ephemeral range")
         self.base = base
         self.domains = domains or STEIGERVERGUNNING_DOMAINS
         self.entry_count = entries
--- a/tests/failure/run.py
+++ b/tests/failure/run.py
@@ -10,7 +10,7 @@
 from cases import CASES, MECHANISM, SHORT
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-FIRST_BASE = 21000
+FIRST_BASE = 12000
 BASE_STEP = 2500
 
 
