--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -16,6 +16,7 @@
   kDraining = 102,
   kStopped = 103,
   kSettingsRejected = 104,
+  kSettingsReloaded = 105,
   kRevisionInForce = 200,
   kRevisionIgnored = 201,
   kRevisionPublished = 202,
@@ -25,19 +26,31 @@
   kMemberDead = 302,
   kServerLeaving = 400,
   kServerEjected = 401,
+  kServerRegistered = 402,
+  kServerGone = 403,
+  kRegistrationUnreadable = 404,
   kAttemptFailed = 500,
   kRequestResumed = 501,
   kRequestKept = 502,
   kRequestTakenOver = 503,
   kRequestHandedOver = 504,
   kOutcomeUnknown = 505,
+  kRequestRefused = 506,
+  kRequestFailed = 507,
   kMoveStep = 600,
   kMoveTakenBack = 601,
   kLeaseTaken = 602,
   kLeaseLost = 603,
+  kUsageReported = 610,
+  kUsageNotAccepted = 611,
+  kCapacityOrdered = 612,
+  kCapacityNotAccepted = 613,
   kPlatformLost = 700,
   kPlatformBack = 701,
+  kHistoryLost = 702,
+  kClusterClockSet = 703,
   kFrameRejected = 800,
+  kLinesDropped = 900,
 };
 
 struct EventRow {
@@ -52,8 +65,11 @@
 
 using EventField = std::pair<std::string_view, std::string>;
 
-/// Prepares log4cplus; call once. Events go to stderr, one JSON object a line.
-void StartLog(const std::string& node);
+enum class LogTarget : std::uint8_t { kStandardError, kStandardOutput };
+
+/// Prepares log4cplus; call once. Events are one JSON object a line.
+void StartLog(const std::string& node,
+              LogTarget target = LogTarget::kStandardError);
 
 /// Writes one event. Thread-safe.
 void LogEvent(Event event, std::initializer_list<EventField> fields = {});
--- /dev/null
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cowslipknot/gateway/usage.h"
+
+/// The gateway instances, as their reports in the store show them.
+namespace cowslipknot::gateway {
+
+/// Pure: readings of a monotonic clock are arguments, and a report's age is
+/// measured from when this instance first saw it, so that no clock is trusted.
+class InstanceTable {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  /// @param lifetime  an instance silent for longer serves no keyed requests
+  explicit InstanceTable(Milliseconds lifetime) : m_lifetime(lifetime) {}
+
+  /// Notes the reports found, by key; others have been removed.
+  void Observe(std::map<std::string, InstanceReport> reports, Time now);
+
+  /// Processes that may be serving: not stopping and not silent for long.
+  std::vector<const InstanceReport*> Serving(Time now) const;
+
+  /// What was counted in a window by all processes, dead ones included.
+  WindowCounts Sum(std::uint64_t window) const;
+  /// Whether each process that may be serving has counted a window to its end.
+  /// @param end_ms  the window's end on the shared clock
+  bool Complete(std::int64_t end_ms, Time now) const;
+
+  /// Keys of reports whose process is gone and whose counts are all before
+  /// `window`.
+  std::vector<std::string> Obsolete(std::uint64_t window, Time now) const;
+
+ private:
+  struct Seen {
+    InstanceReport report;
+    Time changed{0};
+  };
+  bool IsServing(const Seen& seen, Time now) const;
+
+  Milliseconds m_lifetime;
+  std::map<std::string, Seen> m_seen;
+};
+
+}  // namespace cowslipknot::gateway
--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -41,6 +41,7 @@
   kUnknownObject = 4006,
   kNotInForce = 4007,
   kMoveDecided = 4008,
+  kHistoryLost = 4009,
   kPeerUnreachable = 5001,
   kBadFrame = 5002,
   kFrameTooLarge = 5003,
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <string>
 
@@ -16,6 +18,15 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+/// Time since boot, suspension included: CLOCK_MONOTONIC stands still while a
+/// machine is suspended, and would let leases outlive that.
+inline std::chrono::nanoseconds BootTime() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::nanoseconds(now.tv_nsec);
+}
+
 /// Milliseconds since a point in time, with their fraction.
 inline double FractionalMsSince(SteadyClock::time_point start) {
   const std::chrono::duration<double, std::milli> passed =
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -22,6 +22,8 @@
     {Event::kStopped, "info", "stopped", "the instance stopped"},
     {Event::kSettingsRejected, "error", "settings_rejected",
      "the settings have an error"},
+    {Event::kSettingsReloaded, "info", "settings_reloaded",
+     "the settings file was read again"},
     {Event::kRevisionInForce, "info", "revision_in_force",
      "a configuration revision is in force here"},
     {Event::kRevisionIgnored, "warn", "revision_ignored",
@@ -40,6 +42,12 @@
      "a backend server gets no new work"},
     {Event::kServerEjected, "warn", "server_ejected",
      "a backend server is avoided after failures"},
+    {Event::kServerRegistered, "info", "server_registered",
+     "a backend server may get work"},
+    {Event::kServerGone, "info", "server_gone",
+     "a backend server left or lapsed and gets no work"},
+    {Event::kRegistrationUnreadable, "warn", "registration_unreadable",
+     "a row names no backend server to use"},
     {Event::kAttemptFailed, "warn", "attempt_failed",
      "an attempt at a backend server failed"},
     {Event::kRequestResumed, "info", "request_resumed",
@@ -52,17 +60,35 @@
      "a peer runs a request of this instance now"},
     {Event::kOutcomeUnknown, "warn", "outcome_unknown",
      "a call that may not be repeated has an unknown outcome"},
+    {Event::kRequestRefused, "info", "request_refused",
+     "a request was refused and has not run"},
+    {Event::kRequestFailed, "warn", "request_failed",
+     "a request ended without a whole answer"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveTakenBack, "warn", "move_taken_back",
      "a move's new version is no longer used here"},
     {Event::kLeaseTaken, "info", "lease_taken", "the lease is held here"},
     {Event::kLeaseLost, "warn", "lease_lost", "the lease is not held here"},
+    {Event::kUsageReported, "info", "usage_reported",
+     "the usage of a window was accepted"},
+    {Event::kUsageNotAccepted, "warn", "usage_not_accepted",
+     "the usage of a window was not accepted; it is sent again"},
+    {Event::kCapacityOrdered, "info", "capacity_ordered",
+     "a number of backend servers was ordered"},
+    {Event::kCapacityNotAccepted, "warn", "capacity_not_accepted",
+     "an order for backend servers was not accepted"},
     {Event::kPlatformLost, "warn", "platform_lost",
      "the platform does not answer"},
     {Event::kPlatformBack, "info", "platform_back",
      "the platform answers again"},
+    {Event::kHistoryLost, "warn", "history_lost",
+     "the store dropped changes; the table is read anew"},
+    {Event::kClusterClockSet, "info", "cluster_clock_set",
+     "the shared time of day is known"},
     {Event::kFrameRejected, "warn", "frame_rejected",
      "a peer's frame failed verification"},
+    {Event::kLinesDropped, "warn", "lines_dropped",
+     "log lines were left out to bound their volume"},
 });
 
 log4cplus::Logger& TheLogger() {
@@ -91,11 +117,12 @@
 
 std::span<const EventRow> EventTable() { return kTable; }
 
-void StartLog(const std::string& node) {
+void StartLog(const std::string& node, LogTarget target) {
   static const log4cplus::Initializer initializer;
   NodeName() = node;
   log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+      new log4cplus::ConsoleAppender(target == LogTarget::kStandardError,
+                                     true));
   appender->setLayout(
       std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
   TheLogger().removeAllAppenders();
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -63,6 +63,8 @@
      "the revision is not in force everywhere"},
     {ResultCode::kMoveDecided, "move_decided", 409,
      "the move has been decided"},
+    {ResultCode::kHistoryLost, "history_lost", 410,
+     "the store no longer has the changes asked for"},
     {ResultCode::kPeerUnreachable, "peer_unreachable", 504,
      "the peer did not answer"},
     {ResultCode::kBadFrame, "bad_frame", 400, "a frame failed verification"},
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -72,6 +72,20 @@
   return Serve(*settings);
 }
 
+int RunGateway(const Options& options,
+               const gateway::DialectFactory& make_dialect) {
+  if (options.config.empty()) return Usage("gateway needs --config FILE");
+  const auto text = ReadFile(options.config);
+  if (!text) return Report(text.error());
+  const auto settings = gateway::ParseSettings(*text, options.config);
+  if (!settings) return PrintProblems(settings.error());
+  if (options.check) {
+    std::cout << options.config << ": ok\n";
+    return kExitOk;
+  }
+  return gateway::Serve(*settings, options.config, make_dialect);
+}
+
 /// Reads and checks an object file; prints problems.
 std::optional<std::string> LoadObjects(const Options& options, int& exit_code) {
   if (options.arguments.size() != 1) {
@@ -293,8 +307,14 @@
   std::string help;
 };
 
-const std::map<std::string, Command>& Commands() {
+const std::map<std::string, Command>& Commands(
+    const gateway::DialectFactory& make_dialect) {
   static const std::map<std::string, Command> commands = {
+      {"gateway",
+       {[&make_dialect](const Options& options) {
+          return RunGateway(options, make_dialect);
+        },
+        "--config FILE [--check]  run an instance on a managed platform"}},
       {"serve", {RunServe, "--config FILE [--check]  run an entry instance"}},
       {"check", {RunCheck, "FILE  check an object file"}},
       {"diff",
@@ -311,9 +331,9 @@
   return commands;
 }
 
-int PrintHelp() {
+int PrintHelp(const std::map<std::string, Command>& commands) {
   std::cout << "usage: cowslipknot COMMAND [OPTIONS]\n\n";
-  for (const auto& [name, command] : Commands()) {
+  for (const auto& [name, command] : commands) {
     std::cout << "  " << name << " " << command.help << "\n";
   }
   std::cout << "\noptions: --server HOST:PORT --token TOKEN "
@@ -324,22 +344,24 @@
 
 }  // namespace
 
-int RunCommand(const Options& options) {
+int RunCommand(const Options& options,
+               const gateway::DialectFactory& make_dialect) {
+  const auto& commands = Commands(make_dialect);
   if (options.version) {
     std::cout << "cowslipknot " << COWSLIPKNOT_VERSION << "\n";
     return kExitOk;
   }
-  const auto found = Commands().find(options.command);
-  if (options.help && found != Commands().end()) {
+  const auto found = commands.find(options.command);
+  if (options.help && found != commands.end()) {
     std::cout << "usage: cowslipknot " << found->first << " "
               << found->second.help << "\n";
     return kExitOk;
   }
-  if (options.help) return PrintHelp();
+  if (options.help) return PrintHelp(commands);
   if (options.command.empty()) return Usage("a command is needed");
-  if (found == Commands().end()) {
+  if (found == commands.end()) {
     std::vector<std::string> names;
-    for (const auto& [name, command] : Commands()) names.push_back(name);
+    for (const auto& [name, command] : commands) names.push_back(name);
     const std::string near = SuggestName(options.command, names);
     return Usage("unknown command '" + options.command + "'" +
                  (near.empty() ? "" : "; did you mean '" + near + "'?"));
--- /dev/null
+++ b/src/coordination/instance_table.cc
@@ -0,0 +1,64 @@
+#include "cowslipknot/gateway/instance_table.h"
+
+#include <algorithm>
+
+namespace cowslipknot::gateway {
+
+void InstanceTable::Observe(std::map<std::string, InstanceReport> reports,
+                            Time now) {
+  std::erase_if(m_seen, [&reports](const auto& item) {
+    return !reports.contains(item.first);
+  });
+  for (auto& [key, report] : reports) {
+    const auto known = m_seen.find(key);
+    if (known == m_seen.end()) {
+      m_seen[key] = Seen{std::move(report), now};
+    } else if (report.sequence > known->second.report.sequence) {
+      known->second = Seen{std::move(report), now};
+    }
+  }
+}
+
+bool InstanceTable::IsServing(const Seen& seen, Time now) const {
+  return !seen.report.stopping && now - seen.changed < m_lifetime;
+}
+
+std::vector<const InstanceReport*> InstanceTable::Serving(Time now) const {
+  std::vector<const InstanceReport*> serving;
+  for (const auto& [key, seen] : m_seen) {
+    if (IsServing(seen, now)) serving.push_back(&seen.report);
+  }
+  return serving;
+}
+
+WindowCounts InstanceTable::Sum(std::uint64_t window) const {
+  WindowCounts sum;
+  for (const auto& [key, seen] : m_seen) {
+    const auto counts = seen.report.usage.Windows().find(window);
+    if (counts == seen.report.usage.Windows().end()) continue;
+    for (const auto& [workspace, count] : counts->second) {
+      sum[workspace] += count;
+    }
+  }
+  return sum;
+}
+
+bool InstanceTable::Complete(std::int64_t end_ms, Time now) const {
+  return std::all_of(m_seen.begin(), m_seen.end(), [&](const auto& item) {
+    return !IsServing(item.second, now) ||
+           item.second.report.as_of_ms >= end_ms;
+  });
+}
+
+std::vector<std::string> InstanceTable::Obsolete(std::uint64_t window,
+                                                 Time now) const {
+  std::vector<std::string> obsolete;
+  for (const auto& [key, seen] : m_seen) {
+    const auto& windows = seen.report.usage.Windows();
+    const bool counted = !windows.empty() && windows.rbegin()->first >= window;
+    if (!counted && !IsServing(seen, now)) obsolete.push_back(key);
+  }
+  return obsolete;
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/coordination/quota.cc
@@ -0,0 +1,84 @@
+#include "cowslipknot/gateway/quota.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// Part of an equal share that an instance keeps without any demand.
+constexpr double kFloorPart = 0.1;
+/// Time constant of the demand's decaying mean.
+constexpr double kDemandSeconds = 2.0;
+/// A share of zero would never grant again.
+constexpr double kSmallestShare = 0.001;
+
+double Seconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+double QuotaShare(double own, const std::vector<double>& others) {
+  const double instances = static_cast<double>(others.size()) + 1;
+  const double total =
+      own + std::accumulate(others.begin(), others.end(), 0.0);
+  const double equal = 1 / instances;
+  if (total <= 0) return equal;
+  return kFloorPart * equal + (1 - kFloorPart) * own / total;
+}
+
+void QuotaLimiter::SetShare(const WorkspaceId& workspace, double share) {
+  m_buckets[workspace].share = std::max(share, kSmallestShare);
+}
+
+void QuotaLimiter::Refill(Bucket& bucket, const Workspace& workspace,
+                          Time now) {
+  const double share = bucket.share > 0 ? bucket.share : kSmallestShare;
+  const double most = workspace.burst * share;
+  if (!bucket.filled) {
+    bucket.filled = true;
+    bucket.level = most;
+  } else {
+    const double passed = Seconds(now - bucket.updated);
+    bucket.level += workspace.rate_per_s * share * std::max(0.0, passed);
+  }
+  bucket.level = std::min(bucket.level, most);
+  bucket.updated = now;
+}
+
+void QuotaLimiter::Decay(Bucket& bucket, Time now) {
+  const double passed = std::max(0.0, Seconds(now - bucket.demand_updated));
+  bucket.demand *= std::exp(-passed / kDemandSeconds);
+  bucket.demand_updated = now;
+}
+
+Milliseconds QuotaLimiter::Take(const Workspace& workspace, double cost,
+                                Time now) {
+  if (workspace.rate_per_s <= 0) return Milliseconds(0);
+  Bucket& bucket = m_buckets[workspace.name];
+  Decay(bucket, now);
+  bucket.demand += cost / kDemandSeconds;
+  Refill(bucket, workspace, now);
+  // A request larger than what remains is granted on credit, so that a small
+  // share of the limit still serves large requests.
+  if (bucket.level > 0) {
+    bucket.level -= cost;
+    return Milliseconds(0);
+  }
+  const double share = bucket.share > 0 ? bucket.share : kSmallestShare;
+  const double wait = -bucket.level / (workspace.rate_per_s * share);
+  return Milliseconds(1 + static_cast<std::int64_t>(wait * 1000));
+}
+
+std::map<WorkspaceId, double> QuotaLimiter::Demand(Time now) {
+  std::map<WorkspaceId, double> demand;
+  for (auto& [workspace, bucket] : m_buckets) {
+    Decay(bucket, now);
+    demand[workspace] = bucket.demand;
+  }
+  return demand;
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/gateway_call.cc
@@ -0,0 +1,492 @@
+#include <xxhash.h>
+
+#include "cowslipknot/coordination/choose_server.h"
+#include "cowslipknot/events.h"
+#include "protocol/connection_fields.h"
+#include "protocol/event_splitter.h"
+#include "serve/attempt.h"
+#include "serve/gateway_worker.h"
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// Connections that may reach no server count as failed after this time.
+constexpr Milliseconds kConnectTimeout(1000);
+/// A connection idle for longer may be gone without notice; a request that may
+/// run only once is not risked on it.
+constexpr Milliseconds kUnsafeMaxIdle(2000);
+constexpr Milliseconds kMaxIdle(8000);
+constexpr Milliseconds kRetryNoServer(400);
+constexpr Milliseconds kRetryNoConfiguration(500);
+/// Attempts that did not run, after which a request is refused.
+constexpr std::uint32_t kMaxRejections = 3;
+constexpr std::uint32_t kMaxPriority = 9;
+/// Time kept for the answer's way to the caller before its deadline.
+constexpr Milliseconds kAnswerMargin(5);
+constexpr std::uint64_t kEngineTokensPerSecond = 60000;
+
+/// How one attempt ended.
+enum class AttemptEnd : std::uint8_t {
+  kAnswered,     ///< the caller has an answer, or is gone
+  kNotExecuted,  ///< the request did not run
+  kFailed,       ///< the request may have run
+};
+
+/// One caller's request, from its header to the end of its answer.
+class Call {
+ public:
+  Call(Worker& worker, HttpExchange& exchange)
+      : m_worker(worker),
+        m_exchange(exchange),
+        m_snapshot(worker.GetSnapshot()) {}
+
+  Awaitable<void> Run() {
+    const auto ready = Prepare();
+    if (!ready) {
+      co_await Refuse(ready.error());
+      co_return;
+    }
+    m_exchange.WatchPeer([this] {
+      m_caller_gone = true;
+      if (m_progress.abort) m_progress.abort();
+    });
+    co_await RunAttempts();
+  }
+
+ private:
+  Milliseconds TimeLeft() const {
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(m_deadline - SteadyClock::now());
+    return std::max(left, Milliseconds(0));
+  }
+
+  bool IsModelCall() const { return m_request.prompt.has_value(); }
+
+  double Cost() const {
+    if (!m_workspace->counts_tokens) return 1;
+    if (!m_request.prompt) {
+      return static_cast<double>(m_workspace->uncounted_tokens.Count());
+    }
+    return static_cast<double>(m_request.prompt->Count() +
+                               m_request.most_output.Count());
+  }
+
+  /// Reads the request, finds its route and workspace, and takes its cost.
+  Result<void> Prepare() {
+    const auto& http = m_exchange.Request();
+    auto request = m_worker.GetDialect().read_caller(http);
+    if (!request) return tl::make_unexpected(request.error());
+    m_request = std::move(*request);
+    if (!m_snapshot->configuration) {
+      m_retry_after = kRetryNoConfiguration;
+      return Fail(ResultCode::kNoConfiguration);
+    }
+    const std::string_view host = http[http::field::host];
+    m_route = m_snapshot->routes->Find(host, http.target());
+    if (m_route == nullptr) {
+      if (m_worker.KeysAreFresh()) return Fail(ResultCode::kNoRoute);
+      m_retry_after = kRetryNoConfiguration;
+      return Fail(ResultCode::kNoConfiguration, "not confirmed lately");
+    }
+    const Milliseconds patience =
+        m_request.deadline.value_or(m_route->timeout) - kAnswerMargin;
+    m_deadline = m_started + std::min(patience, m_route->timeout);
+    return Authorize();
+  }
+
+  Result<void> Authorize() {
+    const Configuration& configuration = *m_snapshot->configuration;
+    if (!configuration.HasWorkspaces() || m_route->is_public) return {};
+    if (!m_worker.KeysAreFresh()) {
+      m_retry_after = kRetryNoConfiguration;
+      return Fail(ResultCode::kNoConfiguration, "not confirmed lately");
+    }
+    const auto key = configuration.api_keys.find(m_request.api_key);
+    if (key == configuration.api_keys.end()) {
+      return Fail(ResultCode::kUnknownKey);
+    }
+    m_workspace = &configuration.workspaces.at(key->second);
+    const Milliseconds wait =
+        m_worker.Quota().Take(*m_workspace, Cost(), BootTime());
+    if (wait.count() == 0) return {};
+    m_retry_after = wait;
+    return Fail(ResultCode::kOverLimit, m_workspace->name.Text());
+  }
+
+  Awaitable<void> Refuse(const Error& error) {
+    LogEvent(Event::kRequestRefused,
+             {{"request", m_request.id.Text()},
+              {"code", std::to_string(static_cast<int>(error.code))},
+              {"detail", error.detail},
+              {"retry_after_ms", std::to_string(m_retry_after.count())}});
+    Count(std::string(Describe(error.code).name));
+    co_await m_exchange.Respond(RefusalOf(error, m_retry_after));
+  }
+
+  void Count(const std::string& outcome) {
+    const std::string labels =
+        Label("route", m_route == nullptr ? "" : m_route->name.Text());
+    m_worker.Metrics().Add("cowslipknot_requests_total",
+                           labels + "," + Label("outcome", outcome));
+    m_worker.Metrics().Observe("cowslipknot_request_ms", labels,
+                               Since(m_started));
+  }
+
+  RequestCost BuildCost() const {
+    RequestCost cost;
+    if (!m_request.prompt) return cost;
+    cost.prompt = *m_request.prompt;
+    cost.output = m_request.most_output;
+    // The last part is the request's own; the one before it is shared.
+    std::uint64_t shared = 0;
+    for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
+      cost.prefix_hash = m_request.parts[i].id;
+      shared += m_request.parts[i].tokens.Count();
+    }
+    cost.prefix = TokenCount(shared);
+    return cost;
+  }
+
+  Result<const ServerView*> Choose() {
+    const std::uint64_t hash = XXH3_64bits(m_request.id.Text().data(),
+                                           m_request.id.Text().size());
+    const ServiceId& service = PickService(*m_route, hash);
+    const auto servers = m_snapshot->servers.find(service);
+    if (servers == m_snapshot->servers.end()) {
+      return Fail(ResultCode::kNoServer, service.Text());
+    }
+    ChoiceContext context;
+    context.domain = m_worker.GetSettings().domain;
+    context.now = NowBoot();
+    context.draw = m_worker.Draw();
+    context.target = m_route->objective;
+    context.tried = m_tried;
+    context.entry_instances = m_snapshot->instances;
+    m_cost = BuildCost();
+    const auto pick = ChooseServer(m_cost, servers->second, context);
+    if (!pick) return tl::make_unexpected(pick.error());
+    m_pick = *pick;
+    return &servers->second[pick->index];
+  }
+
+  static WallTime NowBoot() {
+    return WallTime(
+        std::chrono::duration_cast<Milliseconds>(BootTime()).count());
+  }
+
+  HttpRequest BuildAttempt(const ServerView& server) const {
+    HttpRequest wire = m_exchange.Request();
+    wire.version(11);
+    AttemptFields fields;
+    fields.server = server.record.id;
+    if (m_workspace != nullptr) fields.workspace = m_workspace->name;
+    fields.time_left = TimeLeft();
+    if (IsModelCall()) {
+      fields.priority = std::min(kMaxPriority, m_route->priority);
+    }
+    fields.last_event = m_events.LastId() ? m_events.LastId()
+                                          : m_request.last_event;
+    m_worker.GetDialect().write_attempt(wire, m_request, fields);
+    return wire;
+  }
+
+  Awaitable<void> RunAttempts() {
+    m_worker.Retries().NoteRequest();
+    std::uint32_t ran = 0;
+    std::uint32_t rejections = 0;
+    Error last{ResultCode::kNoServer};
+    while (!m_caller_gone) {
+      if (TimeLeft().count() == 0) {
+        last.code = ResultCode::kDeadlinePassed;
+        break;
+      }
+      const bool repeat = !m_tried.empty();
+      const auto server = Choose();
+      if (!server) {
+        if (!repeat) last = server.error();
+        break;
+      }
+      if (repeat && m_reached && !m_worker.Retries().TrySpend()) break;
+      const ServerView chosen = **server;
+      const AttemptEnd end = co_await Attempt(chosen, last);
+      if (end == AttemptEnd::kAnswered) co_return;
+      if (end == AttemptEnd::kNotExecuted) {
+        if (++rejections >= kMaxRejections) break;
+        continue;
+      }
+      ++ran;
+      const bool may_repeat =
+          m_route->Repeatable() && ran < m_route->max_attempts;
+      if (!may_repeat) break;
+    }
+    co_await Conclude(ran > 0, last);
+  }
+
+  /// Ends a request that no server answered whole.
+  Awaitable<void> Conclude(bool may_have_run, Error error) {
+    if (m_streaming || m_caller_gone) {
+      LogFailure(error);
+      Count(m_caller_gone ? "caller_gone" : "cut");
+      m_exchange.Abort();
+      co_return;
+    }
+    if (m_last_answer) {
+      // A failure that a server signed is passed on as it is.
+      LogFailure(error);
+      Count("server_failure");
+      co_await m_exchange.Respond(std::move(*m_last_answer));
+      co_return;
+    }
+    if (!may_have_run) {
+      if (error.code == ResultCode::kDeadlinePassed) {
+        error.code = ResultCode::kNoServer;
+      }
+      m_retry_after = kRetryNoServer;
+      error.execution = Execution::kNotRun;
+      error.code = ResultCode::kNoServer;
+      co_await Refuse(error);
+      co_return;
+    }
+    error.execution = Execution::kUnknown;
+    if (TimeLeft().count() == 0) error.code = ResultCode::kOutcomeUnknown;
+    LogFailure(error);
+    Count(std::string(Describe(error.code).name));
+    co_await m_exchange.Respond(RefusalOf(error, Milliseconds(0)));
+  }
+
+  void LogFailure(const Error& error) {
+    LogEvent(Event::kRequestFailed,
+             {{"request", m_request.id.Text()},
+              {"server", m_tried.empty() ? "" : m_tried.back().Text()},
+              {"code", std::to_string(static_cast<int>(error.code))},
+              {"detail", error.detail},
+              {"caller_gone", m_caller_gone ? "true" : "false"},
+              {"events", std::to_string(m_events.Events())},
+              {"after_ms", std::to_string(Since(m_started).count())}});
+  }
+
+  Awaitable<AttemptEnd> Attempt(const ServerView& server, Error& error) {
+    m_tried.push_back(server.record.id);
+    InFlightGuard guard(server.live, m_pick.uncached);
+    m_worker.Metrics().Add("cowslipknot_attempts_total",
+                           Label("route", m_route->name.Text()));
+    CallOptions options;
+    options.timeout = TimeLeft();
+    options.connect_timeout = kConnectTimeout;
+    options.max_idle = m_route->Repeatable() ? kMaxIdle : kUnsafeMaxIdle;
+    options.belongs = [this](const http::response_header<>& header) {
+      const auto answer = m_worker.GetDialect().read_answer(header);
+      return answer.id.Empty() || answer.id == m_request.id;
+    };
+    const auto started = SteadyClock::now();
+    m_progress = CallProgress();
+    auto opened = co_await m_worker.Http().Open(
+        server.record.address, BuildAttempt(server), options, m_progress);
+    if (m_progress.first_byte_sent) m_reached = true;
+    if (!opened) {
+      m_progress.abort = nullptr;
+      if (m_progress.reused_connection) {
+        m_worker.Http().Forget(server.record.address);
+      }
+      error = opened.error();
+      if (!m_caller_gone) NoteFailure(server, error);
+      co_return m_progress.first_byte_sent ? AttemptEnd::kFailed
+                                           : AttemptEnd::kNotExecuted;
+    }
+    const auto answer =
+        m_worker.GetDialect().read_answer((*opened)->Header());
+    if (answer.not_executed) {
+      co_await ReadAll(**opened);
+      m_progress.abort = nullptr;
+      error = Error{ResultCode::kBackendRefused,
+                    std::to_string((*opened)->Header().result_int())};
+      NoteFailure(server, error);
+      co_return AttemptEnd::kNotExecuted;
+    }
+    if (!answer.is_signed) {
+      m_progress.abort = nullptr;
+      error = Error{ResultCode::kBackendMalformed, "no signature"};
+      NoteFailure(server, error);
+      co_return AttemptEnd::kFailed;
+    }
+    const bool streams =
+        m_route->kind == RouteKind::kStream &&
+        (*opened)->Header().result() == http::status::ok;
+    AttemptEnd end = AttemptEnd::kFailed;
+    if (streams) {
+      end = co_await PassEvents(server, **opened, guard, started, error);
+    } else {
+      end = co_await PassWhole(server, **opened, error);
+    }
+    m_progress.abort = nullptr;
+    co_return end;
+  }
+
+  void NoteFailure(const ServerView& server, const Error& error) {
+    NoteAttempt(*server.live, false, NowBoot());
+    LogEvent(Event::kAttemptFailed,
+             {{"request", m_request.id.Text()},
+              {"server", server.record.id.Text()},
+              {"code", std::to_string(static_cast<int>(error.code))},
+              {"reused", m_progress.reused_connection ? "true" : "false"},
+              {"detail", error.detail}});
+  }
+
+  Awaitable<Result<std::string>> ReadAll(ResponseStream& stream) {
+    std::string body;
+    while (true) {
+      const Milliseconds left = TimeLeft();
+      if (left.count() == 0) {
+        co_return Fail(ResultCode::kBackendTimeout, "body",
+                       Execution::kUnknown);
+      }
+      auto piece = co_await stream.Read(left);
+      if (!piece) co_return tl::make_unexpected(piece.error());
+      if (piece->empty()) co_return body;
+      body += *piece;
+    }
+  }
+
+  /// Passes an answer on once it is whole.
+  Awaitable<AttemptEnd> PassWhole(const ServerView& server,
+                                  ResponseStream& stream, Error& error) {
+    HttpResponse response;
+    response.base() = stream.Header();
+    RemoveConnectionFields(response);
+    auto body = co_await ReadAll(stream);
+    if (!body) {
+      error = body.error();
+      if (!m_caller_gone) NoteFailure(server, error);
+      co_return AttemptEnd::kFailed;
+    }
+    if (!m_counted) NoteBegan();
+    response.body() = std::move(*body);
+    const bool failed = response.result_int() >= 500;
+    NoteAttempt(*server.live, !failed, NowBoot());
+    if (failed && m_route->Repeatable()) {
+      error = Error{ResultCode::kBackendFailed,
+                    std::to_string(response.result_int())};
+      m_last_answer = std::move(response);
+      co_return AttemptEnd::kFailed;
+    }
+    Count(failed ? "server_failure" : "ok");
+    co_await m_exchange.Respond(std::move(response));
+    co_return AttemptEnd::kAnswered;
+  }
+
+  void NoteBegan() {
+    m_counted = true;
+    if (m_workspace != nullptr) m_worker.NoteBegan(m_workspace->name);
+  }
+
+  /// Passes whole events on as they come.
+  Awaitable<AttemptEnd> PassEvents(const ServerView& server,
+                                   ResponseStream& stream,
+                                   InFlightGuard& guard,
+                                   SteadyClock::time_point started,
+                                   Error& error) {
+    bool first = true;
+    while (true) {
+      const Milliseconds left = TimeLeft();
+      if (left.count() == 0) {
+        error = Error{ResultCode::kBackendTimeout, "stream"};
+        co_return AttemptEnd::kFailed;
+      }
+      auto piece = co_await stream.Read(left);
+      if (!piece) {
+        error = piece.error();
+        if (!m_caller_gone) NoteFailure(server, error);
+        co_return AttemptEnd::kFailed;
+      }
+      if (piece->empty()) break;
+      if (first) {
+        first = false;
+        guard.ReleaseTokens();
+        NoteFirstToken(*server.live,
+                       TokenCount(m_pick.queue.Count() + m_pick.uncached.Count()),
+                       Since(started));
+        if (!m_counted) NoteBegan();
+      }
+      const std::string events = m_events.Feed(*piece);
+      if (!events.empty() && !co_await PassOn(stream, events)) {
+        m_caller_gone = true;
+        error = Error{ResultCode::kInternal, "the caller is gone"};
+        co_return AttemptEnd::kFailed;
+      }
+    }
+    if (!m_events.Rest().empty()) {
+      error = Error{ResultCode::kBackendMalformed, "ended within an event"};
+      NoteFailure(server, error);
+      co_return AttemptEnd::kFailed;
+    }
+    NoteAttempt(*server.live, true, NowBoot());
+    if (!m_streaming && !co_await PassOn(stream, std::string())) {
+      co_return AttemptEnd::kAnswered;
+    }
+    co_await m_exchange.EndStream();
+    Count("ok");
+    co_return AttemptEnd::kAnswered;
+  }
+
+  /// @return false when the caller is gone
+  Awaitable<bool> PassOn(ResponseStream& stream, const std::string& events) {
+    if (!m_streaming) {
+      HttpResponse header;
+      header.base() = stream.Header();
+      RemoveConnectionFields(header);
+      m_streaming = true;
+      if (!co_await m_exchange.BeginStream(std::move(header))) co_return false;
+    }
+    if (events.empty()) co_return true;
+    co_return co_await m_exchange.WriteChunk(events);
+  }
+
+  Worker& m_worker;
+  HttpExchange& m_exchange;
+  SnapshotPtr m_snapshot;
+  CallerRequest m_request;
+  const Route* m_route = nullptr;
+  const Workspace* m_workspace = nullptr;
+  SteadyClock::time_point m_started = SteadyClock::now();
+  SteadyClock::time_point m_deadline{};
+  Milliseconds m_retry_after{0};
+  CallProgress m_progress;
+  RequestCost m_cost;
+  ServerPick m_pick;
+  std::vector<ServerId> m_tried;
+  EventSplitter m_events;
+  std::optional<HttpResponse> m_last_answer;
+  bool m_reached = false;  ///< an attempt's bytes may have reached a server
+  bool m_streaming = false;
+  bool m_counted = false;
+  bool m_caller_gone = false;
+};
+
+}  // namespace
+
+HttpResponse RefusalOf(const Error& error, Milliseconds retry_after) {
+  const ResultCodeRow& row = Describe(error.code);
+  HttpResponse response(static_cast<http::status>(row.http_status), 11);
+  response.set("X-Result-Code", std::to_string(static_cast<int>(error.code)));
+  response.set("X-Execution", error.execution == Execution::kNotRun
+                                  ? "not-run"
+                                  : "outcome-unknown");
+  if (retry_after.count() > 0) {
+    constexpr double kMsPerSecond = 1000;
+    std::string seconds =
+        std::to_string(static_cast<double>(retry_after.count()) / kMsPerSecond);
+    response.set(http::field::retry_after, seconds);
+  }
+  response.set(http::field::content_type, "text/plain");
+  response.body() = std::string(row.message) + "\n";
+  return response;
+}
+
+Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange) {
+  ++worker.InFlight();
+  Call call(worker, exchange);
+  co_await call.Run();
+  --worker.InFlight();
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/gateway_control.cc
@@ -0,0 +1,278 @@
+#include "serve/gateway_control.h"
+
+#include "base/endpoint_text.h"
+#include "cowslipknot/events.h"
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// A change of the configuration is waited for in calls of this length: a
+/// connection that has gone silent is noticed after it.
+constexpr Milliseconds kConfigurationWait(700);
+constexpr Milliseconds kServersPause(400);
+constexpr Milliseconds kReportPause(1200);
+constexpr Milliseconds kRetryPause(150);
+/// Entries that lapsed in an outage of the store are back within this time.
+constexpr Milliseconds kReturnGrace(2000);
+constexpr std::uint64_t kEngineTokensPerSecond = 60000;
+constexpr char kModelPool[] = "model";
+constexpr char kPlainPool[] = "plain";
+
+}  // namespace
+
+Control::Control(const Settings& settings, const Dialect& dialect,
+                 Worker& worker, asio::io_context& context)
+    : m_settings(settings),
+      m_dialect(dialect),
+      m_worker(worker),
+      m_context(context),
+      m_registry(kReturnGrace),
+      m_duties(settings, dialect) {}
+
+void Control::Start() {
+  asio::co_spawn(m_context, FollowConfiguration(), asio::detached);
+  asio::co_spawn(m_context, FollowServers(), asio::detached);
+  asio::co_spawn(m_context, ExchangeReports(), asio::detached);
+}
+
+bool Control::Ready() const {
+  return m_configuration && m_servers_known && m_worker.KeysAreFresh();
+}
+
+void Control::NoteStore(bool reachable, const std::string& detail) {
+  if (reachable) {
+    m_registry.NoteAnswer(BootTime());
+  } else {
+    m_registry.NoteOutage();
+  }
+  if (reachable == m_store_reachable) return;
+  m_store_reachable = reachable;
+  LogEvent(reachable ? Event::kPlatformBack : Event::kPlatformLost,
+           {{"detail", detail}});
+}
+
+void Control::ApplyConfiguration(const StoreRows& rows) {
+  for (const auto& row : rows.rows) {
+    if (row.key != m_dialect.names.configuration_key || row.removed) continue;
+    auto decoded = m_dialect.decode_configuration(row.value);
+    m_configuration_readable = decoded.has_value();
+    if (!decoded) {
+      LogEvent(Event::kConfigurationUnreadable,
+               {{"detail", decoded.error().detail}});
+      continue;
+    }
+    if (m_configuration && decoded->version <= m_configuration->version) {
+      continue;
+    }
+    m_configuration =
+        std::make_shared<const Configuration>(std::move(*decoded));
+    m_routes = std::make_shared<const RouteTable>(*m_configuration);
+    LogEvent(Event::kRevisionInForce,
+             {{"revision", std::to_string(m_configuration->version)},
+              {"routes", std::to_string(m_configuration->routes.size())}});
+    Publish();
+  }
+}
+
+Awaitable<void> Control::FollowConfiguration() {
+  const std::string& table = m_dialect.names.configuration_table;
+  std::optional<std::uint64_t> since;
+  while (true) {
+    const auto asked = BootTime();
+    Result<StoreRows> rows = Fail(ResultCode::kInternal);
+    if (since) {
+      rows = co_await m_dialect.follow_table(table, *since, kConfigurationWait);
+    } else {
+      rows = co_await m_dialect.read_table(table);
+    }
+    if (!rows) {
+      if (rows.error().code == ResultCode::kHistoryLost) {
+        LogEvent(Event::kHistoryLost, {{"table", table}});
+        since.reset();
+        continue;
+      }
+      NoteStore(false, rows.error().detail);
+      co_await SleepFor(kRetryPause);
+      continue;
+    }
+    ApplyConfiguration(*rows);
+    since = rows->version;
+    // Posted behind the snapshot, so that traffic never takes an older
+    // configuration for confirmed.
+    if (m_configuration && m_configuration_readable) {
+      asio::post(m_worker.Context(),
+                 [this, asked] { m_worker.NoteConfirmed(asked); });
+    }
+  }
+}
+
+bool Control::ApplyServers(const StoreRows& rows, bool whole) {
+  std::vector<ServerChange> changes;
+  std::vector<ServerEntry> entries;
+  for (const auto& row : rows.rows) {
+    ServerChange change;
+    change.id = ServerId(row.key);
+    if (!row.removed) {
+      auto entry = m_dialect.decode_server(row.key, row.value);
+      if (entry) {
+        change.entry = *entry;
+        entries.push_back(std::move(*entry));
+      } else {
+        LogEvent(Event::kRegistrationUnreadable,
+                 {{"key", row.key}, {"detail", entry.error().detail}});
+        continue;
+      }
+    }
+    changes.push_back(std::move(change));
+  }
+  if (whole) return m_registry.Replace(entries, BootTime());
+  return m_registry.Apply(changes, BootTime());
+}
+
+Awaitable<void> Control::FollowServers() {
+  const std::string& table = m_dialect.names.server_table;
+  std::optional<std::uint64_t> since;
+  while (true) {
+    Result<StoreRows> rows = Fail(ResultCode::kInternal);
+    if (since) {
+      rows = co_await m_dialect.follow_table(table, *since, Milliseconds(0));
+    } else {
+      rows = co_await m_dialect.read_table(table);
+    }
+    if (!rows) {
+      if (rows.error().code == ResultCode::kHistoryLost) {
+        LogEvent(Event::kHistoryLost, {{"table", table}});
+        since.reset();
+        continue;
+      }
+      NoteStore(false, rows.error().detail);
+      co_await SleepFor(kRetryPause);
+      continue;
+    }
+    NoteStore(true, table);
+    bool changed = ApplyServers(*rows, !since.has_value());
+    changed = m_registry.Expire(BootTime()) || changed;
+    since = rows->version;
+    if (changed || !m_servers_known) {
+      m_servers_known = true;
+      Publish();
+    }
+    co_await SleepFor(kServersPause);
+  }
+}
+
+std::map<ServiceId, std::vector<ServerView>> Control::BuildServers() {
+  std::map<ServiceId, std::vector<ServerView>> servers;
+  decltype(m_live) live;
+  for (const auto& entry : m_registry.Usable()) {
+    const auto known = m_live.find(entry.id);
+    ServerView view;
+    const bool same =
+        known != m_live.end() && known->second.first == entry.started_ms;
+    if (same) {
+      view.live = known->second.second;
+    } else {
+      view.live = std::make_shared<ServerLive>();
+      view.live->prefill_tokens_per_second = kEngineTokensPerSecond;
+      LogEvent(Event::kServerRegistered,
+               {{"server", entry.id.Text()},
+                {"service", entry.service.Text()},
+                {"address", FormatEndpoint(entry.address)},
+                {"domain", entry.domain.Text()},
+                {"version", entry.version.Text()}});
+    }
+    live[entry.id] = {entry.started_ms, view.live};
+    view.record.id = entry.id;
+    view.record.kind = kModelPool;
+    view.record.address = entry.address;
+    view.record.domain = entry.domain;
+    view.record.incarnation =
+        Incarnation(static_cast<std::uint64_t>(entry.started_ms));
+    view.record.reclaimable = entry.reclaimable;
+    servers[entry.service].push_back(std::move(view));
+  }
+  for (const auto& [id, known] : m_live) {
+    if (!live.contains(id)) {
+      LogEvent(Event::kServerGone, {{"server", id.Text()}});
+    }
+  }
+  m_live = std::move(live);
+  return servers;
+}
+
+void Control::Publish() {
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->configuration = m_configuration;
+  snapshot->routes = m_routes;
+  snapshot->servers = BuildServers();
+  const auto now = BootTime();
+  const auto serving = m_duties.Instances().Serving(now);
+  snapshot->instances = std::max<std::size_t>(1, serving.size());
+  if (m_configuration) {
+    for (const auto& [name, workspace] : m_configuration->workspaces) {
+      double own = 0;
+      std::vector<double> others;
+      for (const auto* report : serving) {
+        const auto demand = report->demand.find(name);
+        const double value =
+            demand == report->demand.end() ? 0 : demand->second;
+        const bool is_self = report->node == m_settings.node &&
+                             report->started == m_duties.Started();
+        if (is_self) {
+          own = value;
+        } else {
+          others.push_back(value);
+        }
+      }
+      snapshot->shares[name] = QuotaShare(own, others);
+    }
+  }
+  asio::post(m_worker.Context(), [this, snapshot] {
+    m_worker.SetSnapshot(snapshot);
+  });
+}
+
+namespace {
+
+Awaitable<Duties::Input> CollectInput(Worker& worker) {
+  Duties::Input input;
+  input.demand = worker.Quota().Demand(BootTime());
+  input.usage = std::exchange(worker.Usage(), UsageLedger());
+  co_return input;
+}
+
+}  // namespace
+
+Awaitable<void> Control::ExchangeReports() {
+  while (true) {
+    Duties::Input input = co_await RunOn(m_worker.Context().get_executor(),
+                                         CollectInput(m_worker));
+    const auto exchanged = co_await m_duties.Exchange(std::move(input));
+    const auto clock = m_duties.ClockFromBoot();
+    if (clock) m_worker.SetClock(*clock);
+    if (exchanged) {
+      Publish();
+      co_await m_duties.Perform();
+    }
+    co_await SleepFor(kReportPause);
+  }
+}
+
+Awaitable<void> Control::Leave() {
+  Duties::Input input = co_await RunOn(m_worker.Context().get_executor(),
+                                       CollectInput(m_worker));
+  input.stopping = true;
+  // Without the store the last counts are lost; nothing more can be done.
+  co_await m_duties.Exchange(std::move(input));
+}
+
+Awaitable<std::string> Control::RenderMetrics() {
+  auto copy = [](Worker& worker) -> Awaitable<MetricSet> {
+    co_return worker.Metrics();
+  };
+  const MetricSet metrics =
+      co_await RunOn(m_worker.Context().get_executor(), copy(m_worker));
+  co_return metrics.Render();
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/gateway_control.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/server_registry.h"
+#include "serve/gateway_duties.h"
+#include "serve/gateway_worker.h"
+
+namespace cowslipknot::gateway {
+
+/// The control thread's state: what the store says, and what this instance
+/// tells the others through it. Publishes snapshots to the traffic thread.
+class Control {
+ public:
+  Control(const Settings& settings, const Dialect& dialect, Worker& worker,
+          asio::io_context& context);
+
+  void Start();
+  /// Tells the others that this instance stops, with its last counts.
+  Awaitable<void> Leave();
+
+  /// Whether requests can be served: the configuration is fresh and servers
+  /// are known.
+  bool Ready() const;
+  Awaitable<std::string> RenderMetrics();
+
+ private:
+  Awaitable<void> FollowConfiguration();
+  Awaitable<void> FollowServers();
+  Awaitable<void> ExchangeReports();
+
+  void ApplyConfiguration(const StoreRows& rows);
+  bool ApplyServers(const StoreRows& rows, bool whole);
+  void NoteStore(bool reachable, const std::string& detail);
+  void Publish();
+  void PublishShares();
+  std::map<ServiceId, std::vector<ServerView>> BuildServers();
+
+  const Settings& m_settings;
+  const Dialect& m_dialect;
+  Worker& m_worker;
+  asio::io_context& m_context;
+  ConfigurationPtr m_configuration;
+  std::shared_ptr<const RouteTable> m_routes;
+  ServerRegistry m_registry;
+  std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<ServerLive>>>
+      m_live;  ///< by id, with the start that it belongs to
+  bool m_servers_known = false;
+  bool m_store_reachable = true;
+  bool m_configuration_readable = false;
+  Duties m_duties;
+};
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/gateway_duties.cc
@@ -0,0 +1,278 @@
+#include "serve/gateway_duties.h"
+
+#include <charconv>
+
+#include "cowslipknot/events.h"
+
+namespace cowslipknot::gateway {
+namespace {
+
+constexpr char kTable[] = "cowslipknot";
+constexpr char kLeaseKey[] = "lease";
+constexpr char kClockKey[] = "clock";
+constexpr char kDoneKey[] = "usage_done";
+constexpr std::string_view kReportPrefix = "report/";
+constexpr std::string_view kUsagePrefix = "usage/";
+
+/// A lease lasts this many times the deployment's bound on silence, so that
+/// one slow call to the store does not end it.
+constexpr double kLeaseFactor = 1.5;
+/// After the removal bound an instance without the store serves no keyed
+/// requests; this much later its part of the limits is dealt anew.
+constexpr Milliseconds kLifetimeMargin(1000);
+/// After a window's end, the instances have written its counts.
+constexpr Milliseconds kCountsWritten(1500);
+/// Part of the time until usage is due that instances without the store are
+/// waited for.
+constexpr double kWaitPart = 0.55;
+/// Windows kept after their report was accepted.
+constexpr std::uint64_t kWindowsKept = 4;
+constexpr std::uint64_t kMaxWindowsBehind = 6;
+/// A sample of the store's clock is replaced by one this much worse at most.
+constexpr std::chrono::milliseconds kRoundTripSlack(3);
+
+StoreRow Row(std::string key, std::string value = {},
+             std::uint64_t version = 0) {
+  StoreRow row;
+  row.table = kTable;
+  row.key = std::move(key);
+  row.value = std::move(value);
+  row.version = version;
+  return row;
+}
+
+std::optional<std::uint64_t> ParseWhole(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc()) return std::nullopt;
+  return number;
+}
+
+std::string UsageKey(std::uint64_t window) {
+  return std::string(kUsagePrefix) + std::to_string(window);
+}
+
+}  // namespace
+
+void ClusterClock::NoteStoreTime(Milliseconds store_time,
+                                 std::chrono::nanoseconds asked,
+                                 std::chrono::nanoseconds answered) {
+  const auto round_trip = answered - asked;
+  const auto middle = asked + round_trip / 2;
+  const Sample sample{store_time - middle, round_trip};
+  if (!m_sample || round_trip <= m_sample->round_trip + kRoundTripSlack) {
+    m_sample = sample;
+  }
+}
+
+std::optional<Milliseconds> ClusterClock::ProposeOffset(
+    WallTime wall, std::chrono::nanoseconds now) const {
+  if (!m_sample) return std::nullopt;
+  const auto store_now = now + m_sample->store_minus_boot;
+  return Milliseconds(wall.Count()) -
+         std::chrono::duration_cast<Milliseconds>(store_now);
+}
+
+std::optional<std::chrono::nanoseconds> ClusterClock::FromBoot() const {
+  if (!m_sample || !m_offset) return std::nullopt;
+  return m_sample->store_minus_boot + *m_offset;
+}
+
+Duties::Duties(const Settings& settings, const Dialect& dialect)
+    : m_settings(settings),
+      m_dialect(dialect),
+      m_started(static_cast<std::uint64_t>(NowWall().Count())),
+      m_report_key(std::string(kReportPrefix) + settings.node.Text() + "/" +
+                   std::to_string(m_started)),
+      m_instances(settings.revoke + kLifetimeMargin),
+      m_lease(settings.node,
+              Milliseconds(static_cast<std::int64_t>(
+                  static_cast<double>(settings.lease.count()) * kLeaseFactor))) {
+}
+
+std::optional<std::int64_t> Duties::SharedNowMs() const {
+  const auto offset = m_clock.FromBoot();
+  if (!offset) return std::nullopt;
+  return std::chrono::duration_cast<Milliseconds>(BootTime() + *offset).count();
+}
+
+Awaitable<Result<StoreRows>> Duties::Change(StoreChange change) {
+  const auto asked = BootTime();
+  auto changed = co_await m_dialect.change_store(std::move(change));
+  if (changed) m_clock.NoteStoreTime(changed->store_time, asked, BootTime());
+  co_return changed;
+}
+
+InstanceReport Duties::BuildReport(const Input& input) {
+  InstanceReport report;
+  report.node = m_settings.node;
+  report.started = m_started;
+  report.sequence = ++m_sequence;
+  report.as_of_ms = SharedNowMs().value_or(0);
+  report.stopping = input.stopping;
+  report.demand = input.demand;
+  m_usage.Merge(input.usage);
+  report.usage = m_usage;
+  return report;
+}
+
+Awaitable<Result<void>> Duties::WriteReport(const Input& input) {
+  const auto now = LeaseNow();
+  const bool renews = m_lease.ShouldRenew(now);
+  const bool takes = !input.stopping && m_table_read && m_lease.MayTake(now);
+  StoreChange change;
+  const InstanceReport report = BuildReport(input);
+  change.conditions.push_back(Row(m_report_key, {}, m_report_version));
+  change.writes.push_back(Row(m_report_key, EncodeReport(report)));
+  const LeaseRow lease = m_lease.NextRow();
+  if (renews || takes) {
+    change.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
+    change.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
+  }
+  const auto changed = co_await Change(std::move(change));
+  if (!changed) co_return tl::make_unexpected(changed.error());
+  m_report_version = changed->version;
+  if (renews || takes) m_lease.NoteOwnWrite(lease, changed->version, now);
+  co_return Result<void>();
+}
+
+Awaitable<Result<void>> Duties::ReadTable() {
+  const auto asked = BootTime();
+  const auto rows = co_await m_dialect.read_table(kTable);
+  if (!rows) co_return tl::make_unexpected(rows.error());
+  const auto now = BootTime();
+  m_clock.NoteStoreTime(rows->store_time, asked, now);
+  std::map<std::string, InstanceReport> reports;
+  std::optional<LeaseRow> lease;
+  std::uint64_t lease_version = 0;
+  m_report_version = 0;
+  m_committed.clear();
+  for (const auto& row : rows->rows) {
+    if (row.key == kLeaseKey) {
+      lease = DecodeLease(row.value);
+      lease_version = row.version;
+    } else if (row.key == kClockKey) {
+      const auto offset = ParseWhole(row.value);
+      if (offset && !m_clock.HasOffset()) {
+        m_clock.SetOffset(Milliseconds(*offset));
+        LogEvent(Event::kClusterClockSet, {{"offset_ms", row.value}});
+      }
+    } else if (row.key == kDoneKey) {
+      m_done = ParseWhole(row.value);
+      m_done_version = row.version;
+    } else if (row.key.starts_with(kReportPrefix)) {
+      if (row.key == m_report_key) m_report_version = row.version;
+      auto report = DecodeReport(row.value);
+      if (report) reports[row.key] = std::move(*report);
+    } else if (row.key.starts_with(kUsagePrefix)) {
+      const auto window =
+          ParseWhole(std::string_view(row.key).substr(kUsagePrefix.size()));
+      auto counts = DecodeCounts(row.value);
+      if (window && counts) m_committed[*window] = std::move(*counts);
+    }
+  }
+  m_instances.Observe(std::move(reports), now);
+  m_lease.Observe(lease, lease_version, LeaseNow());
+  m_table_read = true;
+  const bool held = HoldsLease();
+  if (held != m_lease_held) {
+    LogEvent(held ? Event::kLeaseTaken : Event::kLeaseLost,
+             {{"epoch", std::to_string(m_lease.CurrentEpoch().Count())}});
+    m_lease_held = held;
+  }
+  co_return Result<void>();
+}
+
+Awaitable<void> Duties::StoreClock() {
+  const auto offset = m_clock.ProposeOffset(NowWall(), BootTime());
+  if (!offset) co_return;
+  StoreChange change;
+  change.conditions.push_back(Row(kClockKey));
+  change.writes.push_back(Row(kClockKey, std::to_string(offset->count())));
+  // If another instance was first, or the answer is lost, the row is read.
+  co_await Change(std::move(change));
+}
+
+Awaitable<Result<void>> Duties::Exchange(Input input) {
+  const auto written = co_await WriteReport(input);
+  // The table shows what became of a write whose condition failed or whose
+  // answer was lost.
+  const auto read = co_await ReadTable();
+  if (!read) co_return read;
+  if (!m_clock.HasOffset()) co_await StoreClock();
+  co_return Result<void>();
+}
+
+Awaitable<Result<WindowCounts>> Duties::CommitUsage(std::uint64_t window) {
+  const auto known = m_committed.find(window);
+  if (known != m_committed.end()) co_return known->second;
+  const WindowCounts counts = m_instances.Sum(window);
+  StoreChange change;
+  change.conditions.push_back(Row(UsageKey(window)));
+  change.writes.push_back(Row(UsageKey(window), EncodeCounts(counts)));
+  if (window >= kWindowsKept) {
+    const std::uint64_t old = window - kWindowsKept;
+    change.removals.push_back(Row(UsageKey(old)));
+    for (const auto& key : m_instances.Obsolete(old, BootTime())) {
+      change.removals.push_back(Row(key));
+    }
+  }
+  const auto changed = co_await Change(std::move(change));
+  if (!changed) co_return tl::make_unexpected(changed.error());
+  m_committed[window] = counts;
+  co_return counts;
+}
+
+Awaitable<bool> Duties::SendUsage(std::uint64_t window) {
+  auto counts = co_await CommitUsage(window);
+  if (!counts || !HoldsLease()) co_return false;
+  UsageReport report;
+  report.window = window;
+  report.counts = std::move(*counts);
+  DutyHolder holder;
+  holder.node = m_settings.node;
+  holder.epoch = m_lease.CurrentEpoch();
+  const CallOutcome outcome =
+      co_await m_dialect.report_usage(std::move(holder), std::move(report));
+  if (outcome != CallOutcome::kAccepted) {
+    LogEvent(Event::kUsageNotAccepted, {{"window", std::to_string(window)}});
+    co_return false;
+  }
+  LogEvent(Event::kUsageReported, {{"window", std::to_string(window)}});
+  m_done = window;
+  StoreChange change;
+  change.conditions.push_back(Row(kDoneKey, {}, m_done_version));
+  change.writes.push_back(Row(kDoneKey, std::to_string(window)));
+  const auto changed = co_await Change(std::move(change));
+  if (changed) m_done_version = changed->version;
+  co_return true;
+}
+
+Awaitable<void> Duties::ReportUsage() {
+  const auto now = SharedNowMs();
+  if (!now) co_return;
+  const std::int64_t length = m_settings.usage_window.count();
+  const auto current = static_cast<std::uint64_t>(*now / length);
+  std::uint64_t window = m_done ? *m_done + 1 : current;
+  if (!m_done && window > 0) --window;
+  if (current > kMaxWindowsBehind) {
+    window = std::max(window, current - kMaxWindowsBehind);
+  }
+  for (; window < current; ++window) {
+    const std::int64_t end = static_cast<std::int64_t>(window + 1) * length;
+    const auto patience = static_cast<std::int64_t>(
+        static_cast<double>(m_settings.usage_due.count()) * kWaitPart);
+    if (*now < end + kCountsWritten.count()) co_return;
+    const bool whole = m_instances.Complete(end, BootTime());
+    if (!whole && *now < end + patience) co_return;
+    if (!co_await SendUsage(window)) co_return;
+  }
+}
+
+Awaitable<void> Duties::Perform() {
+  if (!HoldsLease()) co_return;
+  if (m_settings.reports_usage) co_await ReportUsage();
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/gateway_duties.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "base/clock.h"
+#include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/instance_table.h"
+#include "cowslipknot/gateway/settings.h"
+#include "protocol/gateway_dialect.h"
+
+namespace cowslipknot::gateway {
+
+/// The shared time of day: the store's monotonic clock plus an offset that the
+/// first instance stored, so that stepped clocks of machines do no harm.
+class ClusterClock {
+ public:
+  /// Notes an answer of the store that was asked for at `asked`.
+  void NoteStoreTime(Milliseconds store_time, std::chrono::nanoseconds asked,
+                     std::chrono::nanoseconds answered);
+  void SetOffset(Milliseconds offset) { m_offset = offset; }
+  bool HasOffset() const { return m_offset.has_value(); }
+  /// What to store as the offset, given this machine's time of day.
+  std::optional<Milliseconds> ProposeOffset(
+      WallTime wall, std::chrono::nanoseconds now) const;
+  /// Shared time less BootTime(); nothing until both are known.
+  std::optional<std::chrono::nanoseconds> FromBoot() const;
+
+ private:
+  struct Sample {
+    std::chrono::nanoseconds store_minus_boot{0};
+    std::chrono::nanoseconds round_trip{0};
+  };
+  std::optional<Sample> m_sample;
+  std::optional<Milliseconds> m_offset;
+};
+
+/// The rows that instances share, and the duties that one of them performs.
+class Duties {
+ public:
+  /// What an exchange with the store needs from the instance.
+  struct Input {
+    std::map<WorkspaceId, double> demand;
+    UsageLedger usage;  ///< counted since the last exchange
+    bool stopping = false;
+  };
+
+  Duties(const Settings& settings, const Dialect& dialect);
+
+  /// Writes this instance's report and reads the others'. Renews or takes the
+  /// lease on the way.
+  Awaitable<Result<void>> Exchange(Input input);
+  /// Performs what the lease's holder must do now.
+  Awaitable<void> Perform();
+
+  const InstanceTable& Instances() const { return m_instances; }
+  const NodeId& Self() const { return m_settings.node; }
+  std::uint64_t Started() const { return m_started; }
+  std::optional<std::chrono::nanoseconds> ClockFromBoot() const {
+    return m_clock.FromBoot();
+  }
+  bool HoldsLease() const { return m_lease.MayAct(LeaseNow()); }
+
+ private:
+  static LeaseView::Time LeaseNow() {
+    return LeaseView::Time(
+        std::chrono::duration_cast<LeaseView::Time::duration>(BootTime()));
+  }
+  InstanceReport BuildReport(const Input& input);
+  std::optional<std::int64_t> SharedNowMs() const;
+  Awaitable<Result<void>> WriteReport(const Input& input);
+  Awaitable<Result<void>> ReadTable();
+  Awaitable<void> StoreClock();
+  Awaitable<void> ReportUsage();
+  Awaitable<bool> SendUsage(std::uint64_t window);
+  Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
+  Awaitable<Result<StoreRows>> Change(StoreChange change);
+
+  const Settings& m_settings;
+  const Dialect& m_dialect;
+  std::uint64_t m_started;
+  std::string m_report_key;
+  std::uint64_t m_report_version = 0;
+  std::uint64_t m_sequence = 0;
+  UsageLedger m_usage;
+  InstanceTable m_instances;
+  ClusterClock m_clock;
+  LeaseView m_lease;
+  bool m_lease_held = false;  ///< as last logged
+  std::map<std::uint64_t, WindowCounts> m_committed;  ///< by window
+  std::optional<std::uint64_t> m_done;  ///< windows up to it are accepted
+  std::uint64_t m_done_version = 0;
+  bool m_table_read = false;
+};
+
+}  // namespace cowslipknot::gateway
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -238,8 +238,8 @@
               m_route.request_class == RequestClass::kInteractive ? "1" : "0");
   CallProgress progress;
   auto opened = co_await m_worker.Http().Open(
-      attempt.server.record.address, std::move(request), m_route.stall_timeout,
-      Reuse::kAllowed, progress);
+      attempt.server.record.address, std::move(request),
+      WithTimeout(m_route.stall_timeout, Reuse::kAllowed), progress);
   Result<void> outcome;
   if (!opened) {
     if (progress.reused_connection) {
@@ -367,8 +367,8 @@
       11);
   CallProgress progress;
   auto opened = co_await m_worker.Http().Open(
-      attempt.server.record.address, std::move(request), m_route.stall_timeout,
-      Reuse::kFreshOnly, progress);
+      attempt.server.record.address, std::move(request),
+      WithTimeout(m_route.stall_timeout, Reuse::kFreshOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
   const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
   if (!checked) {
--- /dev/null
+++ b/src/state/gateway_settings.cc
@@ -0,0 +1,98 @@
+#include "cowslipknot/gateway/settings.h"
+
+#include <toml++/toml.h>
+
+#include <limits>
+
+#include "state/section_reader.h"
+
+namespace cowslipknot::gateway {
+namespace {
+
+constexpr double kMost = 1e9;
+constexpr std::int64_t kLeastMemoryMb = 32;
+constexpr std::int64_t kLeastDescriptors = 256;
+
+/// Reads a duration that is given in seconds, with their fraction.
+Milliseconds Seconds(ObjectReader& reader, const std::string& key,
+                     Milliseconds fallback) {
+  constexpr double kMsPerSecond = 1000;
+  const double seconds = reader.Number(
+      key, static_cast<double>(fallback.count()) / kMsPerSecond, 0, kMost);
+  return Milliseconds(static_cast<std::int64_t>(seconds * kMsPerSecond));
+}
+
+void ReadPlaces(SectionReader& sections, Settings& settings) {
+  sections.Section("node", true, [&](ObjectReader& reader) {
+    settings.node = NodeId(reader.Name());
+    settings.domain = DomainId(reader.Text("domain", true));
+  });
+  sections.Section("listen", true, [&](ObjectReader& reader) {
+    settings.callers = ReadEndpoint(reader, "callers");
+    settings.readiness = ReadEndpoint(reader, "readiness");
+    settings.metrics = ReadEndpoint(reader, "metrics");
+  });
+  sections.Section("store", true, [&](ObjectReader& reader) {
+    settings.store = ReadEndpoint(reader, "address");
+  });
+  sections.Section("cloud", false, [&](ObjectReader& reader) {
+    settings.cloud = ReadEndpoint(reader, "address");
+    settings.reports_usage = reader.Flag("reports_usage", false);
+    settings.orders_capacity = reader.Flag("orders_capacity", false);
+  });
+}
+
+void ReadBounds(SectionReader& sections, Settings& settings) {
+  sections.Section("limits", false, [&](ObjectReader& reader) {
+    settings.memory = ByteCount(
+        static_cast<std::uint64_t>(
+            reader.Whole("memory_mb", 256, kLeastMemoryMb, 1 << 20))
+        << 20);
+    settings.descriptors = static_cast<std::uint32_t>(
+        reader.Whole("descriptors", 4096, kLeastDescriptors,
+                     std::numeric_limits<std::int32_t>::max()));
+  });
+  sections.Section("bounds", false, [&](ObjectReader& reader) {
+    settings.apply = reader.Duration("apply_ms", settings.apply);
+    settings.revoke = reader.Duration("revoke_ms", settings.revoke);
+    settings.drain = reader.Duration("drain_ms", settings.drain);
+    settings.stop = Seconds(reader, "stop_s", settings.stop);
+    settings.lease = reader.Duration("lease_ms", settings.lease);
+    settings.usage_window =
+        Seconds(reader, "usage_window_s", settings.usage_window);
+    settings.usage_due = Seconds(reader, "usage_due_s", settings.usage_due);
+    settings.retry_ratio =
+        reader.Number("retry_ratio", settings.retry_ratio, 0, 1);
+    settings.retry_slack =
+        reader.Number("retry_slack", settings.retry_slack, 0, kMost);
+    settings.exposure_share =
+        reader.Number("exposure_share", settings.exposure_share, 0, 1);
+  });
+}
+
+}  // namespace
+
+tl::expected<Settings, std::vector<ObjectProblem>> ParseSettings(
+    std::string_view text, const std::string& file) {
+  std::vector<ObjectProblem> problems;
+  const toml::parse_result parsed = toml::parse(text);
+  if (!parsed) {
+    const toml::parse_error& error = parsed.error();
+    problems.push_back({file, static_cast<int>(error.source().begin.line),
+                        "file", std::string(error.description())});
+    return tl::make_unexpected(std::move(problems));
+  }
+  Settings settings;
+  SectionReader sections(parsed.table(), file, problems);
+  ReadPlaces(sections, settings);
+  ReadBounds(sections, settings);
+  sections.Finish();
+  if (settings.usage_window.count() <= 0) {
+    problems.push_back(
+        {file, 1, "bounds", "'usage_window_s' must be positive"});
+  }
+  if (!problems.empty()) return tl::make_unexpected(std::move(problems));
+  return settings;
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/state/section_reader.cc
@@ -0,0 +1,49 @@
+#include "state/section_reader.h"
+
+#include <algorithm>
+
+#include "base/endpoint_text.h"
+
+namespace cowslipknot {
+
+Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key) {
+  const std::string text = reader.Text(key, true);
+  if (text.empty()) return {};
+  const auto endpoint = ParseEndpointText(text);
+  if (!endpoint) reader.Report("'" + key + "' must be an IP number and port");
+  return endpoint.value_or(Endpoint());
+}
+
+const toml::table* SectionReader::Find(const std::string& name,
+                                       bool required) {
+  m_known.push_back(name);
+  const toml::node* node = m_root.get(name);
+  if (node == nullptr) {
+    if (required) m_problems.push_back({m_file, 1, name, "is missing"});
+    return nullptr;
+  }
+  const toml::table* table = node->as_table();
+  if (table == nullptr) {
+    const auto line = static_cast<int>(node->source().begin.line);
+    m_problems.push_back({m_file, line, name, "must be a section"});
+  }
+  return table;
+}
+
+void SectionReader::Finish() {
+  for (const auto& [key, node] : m_root) {
+    const std::string name(key.str());
+    if (std::find(m_known.begin(), m_known.end(), name) != m_known.end()) {
+      continue;
+    }
+    const std::string near = SuggestName(name, m_known);
+    const auto line = static_cast<int>(node.source().begin.line);
+    m_problems.push_back(
+        {m_file, line, name,
+         "unknown section" +
+             (near.empty() ? std::string()
+                           : "; did you mean '" + near + "'?")});
+  }
+}
+
+}  // namespace cowslipknot
--- /dev/null
+++ b/src/state/server_registry.cc
@@ -0,0 +1,90 @@
+#include "cowslipknot/gateway/server_registry.h"
+
+#include <set>
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// Whether requests are sent differently because of the change.
+bool Differs(const ServerEntry& left, const ServerEntry& right) {
+  return left.service != right.service || left.address != right.address ||
+         left.domain != right.domain || left.version != right.version ||
+         left.slots != right.slots || left.state != right.state ||
+         left.started_ms != right.started_ms ||
+         left.reclaimable != right.reclaimable ||
+         (left.warmup_left.count() > 0) != (right.warmup_left.count() > 0);
+}
+
+}  // namespace
+
+bool ServerRegistry::Put(const ServerEntry& entry) {
+  const auto known = m_entries.find(entry.id);
+  if (known == m_entries.end()) {
+    m_entries.emplace(entry.id, Known{entry, std::nullopt});
+    return true;
+  }
+  const bool changed = Differs(known->second.entry, entry);
+  known->second = Known{entry, std::nullopt};
+  return changed;
+}
+
+bool ServerRegistry::Remove(const ServerId& id, Time now) {
+  const auto known = m_entries.find(id);
+  if (known == m_entries.end()) return false;
+  const bool within_grace = m_returned && now < *m_returned + m_return_grace;
+  const bool ready = known->second.entry.state == ServerState::kReady;
+  if (within_grace && ready) {
+    known->second.lapsed_until = *m_returned + m_return_grace;
+    return false;
+  }
+  m_entries.erase(known);
+  return true;
+}
+
+bool ServerRegistry::Apply(const std::vector<ServerChange>& changes, Time now) {
+  bool changed = false;
+  for (const auto& change : changes) {
+    const bool news =
+        change.entry ? Put(*change.entry) : Remove(change.id, now);
+    changed = news || changed;
+  }
+  return changed;
+}
+
+bool ServerRegistry::Replace(const std::vector<ServerEntry>& entries,
+                             Time now) {
+  std::set<ServerId> listed;
+  bool changed = false;
+  for (const auto& entry : entries) {
+    listed.insert(entry.id);
+    changed = Put(entry) || changed;
+  }
+  std::vector<ServerId> missing;
+  for (const auto& [id, known] : m_entries) {
+    if (!listed.contains(id) && !known.lapsed_until) missing.push_back(id);
+  }
+  for (const auto& id : missing) changed = Remove(id, now) || changed;
+  return changed;
+}
+
+void ServerRegistry::NoteAnswer(Time now) {
+  if (m_store_away) m_returned = now;
+  m_store_away = false;
+}
+
+bool ServerRegistry::Expire(Time now) {
+  const auto dropped = std::erase_if(m_entries, [now](const auto& item) {
+    return item.second.lapsed_until && now >= *item.second.lapsed_until;
+  });
+  return dropped > 0;
+}
+
+std::vector<ServerEntry> ServerRegistry::Usable() const {
+  std::vector<ServerEntry> usable;
+  for (const auto& [id, known] : m_entries) {
+    if (known.entry.state == ServerState::kReady) usable.push_back(known.entry);
+  }
+  return usable;
+}
+
+}  // namespace cowslipknot::gateway
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "base/endpoint_text.h"
-#include "state/object_reader.h"
+#include "state/section_reader.h"
 
 namespace cowslipknot {
 namespace {
@@ -20,14 +20,6 @@
     "claims", "retry",     "leaving",  "hand_over",   "completeness",
     "drain",  "take_back", "revision", "silent_links"};
 
-Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key) {
-  const std::string text = reader.Text(key, true);
-  if (text.empty()) return {};
-  const auto endpoint = ParseEndpointText(text);
-  if (!endpoint) reader.Report("'" + key + "' must be an IP number and port");
-  return endpoint.value_or(Endpoint());
-}
-
 std::string ReadToken(ObjectReader& reader) {
   std::string token = reader.Text("token", true);
   if (!token.empty() && token.size() < kShortestToken) {
@@ -37,55 +29,6 @@
   return token;
 }
 
-/// Reads one [section] at a time; a section that is missing is an error.
-class SectionReader {
- public:
-  SectionReader(const toml::table& root, const std::string& file,
-                Problems& problems)
-      : m_root(root), m_file(file), m_problems(problems) {}
-
-  template <class Read>
-  void Section(const std::string& name, bool required, Read read) {
-    m_known.push_back(name);
-    const toml::node* node = m_root.get(name);
-    if (node == nullptr) {
-      if (required) m_problems.push_back({m_file, 1, name, "is missing"});
-      return;
-    }
-    const toml::table* table = node->as_table();
-    if (table == nullptr) {
-      const auto line = static_cast<int>(node->source().begin.line);
-      m_problems.push_back({m_file, line, name, "must be a section"});
-      return;
-    }
-    ObjectReader reader(*table, name, m_file, m_problems);
-    read(reader);
-    reader.Finish();
-  }
-
-  void Finish() {
-    for (const auto& [key, node] : m_root) {
-      const std::string name(key.str());
-      if (std::find(m_known.begin(), m_known.end(), name) != m_known.end()) {
-        continue;
-      }
-      const std::string near = SuggestName(name, m_known);
-      const auto line = static_cast<int>(node.source().begin.line);
-      m_problems.push_back(
-          {m_file, line, name,
-           "unknown section" + (near.empty()
-                                    ? std::string()
-                                    : "; did you mean '" + near + "'?")});
-    }
-  }
-
- private:
-  const toml::table& m_root;
-  const std::string& m_file;
-  Problems& m_problems;
-  std::vector<std::string> m_known;
-};
-
 void ReadRequired(SectionReader& sections, Settings& settings) {
   sections.Section("node", true, [&](ObjectReader& reader) {
     settings.node = NodeId(reader.Name());
--- /dev/null
+++ b/src/state/usage.cc
@@ -0,0 +1,98 @@
+#include "cowslipknot/gateway/usage.h"
+
+#include <boost/json.hpp>
+
+namespace cowslipknot::gateway {
+namespace {
+
+namespace json = boost::json;
+
+json::object CountsToJson(const WindowCounts& counts) {
+  json::object object;
+  for (const auto& [workspace, count] : counts) {
+    object[workspace.Text()] = count;
+  }
+  return object;
+}
+
+WindowCounts CountsFromJson(const json::object& object) {
+  WindowCounts counts;
+  for (const auto& [workspace, count] : object) {
+    counts[WorkspaceId(std::string(workspace))] =
+        count.to_number<std::uint64_t>();
+  }
+  return counts;
+}
+
+}  // namespace
+
+void UsageLedger::Merge(const UsageLedger& other) {
+  for (const auto& [window, counts] : other.m_windows) {
+    for (const auto& [workspace, count] : counts) {
+      m_windows[window][workspace] += count;
+    }
+  }
+}
+
+void UsageLedger::Forget(std::uint64_t window) {
+  m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
+}
+
+std::string EncodeCounts(const WindowCounts& counts) {
+  return json::serialize(CountsToJson(counts));
+}
+
+std::optional<WindowCounts> DecodeCounts(std::string_view text) {
+  try {
+    return CountsFromJson(json::parse(text).as_object());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeReport(const InstanceReport& report) {
+  json::object object;
+  object["node"] = report.node.Text();
+  object["started"] = report.started;
+  object["sequence"] = report.sequence;
+  object["as_of_ms"] = report.as_of_ms;
+  object["stopping"] = report.stopping;
+  json::object demand;
+  for (const auto& [workspace, value] : report.demand) {
+    demand[workspace.Text()] = static_cast<std::int64_t>(value);
+  }
+  object["demand"] = std::move(demand);
+  json::object windows;
+  for (const auto& [window, counts] : report.usage.Windows()) {
+    windows[std::to_string(window)] = CountsToJson(counts);
+  }
+  object["usage"] = std::move(windows);
+  return json::serialize(object);
+}
+
+std::optional<InstanceReport> DecodeReport(std::string_view text) {
+  InstanceReport report;
+  try {
+    const json::value parsed = json::parse(text);
+    report.node = NodeId(std::string(parsed.at("node").as_string()));
+    report.started = parsed.at("started").to_number<std::uint64_t>();
+    report.sequence = parsed.at("sequence").to_number<std::uint64_t>();
+    report.as_of_ms = parsed.at("as_of_ms").to_number<std::int64_t>();
+    report.stopping = parsed.at("stopping").as_bool();
+    for (const auto& [workspace, value] : parsed.at("demand").as_object()) {
+      report.demand[WorkspaceId(std::string(workspace))] =
+          value.to_number<double>();
+    }
+    for (const auto& [window, counts] : parsed.at("usage").as_object()) {
+      for (const auto& [workspace, count] :
+           CountsFromJson(counts.as_object())) {
+        report.usage.Note(std::stoull(std::string(window)), workspace, count);
+      }
+    }
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return report;
+}
+
+}  // namespace cowslipknot::gateway
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,8 +1,18 @@
 #include "transport/http_client.h"
 
+#include <sys/socket.h>
+
+#include <charconv>
+
 #include "transport/endpoint.h"
 
 namespace cowslipknot {
+namespace {
+
+/// Of a connection whose peer names no limit.
+constexpr std::chrono::seconds kDefaultIdleLimit(15);
+
+}  // namespace
 
 struct HttpClient::Connection {
   Connection(const asio::any_io_executor& executor, Endpoint peer)
@@ -11,6 +21,7 @@
   beast::flat_buffer buffer;
   Endpoint endpoint;
   std::chrono::steady_clock::time_point idle_since;
+  std::chrono::milliseconds idle_limit = kDefaultIdleLimit;
 };
 
 namespace {
@@ -18,7 +29,35 @@
 constexpr std::size_t kMaxIdlePerEndpoint = 32;
 constexpr std::size_t kPieceBytes = 16 << 10;
 constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
-constexpr std::chrono::seconds kMaxIdle(15);
+/// Part of the peer's idle limit after which a connection may be closing.
+constexpr double kIdlePart = 0.7;
+/// Answers to earlier calls that are skipped before giving up.
+constexpr int kMaxForeignAnswers = 4;
+
+/// The idle limit that a peer announces, as far as it is safe to use.
+std::optional<std::chrono::milliseconds> IdleLimit(
+    const http::response_header<>& header) {
+  const std::string_view value = header["Keep-Alive"];
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t start = value.find(kTimeout);
+  if (start == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = value.substr(start + kTimeout.size());
+  int seconds = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (error != std::errc()) return std::nullopt;
+  const std::chrono::duration<double> limit(seconds * kIdlePart);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(limit);
+}
+
+/// Whether nothing came on an idle connection: neither its end nor bytes that
+/// belong to no call.
+bool IsQuiet(tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                          MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
 
 tl::unexpected<Error> CallFailure(error_code error,
                                   const CallProgress& progress) {
@@ -43,32 +82,44 @@
  public:
   PooledStream(std::weak_ptr<HttpClient> client,
                HttpClient::ConnectionPtr connection, ByteCount max_body)
-      : m_client(std::move(client)), m_connection(std::move(connection)) {
-    m_parser.body_limit(max_body.Count());
-    m_parser.header_limit(kMaxHeaderBytes);
-  }
+      : m_client(std::move(client)),
+        m_connection(std::move(connection)),
+        m_max_body(max_body) {}
 
-  Awaitable<error_code> ReadHeader(Milliseconds timeout) {
-    m_connection->stream.expires_after(timeout);
-    auto [error, size] = co_await http::async_read_header(
-        m_connection->stream, m_connection->buffer, m_parser, kAsTuple);
-    co_return error;
+  /// Reads the header of the answer, past interim and foreign ones.
+  Awaitable<error_code> ReadHeader(const CallOptions& options) {
+    m_connection->stream.expires_after(options.timeout);
+    for (int skipped = 0; skipped <= kMaxForeignAnswers;) {
+      m_parser.emplace();
+      m_parser->body_limit(m_max_body.Count());
+      m_parser->header_limit(kMaxHeaderBytes);
+      auto [error, size] = co_await http::async_read_header(
+          m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
+      if (error) co_return error;
+      const auto kind = http::to_status_class(m_parser->get().result());
+      if (kind == http::status_class::informational) continue;
+      if (!options.belongs || options.belongs(Header())) co_return error;
+      ++skipped;
+      const error_code drained = co_await Drain();
+      if (drained) co_return drained;
+    }
+    co_return make_error_code(http::error::bad_status);
   }
 
   const http::response_header<>& Header() const override {
-    return m_parser.get().base();
+    return m_parser->get().base();
   }
 
   Awaitable<Result<std::string>> Read(Milliseconds timeout) override {
     std::string piece;
     piece.resize(kPieceBytes);
-    while (!m_parser.is_done()) {
-      m_parser.get().body().data = piece.data();
-      m_parser.get().body().size = piece.size();
+    while (!m_parser->is_done()) {
+      m_parser->get().body().data = piece.data();
+      m_parser->get().body().size = piece.size();
       m_connection->stream.expires_after(timeout);
       auto [error, size] = co_await http::async_read_some(
-          m_connection->stream, m_connection->buffer, m_parser, kAsTuple);
-      const std::size_t filled = kPieceBytes - m_parser.get().body().size;
+          m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
+      const std::size_t filled = kPieceBytes - m_parser->get().body().size;
       if (error && error != http::error::need_buffer) {
         CallProgress progress;
         progress.first_byte_sent = true;
@@ -84,12 +135,27 @@
   }
 
  private:
+  /// Reads the rest of a foreign answer.
+  Awaitable<error_code> Drain() {
+    std::string piece(kPieceBytes, '\0');
+    while (!m_parser->is_done()) {
+      m_parser->get().body().data = piece.data();
+      m_parser->get().body().size = piece.size();
+      auto [error, size] = co_await http::async_read_some(
+          m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
+      if (error && error != http::error::need_buffer) co_return error;
+    }
+    co_return error_code();
+  }
+
   /// Pools the connection: the whole answer was read.
   void Finish() {
     const auto client = m_client.lock();
     if (!m_connection || !client) return;
     const bool clean = m_connection->buffer.size() == 0;
-    if (clean && m_parser.get().keep_alive()) {
+    if (clean && m_parser->get().keep_alive()) {
+      const auto limit = IdleLimit(Header());
+      if (limit) m_connection->idle_limit = *limit;
       client->Return(std::move(m_connection));
     }
     m_connection.reset();
@@ -97,7 +163,8 @@
 
   std::weak_ptr<HttpClient> m_client;
   HttpClient::ConnectionPtr m_connection;
-  http::response_parser<http::buffer_body> m_parser;
+  ByteCount m_max_body;
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
 };
 
 }  // namespace
@@ -118,23 +185,41 @@
 
 void HttpClient::Forget(const Endpoint& endpoint) { m_idle.erase(endpoint); }
 
-Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::Connect(
-    const Endpoint& endpoint, Milliseconds timeout, Reuse reuse,
-    CallProgress& progress) {
+HttpClient::ConnectionPtr HttpClient::TakeIdle(const Endpoint& endpoint,
+                                               const CallOptions& options) {
   auto& idle = m_idle[endpoint];
   const auto now = std::chrono::steady_clock::now();
-  while (reuse == Reuse::kAllowed && !idle.empty()) {
+  while (!idle.empty()) {
     ConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    if (now - connection->idle_since > kMaxIdle) continue;
-    progress.reused_connection = true;
-    co_return connection;
+    const auto limit =
+        std::min<std::chrono::milliseconds>(options.max_idle,
+                                            connection->idle_limit);
+    if (now - connection->idle_since > limit) continue;
+    if (IsQuiet(connection->stream.socket())) return connection;
+  }
+  return nullptr;
+}
+
+Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::Connect(
+    const Endpoint& endpoint, const CallOptions& options,
+    CallProgress& progress) {
+  ConnectionPtr connection;
+  if (options.reuse == Reuse::kAllowed) {
+    connection = TakeIdle(endpoint, options);
+  }
+  progress.reused_connection = connection != nullptr;
+  if (!connection) {
+    connection = std::make_shared<Connection>(m_executor, endpoint);
   }
-  progress.reused_connection = false;
+  progress.abort = [weak = std::weak_ptr<Connection>(connection)] {
+    if (const auto held = weak.lock()) held->stream.close();
+  };
+  if (progress.reused_connection) co_return connection;
   const auto address = ToTcpEndpoint(endpoint);
   if (!address) co_return tl::make_unexpected(address.error());
-  auto connection = std::make_shared<Connection>(m_executor, endpoint);
-  connection->stream.expires_after(timeout);
+  connection->stream.expires_after(
+      std::min(options.timeout, options.connect_timeout));
   auto [error] = co_await connection->stream.async_connect(*address, kAsTuple);
   if (error) {
     co_return Fail(ResultCode::kConnectFailed,
@@ -145,9 +230,9 @@
 }
 
 Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::SendRequest(
-    const Endpoint& endpoint, HttpRequest& request, Milliseconds timeout,
-    Reuse reuse, CallProgress& progress) {
-  auto connected = co_await Connect(endpoint, timeout, reuse, progress);
+    const Endpoint& endpoint, HttpRequest& request, const CallOptions& options,
+    CallProgress& progress) {
+  auto connected = co_await Connect(endpoint, options, progress);
   if (!connected) co_return tl::make_unexpected(connected.error());
   ConnectionPtr connection = std::move(*connected);
   if (request.find(http::field::host) == request.end()) {
@@ -155,7 +240,7 @@
   }
   request.prepare_payload();
   progress.first_byte_sent = true;
-  connection->stream.expires_after(timeout);
+  connection->stream.expires_after(options.timeout);
   auto [error, size] =
       co_await http::async_write(connection->stream, request, kAsTuple);
   if (error) co_return CallFailure(error, progress);
@@ -163,13 +248,13 @@
 }
 
 Awaitable<Result<std::unique_ptr<ResponseStream>>> HttpClient::Open(
-    Endpoint endpoint, HttpRequest request, Milliseconds timeout, Reuse reuse,
+    Endpoint endpoint, HttpRequest request, CallOptions options,
     CallProgress& progress) {
-  auto sent = co_await SendRequest(endpoint, request, timeout, reuse, progress);
+  auto sent = co_await SendRequest(endpoint, request, options, progress);
   if (!sent) co_return tl::make_unexpected(sent.error());
   auto stream = std::make_unique<PooledStream>(
       weak_from_this(), std::move(*sent), m_max_response);
-  const error_code error = co_await stream->ReadHeader(timeout);
+  const error_code error = co_await stream->ReadHeader(options);
   if (error) co_return CallFailure(error, progress);
   progress.response_started = true;
   co_return std::unique_ptr<ResponseStream>(std::move(stream));
@@ -181,8 +266,9 @@
                                                  Reuse reuse,
                                                  CallProgress& progress) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
-  auto opened = co_await Open(std::move(endpoint), std::move(request), timeout,
-                              reuse, progress);
+  const CallOptions options = WithTimeout(timeout, reuse);
+  auto opened = co_await Open(std::move(endpoint), std::move(request), options,
+                              progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
   HttpResponse response;
   response.base() = (*opened)->Header();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,9 @@
 
 /// How far a call got; read it after a failure.
 struct CallProgress {
+  /// Closes the connection in use; the pending call then fails. Empty before a
+  /// connection is had.
+  std::function<void()> abort;
   bool first_byte_sent = false;    ///< request bytes may have left
   bool reused_connection = false;  ///< the connection came from the pool
   bool response_started = false;
@@ -24,6 +28,27 @@
 /// Whether a call may use a connection that served an earlier one.
 enum class Reuse : std::uint8_t { kAllowed, kFreshOnly };
 
+/// How a call is made.
+struct CallOptions {
+  Milliseconds timeout{1000};  ///< to the answer's header
+  Milliseconds connect_timeout{1000};
+  Reuse reuse = Reuse::kAllowed;
+  /// A pooled connection that was idle for longer is not used.
+  Milliseconds max_idle{15000};
+  /// Whether an answer is this call's. Others are read to their end and
+  /// dropped, since a server may send an answer of an earlier call late.
+  std::function<bool(const http::response_header<>&)> belongs;
+};
+
+/// Options of a call that has one bound for connecting and for its answer.
+inline CallOptions WithTimeout(Milliseconds timeout, Reuse reuse) {
+  CallOptions options;
+  options.timeout = timeout;
+  options.connect_timeout = timeout;
+  options.reuse = reuse;
+  return options;
+}
+
 /// A response whose body is read piece by piece.
 ///
 /// Destroying it before the end closes the connection, so that nothing unread
@@ -50,7 +75,7 @@
 
   /// Sends a request and reads the header within `timeout`.
   Awaitable<Result<std::unique_ptr<ResponseStream>>> Open(
-      Endpoint endpoint, HttpRequest request, Milliseconds timeout, Reuse reuse,
+      Endpoint endpoint, HttpRequest request, CallOptions options,
       CallProgress& progress);
 
   /// Closes idle connections to an endpoint.
@@ -65,12 +90,12 @@
       : m_executor(std::move(executor)), m_max_response(max_response) {}
 
   Awaitable<Result<ConnectionPtr>> Connect(const Endpoint& endpoint,
-                                           Milliseconds timeout, Reuse reuse,
+                                           const CallOptions& options,
                                            CallProgress& progress);
+  ConnectionPtr TakeIdle(const Endpoint& endpoint, const CallOptions& options);
   Awaitable<Result<ConnectionPtr>> SendRequest(const Endpoint& endpoint,
                                                HttpRequest& request,
-                                               Milliseconds timeout,
-                                               Reuse reuse,
+                                               const CallOptions& options,
                                                CallProgress& progress);
 
   asio::any_io_executor m_executor;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,14 +1,58 @@
 #include "transport/http_server.h"
 
+#include <sys/socket.h>
+
 namespace cowslipknot {
 namespace {
 
 constexpr Milliseconds kAcceptRetry(20);
 
+using StreamPtr = std::shared_ptr<beast::tcp_stream>;
+
+/// Whether the peer has closed its connection. Reads nothing.
+bool PeerClosed(tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, sizeof(byte),
+                          MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Waits until the peer sends or closes. `watching` turns false when the
+/// exchange has ended.
+Awaitable<void> WaitForPeer(StreamPtr stream, std::shared_ptr<bool> watching,
+                            std::function<void()> on_gone) {
+  auto [error] = co_await stream->socket().async_wait(
+      tcp::socket::wait_read, kAsTuple);
+  if (error || !*watching) co_return;
+  if (PeerClosed(stream->socket())) on_gone();
+}
+
 class Exchange : public HttpExchange {
  public:
-  Exchange(beast::tcp_stream& stream, HttpRequest request, Milliseconds write)
-      : m_stream(stream), m_request(std::move(request)), m_write(write) {}
+  Exchange(StreamPtr stream, HttpRequest request, Milliseconds write)
+      : m_connection(std::move(stream)),
+        m_stream(*m_connection),
+        m_request(std::move(request)),
+        m_write(write) {}
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+  ~Exchange() override { EndWatch(); }
+
+  void WatchPeer(std::function<void()> on_gone) override {
+    m_watching = std::make_shared<bool>(true);
+    m_stream.expires_never();
+    asio::co_spawn(m_stream.get_executor(),
+                   WaitForPeer(m_connection, m_watching, std::move(on_gone)),
+                   asio::detached);
+  }
+
+  void EndWatch() {
+    if (!m_watching) return;
+    *m_watching = false;
+    m_watching.reset();
+    error_code ignored;
+    m_stream.socket().cancel(ignored);
+  }
 
   HttpRequest& Request() override { return m_request; }
 
@@ -67,7 +111,9 @@
   bool KeepAlive() const { return m_request.keep_alive() && !m_close; }
 
  private:
+  StreamPtr m_connection;
   beast::tcp_stream& m_stream;
+  std::shared_ptr<bool> m_watching;
   HttpRequest m_request;
   Milliseconds m_write;
   bool m_answered = false;
@@ -88,28 +134,78 @@
          error.category() == asio::error::get_misc_category();
 }
 
-Awaitable<void> RefuseUnreadable(beast::tcp_stream& stream, error_code error,
+Awaitable<void> RefuseUnreadable(StreamPtr stream, error_code error,
                                  const HttpServerLimits& limits,
                                  const HttpServerHooks& hooks) {
   if (PeerLeft(error) || !hooks.refuse) co_return;
   HttpRequest unread;
   unread.version(11);
   unread.keep_alive(false);
-  Exchange exchange(stream, std::move(unread), limits.write);
+  Exchange exchange(std::move(stream), std::move(unread), limits.write);
   co_await exchange.Respond(hooks.refuse(ReadFailureCode(error)));
 }
 
-Awaitable<void> ServeConnection(beast::tcp_stream stream,
-                                HttpServerLimits limits,
+/// Waits for the first byte of a request. @return false when none will come
+Awaitable<bool> AwaitRequest(beast::tcp_stream& stream,
+                             beast::flat_buffer& buffer,
+                             const HttpServerLimits& limits,
+                             const HttpServerHooks& hooks) {
+  constexpr std::size_t kFirstRead = 16 << 10;
+  if (buffer.size() > 0) co_return true;
+  if (hooks.closing && hooks.closing()) co_return false;
+  stream.expires_after(limits.idle);
+  if (hooks.idle) hooks.idle->Add(stream);
+  auto [error, size] =
+      co_await stream.async_read_some(buffer.prepare(kFirstRead), kAsTuple);
+  if (hooks.idle) hooks.idle->Remove(stream);
+  buffer.commit(size);
+  co_return !error;
+}
+
+/// Whether a message's framing leaves no doubt where it ends. The parser has
+/// rejected contradictory lengths; it takes an unknown coding for no body.
+bool HasPlainFraming(const http::request_header<>& header) {
+  const auto codings = header.equal_range(http::field::transfer_encoding);
+  const auto count = std::distance(codings.first, codings.second);
+  if (count == 0) return true;
+  if (count > 1 || header.version() < 11) return false;
+  return beast::iequals(codings.first->value(), "chunked") &&
+         header.find(http::field::content_length) == header.end();
+}
+
+Awaitable<error_code> ReadRequest(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    http::request_parser<http::string_body>& parser,
+    const HttpServerLimits& limits) {
+  parser.header_limit(static_cast<std::uint32_t>(limits.header.Count()));
+  parser.body_limit(limits.body.Count());
+  stream.expires_after(limits.read);
+  auto [error, size] =
+      co_await http::async_read_header(stream, buffer, parser, kAsTuple);
+  if (error) co_return error;
+  if (!HasPlainFraming(parser.get())) {
+    co_return make_error_code(http::error::bad_transfer_encoding);
+  }
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> proceed(http::status::continue_, 11);
+    auto [failed, sent] =
+        co_await http::async_write(stream, proceed, kAsTuple);
+    if (failed) co_return failed;
+  }
+  auto [body_error, body_size] =
+      co_await http::async_read(stream, buffer, parser, kAsTuple);
+  co_return body_error;
+}
+
+Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
                                 HttpServerHooks hooks) {
   beast::flat_buffer buffer;
   while (true) {
+    if (hooks.limits) limits = hooks.limits();
+    if (!co_await AwaitRequest(*stream, buffer, limits, hooks)) break;
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header.Count()));
-    parser.body_limit(limits.body.Count());
-    stream.expires_after(limits.idle);
-    auto [error, size] =
-        co_await http::async_read(stream, buffer, parser, kAsTuple);
+    const error_code error =
+        co_await ReadRequest(*stream, buffer, parser, limits);
     if (error) {
       co_await RefuseUnreadable(stream, error, limits, hooks);
       break;
@@ -117,10 +213,11 @@
     Exchange exchange(stream, parser.release(), limits.write);
     if (hooks.closing && hooks.closing()) exchange.CloseAfter();
     co_await hooks.handle(exchange);
+    exchange.EndWatch();
     if (!exchange.Intact() || !exchange.KeepAlive()) break;
   }
   error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 }  // namespace
@@ -139,7 +236,8 @@
     socket.set_option(tcp::no_delay(true), ignored);
     asio::co_spawn(
         executor,
-        ServeConnection(beast::tcp_stream(std::move(socket)), limits, hooks),
+        ServeConnection(std::make_shared<beast::tcp_stream>(std::move(socket)),
+                        limits, hooks),
         asio::detached);
   }
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "cowslipknot/ids.h"
@@ -15,7 +16,8 @@
 struct HttpServerLimits {
   ByteCount header{16 << 10};
   ByteCount body{8 << 20};
-  Milliseconds idle{60000};
+  Milliseconds idle{60000};  ///< between requests of a connection
+  Milliseconds read{60000};  ///< from a request's first byte to its last
   Milliseconds write{30000};
 };
 
@@ -33,6 +35,24 @@
   /// Closes the connection without completing the answer.
   virtual void Abort() = 0;
   virtual bool Answered() const = 0;
+  /// Calls the hook once if the peer closes its connection before the answer
+  /// is complete.
+  virtual void WatchPeer(std::function<void()> on_gone) = 0;
+};
+
+/// Connections that wait for a request.
+class IdleConnections {
+ public:
+  void Add(beast::tcp_stream& stream) { m_streams.insert(&stream); }
+  void Remove(beast::tcp_stream& stream) { m_streams.erase(&stream); }
+  /// Closes them all; requests that cross the close are not read.
+  void CloseAll() {
+    for (auto* stream : m_streams) stream->cancel();
+  }
+  std::size_t Count() const { return m_streams.size(); }
+
+ private:
+  std::set<beast::tcp_stream*> m_streams;
 };
 
 /// Answers what could not be parsed.
@@ -41,6 +61,9 @@
   std::function<HttpResponse(ResultCode)> refuse;
   /// True once connections should close after the response in flight.
   std::function<bool()> closing;
+  /// The limits for the next request, where they change with time.
+  std::function<HttpServerLimits()> limits;
+  std::shared_ptr<IdleConnections> idle;  ///< may be null
 };
 
 /// Accepts connections until the acceptor is closed.
