Drop half an event before a resume; grant bursts within a limit's tolerance

Each instance's bucket held only its part of one second's burst, so clumps of requests were refused far below the limit. Ruled out: a wrong resume position (the trace shows the piece after the last id). Conclusion: an attempt starts with an empty splitter.

--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -9,13 +9,23 @@
 /// A workspace's limit over all instances, kept without asking them.
 namespace cowslipknot::gateway {
 
+/// What the deployment tolerates beyond a limit, over a sliding window.
+struct QuotaTolerance {
+  Milliseconds window{8000};
+  double overage = 0.1;  ///< part of what the limit allows in the window
+  double slack = 0;      ///< cost beyond that
+};
+
 /// The part of a limit that one instance may grant.
 ///
 /// Parts follow demand, so that an instance with all of the load gets nearly
-/// all of the limit; a floor lets one without demand begin.
-/// @param own     demand here, requests refused included
+/// all of the limit; a floor lets one without demand begin. While demand is
+/// well below the limit the parts add up to more than one, since callers come
+/// in clumps at one instance or another.
+/// @param own     demand here, requests refused included, per second
 /// @param others  demand at each other instance that may be serving
-double QuotaShare(double own, const std::vector<double>& others);
+/// @param rate    the limit, per second
+double QuotaShare(double own, const std::vector<double>& others, double rate);
 
 /// Grants requests of one instance within its part of each limit.
 ///
@@ -24,6 +34,8 @@
  public:
   using Time = std::chrono::nanoseconds;
 
+  explicit QuotaLimiter(QuotaTolerance tolerance) : m_tolerance(tolerance) {}
+
   /// @param share  part of the limit that is granted here
   void SetShare(const WorkspaceId& workspace, double share);
 
@@ -36,7 +48,7 @@
 
  private:
   struct Bucket {
-    double share = 0;
+    double share = 0.001;  ///< until one is set
     double level = 0;
     bool filled = false;
     Time updated{0};
@@ -44,11 +56,12 @@
     Time demand_updated{0};
   };
 
-  static void Refill(Bucket& bucket, const Workspace& workspace, Time now);
+  double Capacity(const Bucket& bucket, const Workspace& workspace) const;
+  void Refill(Bucket& bucket, const Workspace& workspace, Time now) const;
   static void Decay(Bucket& bucket, Time now);
 
+  QuotaTolerance m_tolerance;
   std::map<WorkspaceId, Bucket> m_buckets;
-  double m_default_share = 1;
 };
 
 }  // namespace cowslipknot::gateway
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
 #include "cowslipknot/state/objects.h"
@@ -31,6 +32,7 @@
   Milliseconds lease{3000};      ///< silence that ends a lease
   Milliseconds usage_window{5000};
   Milliseconds usage_due{10000};  ///< after a window's end
+  QuotaTolerance quota;
   double retry_ratio = 0.2;       ///< repeats per request, over all instances
   double retry_slack = 50;        ///< repeats beyond that, over all instances
   double exposure_share = 0.1;    ///< of traffic to an unproved version
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -11,6 +11,14 @@
 constexpr double kFloorPart = 0.1;
 /// Time constant of the demand's decaying mean.
 constexpr double kDemandSeconds = 2.0;
+/// Below this part of a limit, demand is unlikely to reach it before the next
+/// exchange between instances.
+constexpr double kLowDemandPart = 0.75;
+/// What the shares add up to then.
+constexpr double kLowDemandFactor = 1.2;
+/// Part of the tolerance that is granted as burst; the rest absorbs reports
+/// that are late and instances that are not known yet.
+constexpr double kTolerancePart = 0.4;
 /// A share of zero would never grant again.
 constexpr double kSmallestShare = 0.001;
 
@@ -20,23 +28,34 @@
 
 }  // namespace
 
-double QuotaShare(double own, const std::vector<double>& others) {
+double QuotaShare(double own, const std::vector<double>& others, double rate) {
   const double instances = static_cast<double>(others.size()) + 1;
   const double total =
       own + std::accumulate(others.begin(), others.end(), 0.0);
   const double equal = 1 / instances;
   if (total <= 0) return equal;
-  return kFloorPart * equal + (1 - kFloorPart) * own / total;
+  const double share = kFloorPart * equal + (1 - kFloorPart) * own / total;
+  const bool low = total < kLowDemandPart * rate;
+  return low ? std::min(1.0, share * kLowDemandFactor) : share;
 }
 
 void QuotaLimiter::SetShare(const WorkspaceId& workspace, double share) {
   m_buckets[workspace].share = std::max(share, kSmallestShare);
 }
 
+double QuotaLimiter::Capacity(const Bucket& bucket,
+                              const Workspace& workspace) const {
+  const double allowed =
+      workspace.rate_per_s * Seconds(m_tolerance.window) + workspace.burst;
+  const double tolerance =
+      allowed * m_tolerance.overage + m_tolerance.slack;
+  return bucket.share * (workspace.burst + kTolerancePart * tolerance);
+}
+
 void QuotaLimiter::Refill(Bucket& bucket, const Workspace& workspace,
-                          Time now) {
-  const double share = bucket.share > 0 ? bucket.share : kSmallestShare;
-  const double most = workspace.burst * share;
+                          Time now) const {
+  const double share = bucket.share;
+  const double most = Capacity(bucket, workspace);
   if (!bucket.filled) {
     bucket.filled = true;
     bucket.level = most;
@@ -67,8 +86,7 @@
     bucket.level -= cost;
     return Milliseconds(0);
   }
-  const double share = bucket.share > 0 ? bucket.share : kSmallestShare;
-  const double wait = -bucket.level / (workspace.rate_per_s * share);
+  const double wait = -bucket.level / (workspace.rate_per_s * bucket.share);
   return Milliseconds(1 + static_cast<std::int64_t>(wait * 1000));
 }
 
--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -17,6 +17,12 @@
   /// @return the bytes of all events completed by `bytes`, unchanged
   std::string Feed(std::string_view bytes);
 
+  /// Forgets bytes of an event that will not be completed by its source.
+  void DropRest() {
+    m_rest.clear();
+    m_scanned = 0;
+  }
+
   /// The number in the last whole event's "id" field.
   std::optional<std::uint64_t> LastId() const { return m_last_id; }
   std::uint64_t Events() const { return m_events; }
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -267,6 +267,7 @@
 
   Awaitable<AttemptEnd> Attempt(const ServerView& server, Error& error) {
     m_tried.push_back(server.record.id);
+    m_events.DropRest();
     InFlightGuard guard(server.live, m_pick.uncached);
     m_worker.Metrics().Add("cowslipknot_attempts_total",
                            Label("route", m_route->name.Text()));
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -224,7 +224,7 @@
           others.push_back(value);
         }
       }
-      snapshot->shares[name] = QuotaShare(own, others);
+      snapshot->shares[name] = QuotaShare(own, others, workspace.rate_per_s);
     }
   }
   asio::post(m_worker.Context(), [this, snapshot] {
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -61,6 +61,12 @@
     settings.usage_window =
         Seconds(reader, "usage_window_s", settings.usage_window);
     settings.usage_due = Seconds(reader, "usage_due_s", settings.usage_due);
+    settings.quota.window =
+        Seconds(reader, "quota_window_s", settings.quota.window);
+    settings.quota.overage =
+        reader.Number("quota_overage", settings.quota.overage, 0, 1);
+    settings.quota.slack =
+        reader.Number("quota_slack", settings.quota.slack, 0, kMost);
     settings.retry_ratio =
         reader.Number("retry_ratio", settings.retry_ratio, 0, 1);
     settings.retry_slack =
