--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -15,10 +15,12 @@
 /// exchange between instances.
 constexpr double kLowDemandPart = 0.75;
 /// What the shares add up to then.
-constexpr double kLowDemandFactor = 1.2;
+constexpr double kLowDemandFactor = 1.15;
 /// Part of the tolerance that is granted as burst; the rest absorbs reports
 /// that are late and instances that are not known yet.
-constexpr double kTolerancePart = 0.4;
+constexpr double kTolerancePart = 0.2;
+/// Part of a request's cost that must be there when it is granted.
+constexpr double kPaidPart = 0.5;
 /// A share of zero would never grant again.
 constexpr double kSmallestShare = 0.001;
 
@@ -80,13 +82,16 @@
   Decay(bucket, now);
   bucket.demand += cost / kDemandSeconds;
   Refill(bucket, workspace, now);
-  // A request larger than what remains is granted on credit, so that a small
-  // share of the limit still serves large requests.
-  if (bucket.level > 0) {
+  // A request larger than what remains is granted partly on credit, so that a
+  // small share of the limit still serves large requests.
+  const double most = Capacity(bucket, workspace);
+  const double needed = std::min(cost, most) * kPaidPart;
+  if (bucket.level >= needed) {
     bucket.level -= cost;
     return Milliseconds(0);
   }
-  const double wait = -bucket.level / (workspace.rate_per_s * bucket.share);
+  const double wait =
+      (needed - bucket.level) / (workspace.rate_per_s * bucket.share);
   return Milliseconds(1 + static_cast<std::int64_t>(wait * 1000));
 }
 
