Place requests by own load and cached parts; resume streams after a stall

Cause: the choice saw only in-flight tokens of one instance and kept to homes across domains, so first events waited behind prompts that it could not see; a stream on a server that went dark waited until its timeout; calls to cut-off servers waited a second for a connection.

--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -34,6 +34,7 @@
 /// What one process tells the others through the store.
 struct InstanceReport {
   NodeId node;
+  DomainId domain;
   std::uint64_t started = 0;   ///< tells processes of one node apart
   std::uint64_t sequence = 0;  ///< rises with each report
   std::int64_t as_of_ms = 0;   ///< on the shared clock; its counts are whole
--- a/src/protocol/gateway_dialect.h
+++ b/src/protocol/gateway_dialect.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cowslipknot/gateway/placement.h"
 #include "cowslipknot/gateway/routes.h"
 #include "cowslipknot/gateway/server_registry.h"
 #include "cowslipknot/result.h"
@@ -15,12 +16,6 @@
 /// An adapter implements it; nothing here names a header, field or path.
 namespace cowslipknot::gateway {
 
-/// A part of a prompt that other requests may share.
-struct PromptPart {
-  std::uint64_t id = 0;
-  TokenCount tokens;
-};
-
 /// What a caller's request says of itself in its header.
 struct CallerRequest {
   RequestId id;
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -1,17 +1,15 @@
 #include <xxhash.h>
 
-#include "cowslipknot/coordination/choose_server.h"
 #include "cowslipknot/events.h"
 #include "protocol/connection_fields.h"
 #include "protocol/event_splitter.h"
-#include "serve/attempt.h"
 #include "serve/gateway_worker.h"
 
 namespace cowslipknot::gateway {
 namespace {
 
 /// Connections that may reach no server count as failed after this time.
-constexpr Milliseconds kConnectTimeout(1000);
+constexpr Milliseconds kConnectTimeout(250);
 /// A connection idle for longer may be gone without notice; a request that may
 /// run only once is not risked on it.
 constexpr Milliseconds kUnsafeMaxIdle(2000);
@@ -23,7 +21,39 @@
 constexpr std::uint32_t kMaxPriority = 9;
 /// Time kept for the answer's way to the caller before its deadline.
 constexpr Milliseconds kAnswerMargin(5);
-constexpr std::uint64_t kEngineTokensPerSecond = 60000;
+/// Silence of a stream, in pauses that are still in time, after which its
+/// server is taken for lost where the stream can go on elsewhere.
+constexpr int kStallPauses = 2;
+constexpr Milliseconds kLeastStall(500);
+
+/// Counts a request at a server from its sending to its end.
+class BackendLoad {
+ public:
+  BackendLoad(std::shared_ptr<BackendState> state, const Placement& placement,
+              const std::vector<PromptPart>& parts)
+      : m_state(std::move(state)), m_placement(placement) {
+    m_state->NoteSent(m_placement.uncached, parts);
+  }
+  BackendLoad(const BackendLoad&) = delete;
+  BackendLoad& operator=(const BackendLoad&) = delete;
+  ~BackendLoad() {
+    if (m_begun) {
+      m_state->NoteFinished();
+    } else {
+      m_state->NoteUnstarted(m_placement.uncached);
+    }
+  }
+
+  void NoteFirstEvent(Milliseconds took) {
+    m_begun = true;
+    m_state->NoteFirstEvent(m_placement.uncached, m_placement.work, took);
+  }
+
+ private:
+  std::shared_ptr<BackendState> m_state;
+  Placement m_placement;
+  bool m_begun = false;
+};
 
 /// How one attempt ended.
 enum class AttemptEnd : std::uint8_t {
@@ -132,22 +162,7 @@
                                Since(m_started));
   }
 
-  RequestCost BuildCost() const {
-    RequestCost cost;
-    if (!m_request.prompt) return cost;
-    cost.prompt = *m_request.prompt;
-    cost.output = m_request.most_output;
-    // The last part is the request's own; the one before it is shared.
-    std::uint64_t shared = 0;
-    for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i) {
-      cost.prefix_hash = m_request.parts[i].id;
-      shared += m_request.parts[i].tokens.Count();
-    }
-    cost.prefix = TokenCount(shared);
-    return cost;
-  }
-
-  Result<const ServerView*> Choose() {
+  Result<const Backend*> Choose() {
     const std::uint64_t hash = XXH3_64bits(m_request.id.Text().data(),
                                            m_request.id.Text().size());
     const ServiceId& service = PickService(*m_route, hash);
@@ -155,30 +170,27 @@
     if (servers == m_snapshot->servers.end()) {
       return Fail(ResultCode::kNoServer, service.Text());
     }
-    ChoiceContext context;
+    PlacementRequest request;
+    request.prompt = m_request.prompt.value_or(TokenCount(0));
+    request.parts = m_request.parts;
+    request.objective = m_route->objective;
+    request.tried = m_tried;
+    PlacementContext context;
     context.domain = m_worker.GetSettings().domain;
-    context.now = NowBoot();
+    context.now = BootTime();
+    context.instances_in_domain = m_snapshot->instances_in_domain;
     context.draw = m_worker.Draw();
-    context.target = m_route->objective;
-    context.tried = m_tried;
-    context.entry_instances = m_snapshot->instances;
-    m_cost = BuildCost();
-    const auto pick = ChooseServer(m_cost, servers->second, context);
-    if (!pick) return tl::make_unexpected(pick.error());
-    m_pick = *pick;
-    return &servers->second[pick->index];
-  }
-
-  static WallTime NowBoot() {
-    return WallTime(
-        std::chrono::duration_cast<Milliseconds>(BootTime()).count());
+    const auto placement = Place(request, servers->second, context);
+    if (!placement) return tl::make_unexpected(placement.error());
+    m_placement = *placement;
+    return &servers->second[placement->index];
   }
 
-  HttpRequest BuildAttempt(const ServerView& server) const {
+  HttpRequest BuildAttempt(const Backend& server) const {
     HttpRequest wire = m_exchange.Request();
     wire.version(11);
     AttemptFields fields;
-    fields.server = server.record.id;
+    fields.server = server.entry.id;
     if (m_workspace != nullptr) fields.workspace = m_workspace->name;
     fields.time_left = TimeLeft();
     if (IsModelCall()) {
@@ -207,7 +219,7 @@
         break;
       }
       if (repeat && m_reached && !m_worker.Retries().TrySpend()) break;
-      const ServerView chosen = **server;
+      const Backend chosen = **server;
       const AttemptEnd end = co_await Attempt(chosen, last);
       if (end == AttemptEnd::kAnswered) co_return;
       if (end == AttemptEnd::kNotExecuted) {
@@ -265,10 +277,10 @@
               {"after_ms", std::to_string(Since(m_started).count())}});
   }
 
-  Awaitable<AttemptEnd> Attempt(const ServerView& server, Error& error) {
-    m_tried.push_back(server.record.id);
+  Awaitable<AttemptEnd> Attempt(const Backend& server, Error& error) {
+    m_tried.push_back(server.entry.id);
     m_events.DropRest();
-    InFlightGuard guard(server.live, m_pick.uncached);
+    BackendLoad load(server.state, m_placement, m_request.parts);
     m_worker.Metrics().Add("cowslipknot_attempts_total",
                            Label("route", m_route->name.Text()));
     CallOptions options;
@@ -282,12 +294,12 @@
     const auto started = SteadyClock::now();
     m_progress = CallProgress();
     auto opened = co_await m_worker.Http().Open(
-        server.record.address, BuildAttempt(server), options, m_progress);
+        server.entry.address, BuildAttempt(server), options, m_progress);
     if (m_progress.first_byte_sent) m_reached = true;
     if (!opened) {
       m_progress.abort = nullptr;
       if (m_progress.reused_connection) {
-        m_worker.Http().Forget(server.record.address);
+        m_worker.Http().Forget(server.entry.address);
       }
       error = opened.error();
       if (!m_caller_gone) NoteFailure(server, error);
@@ -315,7 +327,7 @@
         (*opened)->Header().result() == http::status::ok;
     AttemptEnd end = AttemptEnd::kFailed;
     if (streams) {
-      end = co_await PassEvents(server, **opened, guard, started, error);
+      end = co_await PassEvents(server, **opened, load, started, error);
     } else {
       end = co_await PassWhole(server, **opened, error);
     }
@@ -323,11 +335,14 @@
     co_return end;
   }
 
-  void NoteFailure(const ServerView& server, const Error& error) {
-    NoteAttempt(*server.live, false, NowBoot());
+  void NoteFailure(const Backend& server, const Error& error) {
+    server.state->NoteFailure(BootTime());
+    const bool silent = error.code == ResultCode::kConnectFailed ||
+                        error.code == ResultCode::kBackendTimeout;
+    if (silent) server.state->NoteUnreachable(BootTime());
     LogEvent(Event::kAttemptFailed,
              {{"request", m_request.id.Text()},
-              {"server", server.record.id.Text()},
+              {"server", server.entry.id.Text()},
               {"code", std::to_string(static_cast<int>(error.code))},
               {"reused", m_progress.reused_connection ? "true" : "false"},
               {"detail", error.detail}});
@@ -349,7 +364,7 @@
   }
 
   /// Passes an answer on once it is whole.
-  Awaitable<AttemptEnd> PassWhole(const ServerView& server,
+  Awaitable<AttemptEnd> PassWhole(const Backend& server,
                                   ResponseStream& stream, Error& error) {
     HttpResponse response;
     response.base() = stream.Header();
@@ -363,7 +378,11 @@
     if (!m_counted) NoteBegan();
     response.body() = std::move(*body);
     const bool failed = response.result_int() >= 500;
-    NoteAttempt(*server.live, !failed, NowBoot());
+    if (failed) {
+      server.state->NoteFailure(BootTime());
+    } else {
+      server.state->NoteSuccess();
+    }
     if (failed && m_route->Repeatable()) {
       error = Error{ResultCode::kBackendFailed,
                     std::to_string(response.result_int())};
@@ -380,10 +399,16 @@
     if (m_workspace != nullptr) m_worker.NoteBegan(m_workspace->name);
   }
 
+  /// Longest silence within a stream before it goes on elsewhere.
+  Milliseconds Stall() const {
+    if (!m_route->resumable) return m_route->timeout;
+    return std::max(kLeastStall, kStallPauses * m_route->event_gap);
+  }
+
   /// Passes whole events on as they come.
-  Awaitable<AttemptEnd> PassEvents(const ServerView& server,
+  Awaitable<AttemptEnd> PassEvents(const Backend& server,
                                    ResponseStream& stream,
-                                   InFlightGuard& guard,
+                                   BackendLoad& load,
                                    SteadyClock::time_point started,
                                    Error& error) {
     bool first = true;
@@ -393,7 +418,8 @@
         error = Error{ResultCode::kBackendTimeout, "stream"};
         co_return AttemptEnd::kFailed;
       }
-      auto piece = co_await stream.Read(left);
+      const Milliseconds patience = first ? left : std::min(left, Stall());
+      auto piece = co_await stream.Read(patience);
       if (!piece) {
         error = piece.error();
         if (!m_caller_gone) NoteFailure(server, error);
@@ -402,10 +428,7 @@
       if (piece->empty()) break;
       if (first) {
         first = false;
-        guard.ReleaseTokens();
-        NoteFirstToken(*server.live,
-                       TokenCount(m_pick.queue.Count() + m_pick.uncached.Count()),
-                       Since(started));
+        load.NoteFirstEvent(Since(started));
         if (!m_counted) NoteBegan();
       }
       const std::string events = m_events.Feed(*piece);
@@ -420,7 +443,7 @@
       NoteFailure(server, error);
       co_return AttemptEnd::kFailed;
     }
-    NoteAttempt(*server.live, true, NowBoot());
+    server.state->NoteSuccess();
     if (!m_streaming && !co_await PassOn(stream, std::string())) {
       co_return AttemptEnd::kAnswered;
     }
@@ -452,8 +475,7 @@
   SteadyClock::time_point m_deadline{};
   Milliseconds m_retry_after{0};
   CallProgress m_progress;
-  RequestCost m_cost;
-  ServerPick m_pick;
+  Placement m_placement;
   std::vector<ServerId> m_tried;
   EventSplitter m_events;
   std::optional<HttpResponse> m_last_answer;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -1,5 +1,7 @@
 #include "serve/gateway_control.h"
 
+#include <algorithm>
+
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
 
@@ -8,15 +10,15 @@
 
 /// A change of the configuration is waited for in calls of this length: a
 /// connection that has gone silent is noticed after it.
-constexpr Milliseconds kConfigurationWait(700);
-constexpr Milliseconds kServersPause(400);
-constexpr Milliseconds kReportPause(1200);
+constexpr Milliseconds kConfigurationWait(1200);
+constexpr Milliseconds kServersPause(700);
+constexpr Milliseconds kReportPause(1500);
 constexpr Milliseconds kRetryPause(150);
 /// Entries that lapsed in an outage of the store are back within this time.
 constexpr Milliseconds kReturnGrace(2000);
-constexpr std::uint64_t kEngineTokensPerSecond = 60000;
-constexpr char kModelPool[] = "model";
-constexpr char kPlainPool[] = "plain";
+/// Part of a server's memory that is believed to keep prompt parts; the rest
+/// is taken by running requests and by what other instances send.
+constexpr double kCachePart = 0.5;
 
 }  // namespace
 
@@ -161,19 +163,25 @@
   }
 }
 
-std::map<ServiceId, std::vector<ServerView>> Control::BuildServers() {
-  std::map<ServiceId, std::vector<ServerView>> servers;
-  decltype(m_live) live;
+std::map<ServiceId, std::vector<Backend>> Control::BuildServers() {
+  std::map<ServiceId, std::vector<Backend>> servers;
+  decltype(m_states) states;
   for (const auto& entry : m_registry.Usable()) {
-    const auto known = m_live.find(entry.id);
-    ServerView view;
+    Backend backend;
+    backend.entry = entry;
+    const Service* service = FindService(entry.service);
+    backend.is_model = service != nullptr && service->is_model;
+    const auto known = m_states.find(entry.id);
     const bool same =
-        known != m_live.end() && known->second.first == entry.started_ms;
+        known != m_states.end() && known->second.first == entry.started_ms;
     if (same) {
-      view.live = known->second.second;
+      backend.state = known->second.second;
     } else {
-      view.live = std::make_shared<ServerLive>();
-      view.live->prefill_tokens_per_second = kEngineTokensPerSecond;
+      const double memory =
+          service == nullptr ? 0
+                             : static_cast<double>(service->kv_capacity.Count());
+      backend.state = std::make_shared<BackendState>(
+          TokenCount(static_cast<std::uint64_t>(memory * kCachePart)));
       LogEvent(Event::kServerRegistered,
                {{"server", entry.id.Text()},
                 {"service", entry.service.Text()},
@@ -181,25 +189,24 @@
                 {"domain", entry.domain.Text()},
                 {"version", entry.version.Text()}});
     }
-    live[entry.id] = {entry.started_ms, view.live};
-    view.record.id = entry.id;
-    view.record.kind = kModelPool;
-    view.record.address = entry.address;
-    view.record.domain = entry.domain;
-    view.record.incarnation =
-        Incarnation(static_cast<std::uint64_t>(entry.started_ms));
-    view.record.reclaimable = entry.reclaimable;
-    servers[entry.service].push_back(std::move(view));
+    states[entry.id] = {entry.started_ms, backend.state};
+    servers[entry.service].push_back(std::move(backend));
   }
-  for (const auto& [id, known] : m_live) {
-    if (!live.contains(id)) {
+  for (const auto& [id, known] : m_states) {
+    if (!states.contains(id)) {
       LogEvent(Event::kServerGone, {{"server", id.Text()}});
     }
   }
-  m_live = std::move(live);
+  m_states = std::move(states);
   return servers;
 }
 
+const Service* Control::FindService(const ServiceId& name) const {
+  if (!m_configuration) return nullptr;
+  const auto found = m_configuration->services.find(name);
+  return found == m_configuration->services.end() ? nullptr : &found->second;
+}
+
 void Control::Publish() {
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->configuration = m_configuration;
@@ -208,6 +215,12 @@
   const auto now = BootTime();
   const auto serving = m_duties.Instances().Serving(now);
   snapshot->instances = std::max<std::size_t>(1, serving.size());
+  const auto near = std::count_if(
+      serving.begin(), serving.end(), [this](const InstanceReport* report) {
+        return report->domain == m_settings.domain;
+      });
+  snapshot->instances_in_domain =
+      std::max<std::size_t>(1, static_cast<std::size_t>(near));
   if (m_configuration) {
     for (const auto& [name, workspace] : m_configuration->workspaces) {
       double own = 0;
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -36,7 +36,8 @@
   void NoteStore(bool reachable, const std::string& detail);
   void Publish();
   void PublishShares();
-  std::map<ServiceId, std::vector<ServerView>> BuildServers();
+  std::map<ServiceId, std::vector<Backend>> BuildServers();
+  const Service* FindService(const ServiceId& name) const;
 
   const Settings& m_settings;
   const Dialect& m_dialect;
@@ -45,8 +46,8 @@
   ConfigurationPtr m_configuration;
   std::shared_ptr<const RouteTable> m_routes;
   ServerRegistry m_registry;
-  std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<ServerLive>>>
-      m_live;  ///< by id, with the start that it belongs to
+  std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
+      m_states;  ///< by id, with the start that it belongs to
   bool m_servers_known = false;
   bool m_store_reachable = true;
   bool m_configuration_readable = false;
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -24,7 +24,7 @@
 constexpr Milliseconds kCountsWritten(1500);
 /// Part of the time until usage is due that instances without the store are
 /// waited for.
-constexpr double kWaitPart = 0.55;
+constexpr double kWaitPart = 0.8;
 /// Windows kept after their report was accepted.
 constexpr std::uint64_t kWindowsKept = 4;
 constexpr std::uint64_t kMaxWindowsBehind = 6;
@@ -107,6 +107,7 @@
 InstanceReport Duties::BuildReport(const Input& input) {
   InstanceReport report;
   report.node = m_settings.node;
+  report.domain = m_settings.domain;
   report.started = m_started;
   report.sequence = ++m_sequence;
   report.as_of_ms = SharedNowMs().value_or(0);
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -12,7 +12,6 @@
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
-#include "cowslipknot/state/fleet.h"
 #include "protocol/gateway_dialect.h"
 #include "transport/http_server.h"
 
@@ -22,9 +21,10 @@
 struct Snapshot {
   ConfigurationPtr configuration;  ///< null until the first is read
   std::shared_ptr<const RouteTable> routes;
-  std::map<ServiceId, std::vector<ServerView>> servers;
+  std::map<ServiceId, std::vector<Backend>> servers;
   std::map<WorkspaceId, double> shares;  ///< parts of limits granted here
-  std::size_t instances = 1;             ///< gateway instances, this included
+  std::size_t instances = 1;  ///< gateway instances, this included
+  std::size_t instances_in_domain = 1;
 };
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -53,6 +53,7 @@
 std::string EncodeReport(const InstanceReport& report) {
   json::object object;
   object["node"] = report.node.Text();
+  object["domain"] = report.domain.Text();
   object["started"] = report.started;
   object["sequence"] = report.sequence;
   object["as_of_ms"] = report.as_of_ms;
@@ -75,6 +76,7 @@
   try {
     const json::value parsed = json::parse(text);
     report.node = NodeId(std::string(parsed.at("node").as_string()));
+    report.domain = DomainId(std::string(parsed.at("domain").as_string()));
     report.started = parsed.at("started").to_number<std::uint64_t>();
     report.sequence = parsed.at("sequence").to_number<std::uint64_t>();
     report.as_of_ms = parsed.at("as_of_ms").to_number<std::int64_t>();
