--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -21,7 +21,7 @@
   /// Notes the reports found, by key; others have been removed.
   void Observe(std::map<std::string, InstanceReport> reports, Time now);
 
-  /// Processes that may be serving: not stopping and not silent for long.
+  /// Processes that may be serving: not replaced, stopping or silent for long.
   std::vector<const InstanceReport*> Serving(Time now) const;
 
   /// What was counted in a window by all processes, dead ones included.
@@ -43,6 +43,7 @@
 
   Milliseconds m_lifetime;
   std::map<std::string, Seen> m_seen;
+  std::map<NodeId, std::uint64_t> m_newest;  ///< start of each node's latest
 };
 
 }  // namespace cowslipknot::gateway
--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -27,6 +28,24 @@
 /// @param rate    the limit, per second
 double QuotaShare(double own, const std::vector<double>& others, double rate);
 
+/// A share whose rises take effect one exchange late, when the instances that
+/// must grant less have read the same reports. Falls take effect at once.
+class DelayedShare {
+ public:
+  /// Notes the share computed at an exchange.
+  void Update(double share) {
+    m_in_force = m_updated ? std::min(share, m_computed) : share;
+    m_computed = share;
+    m_updated = true;
+  }
+  double InForce() const { return m_in_force; }
+
+ private:
+  double m_computed = 0;
+  double m_in_force = 0;
+  bool m_updated = false;
+};
+
 /// Grants requests of one instance within its part of each limit.
 ///
 /// Pure: readings of a monotonic clock are arguments. Single-threaded.
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -40,6 +40,8 @@
   std::int64_t as_of_ms = 0;   ///< on the shared clock; its counts are whole
   bool stopping = false;
   std::map<WorkspaceId, double> demand;  ///< per second
+  /// Servers of a service kept busy by this instance's requests.
+  std::map<ServiceId, double> busy;
   UsageLedger usage;
 };
 
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -17,10 +17,18 @@
       known->second = Seen{std::move(report), now};
     }
   }
+  m_newest.clear();
+  for (const auto& [key, seen] : m_seen) {
+    auto& newest = m_newest[seen.report.node];
+    newest = std::max(newest, seen.report.started);
+  }
 }
 
 bool InstanceTable::IsServing(const Seen& seen, Time now) const {
-  return !seen.report.stopping && now - seen.changed < m_lifetime;
+  const auto newest = m_newest.find(seen.report.node);
+  const bool replaced = newest != m_newest.end() &&
+                        newest->second > seen.report.started;
+  return !replaced && !seen.report.stopping && now - seen.changed < m_lifetime;
 }
 
 std::vector<const InstanceReport*> InstanceTable::Serving(Time now) const {
--- a/src/protocol/gateway_dialect.h
+++ b/src/protocol/gateway_dialect.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "cowslipknot/gateway/capacity_plan.h"
 #include "cowslipknot/gateway/placement.h"
 #include "cowslipknot/gateway/routes.h"
 #include "cowslipknot/gateway/server_registry.h"
@@ -82,15 +83,6 @@
   std::map<WorkspaceId, std::uint64_t> counts;
 };
 
-/// The number of servers that a failure domain should have.
-struct CapacityOrder {
-  ServiceId service;
-  DomainId domain;
-  std::uint32_t servers = 0;
-  bool reclaimable = false;
-  auto operator<=>(const CapacityOrder&) const = default;
-};
-
 /// The names of the rows that the platform writes.
 struct StoreNames {
   std::string configuration_table;
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -21,6 +21,8 @@
 constexpr std::uint32_t kMaxPriority = 9;
 /// Time kept for the answer's way to the caller before its deadline.
 constexpr Milliseconds kAnswerMargin(5);
+/// Prompt tokens a model server computes a millisecond beside a batch.
+constexpr double kPromptTokensPerMs = 50;
 /// Silence of a stream, in pauses that are still in time, after which its
 /// server is taken for lost where the stream can go on elsewhere.
 constexpr int kStallPauses = 2;
@@ -162,12 +164,15 @@
                                Since(m_started));
   }
 
-  Result<const Backend*> Choose() {
+  /// Picks a server among those known now, which may be others than when the
+  /// request came.
+  Result<Backend> Choose() {
+    const SnapshotPtr latest = m_worker.GetSnapshot();
     const std::uint64_t hash = XXH3_64bits(m_request.id.Text().data(),
                                            m_request.id.Text().size());
     const ServiceId& service = PickService(*m_route, hash);
-    const auto servers = m_snapshot->servers.find(service);
-    if (servers == m_snapshot->servers.end()) {
+    const auto servers = latest->servers.find(service);
+    if (servers == latest->servers.end()) {
       return Fail(ResultCode::kNoServer, service.Text());
     }
     PlacementRequest request;
@@ -178,12 +183,12 @@
     PlacementContext context;
     context.domain = m_worker.GetSettings().domain;
     context.now = BootTime();
-    context.instances_in_domain = m_snapshot->instances_in_domain;
+    context.instances_in_domain = latest->instances_in_domain;
     context.draw = m_worker.Draw();
     const auto placement = Place(request, servers->second, context);
     if (!placement) return tl::make_unexpected(placement.error());
     m_placement = *placement;
-    return &servers->second[placement->index];
+    return servers->second[placement->index];
   }
 
   HttpRequest BuildAttempt(const Backend& server) const {
@@ -219,7 +224,7 @@
         break;
       }
       if (repeat && m_reached && !m_worker.Retries().TrySpend()) break;
-      const Backend chosen = **server;
+      const Backend chosen = *server;
       const AttemptEnd end = co_await Attempt(chosen, last);
       if (end == AttemptEnd::kAnswered) co_return;
       if (end == AttemptEnd::kNotExecuted) {
@@ -281,6 +286,7 @@
     m_tried.push_back(server.entry.id);
     m_events.DropRest();
     BackendLoad load(server.state, m_placement, m_request.parts);
+    NotePromptLoad(server);
     m_worker.Metrics().Add("cowslipknot_attempts_total",
                            Label("route", m_route->name.Text()));
     CallOptions options;
@@ -328,6 +334,7 @@
     AttemptEnd end = AttemptEnd::kFailed;
     if (streams) {
       end = co_await PassEvents(server, **opened, load, started, error);
+      NoteStreamLoad(server, started);
     } else {
       end = co_await PassWhole(server, **opened, error);
     }
@@ -399,6 +406,22 @@
     if (m_workspace != nullptr) m_worker.NoteBegan(m_workspace->name);
   }
 
+  /// Notes the time of a model server that computing the prompt takes.
+  void NotePromptLoad(const Backend& server) {
+    if (!server.is_model) return;
+    const auto prompt = static_cast<double>(m_placement.uncached.Count());
+    m_worker.Load().Note(server.entry.service, prompt / kPromptTokensPerMs,
+                         BootTime());
+  }
+
+  /// Notes the part of a model server's time that one place of its batch took.
+  void NoteStreamLoad(const Backend& server, SteadyClock::time_point begun) {
+    if (!server.is_model) return;
+    const double places = std::max<double>(1, server.entry.slots);
+    m_worker.Load().Note(server.entry.service, FractionalMsSince(begun) / places,
+                         BootTime());
+  }
+
   /// Longest silence within a stream before it goes on elsewhere.
   Milliseconds Stall() const {
     if (!m_route->resumable) return m_route->timeout;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -1,6 +1,7 @@
 #include "serve/gateway_control.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
@@ -20,6 +21,17 @@
 /// is taken by running requests and by what other instances send.
 constexpr double kCachePart = 0.5;
 
+/// Instances assumed before their reports have been read.
+constexpr double kAssumedInstances = 8;
+/// A process this young has not seen its share of the callers.
+constexpr Milliseconds kDemandUnknown(4000);
+
+double MeanOf(const std::vector<double>& values) {
+  if (values.empty()) return 0;
+  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
+  return sum / static_cast<double>(values.size());
+}
+
 }  // namespace
 
 Control::Control(const Settings& settings, const Dialect& dialect,
@@ -222,22 +234,11 @@
   snapshot->instances_in_domain =
       std::max<std::size_t>(1, static_cast<std::size_t>(near));
   if (m_configuration) {
+    const double equal = 1 / kAssumedInstances;
     for (const auto& [name, workspace] : m_configuration->workspaces) {
-      double own = 0;
-      std::vector<double> others;
-      for (const auto* report : serving) {
-        const auto demand = report->demand.find(name);
-        const double value =
-            demand == report->demand.end() ? 0 : demand->second;
-        const bool is_self = report->node == m_settings.node &&
-                             report->started == m_duties.Started();
-        if (is_self) {
-          own = value;
-        } else {
-          others.push_back(value);
-        }
-      }
-      snapshot->shares[name] = QuotaShare(own, others, workspace.rate_per_s);
+      const auto share = m_shares.find(name);
+      snapshot->shares[name] =
+          share == m_shares.end() ? equal : share->second.InForce();
     }
   }
   asio::post(m_worker.Context(), [this, snapshot] {
@@ -245,11 +246,36 @@
   });
 }
 
+void Control::UpdateShares() {
+  if (!m_configuration) return;
+  const auto serving = m_duties.Instances().Serving(BootTime());
+  for (const auto& [name, workspace] : m_configuration->workspaces) {
+    double own = 0;
+    std::vector<double> others;
+    for (const auto* report : serving) {
+      const auto demand = report->demand.find(name);
+      const double value = demand == report->demand.end() ? 0 : demand->second;
+      const bool is_self = report->node == m_settings.node &&
+                           report->started == m_duties.Started();
+      if (is_self) {
+        own = value;
+      } else {
+        others.push_back(value);
+      }
+    }
+    if (BootTime() - m_started < kDemandUnknown) {
+      own = std::max(own, MeanOf(others));
+    }
+    m_shares[name].Update(QuotaShare(own, others, workspace.rate_per_s));
+  }
+}
+
 namespace {
 
 Awaitable<Duties::Input> CollectInput(Worker& worker) {
   Duties::Input input;
   input.demand = worker.Quota().Demand(BootTime());
+  input.busy = worker.Load().Busy(BootTime());
   input.usage = std::exchange(worker.Usage(), UsageLedger());
   co_return input;
 }
@@ -264,8 +290,9 @@
     const auto clock = m_duties.ClockFromBoot();
     if (clock) m_worker.SetClock(*clock);
     if (exchanged) {
+      UpdateShares();
       Publish();
-      co_await m_duties.Perform();
+      co_await m_duties.Perform(m_configuration, m_registry.Usable());
     }
     co_await SleepFor(kReportPause);
   }
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/server_registry.h"
 #include "serve/gateway_duties.h"
 #include "serve/gateway_worker.h"
@@ -35,7 +36,7 @@
   bool ApplyServers(const StoreRows& rows, bool whole);
   void NoteStore(bool reachable, const std::string& detail);
   void Publish();
-  void PublishShares();
+  void UpdateShares();
   std::map<ServiceId, std::vector<Backend>> BuildServers();
   const Service* FindService(const ServiceId& name) const;
 
@@ -48,6 +49,8 @@
   ServerRegistry m_registry;
   std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
       m_states;  ///< by id, with the start that it belongs to
+  std::map<WorkspaceId, DelayedShare> m_shares;
+  const std::chrono::nanoseconds m_started = BootTime();
   bool m_servers_known = false;
   bool m_store_reachable = true;
   bool m_configuration_readable = false;
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -113,6 +113,7 @@
   report.as_of_ms = SharedNowMs().value_or(0);
   report.stopping = input.stopping;
   report.demand = input.demand;
+  report.busy = input.busy;
   m_usage.Merge(input.usage);
   report.usage = m_usage;
   return report;
@@ -271,9 +272,62 @@
   }
 }
 
-Awaitable<void> Duties::Perform() {
-  if (!HoldsLease()) co_return;
+std::map<DomainId, DomainCapacity> Duties::DomainCapacities(
+    const ServiceId& service, const std::vector<ServerEntry>& servers) const {
+  std::map<DomainId, DomainCapacity> domains;
+  for (const auto& server : servers) {
+    if (server.service != service) continue;
+    DomainCapacity& capacity = domains[server.domain];
+    ++(server.reclaimable ? capacity.reclaimable : capacity.firm);
+  }
+  for (const auto* report : m_instances.Serving(BootTime())) {
+    const auto busy = report->busy.find(service);
+    if (busy != report->busy.end()) domains[report->domain].busy += busy->second;
+  }
+  return domains;
+}
+
+Awaitable<void> Duties::OrderCapacity(ConfigurationPtr configuration,
+                                      std::vector<ServerEntry> servers) {
+  for (const auto& [name, service] : configuration->services) {
+    if (!service.scaling) continue;
+    auto planner = m_planners.try_emplace(name, name, *service.scaling).first;
+    auto domains = DomainCapacities(name, servers);
+    const auto orders = planner->second.Plan(domains, BootTime());
+    for (const auto& order : orders) {
+      if (!HoldsLease()) co_return;
+      DutyHolder holder;
+      holder.node = m_settings.node;
+      holder.epoch = m_lease.CurrentEpoch();
+      const CallOutcome outcome =
+          co_await m_dialect.order_capacity(std::move(holder), order);
+      const bool accepted = outcome == CallOutcome::kAccepted;
+      if (accepted) planner->second.NoteAccepted(order, BootTime());
+      if (outcome == CallOutcome::kRejected) {
+        planner->second.NoteUnavailable(order, BootTime());
+      }
+      LogEvent(accepted ? Event::kCapacityOrdered : Event::kCapacityNotAccepted,
+               {{"service", name.Text()},
+                {"domain", order.domain.Text()},
+                {"servers", std::to_string(order.servers)},
+                {"reclaimable", order.reclaimable ? "true" : "false"},
+                {"busy", std::to_string(domains[order.domain].busy)},
+                {"firm", std::to_string(domains[order.domain].firm)}});
+      if (outcome == CallOutcome::kUnknown) co_return;
+    }
+  }
+}
+
+Awaitable<void> Duties::Perform(ConfigurationPtr configuration,
+                                std::vector<ServerEntry> servers) {
+  if (!HoldsLease()) {
+    // A later turn as holder starts from what is then observed.
+    m_planners.clear();
+    co_return;
+  }
   if (m_settings.reports_usage) co_await ReportUsage();
+  if (!m_settings.orders_capacity || !configuration) co_return;
+  co_await OrderCapacity(std::move(configuration), std::move(servers));
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -43,6 +43,7 @@
   struct Input {
     std::map<WorkspaceId, double> demand;
     UsageLedger usage;  ///< counted since the last exchange
+    std::map<ServiceId, double> busy;
     bool stopping = false;
   };
 
@@ -52,7 +53,9 @@
   /// lease on the way.
   Awaitable<Result<void>> Exchange(Input input);
   /// Performs what the lease's holder must do now.
-  Awaitable<void> Perform();
+  /// @param servers  those ready
+  Awaitable<void> Perform(ConfigurationPtr configuration,
+                          std::vector<ServerEntry> servers);
 
   const InstanceTable& Instances() const { return m_instances; }
   const NodeId& Self() const { return m_settings.node; }
@@ -73,6 +76,10 @@
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClock();
   Awaitable<void> ReportUsage();
+  Awaitable<void> OrderCapacity(ConfigurationPtr configuration,
+                                std::vector<ServerEntry> servers);
+  std::map<DomainId, DomainCapacity> DomainCapacities(
+      const ServiceId& service, const std::vector<ServerEntry>& servers) const;
   Awaitable<bool> SendUsage(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
   Awaitable<Result<StoreRows>> Change(StoreChange change);
@@ -92,6 +99,7 @@
   std::optional<std::uint64_t> m_done;  ///< windows up to it are accepted
   std::uint64_t m_done_version = 0;
   bool m_table_read = false;
+  std::map<ServiceId, CapacityPlanner> m_planners;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "cowslipknot/coordination/retry_budget.h"
+#include "cowslipknot/gateway/load_meter.h"
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
@@ -42,6 +43,7 @@
   MetricSet& Metrics() { return m_metrics; }
   QuotaLimiter& Quota() { return m_quota; }
   UsageLedger& Usage() { return m_usage; }
+  LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
   IdleConnections& Idle() { return *m_idle; }
   std::shared_ptr<IdleConnections> IdlePtr() { return m_idle; }
@@ -74,6 +76,7 @@
   MetricSet m_metrics;
   QuotaLimiter m_quota;
   UsageLedger m_usage;
+  LoadMeter m_load;
   RetryBudget m_retries;
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -63,6 +63,11 @@
     demand[workspace.Text()] = static_cast<std::int64_t>(value);
   }
   object["demand"] = std::move(demand);
+  json::object busy;
+  for (const auto& [service, servers] : report.busy) {
+    busy[service.Text()] = servers;
+  }
+  object["busy"] = std::move(busy);
   json::object windows;
   for (const auto& [window, counts] : report.usage.Windows()) {
     windows[std::to_string(window)] = CountsToJson(counts);
@@ -85,6 +90,10 @@
       report.demand[WorkspaceId(std::string(workspace))] =
           value.to_number<double>();
     }
+    for (const auto& [service, servers] : parsed.at("busy").as_object()) {
+      report.busy[ServiceId(std::string(service))] =
+          servers.to_number<double>();
+    }
     for (const auto& [window, counts] : parsed.at("usage").as_object()) {
       for (const auto& [workspace, count] :
            CountsFromJson(counts.as_object())) {
