Follow demand for limits over four seconds; raise shares at once at low demand

Cause: shares computed from a two-second mean moved by a third between reports, and the lower of two counted, so parts of limits were granted by nobody.

--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -28,13 +28,18 @@
 /// @param rate    the limit, per second
 double QuotaShare(double own, const std::vector<double>& others, double rate);
 
+/// Whether demand is unlikely to reach the limit before the next exchange.
+bool IsLowDemand(double own, const std::vector<double>& others, double rate);
+
 /// A share whose rises take effect one exchange late, when the instances that
 /// must grant less have read the same reports. Falls take effect at once.
 class DelayedShare {
  public:
   /// Notes the share computed at an exchange.
-  void Update(double share) {
-    m_in_force = m_updated ? std::min(share, m_computed) : share;
+  /// @param at_once  demand is so low that a rise does no harm
+  void Update(double share, bool at_once) {
+    const bool now = at_once || !m_updated;
+    m_in_force = now ? share : std::min(share, m_computed);
     m_computed = share;
     m_updated = true;
   }
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -10,7 +10,7 @@
 /// Part of an equal share that an instance keeps without any demand.
 constexpr double kFloorPart = 0.1;
 /// Time constant of the demand's decaying mean.
-constexpr double kDemandSeconds = 2.0;
+constexpr double kDemandSeconds = 4.0;
 /// Below this part of a limit, demand is unlikely to reach it before the next
 /// exchange between instances.
 constexpr double kLowDemandPart = 0.75;
@@ -30,6 +30,12 @@
 
 }  // namespace
 
+bool IsLowDemand(double own, const std::vector<double>& others, double rate) {
+  const double total =
+      own + std::accumulate(others.begin(), others.end(), 0.0);
+  return total < kLowDemandPart * rate;
+}
+
 double QuotaShare(double own, const std::vector<double>& others, double rate) {
   const double instances = static_cast<double>(others.size()) + 1;
   const double total =
@@ -37,7 +43,7 @@
   const double equal = 1 / instances;
   if (total <= 0) return equal;
   const double share = kFloorPart * equal + (1 - kFloorPart) * own / total;
-  const bool low = total < kLowDemandPart * rate;
+  const bool low = IsLowDemand(own, others, rate);
   return low ? std::min(1.0, share * kLowDemandFactor) : share;
 }
 
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -266,7 +266,9 @@
     if (BootTime() - m_started < kDemandUnknown) {
       own = std::max(own, MeanOf(others));
     }
-    m_shares[name].Update(QuotaShare(own, others, workspace.rate_per_s));
+    const double rate = workspace.rate_per_s;
+    m_shares[name].Update(QuotaShare(own, others, rate),
+                          IsLowDemand(own, others, rate));
   }
 }
 
