Deal limits without anticipation; test gateway modules

Cause: the property test of a workspace at six times its limit found up to 6% more granted than tolerated: shares summed to more than one while instances ramped up one after the other. Conclusion: granting above the sum in advance cannot be kept within the tolerance.

--- a/benchmark/load_tool.cc
+++ b/benchmark/load_tool.cc
@@ -314,8 +314,7 @@
       CallProgress progress;
       const auto answer = co_await m_http->Call(
           PickTarget(), std::move(request),
-          WithTimeout(kReadTimeout, m_options.reuse ? Reuse::kAllowed
-                                                    : Reuse::kFreshOnly),
+          kReadTimeout, m_options.reuse ? Reuse::kAllowed : Reuse::kFreshOnly,
           progress);
       if (!answer && !progress.first_byte_sent) continue;
       if (!answer) {
--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -20,26 +20,18 @@
 /// The part of a limit that one instance may grant.
 ///
 /// Parts follow demand, so that an instance with all of the load gets nearly
-/// all of the limit; a floor lets one without demand begin. While demand is
-/// well below the limit the parts add up to more than one, since callers come
-/// in clumps at one instance or another.
+/// all of the limit; a floor lets one without demand begin.
 /// @param own     demand here, requests refused included, per second
 /// @param others  demand at each other instance that may be serving
-/// @param rate    the limit, per second
-double QuotaShare(double own, const std::vector<double>& others, double rate);
-
-/// Whether demand is unlikely to reach the limit before the next exchange.
-bool IsLowDemand(double own, const std::vector<double>& others, double rate);
+double QuotaShare(double own, const std::vector<double>& others);
 
 /// A share whose rises take effect one exchange late, when the instances that
 /// must grant less have read the same reports. Falls take effect at once.
 class DelayedShare {
  public:
   /// Notes the share computed at an exchange.
-  /// @param at_once  demand is so low that a rise does no harm
-  void Update(double share, bool at_once) {
-    const bool now = at_once || !m_updated;
-    m_in_force = now ? share : std::min(share, m_computed);
+  void Update(double share) {
+    m_in_force = m_updated ? std::min(share, m_computed) : share;
     m_computed = share;
     m_updated = true;
   }
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -11,14 +11,9 @@
 constexpr double kFloorPart = 0.1;
 /// Time constant of the demand's decaying mean.
 constexpr double kDemandSeconds = 4.0;
-/// Below this part of a limit, demand is unlikely to reach it before the next
-/// exchange between instances.
-constexpr double kLowDemandPart = 0.75;
-/// What the shares add up to then.
-constexpr double kLowDemandFactor = 1.15;
 /// Part of the tolerance that is granted as burst; the rest absorbs reports
 /// that are late and instances that are not known yet.
-constexpr double kTolerancePart = 0.2;
+constexpr double kTolerancePart = 0.15;
 /// Part of a request's cost that must be there when it is granted.
 constexpr double kPaidPart = 0.5;
 /// A share of zero would never grant again.
@@ -30,21 +25,13 @@
 
 }  // namespace
 
-bool IsLowDemand(double own, const std::vector<double>& others, double rate) {
-  const double total =
-      own + std::accumulate(others.begin(), others.end(), 0.0);
-  return total < kLowDemandPart * rate;
-}
-
-double QuotaShare(double own, const std::vector<double>& others, double rate) {
+double QuotaShare(double own, const std::vector<double>& others) {
   const double instances = static_cast<double>(others.size()) + 1;
   const double total =
       own + std::accumulate(others.begin(), others.end(), 0.0);
   const double equal = 1 / instances;
   if (total <= 0) return equal;
-  const double share = kFloorPart * equal + (1 - kFloorPart) * own / total;
-  const bool low = IsLowDemand(own, others, rate);
-  return low ? std::min(1.0, share * kLowDemandFactor) : share;
+  return kFloorPart * equal + (1 - kFloorPart) * own / total;
 }
 
 void QuotaLimiter::SetShare(const WorkspaceId& workspace, double share) {
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -266,9 +266,7 @@
     if (BootTime() - m_started < kDemandUnknown) {
       own = std::max(own, MeanOf(others));
     }
-    const double rate = workspace.rate_per_s;
-    m_shares[name].Update(QuotaShare(own, others, rate),
-                          IsLowDemand(own, others, rate));
+    m_shares[name].Update(QuotaShare(own, others));
   }
 }
 
--- /dev/null
+++ b/tests/unit/gateway_placement_test.cc
@@ -0,0 +1,236 @@
+#include <rapidcheck.h>
+
+#include "cowslipknot/gateway/capacity_plan.h"
+#include "cowslipknot/gateway/placement.h"
+#include "unit_test.h"
+
+using namespace cowslipknot;
+using namespace cowslipknot::gateway;
+
+namespace {
+
+constexpr std::chrono::nanoseconds kStart = std::chrono::seconds(100);
+
+Backend MakeBackend(const std::string& id, const std::string& domain,
+                    bool is_model = true) {
+  Backend backend;
+  backend.entry.id = ServerId(id);
+  backend.entry.domain = DomainId(domain);
+  backend.entry.slots = 32;
+  backend.is_model = is_model;
+  backend.state = std::make_shared<BackendState>(TokenCount(100000));
+  return backend;
+}
+
+PlacementContext Here() {
+  PlacementContext context;
+  context.domain = DomainId("a");
+  context.now = kStart;
+  return context;
+}
+
+PlacementRequest Prompt(std::uint64_t tokens,
+                        std::vector<PromptPart> parts = {}) {
+  PlacementRequest request;
+  request.prompt = TokenCount(tokens);
+  request.parts = std::move(parts);
+  return request;
+}
+
+std::string Chosen(const PlacementRequest& request,
+                   const std::vector<Backend>& backends,
+                   const PlacementContext& context = Here()) {
+  const auto placed = Place(request, backends, context);
+  return placed ? backends[placed->index].entry.id.Text() : std::string();
+}
+
+}  // namespace
+
+Test(placement, a_server_with_the_prompts_beginning_is_preferred) {
+  const std::vector<Backend> backends = {
+      MakeBackend("s0", "a"), MakeBackend("s1", "a"), MakeBackend("s2", "a")};
+  const std::vector<PromptPart> parts = {{1, TokenCount(5000)},
+                                         {2, TokenCount(1000)}};
+  backends[1].state->NoteSent(TokenCount(6000), parts);
+  backends[1].state->NoteUnstarted(TokenCount(6000));
+  const std::vector<PromptPart> next = {{1, TokenCount(5000)},
+                                        {3, TokenCount(1000)}};
+  cr_expect_eq(Chosen(Prompt(6000, next), backends), "s1");
+}
+
+Test(placement, a_long_queue_outweighs_a_kept_beginning) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a"),
+                                         MakeBackend("s1", "a")};
+  const std::vector<PromptPart> parts = {{1, TokenCount(1000)},
+                                         {2, TokenCount(100)}};
+  backends[1].state->NoteSent(TokenCount(50000), parts);
+  cr_expect_eq(Chosen(Prompt(1100, parts), backends), "s0");
+}
+
+Test(placement, another_domain_serves_what_the_own_one_cannot_in_time) {
+  const std::vector<Backend> backends = {MakeBackend("near", "a"),
+                                         MakeBackend("far", "b")};
+  cr_expect_eq(Chosen(Prompt(1000), backends), "near");
+  for (int i = 0; i < 4; ++i) {
+    backends[0].state->NoteSent(TokenCount(30000), {});
+  }
+  // The far server is taken to be as loaded as the near one by others, so
+  // only what this instance adds beyond that moves requests.
+  PlacementContext context = Here();
+  context.instances_in_domain = 3;
+  cr_expect_eq(Chosen(Prompt(1000), backends, context), "far");
+}
+
+Test(placement, a_server_that_fails_or_is_silent_is_avoided) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a", false),
+                                         MakeBackend("s1", "a", false)};
+  for (int i = 0; i < 10; ++i) backends[0].state->NoteFailure(kStart);
+  cr_expect_eq(Chosen(PlacementRequest(), backends), "s1");
+  backends[1].state->NoteUnreachable(kStart);
+  cr_expect_eq(Chosen(PlacementRequest(), backends), "s0");
+}
+
+Test(placement, avoided_servers_are_used_when_there_is_no_other) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a")};
+  backends[0].state->NoteUnreachable(kStart);
+  cr_expect_eq(Chosen(PlacementRequest(), backends), "s0");
+  PlacementRequest tried;
+  tried.tried = {ServerId("s0")};
+  cr_expect_eq(Chosen(tried, backends), "");
+}
+
+Test(placement, load_returns_to_zero_whatever_the_order_of_notes) {
+  cr_assert(rc::check([] {
+    BackendState state(TokenCount(1000));
+    const auto costs = *rc::gen::container<std::vector<std::uint16_t>>(
+        rc::gen::arbitrary<std::uint16_t>());
+    for (const auto cost : costs) state.NoteSent(TokenCount(cost), {});
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+      if (i % 2 == 0) {
+        state.NoteUnstarted(TokenCount(costs[i]));
+      } else {
+        state.NoteFirstEvent(TokenCount(costs[i]), TokenCount(costs[i]),
+                             Milliseconds(5));
+        state.NoteFinished();
+      }
+    }
+    RC_ASSERT(state.Queue().Count() == 0);
+    RC_ASSERT(state.Waiting() == 0);
+    RC_ASSERT(state.Running() == 0);
+  }));
+}
+
+Test(part_cache, forgets_the_least_recently_used_beyond_its_size) {
+  PartCache cache(TokenCount(250));
+  cache.Note({{1, TokenCount(100)}});
+  cache.Note({{2, TokenCount(100)}});
+  cache.Note({{1, TokenCount(100)}});
+  cache.Note({{3, TokenCount(100)}});
+  cr_expect_eq(cache.Match({{1, TokenCount(100)}}).Count(), 100);
+  cr_expect_eq(cache.Match({{2, TokenCount(100)}}).Count(), 0);
+  // A part counts only if all parts before it are kept.
+  cr_expect_eq(
+      cache.Match({{2, TokenCount(100)}, {3, TokenCount(100)}}).Count(), 0);
+}
+
+namespace {
+
+Scaling MakeScaling() {
+  Scaling scaling;
+  scaling.least = 1;
+  scaling.most = 10;
+  scaling.boot = Milliseconds(4000);
+  scaling.spot_price = 0.2;
+  return scaling;
+}
+
+using Domains = std::map<DomainId, DomainCapacity>;
+
+/// Plans once a second, each order being accepted.
+std::vector<CapacityOrder> Drive(CapacityPlanner& planner,
+                                 const Domains& domains, int from, int to) {
+  std::vector<CapacityOrder> all;
+  for (int second = from; second < to; ++second) {
+    const auto now = kStart + std::chrono::seconds(second);
+    for (const auto& order : planner.Plan(domains, now)) {
+      planner.NoteAccepted(order, now);
+      all.push_back(order);
+    }
+  }
+  return all;
+}
+
+std::optional<std::uint32_t> Last(const std::vector<CapacityOrder>& orders,
+                                  const std::string& domain,
+                                  bool reclaimable) {
+  std::optional<std::uint32_t> last;
+  for (const auto& order : orders) {
+    const bool same =
+        order.domain.Text() == domain && order.reclaimable == reclaimable;
+    if (same) last = order.servers;
+  }
+  return last;
+}
+
+}  // namespace
+
+Test(capacity_plan, nothing_is_ordered_before_load_was_seen) {
+  CapacityPlanner planner(ServiceId("m"), MakeScaling());
+  const Domains idle = {{DomainId("a"), {0, 5, 0}}};
+  cr_expect(Drive(planner, idle, 0, 20).empty());
+}
+
+Test(capacity_plan, reclaimable_servers_replace_firm_ones_once_they_are_ready) {
+  CapacityPlanner planner(ServiceId("m"), MakeScaling());
+  Domains domains = {{DomainId("a"), {1.6, 5, 0}},
+                     {DomainId("b"), {1.6, 5, 0}}};
+  const auto first = Drive(planner, domains, 0, 6);
+  cr_expect_geq(Last(first, "a", true).value_or(0), 2);
+  domains = {{DomainId("a"), {1.6, 5, 4}}, {DomainId("b"), {1.6, 5, 4}}};
+  const auto later = Drive(planner, domains, 6, 16);
+  cr_expect_eq(Last(later, "a", false).value_or(0), 1);
+}
+
+Test(capacity_plan, firm_servers_take_the_place_of_unavailable_ones) {
+  CapacityPlanner planner(ServiceId("m"), MakeScaling());
+  const Domains domains = {{DomainId("a"), {3.0, 1, 0}},
+                           {DomainId("b"), {0.1, 1, 0}}};
+  const auto now = kStart + std::chrono::seconds(5);
+  planner.Plan(domains, kStart);
+  std::vector<CapacityOrder> orders = planner.Plan(domains, now);
+  for (const auto& order : orders) {
+    if (order.reclaimable) {
+      planner.NoteUnavailable(order, now);
+    } else {
+      planner.NoteAccepted(order, now);
+    }
+  }
+  for (int second = 6; second < 9; ++second) {
+    const auto later = kStart + std::chrono::seconds(second);
+    for (const auto& order : planner.Plan(domains, later)) {
+      if (!order.reclaimable) orders.push_back(order);
+    }
+  }
+  cr_expect_geq(Last(orders, "a", false).value_or(0), 4);
+}
+
+Test(capacity_plan, orders_stay_within_the_limits_and_settle) {
+  cr_assert(rc::check([] {
+    CapacityPlanner planner(ServiceId("m"), MakeScaling());
+    const auto busy = *rc::gen::inRange(0, 300);
+    const auto firm = *rc::gen::inRange(1, 11);
+    const auto spot = *rc::gen::inRange(0, 5);
+    const Domains domains = {
+        {DomainId("a"),
+         {busy / 10.0, static_cast<std::uint32_t>(firm),
+          static_cast<std::uint32_t>(spot)}},
+        {DomainId("b"), {0.5, 1, 0}}};
+    for (const auto& order : Drive(planner, domains, 0, 30)) {
+      RC_ASSERT(order.servers <= 10u);
+    }
+    const auto late = Drive(planner, domains, 30, 36);
+    // Unchanged input repeats at most the request for servers that did not
+    // come.
+    for (const auto& order : late) RC_ASSERT(order.reclaimable);
+  }));
+}
--- /dev/null
+++ b/tests/unit/gateway_state_test.cc
@@ -0,0 +1,252 @@
+#include <rapidcheck.h>
+
+#include "cowslipknot/gateway/instance_table.h"
+#include "cowslipknot/gateway/load_meter.h"
+#include "cowslipknot/gateway/routes.h"
+#include "cowslipknot/gateway/server_registry.h"
+#include "cowslipknot/gateway/settings.h"
+#include "protocol/event_splitter.h"
+#include "unit_test.h"
+
+using namespace cowslipknot;
+using namespace cowslipknot::gateway;
+
+namespace {
+
+using Time = std::chrono::nanoseconds;
+constexpr Time kNow = std::chrono::seconds(50);
+
+gateway::Route MakeRoute(const std::string& name, const std::string& prefix) {
+  gateway::Route route;
+  route.name = RouteId(name);
+  route.host = "h.example";
+  route.path_prefix = prefix;
+  route.services = {{ServiceId("s"), 1}};
+  return route;
+}
+
+std::string Found(const RouteTable& table, const std::string& host,
+                  const std::string& target) {
+  const gateway::Route* route = table.Find(host, target);
+  return route == nullptr ? "" : route->name.Text();
+}
+
+ServerEntry MakeEntry(const std::string& id) {
+  ServerEntry entry;
+  entry.id = ServerId(id);
+  entry.service = ServiceId("s");
+  entry.slots = 4;
+  return entry;
+}
+
+}  // namespace
+
+Test(route_table, the_longest_prefix_of_the_host_wins) {
+  gateway::Configuration configuration;
+  configuration.routes = {MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/"),
+                          MakeRoute("root", "/")};
+  configuration.routes[2].host = "other.example";
+  const RouteTable table(configuration);
+  cr_expect_eq(Found(table, "h.example", "/a/b/c"), "long");
+  cr_expect_eq(Found(table, "H.Example:8080", "/a/x?/a/b/"), "short");
+  cr_expect_eq(Found(table, "h.example", "/a"), "");
+  cr_expect_eq(Found(table, "h.example", "/ab/c"), "");
+  cr_expect_eq(Found(table, "other.example", "/a/b/c"), "root");
+}
+
+Test(route_table, a_split_follows_its_weights) {
+  gateway::Route route = MakeRoute("r", "/");
+  route.services = {{ServiceId("a"), 90}, {ServiceId("b"), 10}};
+  int to_b = 0;
+  for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+    if (PickService(route, hash).Text() == "b") ++to_b;
+  }
+  cr_expect_eq(to_b, 100);
+}
+
+Test(server_registry, a_draining_or_removed_server_gets_no_work) {
+  ServerRegistry registry(Milliseconds(2000));
+  registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
+  ServerEntry draining = MakeEntry("a");
+  draining.state = ServerState::kDraining;
+  cr_expect(registry.Apply({{draining.id, draining}}, kNow));
+  cr_expect_eq(registry.Usable().size(), 1u);
+  cr_expect(registry.Apply({{ServerId("b"), std::nullopt}}, kNow));
+  cr_expect(registry.Usable().empty());
+}
+
+Test(server_registry, a_heartbeat_alone_is_no_change) {
+  ServerRegistry registry(Milliseconds(2000));
+  registry.Replace({MakeEntry("a")}, kNow);
+  cr_expect_not(registry.Apply({{ServerId("a"), MakeEntry("a")}}, kNow));
+}
+
+Test(server_registry, an_entry_that_lapsed_in_an_outage_is_kept_for_its_return) {
+  ServerRegistry registry(Milliseconds(2000));
+  registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
+  registry.NoteOutage();
+  const Time back = kNow + std::chrono::seconds(9);
+  registry.NoteAnswer(back);
+  registry.Replace({}, back);
+  cr_expect_eq(registry.Usable().size(), 2u);
+  registry.Apply({{ServerId("a"), MakeEntry("a")}},
+                 back + std::chrono::seconds(1));
+  cr_expect(registry.Expire(back + std::chrono::seconds(2)));
+  cr_expect_eq(registry.Usable().size(), 1u);
+  cr_expect_eq(registry.Usable().front().id.Text(), "a");
+}
+
+Test(server_registry, without_an_outage_a_removal_counts_at_once) {
+  ServerRegistry registry(Milliseconds(2000));
+  registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
+  registry.NoteAnswer(kNow);
+  cr_expect(registry.Replace({MakeEntry("a")}, kNow));
+  cr_expect_eq(registry.Usable().size(), 1u);
+}
+
+namespace {
+
+InstanceReport MakeReport(const std::string& node, std::uint64_t started,
+                          std::uint64_t sequence) {
+  InstanceReport report;
+  report.node = NodeId(node);
+  report.domain = DomainId("d");
+  report.started = started;
+  report.sequence = sequence;
+  return report;
+}
+
+}  // namespace
+
+Test(instance_table, silent_stopped_and_replaced_processes_hold_no_share) {
+  InstanceTable table{Milliseconds(6000)};
+  InstanceReport stopping = MakeReport("b", 1, 1);
+  stopping.stopping = true;
+  table.Observe({{"a/1", MakeReport("a", 1, 1)},
+                 {"a/2", MakeReport("a", 2, 1)},
+                 {"b/1", stopping},
+                 {"c/1", MakeReport("c", 1, 1)}},
+                kNow);
+  cr_expect_eq(table.Serving(kNow).size(), 2u);
+  table.Observe({{"a/2", MakeReport("a", 2, 2)},
+                 {"c/1", MakeReport("c", 1, 1)}},
+                kNow + std::chrono::seconds(4));
+  cr_expect_eq(table.Serving(kNow + std::chrono::seconds(5)).size(), 2u);
+  cr_expect_eq(table.Serving(kNow + std::chrono::seconds(7)).size(), 1u);
+}
+
+Test(instance_table, counts_of_dead_processes_stay_in_a_windows_sum) {
+  InstanceTable table{Milliseconds(6000)};
+  InstanceReport dead = MakeReport("a", 1, 1);
+  dead.usage.Note(7, WorkspaceId("w"), 3);
+  InstanceReport alive = MakeReport("a", 2, 1);
+  alive.usage.Note(7, WorkspaceId("w"), 2);
+  alive.as_of_ms = 40000;
+  table.Observe({{"a/1", dead}, {"a/2", alive}}, kNow);
+  cr_expect_eq(table.Sum(7).at(WorkspaceId("w")), 5u);
+  cr_expect(table.Complete(40000, kNow));
+  cr_expect_not(table.Complete(40001, kNow));
+  cr_expect_eq(table.Obsolete(8, kNow).size(), 1u);
+  cr_expect(table.Obsolete(7, kNow).empty());
+}
+
+Test(instance_report, survives_its_encoding) {
+  cr_assert(rc::check([] {
+    InstanceReport report = MakeReport("n", 1, 2);
+    report.stopping = *rc::gen::arbitrary<bool>();
+    report.as_of_ms = *rc::gen::inRange<std::int64_t>(0, 1LL << 40);
+    const auto count = *rc::gen::inRange<std::uint64_t>(1, 1 << 20);
+    report.usage.Note(5, WorkspaceId("w"), count);
+    report.demand[WorkspaceId("w")] = 12;
+    report.busy[ServiceId("s")] = 1.5;
+    const auto read = DecodeReport(EncodeReport(report));
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->usage.Windows() == report.usage.Windows());
+    RC_ASSERT(read->stopping == report.stopping);
+    RC_ASSERT(read->as_of_ms == report.as_of_ms);
+    RC_ASSERT(read->busy == report.busy);
+  }));
+}
+
+Test(instance_report, garbage_is_no_report) {
+  cr_assert(rc::check([](const std::string& text) {
+    DecodeReport(text);
+    DecodeCounts(text);
+  }));
+  cr_expect_not(DecodeReport("{\"node\":3}").has_value());
+}
+
+Test(load_meter, shows_the_servers_that_steady_load_keeps_busy) {
+  LoadMeter meter;
+  for (int ms = 0; ms < 20000; ms += 50) {
+    meter.Note(ServiceId("s"), 100, kNow + std::chrono::milliseconds(ms));
+  }
+  const auto busy = meter.Busy(kNow + std::chrono::seconds(20));
+  cr_expect_float_eq(busy.at(ServiceId("s")), 2.0, 0.1);
+}
+
+Test(event_splitter, half_an_event_is_withheld_and_dropped_before_a_resume) {
+  EventSplitter splitter;
+  cr_expect_eq(splitter.Feed("id: 4\ndata: x\n\nid: 5\nda"),
+               "id: 4\ndata: x\n\n");
+  cr_expect_eq(splitter.LastId().value_or(0), 4u);
+  splitter.DropRest();
+  cr_expect_eq(splitter.Feed("id: 5\ndata: y\n\n"), "id: 5\ndata: y\n\n");
+  cr_expect_eq(splitter.LastId().value_or(0), 5u);
+  cr_expect(splitter.Rest().empty());
+}
+
+Test(event_splitter, any_cutting_of_the_bytes_gives_the_same_events) {
+  cr_assert(rc::check([] {
+    const std::string text =
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+    EventSplitter splitter;
+    std::string joined;
+    std::size_t at = 0;
+    while (at < text.size()) {
+      const auto piece = *rc::gen::inRange<std::size_t>(1, 9);
+      joined += splitter.Feed(std::string_view(text).substr(at, piece));
+      at += piece;
+    }
+    RC_ASSERT(joined == text);
+    RC_ASSERT(splitter.Events() == 4u);
+    RC_ASSERT(splitter.LastId().value_or(0) == 3u);
+  }));
+}
+
+namespace {
+
+const char kSettings[] =
+    "[node]\nname = \"n\"\ndomain = \"d\"\n"
+    "[listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n"
+    "metrics = \"127.0.0.1:3\"\n[store]\naddress = \"127.0.0.1:4\"\n";
+
+}  // namespace
+
+Test(gateway_settings, seconds_and_fractions_are_read) {
+  const auto settings = gateway::ParseSettings(
+      std::string(kSettings) + "[bounds]\nstop_s = 7.5\nretry_ratio = 0.3\n",
+      "f");
+  cr_assert(settings.has_value());
+  cr_expect_eq(settings->stop.count(), 7500);
+  cr_expect_float_eq(settings->retry_ratio, 0.3, 1e-9);
+  cr_expect_not(settings->reports_usage);
+}
+
+Test(gateway_settings, every_error_is_reported_at_once) {
+  const auto settings = gateway::ParseSettings(
+      "[node]\nname = \"n\"\n[listen]\ncallers = \"x\"\n"
+      "[bounds]\nretry_ratio = 7\nusage_window_s = 0\n",
+      "f");
+  cr_assert_not(settings.has_value());
+  std::string text;
+  for (const auto& problem : settings.error()) {
+    text += FormatProblem(problem) + "\n";
+  }
+  for (const auto* wanted :
+       {"domain", "callers", "readiness", "store", "retry_ratio",
+        "usage_window_s"}) {
+    cr_expect(text.find(wanted) != std::string::npos, "%s in %s", wanted,
+              text.c_str());
+  }
+}
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,156 @@
+#include <rapidcheck.h>
+
+#include "platform/documents.h"
+#include "platform/headers.h"
+#include "unit_test.h"
+
+using namespace cowslipknot;
+using namespace cowslipknot::gateway;
+
+namespace {
+
+http::request_header<> MakeHeader() {
+  http::request_header<> header;
+  header.set("Cowslipknot-Request-Id", "r1");
+  header.set("Cowslipknot-Token-Count", "1460,80");
+  header.set("Cowslipknot-Prefix-Hash", "5c1e07a2:800,91bd3f06:410");
+  header.set("Cowslipknot-Deadline-Ms", "15000");
+  header.set(http::field::authorization, "Token key1");
+  return header;
+}
+
+const char kConfiguration[] = R"({"version":7,
+ "route_list":[
+  {"name":"r1","hostname":"h","path_prefix":"/a/","kind":"streaming",
+   "timeout_ms":15000,"slo_ms":1000,"priority":1,"max_attempts":2,
+   "backends":[{"service":"m","weight":90},{"service":"p","weight":10}],
+   "resumable":true,"itl_target_ms":300},
+  {"name":"r2","hostname":"h","path_prefix":"/b/","kind":"safe",
+   "service":"p","public":true}],
+ "services":[
+  {"name":"m","max_conns":230,"engine":{"slots":32,"kv_capacity":1000},
+   "scale":{"min":1,"max":10,"boot_s":4.0,"spot_price":0.22,
+            "zone_prices":{"z":1.5}}},
+  {"name":"p","max_conns":100}],
+ "limits":{"max_header_bytes":100,"max_body_bytes":200,
+           "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"unit":"tokens",
+             "uncached_tokens":200,"rate_per_s":1000,"burst":500}]})";
+
+}  // namespace
+
+Test(platform_headers, a_callers_request_is_decoded_once) {
+  const auto request = platform::ReadCaller(MakeHeader());
+  cr_assert(request.has_value());
+  cr_expect_eq(request->prompt->Count(), 1460);
+  cr_expect_eq(request->most_output.Count(), 80);
+  cr_expect_eq(request->parts.size(), 2u);
+  cr_expect_eq(request->parts[0].id, 0x5c1e07a2u);
+  cr_expect_eq(request->api_key, "key1");
+  cr_expect_eq(request->deadline->count(), 15000);
+}
+
+Test(platform_headers, what_cannot_be_read_is_a_malformed_request) {
+  for (const auto& [name, value] :
+       std::map<std::string, std::string>{{"Cowslipknot-Token-Count", "x,1"},
+                                          {"Cowslipknot-Prefix-Hash", "zz:1"},
+                                          {"Cowslipknot-Deadline-Ms", "1s"},
+                                          {"Cowslipknot-Request-Id", ""}}) {
+    auto header = MakeHeader();
+    header.set(name, value);
+    const auto request = platform::ReadCaller(header);
+    cr_assert_not(request.has_value());
+    cr_expect_eq(static_cast<int>(request.error().code),
+                 static_cast<int>(ResultCode::kMalformedRequest));
+  }
+}
+
+Test(platform_headers, an_attempt_carries_no_key_and_nothing_a_caller_may_not_set) {
+  auto header = MakeHeader();
+  header.set("Cowslipknot-Tenant", "forged");
+  header.set("Kv-From", "1.2.3.4:5/x");
+  header.set("Cowslipknot-Retain", "h");
+  header.set(http::field::connection, "close, X-Hop");
+  header.set("X-Hop", "1");
+  header.set("X-Kept", "1");
+  const auto request = platform::ReadCaller(header);
+  AttemptFields fields;
+  fields.server = ServerId("i-1");
+  fields.workspace = WorkspaceId("t");
+  fields.time_left = Milliseconds(1234);
+  fields.priority = 3;
+  platform::WriteAttempt(header, *request, fields);
+  cr_expect(header["Authorization"].empty());
+  cr_expect(header["Kv-From"].empty());
+  cr_expect(header["Cowslipknot-Retain"].empty());
+  cr_expect(header["X-Hop"].empty());
+  cr_expect(header["Connection"].empty());
+  cr_expect(header["X-Kept"] == "1");
+  cr_expect(header["Cowslipknot-Tenant"] == "t");
+  cr_expect(header["Cowslipknot-Expect-Instance"] == "i-1");
+  cr_expect(header["Cowslipknot-Deadline-Ms"] == "1234");
+  cr_expect(header["Cowslipknot-Token-Count"] == "1460,80");
+}
+
+Test(platform_headers, only_stated_rejections_count_as_not_executed) {
+  http::response_header<> header;
+  header.result(http::status::service_unavailable);
+  cr_expect_not(platform::ReadAnswer(header).not_executed);
+  header.set("Cowslipknot-Not-Executed", "1");
+  cr_expect(platform::ReadAnswer(header).not_executed);
+  http::response_header<> misdirected;
+  misdirected.result(http::status::misdirected_request);
+  cr_expect(platform::ReadAnswer(misdirected).not_executed);
+}
+
+Test(platform_documents, a_configuration_is_decoded) {
+  const auto configuration = platform::DecodeConfiguration(kConfiguration);
+  cr_assert(configuration.has_value());
+  cr_expect_eq(configuration->version, 7u);
+  cr_expect_eq(configuration->routes[0].services.size(), 2u);
+  cr_expect(configuration->routes[0].Repeatable());
+  cr_expect(configuration->routes[1].is_public);
+  const gateway::Service& model = configuration->services.at(ServiceId("m"));
+  cr_expect(model.is_model);
+  cr_expect_eq(model.scaling->boot.count(), 4000);
+  cr_expect_float_eq(model.scaling->domain_prices.at(DomainId("z")), 1.5, 1e-9);
+  cr_expect_eq(configuration->api_keys.at("k2").Text(), "t");
+  cr_expect(configuration->workspaces.at(WorkspaceId("t")).counts_tokens);
+  cr_expect_eq(configuration->limits.body.Count(), 200);
+}
+
+Test(platform_documents, a_broken_configuration_names_its_field) {
+  std::string text = kConfiguration;
+  text.replace(text.find("\"name\":\"r1\""), 11, "\"name\":1");
+  const auto configuration = platform::DecodeConfiguration(text);
+  cr_assert_not(configuration.has_value());
+  cr_expect_eq(configuration.error().detail, "field name");
+}
+
+Test(platform_documents, a_row_that_names_no_server_is_rejected) {
+  const std::string good =
+      R"({"service":"m","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+      R"("slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":17})";
+  const auto entry = platform::DecodeServer("i-1", good);
+  cr_assert(entry.has_value());
+  cr_expect_eq(entry->started_ms, 17);
+  for (const auto& [from, to] : std::map<std::string, std::string>{
+           {"\"ready\"", "\"sleeping\""},
+           {"\"slots\":4", "\"slots\":\"4\""},
+           {"10.0.0.1:80", "nowhere"},
+           {"\"service\":\"m\",", ""}}) {
+    std::string bad = good;
+    bad.replace(bad.find(from), from.size(), to);
+    cr_expect_not(platform::DecodeServer("i-1", bad).has_value());
+  }
+}
+
+Test(platform_documents, no_bytes_crash_the_decoders) {
+  cr_assert(rc::check([](const std::string& noise) {
+    platform::DecodeConfiguration(noise);
+    platform::DecodeServer("k", noise);
+    std::string cut = kConfiguration;
+    cut.resize(noise.size() % cut.size());
+    platform::DecodeConfiguration(cut + noise);
+  }));
+}
