--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 unit: build
 	RC_PARAMS="seed=1" $(BUILD)/unit_tests
 	python3 -m unittest discover -s tests/failure -p '*_test.py'
+	python3 -m unittest discover -s tests/platform -p '*_test.py'
 
 # make failure CASE=kill_engine SEED=1-10 [WITHOUT=retry]
 failure: build
--- a/benchmark/load_tool.cc
+++ b/benchmark/load_tool.cc
@@ -171,8 +171,8 @@
       CallProgress progress;
       auto opened = co_await m_http->Open(
           PickTarget(), std::move(request),
-          WithTimeout(kReadTimeout, m_options.reuse ? Reuse::kAllowed
-                                                    : Reuse::kFreshOnly),
+          WithTimeout(kReadTimeout,
+                      m_options.reuse ? Reuse::kAllowed : Reuse::kFreshOnly),
           progress);
       if (!opened) {
         sample.broken += progress.first_byte_sent ? 1 : 0;
@@ -313,9 +313,8 @@
       }
       CallProgress progress;
       const auto answer = co_await m_http->Call(
-          PickTarget(), std::move(request),
-          kReadTimeout, m_options.reuse ? Reuse::kAllowed : Reuse::kFreshOnly,
-          progress);
+          PickTarget(), std::move(request), kReadTimeout,
+          m_options.reuse ? Reuse::kAllowed : Reuse::kFreshOnly, progress);
       if (!answer && !progress.first_byte_sent) continue;
       if (!answer) {
         // The connection broke: a keyed call is asked for again.
--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -13,6 +13,7 @@
   NodeId holder;
   Epoch epoch;
   std::uint64_t renewal = 0;
+  bool operator==(const LeaseRow&) const = default;
 };
 
 std::string EncodeLease(const LeaseRow& row);
--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -21,8 +21,8 @@
 
 /// What a domain has and needs.
 struct DomainCapacity {
-  double busy = 0;  ///< servers kept busy by this domain's requests
-  std::uint32_t firm = 0;         ///< ready servers that are not reclaimable
+  double busy = 0;         ///< servers kept busy by this domain's requests
+  std::uint32_t firm = 0;  ///< ready servers that are not reclaimable
   std::uint32_t reclaimable = 0;  ///< ready ones that are
 };
 
--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
   /// What was counted in a window by all processes, dead ones included.
   WindowCounts Sum(std::uint64_t window) const;
+  /// The first window that any report counts.
+  std::optional<std::uint64_t> FirstWindow() const;
   /// Whether each process that may be serving has counted a window to its end.
   /// @param end_ms  the window's end on the shared clock
   bool Complete(std::int64_t end_ms, Time now) const;
--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -104,9 +104,9 @@
 };
 
 struct Placement {
-  std::size_t index = 0;  ///< into the backends offered
-  TokenCount uncached;    ///< prompt tokens believed to be computed
-  TokenCount work;        ///< the same and those ahead of them
+  std::size_t index = 0;      ///< into the backends offered
+  TokenCount uncached;        ///< prompt tokens believed to be computed
+  TokenCount work;            ///< the same and those ahead of them
   double first_event_ms = 0;  ///< predicted
 };
 
--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -10,13 +10,6 @@
 /// A workspace's limit over all instances, kept without asking them.
 namespace cowslipknot::gateway {
 
-/// What the deployment tolerates beyond a limit, over a sliding window.
-struct QuotaTolerance {
-  Milliseconds window{8000};
-  double overage = 0.1;  ///< part of what the limit allows in the window
-  double slack = 0;      ///< cost beyond that
-};
-
 /// The part of a limit that one instance may grant.
 ///
 /// Parts follow demand, so that an instance with all of the load gets nearly
@@ -70,6 +63,7 @@
     Time updated{0};
     double demand = 0;  ///< per second, decaying
     Time demand_updated{0};
+    Time demand_since{0};
   };
 
   double Capacity(const Bucket& bucket, const Workspace& workspace) const;
--- a/include/cowslipknot/gateway/routes.h
+++ b/include/cowslipknot/gateway/routes.h
@@ -42,7 +42,8 @@
 
   /// Whether a request may run a second time.
   bool Repeatable() const {
-    return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable);
+    return kind == RouteKind::kSafe ||
+           (kind == RouteKind::kStream && resumable);
   }
 };
 
@@ -52,10 +53,17 @@
   std::uint32_t priority = 0;
   double rate_per_s = 0;  ///< 0: no limit
   double burst = 0;
-  bool counts_tokens = false;     ///< rate and burst are in tokens
+  bool counts_tokens = false;      ///< rate and burst are in tokens
   TokenCount uncounted_tokens{1};  ///< for a request that states no size
 };
 
+/// What the deployment tolerates beyond a limit, over a sliding window.
+struct QuotaTolerance {
+  Milliseconds window{8000};
+  double overage = 0.1;  ///< part of what the limit allows in the window
+  double slack = 0;      ///< cost beyond that
+};
+
 /// Orders for servers of one service in one failure domain.
 struct Scaling {
   std::uint32_t least = 0;  ///< servers a failure domain
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -1,4 +1,5 @@
-"""Fails when a lower layer includes a higher one."""
+"""Fails when a lower layer includes a higher one, or when a name of the users'
+platform stands outside the folder that translates it."""
 
 import pathlib
 import re
@@ -14,9 +15,40 @@
     "serve": {"base", "transport", "protocol", "coordination", "serve"},
     "cli": {"base", "transport", "cli", "serve"},
 }
-PUBLIC_ALLOWED = {"state": {"state"}, "coordination": {"state", "coordination"}}
+PUBLIC_ALLOWED = {
+    "state": {"state"},
+    "coordination": {"state", "coordination"},
+    "gateway": {"state", "coordination", "gateway"},
+}
 INCLUDE = re.compile(r'#include "([a-z_]+)/')
 PUBLIC_INCLUDE = re.compile(r'#include "cowslipknot/([a-z_]+)/')
+# Headers of the gateway that hold state; its others hold decisions.
+GATEWAY_STATE = {"routes", "server_registry", "settings", "usage"}
+GATEWAY_INCLUDE = re.compile(r'#include "cowslipknot/gateway/([a-z_]+)\.h"')
+# The platform's headers, calls and fields with names of their own.
+WIRE_NAME = re.compile(
+    r"Cowslipknot-|Kv-From|Kv-Fetch|rows-(tx|get|feed|parts)|blob-(put|get|drop)|"
+    r'/-/|"(route_list|since_rev|set_keys|preemptible|slo_ms|max_conns|'
+    r'warmup_left_ms|itl_target_ms|uncached_tokens)"')
+WIRE_FOLDERS = ("src", "include", "benchmark")
+
+
+def wire_names():
+    for folder in WIRE_FOLDERS:
+        for path in sorted((ROOT / folder).rglob("*.[ch]*")):
+            text = path.read_text(encoding="utf-8")
+            for number, line in enumerate(text.splitlines(), 1):
+                if WIRE_NAME.search(line):
+                    yield f"{path.relative_to(ROOT)}:{number}: {line.strip()}"
+
+
+def gateway_state_violations():
+    places = [ROOT / f"include/cowslipknot/gateway/{name}.h" for name in GATEWAY_STATE]
+    for path in places + sorted((ROOT / "src/state").glob("*.[ch]*")):
+        for line in path.read_text(encoding="utf-8").splitlines():
+            found = GATEWAY_INCLUDE.match(line)
+            if found and found.group(1) not in GATEWAY_STATE:
+                yield f"{path.relative_to(ROOT)}: {line}"
 
 
 def violations(folder, allowed, pattern):
@@ -34,7 +66,9 @@
     for layer, allowed in PUBLIC_ALLOWED.items():
         found += violations(ROOT / "include/cowslipknot" / layer, allowed, PUBLIC_INCLUDE)
     # The state layer knows nothing of coordination.
-    found += violations(ROOT / "src/state", {"state"}, PUBLIC_INCLUDE)
+    found += violations(ROOT / "src/state", {"state", "gateway"}, PUBLIC_INCLUDE)
+    found += gateway_state_violations()
+    found += wire_names()
     print("\n".join(found) or "layers: ok")
     return 1 if found else 0
 
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -120,9 +120,8 @@
 void StartLog(const std::string& node, LogTarget target) {
   static const log4cplus::Initializer initializer;
   NodeName() = node;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(target == LogTarget::kStandardError,
-                                     true));
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
+      target == LogTarget::kStandardError, true));
   appender->setLayout(
       std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
   TheLogger().removeAllAppenders();
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -48,8 +48,9 @@
                     std::max(least, m_scaling.most));
 }
 
-std::uint32_t CapacityPlanner::WantedReclaimable(
-    const DomainState& state, const DomainCapacity& capacity, Time now) const {
+std::uint32_t CapacityPlanner::WantedReclaimable(const DomainState& state,
+                                                 const DomainCapacity& capacity,
+                                                 Time now) const {
   if (m_scaling.spot_price >= 1) return 0;
   // A domain lost with all its servers is made up for by the others.
   const double domains =
@@ -78,8 +79,7 @@
 }
 
 bool CapacityPlanner::IsComing(const DomainState& state,
-                               const DomainCapacity& capacity,
-                               Time now) const {
+                               const DomainCapacity& capacity, Time now) const {
   return state.reclaimable_ordered.value_or(0) > capacity.reclaimable &&
          now - state.reclaimable_ordered_at < m_scaling.boot + kBootMargin;
 }
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -26,8 +26,8 @@
 
 bool InstanceTable::IsServing(const Seen& seen, Time now) const {
   const auto newest = m_newest.find(seen.report.node);
-  const bool replaced = newest != m_newest.end() &&
-                        newest->second > seen.report.started;
+  const bool replaced =
+      newest != m_newest.end() && newest->second > seen.report.started;
   return !replaced && !seen.report.stopping && now - seen.changed < m_lifetime;
 }
 
@@ -51,6 +51,17 @@
   return sum;
 }
 
+std::optional<std::uint64_t> InstanceTable::FirstWindow() const {
+  std::optional<std::uint64_t> first;
+  for (const auto& [key, seen] : m_seen) {
+    const auto& windows = seen.report.usage.Windows();
+    if (windows.empty()) continue;
+    first = std::min(first.value_or(windows.begin()->first),
+                     windows.begin()->first);
+  }
+  return first;
+}
+
 bool InstanceTable::Complete(std::int64_t end_ms, Time now) const {
   return std::all_of(m_seen.begin(), m_seen.end(), [&](const auto& item) {
     return !IsServing(item.second, now) ||
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -240,8 +240,8 @@
   NoteUnstarted(uncached);
   ++m_running;
   if (work.Count() < kLeastWorkTokens || took.count() <= 0) return;
-  const double observed = static_cast<double>(work.Count()) /
-                          static_cast<double>(took.count());
+  const double observed =
+      static_cast<double>(work.Count()) / static_cast<double>(took.count());
   m_tokens_per_ms += kSpeedWeight * (observed - m_tokens_per_ms);
   m_tokens_per_ms =
       std::clamp(m_tokens_per_ms, kSlowestTokensPerMs, kFastestTokensPerMs);
@@ -263,8 +263,8 @@
 
 void BackendState::NoteUnreachable(Time now) {
   m_avoided_until =
-      now + kAvoidUnreachable * (1 << std::min(m_unreachable_in_row,
-                                               kMostDoublings));
+      now +
+      kAvoidUnreachable * (1 << std::min(m_unreachable_in_row, kMostDoublings));
   ++m_unreachable_in_row;
 }
 
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -9,11 +9,14 @@
 
 /// Part of an equal share that an instance keeps without any demand.
 constexpr double kFloorPart = 0.1;
-/// Time constant of the demand's decaying mean.
-constexpr double kDemandSeconds = 4.0;
-/// Part of the tolerance that is granted as burst; the rest absorbs reports
-/// that are late and instances that are not known yet.
-constexpr double kTolerancePart = 0.15;
+/// Time constant of the demand's decaying mean. Only its ratio between
+/// instances counts, which changes slowly.
+constexpr double kDemandSeconds = 10.0;
+/// A mean over less time than this is not extrapolated.
+constexpr double kLeastDemandSeconds = 1.0;
+/// Part of the tolerated slack that is granted as burst. The rest, and the
+/// tolerated overage, absorb shares that are not yet in force everywhere.
+constexpr double kSlackPart = 0.75;
 /// Part of a request's cost that must be there when it is granted.
 constexpr double kPaidPart = 0.5;
 /// A share of zero would never grant again.
@@ -27,8 +30,7 @@
 
 double QuotaShare(double own, const std::vector<double>& others) {
   const double instances = static_cast<double>(others.size()) + 1;
-  const double total =
-      own + std::accumulate(others.begin(), others.end(), 0.0);
+  const double total = own + std::accumulate(others.begin(), others.end(), 0.0);
   const double equal = 1 / instances;
   if (total <= 0) return equal;
   return kFloorPart * equal + (1 - kFloorPart) * own / total;
@@ -40,11 +42,7 @@
 
 double QuotaLimiter::Capacity(const Bucket& bucket,
                               const Workspace& workspace) const {
-  const double allowed =
-      workspace.rate_per_s * Seconds(m_tolerance.window) + workspace.burst;
-  const double tolerance =
-      allowed * m_tolerance.overage + m_tolerance.slack;
-  return bucket.share * (workspace.burst + kTolerancePart * tolerance);
+  return bucket.share * (workspace.burst + kSlackPart * m_tolerance.slack);
 }
 
 void QuotaLimiter::Refill(Bucket& bucket, const Workspace& workspace,
@@ -72,6 +70,7 @@
                                 Time now) {
   if (workspace.rate_per_s <= 0) return Milliseconds(0);
   Bucket& bucket = m_buckets[workspace.name];
+  if (bucket.demand_since.count() == 0) bucket.demand_since = now;
   Decay(bucket, now);
   bucket.demand += cost / kDemandSeconds;
   Refill(bucket, workspace, now);
@@ -92,7 +91,11 @@
   std::map<WorkspaceId, double> demand;
   for (auto& [workspace, bucket] : m_buckets) {
     Decay(bucket, now);
-    demand[workspace] = bucket.demand;
+    // The mean began at zero; what is missing is made up for.
+    const double seen =
+        std::max(kLeastDemandSeconds, Seconds(now - bucket.demand_since));
+    const double weight = 1 - std::exp(-seen / kDemandSeconds);
+    demand[workspace] = bucket.demand / weight;
   }
   return demand;
 }
--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -37,8 +37,8 @@
     const std::size_t plain = m_rest.find(kEventEnd, from);
     const std::size_t crlf = m_rest.find(kEventEndCrLf, from);
     if (plain == std::string::npos && crlf == std::string::npos) break;
-    const std::size_t end = crlf < plain ? crlf + kEventEndCrLf.size()
-                                         : plain + kEventEnd.size();
+    const std::size_t end =
+        crlf < plain ? crlf + kEventEndCrLf.size() : plain + kEventEnd.size();
     NoteEvent(std::string_view(m_rest).substr(cut, end - cut));
     cut = end;
     m_scanned = cut;
--- a/src/protocol/gateway_dialect.h
+++ b/src/protocol/gateway_dialect.h
@@ -24,7 +24,7 @@
   std::optional<Milliseconds> deadline;
   std::optional<TokenCount> prompt;  ///< absent without a stated size
   TokenCount most_output;
-  std::vector<PromptPart> parts;  ///< in the order of the prompt
+  std::vector<PromptPart> parts;            ///< in the order of the prompt
   std::optional<std::uint64_t> last_event;  ///< events before were received
 };
 
@@ -39,8 +39,8 @@
 
 /// What a server's answer says of itself in its header.
 struct BackendAnswer {
-  RequestId id;         ///< of the request that it answers; empty if unstated
-  bool is_signed = false;  ///< made by a server for a request that ran
+  RequestId id;  ///< of the request that it answers; empty if unstated
+  bool is_signed = false;     ///< made by a server for a request that ran
   bool not_executed = false;  ///< the request did not run
 };
 
@@ -56,7 +56,7 @@
 /// Rows of one moment, or those that changed.
 struct StoreRows {
   std::vector<StoreRow> rows;
-  std::uint64_t version = 0;  ///< newest version of the store
+  std::uint64_t version = 0;   ///< newest version of the store
   Milliseconds store_time{0};  ///< the store's monotonic clock
   bool truncated = false;      ///< more rows follow
 };
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -87,8 +87,8 @@
 
  private:
   Milliseconds TimeLeft() const {
-    const auto left =
-        std::chrono::duration_cast<Milliseconds>(m_deadline - SteadyClock::now());
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        m_deadline - SteadyClock::now());
     return std::max(left, Milliseconds(0));
   }
 
@@ -168,8 +168,8 @@
   /// request came.
   Result<Backend> Choose() {
     const SnapshotPtr latest = m_worker.GetSnapshot();
-    const std::uint64_t hash = XXH3_64bits(m_request.id.Text().data(),
-                                           m_request.id.Text().size());
+    const std::uint64_t hash =
+        XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
     const ServiceId& service = PickService(*m_route, hash);
     const auto servers = latest->servers.find(service);
     if (servers == latest->servers.end()) {
@@ -201,8 +201,8 @@
     if (IsModelCall()) {
       fields.priority = std::min(kMaxPriority, m_route->priority);
     }
-    fields.last_event = m_events.LastId() ? m_events.LastId()
-                                          : m_request.last_event;
+    fields.last_event =
+        m_events.LastId() ? m_events.LastId() : m_request.last_event;
     m_worker.GetDialect().write_attempt(wire, m_request, fields);
     return wire;
   }
@@ -312,8 +312,7 @@
       co_return m_progress.first_byte_sent ? AttemptEnd::kFailed
                                            : AttemptEnd::kNotExecuted;
     }
-    const auto answer =
-        m_worker.GetDialect().read_answer((*opened)->Header());
+    const auto answer = m_worker.GetDialect().read_answer((*opened)->Header());
     if (answer.not_executed) {
       co_await ReadAll(**opened);
       m_progress.abort = nullptr;
@@ -328,9 +327,8 @@
       NoteFailure(server, error);
       co_return AttemptEnd::kFailed;
     }
-    const bool streams =
-        m_route->kind == RouteKind::kStream &&
-        (*opened)->Header().result() == http::status::ok;
+    const bool streams = m_route->kind == RouteKind::kStream &&
+                         (*opened)->Header().result() == http::status::ok;
     AttemptEnd end = AttemptEnd::kFailed;
     if (streams) {
       end = co_await PassEvents(server, **opened, load, started, error);
@@ -371,8 +369,8 @@
   }
 
   /// Passes an answer on once it is whole.
-  Awaitable<AttemptEnd> PassWhole(const Backend& server,
-                                  ResponseStream& stream, Error& error) {
+  Awaitable<AttemptEnd> PassWhole(const Backend& server, ResponseStream& stream,
+                                  Error& error) {
     HttpResponse response;
     response.base() = stream.Header();
     RemoveConnectionFields(response);
@@ -418,8 +416,8 @@
   void NoteStreamLoad(const Backend& server, SteadyClock::time_point begun) {
     if (!server.is_model) return;
     const double places = std::max<double>(1, server.entry.slots);
-    m_worker.Load().Note(server.entry.service, FractionalMsSince(begun) / places,
-                         BootTime());
+    m_worker.Load().Note(server.entry.service,
+                         FractionalMsSince(begun) / places, BootTime());
   }
 
   /// Longest silence within a stream before it goes on elsewhere.
@@ -430,8 +428,7 @@
 
   /// Passes whole events on as they come.
   Awaitable<AttemptEnd> PassEvents(const Backend& server,
-                                   ResponseStream& stream,
-                                   BackendLoad& load,
+                                   ResponseStream& stream, BackendLoad& load,
                                    SteadyClock::time_point started,
                                    Error& error) {
     bool first = true;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -190,8 +190,9 @@
       backend.state = known->second.second;
     } else {
       const double memory =
-          service == nullptr ? 0
-                             : static_cast<double>(service->kv_capacity.Count());
+          service == nullptr
+              ? 0
+              : static_cast<double>(service->kv_capacity.Count());
       backend.state = std::make_shared<BackendState>(
           TokenCount(static_cast<std::uint64_t>(memory * kCachePart)));
       LogEvent(Event::kServerRegistered,
@@ -227,10 +228,10 @@
   const auto now = BootTime();
   const auto serving = m_duties.Instances().Serving(now);
   snapshot->instances = std::max<std::size_t>(1, serving.size());
-  const auto near = std::count_if(
-      serving.begin(), serving.end(), [this](const InstanceReport* report) {
-        return report->domain == m_settings.domain;
-      });
+  const auto near = std::count_if(serving.begin(), serving.end(),
+                                  [this](const InstanceReport* report) {
+                                    return report->domain == m_settings.domain;
+                                  });
   snapshot->instances_in_domain =
       std::max<std::size_t>(1, static_cast<std::size_t>(near));
   if (m_configuration) {
@@ -241,9 +242,8 @@
           share == m_shares.end() ? equal : share->second.InForce();
     }
   }
-  asio::post(m_worker.Context(), [this, snapshot] {
-    m_worker.SetSnapshot(snapshot);
-  });
+  asio::post(m_worker.Context(),
+             [this, snapshot] { m_worker.SetSnapshot(snapshot); });
 }
 
 void Control::UpdateShares() {
@@ -299,8 +299,8 @@
 }
 
 Awaitable<void> Control::Leave() {
-  Duties::Input input = co_await RunOn(m_worker.Context().get_executor(),
-                                       CollectInput(m_worker));
+  Duties::Input input =
+      co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
   input.stopping = true;
   // Without the store the last counts are lost; nothing more can be done.
   co_await m_duties.Exchange(std::move(input));
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -1,5 +1,6 @@
 #include "serve/gateway_duties.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "cowslipknot/events.h"
@@ -14,9 +15,12 @@
 constexpr std::string_view kReportPrefix = "report/";
 constexpr std::string_view kUsagePrefix = "usage/";
 
-/// A lease lasts this many times the deployment's bound on silence, so that
-/// one slow call to the store does not end it.
-constexpr double kLeaseFactor = 1.5;
+/// A lease lasts 3/2 of the deployment's bound on silence, so that one slow
+/// call to the store does not end it.
+constexpr int kLeaseNumerator = 3;
+constexpr int kLeaseDenominator = 2;
+/// Renewals come with the reports, 1.5 s and two calls apart.
+constexpr Milliseconds kLeastLease(4500);
 /// After the removal bound an instance without the store serves no keyed
 /// requests; this much later its part of the limits is dealt anew.
 constexpr Milliseconds kLifetimeMargin(1000);
@@ -87,9 +91,8 @@
                    std::to_string(m_started)),
       m_instances(settings.revoke + kLifetimeMargin),
       m_lease(settings.node,
-              Milliseconds(static_cast<std::int64_t>(
-                  static_cast<double>(settings.lease.count()) * kLeaseFactor))) {
-}
+              std::max(settings.lease * kLeaseNumerator / kLeaseDenominator,
+                       kLeastLease)) {}
 
 std::optional<std::int64_t> Duties::SharedNowMs() const {
   const auto offset = m_clock.FromBoot();
@@ -115,6 +118,7 @@
   report.demand = input.demand;
   report.busy = input.busy;
   m_usage.Merge(input.usage);
+  if (m_done && *m_done > kWindowsKept) m_usage.Forget(*m_done - kWindowsKept);
   report.usage = m_usage;
   return report;
 }
@@ -128,9 +132,11 @@
   change.conditions.push_back(Row(m_report_key, {}, m_report_version));
   change.writes.push_back(Row(m_report_key, EncodeReport(report)));
   const LeaseRow lease = m_lease.NextRow();
+  m_lease_sent.reset();
   if (renews || takes) {
     change.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
     change.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
+    m_lease_sent = SentLease{lease, now};
   }
   const auto changed = co_await Change(std::move(change));
   if (!changed) co_return tl::make_unexpected(changed.error());
@@ -175,7 +181,13 @@
     }
   }
   m_instances.Observe(std::move(reports), now);
-  m_lease.Observe(lease, lease_version, LeaseNow());
+  // A write whose answer was lost has taken effect if its row is found.
+  const bool own = lease && m_lease_sent && *lease == m_lease_sent->row;
+  if (own && lease_version != m_lease.Version()) {
+    m_lease.NoteOwnWrite(*lease, lease_version, m_lease_sent->sent);
+  } else {
+    m_lease.Observe(lease, lease_version, LeaseNow());
+  }
   m_table_read = true;
   const bool held = HoldsLease();
   if (held != m_lease_held) {
@@ -256,8 +268,12 @@
   if (!now) co_return;
   const std::int64_t length = m_settings.usage_window.count();
   const auto current = static_cast<std::uint64_t>(*now / length);
-  std::uint64_t window = m_done ? *m_done + 1 : current;
-  if (!m_done && window > 0) --window;
+  // The first report is of the first window in which a request began, or the
+  // latest whose counts are written.
+  const auto written =
+      static_cast<std::uint64_t>((*now - kCountsWritten.count()) / length);
+  const std::uint64_t first = m_instances.FirstWindow().value_or(written - 1);
+  std::uint64_t window = m_done ? *m_done + 1 : std::min(first, written - 1);
   if (current > kMaxWindowsBehind) {
     window = std::max(window, current - kMaxWindowsBehind);
   }
@@ -282,7 +298,8 @@
   }
   for (const auto* report : m_instances.Serving(BootTime())) {
     const auto busy = report->busy.find(service);
-    if (busy != report->busy.end()) domains[report->domain].busy += busy->second;
+    if (busy != report->busy.end())
+      domains[report->domain].busy += busy->second;
   }
   return domains;
 }
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -22,8 +22,8 @@
   void SetOffset(Milliseconds offset) { m_offset = offset; }
   bool HasOffset() const { return m_offset.has_value(); }
   /// What to store as the offset, given this machine's time of day.
-  std::optional<Milliseconds> ProposeOffset(
-      WallTime wall, std::chrono::nanoseconds now) const;
+  std::optional<Milliseconds> ProposeOffset(WallTime wall,
+                                            std::chrono::nanoseconds now) const;
   /// Shared time less BootTime(); nothing until both are known.
   std::optional<std::chrono::nanoseconds> FromBoot() const;
 
@@ -93,8 +93,15 @@
   UsageLedger m_usage;
   InstanceTable m_instances;
   ClusterClock m_clock;
+  /// The lease as last sent to the store by this process.
+  struct SentLease {
+    LeaseRow row;
+    LeaseView::Time sent{};
+  };
+
   LeaseView m_lease;
-  bool m_lease_held = false;  ///< as last logged
+  std::optional<SentLease> m_lease_sent;
+  bool m_lease_held = false;                          ///< as last logged
   std::map<std::uint64_t, WindowCounts> m_committed;  ///< by window
   std::optional<std::uint64_t> m_done;  ///< windows up to it are accepted
   std::uint64_t m_done_version = 0;
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -46,7 +46,8 @@
 void Worker::NoteBegan(const WorkspaceId& workspace) {
   const auto offset = m_clock_offset.load();
   if (offset.count() == 0 || workspace.Empty()) return;
-  const auto now = std::chrono::duration_cast<Milliseconds>(BootTime() + offset);
+  const auto now =
+      std::chrono::duration_cast<Milliseconds>(BootTime() + offset);
   m_usage.Note(static_cast<std::uint64_t>(now / m_settings.usage_window),
                workspace);
 }
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -24,7 +24,7 @@
   std::shared_ptr<const RouteTable> routes;
   std::map<ServiceId, std::vector<Backend>> servers;
   std::map<WorkspaceId, double> shares;  ///< parts of limits granted here
-  std::size_t instances = 1;  ///< gateway instances, this included
+  std::size_t instances = 1;             ///< gateway instances, this included
   std::size_t instances_in_domain = 1;
 };
 
@@ -81,7 +81,8 @@
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
   std::uint64_t m_in_flight = 0;
-  std::atomic<std::chrono::nanoseconds> m_confirmed{std::chrono::nanoseconds(0)};
+  std::atomic<std::chrono::nanoseconds> m_confirmed{
+      std::chrono::nanoseconds(0)};
   std::atomic<std::chrono::nanoseconds> m_clock_offset{
       std::chrono::nanoseconds(0)};
 };
--- a/src/serve/request_lookup.cc
+++ b/src/serve/request_lookup.cc
@@ -26,10 +26,9 @@
     if (!value.empty()) request.set(name, value);
   }
   CallProgress progress;
-  auto opened =
-      co_await worker.Http().Open(*address, std::move(request),
-                                  WithTimeout(kForwardTimeout, Reuse::kFreshOnly),
-                                  progress);
+  auto opened = co_await worker.Http().Open(
+      *address, std::move(request),
+      WithTimeout(kForwardTimeout, Reuse::kFreshOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
   HttpResponse header;
   header.base() = (*opened)->Header();
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -1,9 +1,8 @@
-#include "cowslipknot/gateway/settings.h"
-
 #include <toml++/toml.h>
 
 #include <limits>
 
+#include "cowslipknot/gateway/settings.h"
 #include "state/section_reader.h"
 
 namespace cowslipknot::gateway {
@@ -44,10 +43,9 @@
 
 void ReadBounds(SectionReader& sections, Settings& settings) {
   sections.Section("limits", false, [&](ObjectReader& reader) {
-    settings.memory = ByteCount(
-        static_cast<std::uint64_t>(
-            reader.Whole("memory_mb", 256, kLeastMemoryMb, 1 << 20))
-        << 20);
+    settings.memory = ByteCount(static_cast<std::uint64_t>(reader.Whole(
+                                    "memory_mb", 256, kLeastMemoryMb, 1 << 20))
+                                << 20);
     settings.descriptors = static_cast<std::uint32_t>(
         reader.Whole("descriptors", 4096, kLeastDescriptors,
                      std::numeric_limits<std::int32_t>::max()));
--- a/src/state/section_reader.cc
+++ b/src/state/section_reader.cc
@@ -14,8 +14,7 @@
   return endpoint.value_or(Endpoint());
 }
 
-const toml::table* SectionReader::Find(const std::string& name,
-                                       bool required) {
+const toml::table* SectionReader::Find(const std::string& name, bool required) {
   m_known.push_back(name);
   const toml::node* node = m_root.get(name);
   if (node == nullptr) {
@@ -40,9 +39,9 @@
     const auto line = static_cast<int>(node.source().begin.line);
     m_problems.push_back(
         {m_file, line, name,
-         "unknown section" +
-             (near.empty() ? std::string()
-                           : "; did you mean '" + near + "'?")});
+         "unknown section" + (near.empty()
+                                  ? std::string()
+                                  : "; did you mean '" + near + "'?")});
   }
 }
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -192,9 +192,8 @@
   while (!idle.empty()) {
     ConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    const auto limit =
-        std::min<std::chrono::milliseconds>(options.max_idle,
-                                            connection->idle_limit);
+    const auto limit = std::min<std::chrono::milliseconds>(
+        options.max_idle, connection->idle_limit);
     if (now - connection->idle_since > limit) continue;
     if (IsQuiet(connection->stream.socket())) return connection;
   }
@@ -267,8 +266,8 @@
                                                  CallProgress& progress) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   const CallOptions options = WithTimeout(timeout, reuse);
-  auto opened = co_await Open(std::move(endpoint), std::move(request), options,
-                              progress);
+  auto opened =
+      co_await Open(std::move(endpoint), std::move(request), options, progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
   HttpResponse response;
   response.base() = (*opened)->Header();
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -21,8 +21,8 @@
 /// exchange has ended.
 Awaitable<void> WaitForPeer(StreamPtr stream, std::shared_ptr<bool> watching,
                             std::function<void()> on_gone) {
-  auto [error] = co_await stream->socket().async_wait(
-      tcp::socket::wait_read, kAsTuple);
+  auto [error] =
+      co_await stream->socket().async_wait(tcp::socket::wait_read, kAsTuple);
   if (error || !*watching) co_return;
   if (PeerClosed(stream->socket())) on_gone();
 }
@@ -188,8 +188,7 @@
   }
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> proceed(http::status::continue_, 11);
-    auto [failed, sent] =
-        co_await http::async_write(stream, proceed, kAsTuple);
+    auto [failed, sent] = co_await http::async_write(stream, proceed, kAsTuple);
     if (failed) co_return failed;
   }
   auto [body_error, body_size] =
--- /dev/null
+++ b/tests/platform/gateway_test.py
@@ -0,0 +1,444 @@
+"""The gateway as a real process before stand-ins of the users' platform."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+import standin
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BINARY = ROOT / os.environ.get("BUILD_DIR", "build") / "cowslipknot"
+FIRST_PORT = 20000  # below the ephemeral range and the test clusters' ports
+LAST_PORT = 20999
+PATIENCE_S = 20
+
+_next_port = [FIRST_PORT + os.getpid() % 900]
+
+
+def free_port():
+    """A port that nothing listens on."""
+    while True:
+        port = _next_port[0]
+        _next_port[0] = port + 1 if port < LAST_PORT else FIRST_PORT
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                return port
+
+
+def eventually(condition):
+    """Waits until the condition returns something true, and returns it."""
+    deadline = time.monotonic() + PATIENCE_S
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError("the condition did not come true")
+
+
+def route(name, prefix, kind, service, **fields):
+    entry = {"name": name, "hostname": "h.example", "path_prefix": prefix,
+             "kind": kind, "service": service, "timeout_ms": 3000, "slo_ms": 500,
+             "priority": 0, "max_attempts": 2, "public": False, "sticky": False,
+             "resumable": False}
+    entry.update(fields)
+    return entry
+
+
+def configuration(version=1, **fields):
+    value = {
+        "version": version,
+        "route_list": [
+            route("safe", "/safe/", "safe", "plain"),
+            route("once", "/once/", "unsafe", "plain"),
+            route("open", "/open/", "safe", "plain", public=True),
+            route("stream", "/stream/", "streaming", "model", resumable=True,
+                  itl_target_ms=300),
+            route("stream1", "/stream1/", "streaming", "model"),
+        ],
+        "services": [
+            {"name": "plain", "max_conns": 10},
+            {"name": "model", "max_conns": 10,
+             "engine": {"slots": 4, "kv_capacity": 100000}},
+        ],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000,
+                   "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
+                     "uncached_tokens": 10, "rate_per_s": 0, "burst": 0}],
+    }
+    value.update(fields)
+    return value
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, store, cloud, name="gw1", usage_window_s=1):
+        self.name = name
+        self.port = free_port()
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        self.folder = tempfile.TemporaryDirectory()
+        self.settings = pathlib.Path(self.folder.name) / "settings.toml"
+        self.settings.write_text(f"""
+[node]
+name = "{name}"
+domain = "z1"
+[listen]
+callers = "127.0.0.1:{self.port}"
+readiness = "127.0.0.1:{self.ready_port}"
+metrics = "127.0.0.1:{self.metrics_port}"
+[store]
+address = "{store.server.address}"
+[cloud]
+address = "{cloud.server.address}"
+reports_usage = true
+orders_capacity = true
+[bounds]
+revoke_ms = 3000
+lease_ms = 1000
+usage_window_s = {usage_window_s}
+usage_due_s = 6
+stop_s = 6
+""", encoding="utf-8")
+        self.log_path = pathlib.Path(self.folder.name) / "log"
+        self.log = open(self.log_path, "wb")
+        self.child = subprocess.Popen(
+            [BINARY, "gateway", "--config", self.settings], stdout=self.log,
+            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready_port,
+                                                    timeout=2)
+            connection.request("GET", "/-/readyz")
+            status = connection.getresponse().status
+            connection.close()
+            return status == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+        self.log.close()
+        self.folder.cleanup()
+
+    def lines(self):
+        return [json.loads(line)
+                for line in self.log_path.read_text(encoding="utf-8").splitlines()
+                if line.startswith("{")]
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
+
+    def call(self, path, request_id="r1", method="POST", body=b"hello", **headers):
+        """Sends one request; returns status, headers and body."""
+        connection = self.connect()
+        fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
+                  "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
+        fields.update({name.replace("_", "-"): value
+                       for name, value in headers.items()})
+        try:
+            connection.request(method, path, body=body, headers=fields)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+        finally:
+            connection.close()
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.store = standin.Store()
+        self.cloud = standin.Cloud()
+        self.backends = {}
+        self.gateways = []
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+
+    def add_backend(self, name, service, **options):
+        backend = standin.Backend(name, **options)
+        self.backends[name] = backend
+        self.addCleanup(backend.server.stop)
+        self.store.put("servers", name, backend.entry(service))
+        return backend
+
+    def start(self, wait=True, **options):
+        gateway = Gateway(self.store, self.cloud, **options)
+        self.gateways.append(gateway)
+        self.addCleanup(gateway.stop)
+        if wait:
+            eventually(gateway.ready)
+        return gateway
+
+    def ran(self, request_id):
+        return [run for backend in self.backends.values() for run in backend.runs
+                if run["headers"]["Cowslipknot-Request-Id"] == request_id]
+
+    def test_a_request_is_passed_unchanged_but_for_what_the_system_sets(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain")
+        gateway = self.start()
+        status, headers, body = gateway.call("/safe/a%20b?q=1", X_Own="kept")
+        self.assertEqual((status, body), (200, b"echo:hello"))
+        self.assertEqual(headers["Cowslipknot-Server-Signature"], "sig-p1")
+        run = backend.runs[0]
+        self.assertEqual((run["method"], run["path"], run["body"]),
+                         ("POST", "/safe/a%20b?q=1", b"hello"))
+        self.assertEqual(run["headers"]["Cowslipknot-Tenant"], "tenant1")
+        self.assertEqual(run["headers"]["X-Own"], "kept")
+        self.assertNotIn("Authorization", run["headers"])
+        self.assertLessEqual(int(run["headers"]["Cowslipknot-Deadline-Ms"]), 3000)
+
+    def test_unknown_keys_and_routes_are_rejected_only_under_a_configuration(self):
+        gateway = self.start(wait=False)
+        status = eventually(lambda: self.try_call(gateway, "/safe/x"))
+        self.assertEqual(status, 503)
+        self.assertFalse(gateway.ready())
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        eventually(gateway.ready)
+        self.assertEqual(gateway.call("/nowhere/")[0], 404)
+        self.assertEqual(
+            gateway.call("/safe/x", Authorization="Token wrong")[0], 401)
+        eventually(lambda: gateway.call("/open/x", Authorization="")[0] == 200)
+
+    @staticmethod
+    def try_call(gateway, path):
+        try:
+            return gateway.call(path)[0]
+        except OSError:
+            return None
+
+    def test_a_stream_that_breaks_within_an_event_goes_on_whole_elsewhere(self):
+        self.store.put("op", "config", configuration())
+        for name in ("m1", "m2"):
+            self.add_backend(name, "model").behave = []
+        gateway = self.start()
+        for backend in self.backends.values():
+            backend.behave = ["crash"]
+            break
+        for attempt in range(4):
+            request = f"r{attempt}"
+            status, _, body = gateway.call("/stream/x", request_id=request,
+                                           Cowslipknot_Token_Count="100,10")
+            self.assertEqual(status, 200)
+            expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n)
+                                for n in range(1, 6))
+            self.assertEqual(body, expected)
+        resumed = [run for run in self.ran("r0") + self.ran("r1") + self.ran("r2")
+                   + self.ran("r3") if "Last-Event-Id" in run["headers"]]
+        for run in resumed:
+            self.assertEqual(run["headers"]["Last-Event-Id"], "2")
+
+    def test_a_stream_that_may_not_resume_is_not_ended_as_if_it_were_whole(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("m1", "model")
+        self.add_backend("m2", "model").behave = ["crash"]
+        backend.behave = ["crash"]
+        gateway = self.start()
+        with self.assertRaises((http.client.IncompleteRead, OSError)):
+            gateway.call("/stream1/x", Cowslipknot_Token_Count="100,10")
+        self.assertEqual(len(self.ran("r1")), 1)
+
+    def test_a_request_that_may_run_once_is_not_sent_again_after_a_reset(self):
+        self.store.put("op", "config", configuration())
+        for name in ("p1", "p2"):
+            self.add_backend(name, "plain").behave = ["reset"]
+        gateway = self.start()
+        status, headers, _ = gateway.call("/once/x")
+        self.assertEqual(status, 502)
+        self.assertEqual(headers["X-Execution"], "outcome-unknown")
+        self.assertEqual(len(self.ran("r1")), 1)
+
+    def test_a_rejected_request_is_sent_to_another_server(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain").behave = ["reject"]
+        self.add_backend("p2", "plain").behave = ["reject"]
+        gateway = self.start()
+        self.assertEqual(gateway.call("/once/x")[0], 503)
+        self.assertEqual(self.ran("r1"), [])
+        self.assertEqual(gateway.call("/once/x", request_id="r2")[0], 200)
+        self.assertEqual(len(self.ran("r2")), 1)
+
+    def test_answers_of_other_requests_and_half_answers_reach_nobody(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain")
+        gateway = self.start()
+        backend.behave = ["foreign"]
+        self.assertEqual(gateway.call("/safe/x")[2], b"echo:hello")
+        backend.behave = ["cut"]
+        status, _, body = gateway.call("/once/x", request_id="r2")
+        self.assertEqual(status, 502)
+        self.assertNotIn(b"half", body)
+
+    def test_a_repeatable_request_is_tried_again_after_a_failure(self):
+        self.store.put("op", "config", configuration())
+        for name in ("p1", "p2"):
+            self.add_backend(name, "plain")
+        gateway = self.start()
+        self.backends["p1"].behave = ["fail"]
+        for attempt in range(4):
+            self.assertEqual(
+                gateway.call("/safe/x", request_id=f"r{attempt}")[0], 200)
+
+    def test_malformed_framing_is_answered_400_and_reaches_no_server(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain")
+        gateway = self.start()
+        head = (b"POST /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+                b"Cowslipknot-Request-Id: r1\r\nAuthorization: Token key1\r\n")
+        for framing in (b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                        b"Transfer-Encoding: xchunked\r\n",
+                        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+                        b"Content-Length: -5\r\n"):
+            with socket.create_connection(("127.0.0.1", gateway.port),
+                                          timeout=10) as connection:
+                connection.sendall(head + framing + b"\r\n0\r\n\r\nGET / HTTP/1.1")
+                answer = connection.recv(65536)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400"), framing)
+        self.assertEqual(backend.runs, [])
+
+    def test_a_caller_that_leaves_stops_the_servers_work(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain")
+        gateway = self.start()
+        backend.behave = ["mute"]
+        connection = gateway.connect()
+        connection.request("GET", "/safe/x", headers={
+            "Host": "h.example", "Cowslipknot-Request-Id": "r1",
+            "Authorization": "Token key1"})
+        eventually(lambda: backend.runs)
+        connection.close()
+        eventually(lambda: "r1" in backend.gone)
+
+    def test_a_draining_or_unreadable_server_gets_no_request(self):
+        self.store.put("op", "config", configuration())
+        leaving = self.add_backend("p1", "plain")
+        self.add_backend("p2", "plain")
+        self.store.put_raw("servers", "broken", b"{\"service\":7")
+        gateway = self.start()
+        self.store.put("servers", "p1", leaving.entry("plain", state="draining"))
+        eventually(lambda: any(line["name"] == "server_gone"
+                               for line in gateway.lines()))
+        for attempt in range(6):
+            gateway.call("/safe/x", request_id=f"r{attempt}")
+        self.assertEqual(leaving.runs, [])
+        self.assertTrue(any(line["name"] == "registration_unreadable"
+                            for line in gateway.lines()))
+
+    def test_keyed_requests_stop_when_the_store_is_silent_and_public_ones_go_on(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        gateway = self.start()
+        self.store.down = True
+        eventually(lambda: gateway.call("/safe/x")[0] == 503)
+        self.assertEqual(gateway.call("/open/x", request_id="r2")[0], 200)
+        self.store.down = False
+        eventually(lambda: gateway.call("/safe/x", request_id="r3")[0] == 200)
+
+    def test_a_change_is_in_force_after_history_was_lost(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        gateway = self.start()
+        self.store.put("op", "other", {})
+        self.store.put("op", "config", configuration(
+            version=5, route_list=[route("new", "/new/", "safe", "plain")]))
+        self.store.forget_history()
+        eventually(lambda: gateway.call("/new/x")[0] == 200)
+        self.store.put("op", "config", configuration(version=4))
+        self.store.put("op", "config", configuration(version=6, route_list=[
+            route("newer", "/newer/", "safe", "plain")]))
+        eventually(lambda: gateway.call("/newer/x", request_id="r2")[0] == 200)
+        self.assertEqual(gateway.call("/safe/x", request_id="r3")[0], 404)
+
+    def test_usage_of_all_instances_is_reported_once_by_one_holder(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        first = self.start(name="gw1")
+        second = self.start(name="gw2")
+        eventually(lambda: len(self.store.keys("cowslipknot")) >= 4)
+        eventually(lambda: any(line["name"] == "cluster_clock_set"
+                               for line in second.lines()))
+        eventually(lambda: any(line["name"] == "cluster_clock_set"
+                               for line in first.lines()))
+        sent = 0
+        for gateway in (first, second):
+            for number in range(5):
+                eventually(lambda g=gateway, n=number:
+                           g.call("/safe/x", request_id=f"{g.name}-{n}")[0] == 200)
+                sent += 1
+
+        def counted():
+            return sum(call["counts"].get("tenant1", 0)
+                       for call in self.cloud.usage) == sent
+
+        eventually(counted)
+        windows = [call["window"] for call in self.cloud.usage]
+        self.assertEqual(len(windows), len(set(windows)))
+        self.assertEqual(len({call["holder"] for call in self.cloud.usage}), 1)
+
+    def test_a_lost_answer_of_the_store_neither_doubles_nor_loses_a_report(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        self.start()
+        eventually(lambda: self.cloud.usage)
+        self.store.lose_answers = 6
+        seen = len(self.cloud.usage)
+        eventually(lambda: len(self.cloud.usage) >= seen + 3)
+        by_window = {}
+        for call in self.cloud.usage:
+            counts = by_window.setdefault(call["window"], call["counts"])
+            self.assertEqual(counts, call["counts"])
+        windows = sorted(by_window)
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
+    def test_another_instance_takes_over_with_a_higher_epoch(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        first = self.start(name="gw1")
+        eventually(lambda: self.cloud.usage)
+        self.start(name="gw2")
+        first.stop()
+        epoch = self.cloud.usage[-1]["epoch"]
+        taken = eventually(lambda: [call for call in self.cloud.usage
+                                    if call["holder"] == "gw2"])
+        self.assertGreater(taken[0]["epoch"], epoch)
+
+    def test_a_planned_stop_finishes_what_is_in_flight(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("m1", "model", events=10, event_pause_s=0.2)
+        gateway = self.start()
+        connection = gateway.connect()
+        connection.request("POST", "/stream/x", body=b"x", headers={
+            "Host": "h.example", "Cowslipknot-Request-Id": "r1",
+            "Authorization": "Token key1", "Cowslipknot-Token-Count": "10,10"})
+        response = connection.getresponse()
+        gateway.child.send_signal(signal.SIGTERM)
+        eventually(lambda: not gateway.ready())
+        body = response.read()
+        connection.close()
+        self.assertEqual(body.count(b"\n\n"), 10)
+        self.assertEqual(gateway.child.wait(timeout=PATIENCE_S), 0)
+
+    def test_a_wrong_settings_file_is_reported_and_changes_nothing(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        gateway = self.start()
+        gateway.settings.write_text("[node]\nname = 7\n", encoding="utf-8")
+        gateway.child.send_signal(signal.SIGHUP)
+        eventually(lambda: any(line["name"] == "settings_rejected"
+                               for line in gateway.lines()))
+        self.assertEqual(gateway.call("/safe/x")[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,326 @@
+"""Stand-ins for the users' platform: store, cloud and backend servers.
+
+They run in threads of the test's process on loopback and record what reaches
+them. Each answers by the published protocol; faults are switched on by fields.
+"""
+
+import base64
+import http.server
+import json
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """Serves one address until stopped."""
+
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def __init__(self, handler, owner):
+        super().__init__(("127.0.0.1", 0), handler)
+        self.owner = owner
+        self.thread = threading.Thread(target=self.serve_forever, daemon=True)
+        self.thread.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def stop(self):
+        self.shutdown()
+        self.server_close()
+
+    def handle_error(self, request, client_address):
+        """Connections that tests cut on purpose need no traceback."""
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def send(self, status, body=b"", headers=None):
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def send_json(self, status, value):
+        self.send(status, json.dumps(value).encode(),
+                  {"Content-Type": "application/json"})
+
+
+class Store:
+    """Rows with versions, conditional transactions and a feed of changes."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.rows = {}
+        self.version = 0
+        self.oldest = 0  # changes at or before it are no longer to be had
+        self.down = False
+        self.lose_answers = 0  # transactions performed but not answered
+        self.calls = []
+        self.server = Server(StoreHandler, self)
+
+    def put(self, table, key, value):
+        """Writes as the operator or a server does."""
+        with self.changed:
+            self._set(table, key, json.dumps(value).encode())
+
+    def put_raw(self, table, key, value):
+        with self.changed:
+            self._set(table, key, value)
+
+    def drop(self, table, key):
+        with self.changed:
+            self._set(table, key, None)
+
+    def get(self, table, key):
+        with self.changed:
+            row = self.rows.get((table, key))
+        return None if row is None or row["value"] is None else json.loads(row["value"])
+
+    def forget_history(self):
+        with self.changed:
+            self.oldest = self.version
+
+    def keys(self, table):
+        with self.changed:
+            return [key for (name, key), row in self.rows.items()
+                    if name == table and row["value"] is not None]
+
+    def _set(self, table, key, value):
+        self.version += 1
+        self.rows[(table, key)] = {"value": value, "ver": self.version}
+        self.changed.notify_all()
+
+    def transact(self, change):
+        """Returns whether all conditions held and the change was made."""
+        with self.changed:
+            for row in change["expected"]:
+                known = self.rows.get((row["table"], row["key"]))
+                present = known is not None and known["value"] is not None
+                if (known["ver"] if present else 0) != row["ver"]:
+                    return False
+            self.version += 1
+            for row in change["set_keys"]:
+                self.rows[(row["table"], row["key"])] = {
+                    "value": base64.b64decode(row["value"]), "ver": self.version}
+            for row in change["remove"]:
+                self.rows[(row["table"], row["key"])] = {
+                    "value": None, "ver": self.version}
+            self.changed.notify_all()
+            return True
+
+    def render(self, rows):
+        return {"rows": rows, "truncated": False, "ver": self.version,
+                "now_ms": int(time.monotonic() * 1000)}
+
+    def read(self, table):
+        with self.changed:
+            rows = [encode_row(table, key, row)
+                    for (name, key), row in sorted(self.rows.items())
+                    if name == table and row["value"] is not None]
+            return self.render(rows)
+
+    def feed(self, table, since, wait_s):
+        """Returns changed rows, or None when they are no longer to be had."""
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while True:
+                if since < self.oldest:
+                    return None
+                rows = [encode_row(table, key, row)
+                        for (name, key), row in self.rows.items()
+                        if name == table and row["ver"] > since]
+                left = deadline - time.monotonic()
+                if rows or left <= 0 or self.down:
+                    return self.render(sorted(rows, key=lambda row: row["ver"]))
+                self.changed.wait(left)
+
+
+def encode_row(table, key, row):
+    encoded = {"table": table, "part": "", "key": key, "ver": row["ver"]}
+    if row["value"] is None:
+        encoded["removed"] = True
+    else:
+        encoded["value"] = base64.b64encode(row["value"]).decode()
+    return encoded
+
+
+class StoreHandler(Handler):
+    def do_GET(self):
+        store = self.server.owner
+        store.calls.append(self.path)
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if store.down:
+            self.send(503)
+        elif url.path == "/-/rows-get":
+            self.send_json(200, store.read(query["table"]))
+        elif url.path == "/-/rows-feed":
+            rows = store.feed(query["table"], int(query["since_rev"]),
+                              int(query["wait_ms"]) / 1000)
+            self.send_json(410 if rows is None else 200, rows or {})
+        else:
+            self.send(404)
+
+    def do_POST(self):
+        store = self.server.owner
+        store.calls.append(self.path)
+        change = json.loads(self.body())
+        if store.down:
+            self.send(503)
+            return
+        done = store.transact(change)
+        if done and store.lose_answers > 0:
+            store.lose_answers -= 1
+            reset(self)
+            return
+        self.send_json(200 if done else 412, store.render([]))
+
+
+def reset(handler):
+    """Closes the connection so that the peer sees a reset."""
+    linger = struct.pack("ii", 1, 0)
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    handler.connection.close()
+    handler.close_connection = True
+
+
+class Cloud:
+    """Records the duty calls."""
+
+    def __init__(self):
+        self.usage = []
+        self.scale = []
+        self.server = Server(CloudHandler, self)
+
+
+class CloudHandler(Handler):
+    def do_POST(self):
+        cloud = self.server.owner
+        call = json.loads(self.body())
+        call["holder"] = self.headers["Cowslipknot-Lease-Holder"]
+        call["epoch"] = int(self.headers["Cowslipknot-Fencing-Token"])
+        (cloud.usage if self.path == "/usage" else cloud.scale).append(call)
+        self.send(200)
+
+
+class Backend:
+    """A backend server. `behave` holds faults for the next requests, in order:
+
+    "reject", "crash" (in the middle of an event), "reset", "foreign" (another
+    request's answer first), "cut" (a body that ends early), "fail", "mute".
+    """
+
+    def __init__(self, name, events=5, event_pause_s=0.0):
+        self.name = name
+        self.events = events
+        self.event_pause_s = event_pause_s
+        self.behave = []
+        self.runs = []  # headers of the requests that ran
+        self.gone = []  # ids whose caller left before the end
+        self.server = Server(BackendHandler, self)
+
+    def entry(self, service, zone="z1", **fields):
+        entry = {"service": service, "address": self.server.address, "zone": zone,
+                 "version": "v1", "slots": 4, "state": "ready",
+                 "warmup_left_ms": 0, "seq": 1, "born": 1}
+        entry.update(fields)
+        return entry
+
+
+class BackendHandler(Handler):
+    def do_GET(self):
+        self.answer()
+
+    def do_POST(self):
+        self.answer()
+
+    def answer(self):
+        backend = self.server.owner
+        body = self.body()
+        request = self.headers["Cowslipknot-Request-Id"]
+        if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
+            self.send(421, headers={"Cowslipknot-Request-Id": request})
+            return
+        fault = backend.behave.pop(0) if backend.behave else ""
+        if fault == "reject":
+            self.send(503, headers={"Cowslipknot-Request-Id": request,
+                                    "Cowslipknot-Not-Executed": "1"})
+            return
+        backend.runs.append({"method": self.command, "path": self.path,
+                             "body": body, "headers": dict(self.headers)})
+        if fault == "reset":
+            reset(self)
+            return
+        if fault == "mute":
+            self.wait_until_gone(request)
+            return
+        signed = {"Cowslipknot-Request-Id": request,
+                  "Cowslipknot-Server-Signature": f"sig-{backend.name}"}
+        if fault == "foreign":
+            self.send(200, b"not yours",
+                      dict(signed, **{"Cowslipknot-Request-Id": "other"}))
+        if fault == "fail":
+            self.send(500, b"failed", signed)
+        elif fault == "cut":
+            self.send_response(200)
+            for name, value in signed.items():
+                self.send_header(name, value)
+            self.send_header("Content-Length", "100")
+            self.end_headers()
+            self.wfile.write(b"half")
+            self.close_connection = True
+        elif self.path.startswith("/stream"):
+            self.stream(signed, fault == "crash", request)
+        else:
+            self.send(200, b"echo:" + body, signed)
+
+    def wait_until_gone(self, request):
+        self.connection.settimeout(10)
+        try:
+            if not self.connection.recv(1):
+                self.server.owner.gone.append(request)
+        except OSError:
+            self.server.owner.gone.append(request)
+        self.close_connection = True
+
+    def stream(self, signed, crash, request):
+        backend = self.server.owner
+        self.send_response(200)
+        for name, value in signed.items():
+            self.send_header(name, value)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        try:
+            for number in range(first, backend.events + 1):
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                if crash and number == 3:
+                    self.chunk(event[:7])
+                    reset(self)
+                    return
+                self.chunk(event)
+                time.sleep(backend.event_pause_s)
+            self.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            backend.gone.append(request)
+            self.close_connection = True
+
+    def chunk(self, data):
+        self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        self.wfile.flush()
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -161,8 +161,7 @@
 }
 
 std::optional<std::uint32_t> Last(const std::vector<CapacityOrder>& orders,
-                                  const std::string& domain,
-                                  bool reclaimable) {
+                                  const std::string& domain, bool reclaimable) {
   std::optional<std::uint32_t> last;
   for (const auto& order : orders) {
     const bool same =
@@ -220,11 +219,10 @@
     const auto busy = *rc::gen::inRange(0, 300);
     const auto firm = *rc::gen::inRange(1, 11);
     const auto spot = *rc::gen::inRange(0, 5);
-    const Domains domains = {
-        {DomainId("a"),
-         {busy / 10.0, static_cast<std::uint32_t>(firm),
-          static_cast<std::uint32_t>(spot)}},
-        {DomainId("b"), {0.5, 1, 0}}};
+    const Domains domains = {{DomainId("a"),
+                              {busy / 10.0, static_cast<std::uint32_t>(firm),
+                               static_cast<std::uint32_t>(spot)}},
+                             {DomainId("b"), {0.5, 1, 0}}};
     for (const auto& order : Drive(planner, domains, 0, 30)) {
       RC_ASSERT(order.servers <= 10u);
     }
--- a/tests/unit/gateway_quota_test.cc
+++ b/tests/unit/gateway_quota_test.cc
@@ -119,12 +119,11 @@
   double m_asked = 0;
 };
 
-double Allowed(double rate) {
-  return (rate * 8 + rate) * 1.1 + 140000;
-}
+double Allowed(double rate) { return (rate * 8 + rate) * 1.1 + 140000; }
 
 constexpr Time kWindow = std::chrono::seconds(8);
 constexpr double kRate = 280000;
+constexpr double kSmallRate = 36000;
 
 }  // namespace
 
@@ -140,25 +139,31 @@
   cr_assert(rc::check([] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const auto hot = *rc::gen::inRange(0, 5);
-    Deployment deployment(5, kRate, seed);
+    const double rate = *rc::gen::element(kRate, kSmallRate);
+    Deployment deployment(5, rate, seed);
     const std::vector<double> even(5, 0.2);
     std::vector<double> skewed(5, 0.1);
     skewed[static_cast<std::size_t>(hot)] = 0.6;
-    deployment.Run(std::chrono::seconds(6), kRate * 0.5, even);
-    deployment.Run(std::chrono::seconds(9), kRate * 6, skewed);
-    deployment.Run(std::chrono::seconds(9), kRate * 6, even);
-    RC_ASSERT(deployment.Granted().MostInWindow(kWindow) <= Allowed(kRate));
+    deployment.Run(std::chrono::seconds(6), rate * 0.5, even);
+    deployment.Run(std::chrono::seconds(9), rate * 6, skewed);
+    deployment.Run(std::chrono::seconds(9), rate * 6, even);
+    RC_ASSERT(deployment.Granted().MostInWindow(kWindow) <= Allowed(rate));
   }));
 }
 
 // Answers calm days: callers in clumps far below the limit.
 Test(quota, a_workspace_well_below_its_limit_is_hardly_ever_refused) {
-  Deployment deployment(5, kRate, 7);
-  const std::vector<double> weights = {0.1, 0.1, 0.25, 0.25, 0.3};
-  deployment.Run(std::chrono::seconds(60), kRate * 0.55, weights);
-  double granted = 0;
-  for (const auto& [time, cost] : deployment.Granted().granted) granted += cost;
-  cr_expect_gt(granted, 0.995 * deployment.Asked());
+  for (const double rate : {kRate, kSmallRate}) {
+    Deployment deployment(5, rate, 7);
+    const std::vector<double> weights = {0.1, 0.1, 0.25, 0.25, 0.3};
+    deployment.Run(std::chrono::seconds(60), rate * 0.55, weights);
+    double granted = 0;
+    for (const auto& [time, cost] : deployment.Granted().granted) {
+      granted += cost;
+    }
+    const double part = rate == kRate ? 0.995 : 0.98;
+    cr_expect_gt(granted, part * deployment.Asked(), "at %g", rate);
+  }
 }
 
 Test(quota, a_refusal_names_the_time_until_the_request_would_be_granted) {
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -81,7 +81,8 @@
   cr_expect_not(registry.Apply({{ServerId("a"), MakeEntry("a")}}, kNow));
 }
 
-Test(server_registry, an_entry_that_lapsed_in_an_outage_is_kept_for_its_return) {
+Test(server_registry,
+     an_entry_that_lapsed_in_an_outage_is_kept_for_its_return) {
   ServerRegistry registry(Milliseconds(2000));
   registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
   registry.NoteOutage();
@@ -128,9 +129,9 @@
                  {"c/1", MakeReport("c", 1, 1)}},
                 kNow);
   cr_expect_eq(table.Serving(kNow).size(), 2u);
-  table.Observe({{"a/2", MakeReport("a", 2, 2)},
-                 {"c/1", MakeReport("c", 1, 1)}},
-                kNow + std::chrono::seconds(4));
+  table.Observe(
+      {{"a/2", MakeReport("a", 2, 2)}, {"c/1", MakeReport("c", 1, 1)}},
+      kNow + std::chrono::seconds(4));
   cr_expect_eq(table.Serving(kNow + std::chrono::seconds(5)).size(), 2u);
   cr_expect_eq(table.Serving(kNow + std::chrono::seconds(7)).size(), 1u);
 }
@@ -199,7 +200,8 @@
 Test(event_splitter, any_cutting_of_the_bytes_gives_the_same_events) {
   cr_assert(rc::check([] {
     const std::string text =
-        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: "
+        "c\n\n";
     EventSplitter splitter;
     std::string joined;
     std::size_t at = 0;
@@ -243,9 +245,8 @@
   for (const auto& problem : settings.error()) {
     text += FormatProblem(problem) + "\n";
   }
-  for (const auto* wanted :
-       {"domain", "callers", "readiness", "store", "retry_ratio",
-        "usage_window_s"}) {
+  for (const auto* wanted : {"domain", "callers", "readiness", "store",
+                             "retry_ratio", "usage_window_s"}) {
     cr_expect(text.find(wanted) != std::string::npos, "%s in %s", wanted,
               text.c_str());
   }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -65,7 +65,8 @@
   }
 }
 
-Test(platform_headers, an_attempt_carries_no_key_and_nothing_a_caller_may_not_set) {
+Test(platform_headers,
+     an_attempt_carries_no_key_and_nothing_a_caller_may_not_set) {
   auto header = MakeHeader();
   header.set("Cowslipknot-Tenant", "forged");
   header.set("Kv-From", "1.2.3.4:5/x");
@@ -134,11 +135,11 @@
   const auto entry = platform::DecodeServer("i-1", good);
   cr_assert(entry.has_value());
   cr_expect_eq(entry->started_ms, 17);
-  for (const auto& [from, to] : std::map<std::string, std::string>{
-           {"\"ready\"", "\"sleeping\""},
-           {"\"slots\":4", "\"slots\":\"4\""},
-           {"10.0.0.1:80", "nowhere"},
-           {"\"service\":\"m\",", ""}}) {
+  for (const auto& [from, to] :
+       std::map<std::string, std::string>{{"\"ready\"", "\"sleeping\""},
+                                          {"\"slots\":4", "\"slots\":\"4\""},
+                                          {"10.0.0.1:80", "nowhere"},
+                                          {"\"service\":\"m\",", ""}}) {
     std::string bad = good;
     bad.replace(bad.find(from), from.size(), to);
     cr_expect_not(platform::DecodeServer("i-1", bad).has_value());
