--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -47,12 +48,16 @@
 
   /// A request was sent.
   /// @param uncached  prompt tokens to compute
-  void NoteSent(TokenCount uncached, const std::vector<PromptPart>& parts);
+  /// @return names the request until its first event
+  std::uint64_t NoteSent(TokenCount uncached,
+                         const std::vector<PromptPart>& parts, Time now);
   /// The first event of a request came.
-  /// @param work  tokens believed to be computed before it
-  void NoteFirstEvent(TokenCount uncached, TokenCount work, Milliseconds took);
+  /// @param work       tokens believed to be computed before it
+  /// @param predicted  time until it, in milliseconds
+  void NoteFirstEvent(std::uint64_t sent, TokenCount uncached, TokenCount work,
+                      double predicted, Time now);
   /// A request ended before its first event, or a call that has none ended.
-  void NoteUnstarted(TokenCount uncached);
+  void NoteUnstarted(std::uint64_t sent, TokenCount uncached);
   /// A request that had begun has ended.
   void NoteFinished();
 
@@ -63,7 +68,10 @@
   bool Avoided(Time now) const { return now < m_avoided_until; }
 
   TokenCount Queue() const { return TokenCount(m_queue); }
-  std::uint64_t Waiting() const { return m_waiting; }
+  std::uint64_t Waiting() const { return m_waiting.size(); }
+  /// How much longer requests wait here than predicted, in milliseconds: by
+  /// the latest first events, and by those that still wait.
+  double Lag(Time now) const;
   std::uint64_t Running() const { return m_running; }
   /// Decaying share of attempts that failed.
   double FailureShare() const { return m_failures; }
@@ -71,9 +79,14 @@
   const PartCache& Cache() const { return m_cache; }
 
  private:
+  double DecayedLag(Time now) const;
+
   PartCache m_cache;
   std::uint64_t m_queue = 0;  ///< tokens sent whose first event has not come
-  std::uint64_t m_waiting = 0;
+  std::uint64_t m_sent = 0;
+  std::map<std::uint64_t, Time> m_waiting;  ///< when sent, oldest first
+  double m_lag_ms = 0;
+  Time m_lag_updated{0};
   std::uint64_t m_running = 0;
   double m_failures = 0;
   double m_tokens_per_ms;
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -1,6 +1,7 @@
 #include "cowslipknot/gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "cowslipknot/coordination/rendezvous.h"
@@ -17,6 +18,11 @@
 /// Shorter computations say more of the network than of the server.
 constexpr std::uint64_t kLeastWorkTokens = 500;
 
+constexpr double kLagWeight = 0.3;
+/// Time constant in which a lag that is not confirmed is forgotten.
+constexpr double kLagDecayMs = 1500;
+/// A request that waits for less says nothing of its server.
+constexpr double kUnsuspiciousMs = 250;
 constexpr double kFailureWeight = 0.1;
 constexpr std::chrono::milliseconds kAvoidUnreachable(700);
 constexpr std::uint32_t kMostDoublings = 3;
@@ -39,6 +45,10 @@
 /// A server that always fails is as bad as one this many objectives away.
 constexpr double kFailureObjectives = 3;
 
+double Ms(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /// Parts that other requests share: all but the last.
 std::vector<PromptPart> SharedParts(const std::vector<PromptPart>& parts) {
   if (parts.empty()) return {};
@@ -121,6 +131,7 @@
     } else {
       first += kPlainCallMs * present;
     }
+    first += std::max(0.0, state.Lag(m_context.now));
     const double places = std::max<double>(1, backend.entry.slots);
     if (present >= places) first += kNoPlaceMs * present / places;
     score.placement.first_event_ms = first;
@@ -223,30 +234,47 @@
 BackendState::BackendState(TokenCount cache)
     : m_cache(cache), m_tokens_per_ms(kFirstTokensPerMs) {}
 
-void BackendState::NoteSent(TokenCount uncached,
-                            const std::vector<PromptPart>& parts) {
+std::uint64_t BackendState::NoteSent(TokenCount uncached,
+                                     const std::vector<PromptPart>& parts,
+                                     Time now) {
   m_queue += uncached.Count();
-  ++m_waiting;
   m_cache.Note(parts);
+  m_waiting.emplace(++m_sent, now);
+  return m_sent;
 }
 
-void BackendState::NoteUnstarted(TokenCount uncached) {
+void BackendState::NoteUnstarted(std::uint64_t sent, TokenCount uncached) {
   m_queue -= std::min(m_queue, uncached.Count());
-  if (m_waiting > 0) --m_waiting;
+  m_waiting.erase(sent);
 }
 
-void BackendState::NoteFirstEvent(TokenCount uncached, TokenCount work,
-                                  Milliseconds took) {
-  NoteUnstarted(uncached);
+void BackendState::NoteFirstEvent(std::uint64_t sent, TokenCount uncached,
+                                  TokenCount work, double predicted, Time now) {
+  const auto waiting = m_waiting.find(sent);
+  const double took =
+      waiting == m_waiting.end() ? 0 : Ms(now - waiting->second);
+  NoteUnstarted(sent, uncached);
   ++m_running;
-  if (work.Count() < kLeastWorkTokens || took.count() <= 0) return;
-  const double observed =
-      static_cast<double>(work.Count()) / static_cast<double>(took.count());
+  m_lag_ms = DecayedLag(now);
+  m_lag_ms += kLagWeight * (std::max(0.0, took - predicted) - m_lag_ms);
+  m_lag_updated = now;
+  if (work.Count() < kLeastWorkTokens || took <= 0) return;
+  const double observed = static_cast<double>(work.Count()) / took;
   m_tokens_per_ms += kSpeedWeight * (observed - m_tokens_per_ms);
   m_tokens_per_ms =
       std::clamp(m_tokens_per_ms, kSlowestTokensPerMs, kFastestTokensPerMs);
 }
 
+double BackendState::DecayedLag(Time now) const {
+  return m_lag_ms * std::exp(-Ms(now - m_lag_updated) / kLagDecayMs);
+}
+
+double BackendState::Lag(Time now) const {
+  const double waiting =
+      m_waiting.empty() ? 0 : Ms(now - m_waiting.begin()->second);
+  return std::max(DecayedLag(now), waiting - kUnsuspiciousMs);
+}
+
 void BackendState::NoteFinished() {
   if (m_running > 0) --m_running;
 }
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -1,6 +1,7 @@
 #include "serve/gateway.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -18,7 +19,7 @@
 constexpr Milliseconds kBalancerNotice(2600);
 constexpr Milliseconds kDrainPoll(50);
 /// Kept of the time to stop, for the last report to the store.
-constexpr Milliseconds kStopMargin(500);
+constexpr Milliseconds kStopMargin(1000);
 constexpr Milliseconds kReadTimeoutMargin(2000);
 
 class Instance {
@@ -161,6 +162,8 @@
       m_worker.Idle().CloseAll();
       co_return m_worker.InFlight() > 0 || m_worker.Idle().Count() > 0;
     };
+    asio::post(m_worker.Context(),
+               [acceptor = m_callers] { acceptor->close(); });
     while (Since(started) < patience) {
       if (!co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
         break;
@@ -196,7 +199,11 @@
     std::cerr << opened.error().detail << "\n";
     return kExitListenFailed;
   }
-  return instance.Run();
+  const int code = instance.Run();
+  // Nothing is left to save. Destroying what is still connected, and the
+  // logger's threads, can take longer than a stop may.
+  std::cout.flush();
+  std::quick_exit(code);
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -33,27 +33,29 @@
  public:
   BackendLoad(std::shared_ptr<BackendState> state, const Placement& placement,
               const std::vector<PromptPart>& parts)
-      : m_state(std::move(state)), m_placement(placement) {
-    m_state->NoteSent(m_placement.uncached, parts);
-  }
+      : m_state(std::move(state)),
+        m_placement(placement),
+        m_sent(m_state->NoteSent(m_placement.uncached, parts, BootTime())) {}
   BackendLoad(const BackendLoad&) = delete;
   BackendLoad& operator=(const BackendLoad&) = delete;
   ~BackendLoad() {
     if (m_begun) {
       m_state->NoteFinished();
     } else {
-      m_state->NoteUnstarted(m_placement.uncached);
+      m_state->NoteUnstarted(m_sent, m_placement.uncached);
     }
   }
 
-  void NoteFirstEvent(Milliseconds took) {
+  void NoteFirstEvent() {
     m_begun = true;
-    m_state->NoteFirstEvent(m_placement.uncached, m_placement.work, took);
+    m_state->NoteFirstEvent(m_sent, m_placement.uncached, m_placement.work,
+                            m_placement.first_event_ms, BootTime());
   }
 
  private:
   std::shared_ptr<BackendState> m_state;
   Placement m_placement;
+  std::uint64_t m_sent;
   bool m_begun = false;
 };
 
@@ -331,7 +333,7 @@
                          (*opened)->Header().result() == http::status::ok;
     AttemptEnd end = AttemptEnd::kFailed;
     if (streams) {
-      end = co_await PassEvents(server, **opened, load, started, error);
+      end = co_await PassEvents(server, **opened, load, error);
       NoteStreamLoad(server, started);
     } else {
       end = co_await PassWhole(server, **opened, error);
@@ -429,7 +431,6 @@
   /// Passes whole events on as they come.
   Awaitable<AttemptEnd> PassEvents(const Backend& server,
                                    ResponseStream& stream, BackendLoad& load,
-                                   SteadyClock::time_point started,
                                    Error& error) {
     bool first = true;
     while (true) {
@@ -448,7 +449,7 @@
       if (piece->empty()) break;
       if (first) {
         first = false;
-        load.NoteFirstEvent(Since(started));
+        load.NoteFirstEvent();
         if (!m_counted) NoteBegan();
       }
       const std::string events = m_events.Feed(*piece);
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -302,8 +302,7 @@
   Duties::Input input =
       co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
   input.stopping = true;
-  // Without the store the last counts are lost; nothing more can be done.
-  co_await m_duties.Exchange(std::move(input));
+  co_await m_duties.Leave(std::move(input));
 }
 
 Awaitable<std::string> Control::RenderMetrics() {
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -123,7 +123,7 @@
   return report;
 }
 
-Awaitable<Result<void>> Duties::WriteReport(const Input& input) {
+Awaitable<Result<void>> Duties::WriteReport(Input input) {
   const auto now = LeaseNow();
   const bool renews = m_lease.ShouldRenew(now);
   const bool takes = !input.stopping && m_table_read && m_lease.MayTake(now);
@@ -209,7 +209,7 @@
 }
 
 Awaitable<Result<void>> Duties::Exchange(Input input) {
-  const auto written = co_await WriteReport(input);
+  const auto written = co_await WriteReport(std::move(input));
   // The table shows what became of a write whose condition failed or whose
   // answer was lost.
   const auto read = co_await ReadTable();
@@ -218,6 +218,13 @@
   co_return Result<void>();
 }
 
+Awaitable<void> Duties::Leave(Input input) {
+  const auto written = co_await WriteReport(std::move(input));
+  if (!written) {
+    LogEvent(Event::kPlatformLost, {{"detail", written.error().detail}});
+  }
+}
+
 Awaitable<Result<WindowCounts>> Duties::CommitUsage(std::uint64_t window) {
   const auto known = m_committed.find(window);
   if (known != m_committed.end()) co_return known->second;
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -52,6 +52,8 @@
   /// Writes this instance's report and reads the others'. Renews or takes the
   /// lease on the way.
   Awaitable<Result<void>> Exchange(Input input);
+  /// Writes this process's last report. Without the store it is lost.
+  Awaitable<void> Leave(Input input);
   /// Performs what the lease's holder must do now.
   /// @param servers  those ready
   Awaitable<void> Perform(ConfigurationPtr configuration,
@@ -72,7 +74,7 @@
   }
   InstanceReport BuildReport(const Input& input);
   std::optional<std::int64_t> SharedNowMs() const;
-  Awaitable<Result<void>> WriteReport(const Input& input);
+  Awaitable<Result<void>> WriteReport(Input input);
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClock();
   Awaitable<void> ReportUsage();
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -152,7 +152,6 @@
                              const HttpServerHooks& hooks) {
   constexpr std::size_t kFirstRead = 16 << 10;
   if (buffer.size() > 0) co_return true;
-  if (hooks.closing && hooks.closing()) co_return false;
   stream.expires_after(limits.idle);
   if (hooks.idle) hooks.idle->Add(stream);
   auto [error, size] =
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -429,6 +429,17 @@
         self.assertEqual(body.count(b"\n\n"), 10)
         self.assertEqual(gateway.child.wait(timeout=PATIENCE_S), 0)
 
+    def test_a_new_connection_is_served_until_the_balancer_has_noticed_a_stop(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        gateway = self.start()
+        gateway.child.send_signal(signal.SIGTERM)
+        eventually(lambda: not gateway.ready())
+        status, headers, _ = gateway.call("/safe/x")
+        self.assertEqual(status, 200)
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual(gateway.child.wait(timeout=PATIENCE_S), 0)
+
     def test_a_wrong_settings_file_is_reported_and_changes_nothing(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -51,8 +51,9 @@
       MakeBackend("s0", "a"), MakeBackend("s1", "a"), MakeBackend("s2", "a")};
   const std::vector<PromptPart> parts = {{1, TokenCount(5000)},
                                          {2, TokenCount(1000)}};
-  backends[1].state->NoteSent(TokenCount(6000), parts);
-  backends[1].state->NoteUnstarted(TokenCount(6000));
+  const auto sent =
+      backends[1].state->NoteSent(TokenCount(6000), parts, kStart);
+  backends[1].state->NoteUnstarted(sent, TokenCount(6000));
   const std::vector<PromptPart> next = {{1, TokenCount(5000)},
                                         {3, TokenCount(1000)}};
   cr_expect_eq(Chosen(Prompt(6000, next), backends), "s1");
@@ -63,7 +64,7 @@
                                          MakeBackend("s1", "a")};
   const std::vector<PromptPart> parts = {{1, TokenCount(1000)},
                                          {2, TokenCount(100)}};
-  backends[1].state->NoteSent(TokenCount(50000), parts);
+  backends[1].state->NoteSent(TokenCount(50000), parts, kStart);
   cr_expect_eq(Chosen(Prompt(1100, parts), backends), "s0");
 }
 
@@ -72,7 +73,7 @@
                                          MakeBackend("far", "b")};
   cr_expect_eq(Chosen(Prompt(1000), backends), "near");
   for (int i = 0; i < 4; ++i) {
-    backends[0].state->NoteSent(TokenCount(30000), {});
+    backends[0].state->NoteSent(TokenCount(30000), {}, kStart);
   }
   // The far server is taken to be as loaded as the near one by others, so
   // only what this instance adds beyond that moves requests.
@@ -104,13 +105,16 @@
     BackendState state(TokenCount(1000));
     const auto costs = *rc::gen::container<std::vector<std::uint16_t>>(
         rc::gen::arbitrary<std::uint16_t>());
-    for (const auto cost : costs) state.NoteSent(TokenCount(cost), {});
+    std::vector<std::uint64_t> sent;
+    for (const auto cost : costs) {
+      sent.push_back(state.NoteSent(TokenCount(cost), {}, kStart));
+    }
     for (std::size_t i = 0; i < costs.size(); ++i) {
+      const TokenCount cost(costs[i]);
       if (i % 2 == 0) {
-        state.NoteUnstarted(TokenCount(costs[i]));
+        state.NoteUnstarted(sent[i], cost);
       } else {
-        state.NoteFirstEvent(TokenCount(costs[i]), TokenCount(costs[i]),
-                             Milliseconds(5));
+        state.NoteFirstEvent(sent[i], cost, cost, 5, kStart);
         state.NoteFinished();
       }
     }
@@ -120,6 +124,26 @@
   }));
 }
 
+// Answers load that other instances put on a server unseen: what waits there
+// shows it before any first event does.
+Test(placement, a_server_where_requests_wait_too_long_is_left) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a"),
+                                         MakeBackend("s1", "a")};
+  backends[0].state->NoteSent(TokenCount(0), {}, kStart);
+  PlacementContext context = Here();
+  context.now = kStart + std::chrono::milliseconds(900);
+  cr_expect_eq(Chosen(Prompt(1000), backends, context), "s1");
+}
+
+Test(placement, a_lag_seen_is_forgotten_with_time) {
+  BackendState state(TokenCount(0));
+  const auto sent = state.NoteSent(TokenCount(0), {}, kStart);
+  const auto later = kStart + std::chrono::milliseconds(800);
+  state.NoteFirstEvent(sent, TokenCount(0), TokenCount(0), 20, later);
+  cr_expect_gt(state.Lag(later), 100);
+  cr_expect_lt(state.Lag(later + std::chrono::seconds(8)), 10);
+}
+
 Test(part_cache, forgets_the_least_recently_used_beyond_its_size) {
   PartCache cache(TokenCount(250));
   cache.Note({{1, TokenCount(100)}});
