--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -37,6 +37,8 @@
   kOutcomeUnknown = 505,
   kRequestRefused = 506,
   kRequestFailed = 507,
+  kAttemptStarted = 508,
+  kRequestDone = 509,
   kMoveStep = 600,
   kMoveTakenBack = 601,
   kLeaseTaken = 602,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -1,17 +1,18 @@
 #include "cowslipknot/events.h"
 
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 #include <chrono>
 
+#include "base/bounded_appender.h"
+
 namespace cowslipknot {
 namespace {
 
@@ -64,6 +65,10 @@
      "a request was refused and has not run"},
     {Event::kRequestFailed, "warn", "request_failed",
      "a request ended without a whole answer"},
+    {Event::kAttemptStarted, "info", "attempt_started",
+     "a request is sent to a backend server"},
+    {Event::kRequestDone, "info", "request_done",
+     "a caller has a whole answer of a server"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveTakenBack, "warn", "move_taken_back",
      "a move's new version is no longer used here"},
@@ -113,6 +118,24 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+std::string FormatEvent(Event event, std::initializer_list<EventField> fields) {
+  const EventRow& row = Describe(event);
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  boost::json::object line;
+  line["time_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  line["level"] = row.level;
+  line["event"] = static_cast<std::uint16_t>(event);
+  line["name"] = row.name;
+  line["node"] = NodeName();
+  for (const auto& [key, value] : fields) line[key] = value;
+  return boost::json::serialize(line);
+}
+
+std::string DescribeDropped(std::uint64_t lines) {
+  return FormatEvent(Event::kLinesDropped, {{"lines", std::to_string(lines)}});
+}
+
 }  // namespace
 
 std::span<const EventRow> EventTable() { return kTable; }
@@ -120,10 +143,9 @@
 void StartLog(const std::string& node, LogTarget target) {
   static const log4cplus::Initializer initializer;
   NodeName() = node;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
-      target == LogTarget::kStandardError, true));
-  appender->setLayout(
-      std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+  const bool to_error = target == LogTarget::kStandardError;
+  log4cplus::SharedAppenderPtr appender(new BoundedAppender(
+      to_error ? STDERR_FILENO : STDOUT_FILENO, DescribeDropped));
   TheLogger().removeAllAppenders();
   TheLogger().addAppender(appender);
   TheLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
@@ -131,17 +153,8 @@
 
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
   if (NodeName().empty()) return;
-  const EventRow& row = Describe(event);
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  boost::json::object line;
-  line["time_ms"] =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  line["level"] = row.level;
-  line["event"] = static_cast<std::uint16_t>(event);
-  line["name"] = row.name;
-  line["node"] = NodeName();
-  for (const auto& [key, value] : fields) line[key] = value;
-  TheLogger().log(ToLogLevel(row.level), boost::json::serialize(line));
+  const auto level = ToLogLevel(Describe(event).level);
+  TheLogger().log(level, FormatEvent(event, fields));
 }
 
 }  // namespace cowslipknot
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -361,6 +361,7 @@
   if (options.command.empty()) return Usage("a command is needed");
   if (found == commands.end()) {
     std::vector<std::string> names;
+    names.reserve(commands.size());
     for (const auto& [name, command] : commands) names.push_back(name);
     const std::string near = SuggestName(options.command, names);
     return Usage("unknown command '" + options.command + "'" +
--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -39,7 +39,8 @@
     if (plain == std::string::npos && crlf == std::string::npos) break;
     const std::size_t end =
         crlf < plain ? crlf + kEventEndCrLf.size() : plain + kEventEnd.size();
-    NoteEvent(std::string_view(m_rest).substr(cut, end - cut));
+    const std::string_view buffered = m_rest;
+    NoteEvent(buffered.substr(cut, end - cut));
     cut = end;
     m_scanned = cut;
   }
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -273,6 +273,29 @@
     co_await m_exchange.Respond(RefusalOf(error, Milliseconds(0)));
   }
 
+  void LogAttempt(const Backend& server) const {
+    LogEvent(Event::kAttemptStarted,
+             {{"request", m_request.id.Text()},
+              {"server", server.entry.id.Text()},
+              {"attempt", std::to_string(m_tried.size())},
+              {"route", m_route->name.Text()},
+              {"revision", std::to_string(m_snapshot->configuration->version)},
+              {"uncached", std::to_string(m_placement.uncached.Count())},
+              {"predicted_ms", std::to_string(static_cast<std::int64_t>(
+                                   m_placement.first_event_ms))},
+              {"left_ms", std::to_string(TimeLeft().count())}});
+  }
+
+  void LogDone(const char* outcome) {
+    Count(outcome);
+    LogEvent(Event::kRequestDone,
+             {{"request", m_request.id.Text()},
+              {"server", m_tried.back().Text()},
+              {"outcome", outcome},
+              {"events", std::to_string(m_events.Events())},
+              {"after_ms", std::to_string(Since(m_started).count())}});
+  }
+
   void LogFailure(const Error& error) {
     LogEvent(Event::kRequestFailed,
              {{"request", m_request.id.Text()},
@@ -289,6 +312,7 @@
     m_events.DropRest();
     BackendLoad load(server.state, m_placement, m_request.parts);
     NotePromptLoad(server);
+    LogAttempt(server);
     m_worker.Metrics().Add("cowslipknot_attempts_total",
                            Label("route", m_route->name.Text()));
     CallOptions options;
@@ -396,7 +420,7 @@
       m_last_answer = std::move(response);
       co_return AttemptEnd::kFailed;
     }
-    Count(failed ? "server_failure" : "ok");
+    LogDone(failed ? "server_failure" : "ok");
     co_await m_exchange.Respond(std::move(response));
     co_return AttemptEnd::kAnswered;
   }
@@ -469,7 +493,7 @@
       co_return AttemptEnd::kAnswered;
     }
     co_await m_exchange.EndStream();
-    Count("ok");
+    LogDone("ok");
     co_return AttemptEnd::kAnswered;
   }
 
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 
+#include "base/line_budget.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/load_meter.h"
 #include "cowslipknot/gateway/routes.h"
@@ -186,6 +187,16 @@
   cr_expect_float_eq(busy.at(ServiceId("s")), 2.0, 0.1);
 }
 
+Test(line_budget, lines_are_bounded_in_any_second_after_a_burst) {
+  LineBudget budget(100, 50);
+  int taken = 0;
+  for (int ms = 0; ms < 10000; ++ms) {
+    if (budget.Take(kNow + std::chrono::milliseconds(ms))) ++taken;
+  }
+  cr_expect_leq(taken, 1051);
+  cr_expect_geq(taken, 1040);
+}
+
 Test(event_splitter, half_an_event_is_withheld_and_dropped_before_a_resume) {
   EventSplitter splitter;
   cr_expect_eq(splitter.Feed("id: 4\ndata: x\n\nid: 5\nda"),
