--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -1,5 +1,8 @@
 #include <rapidcheck.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "base/line_budget.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/load_meter.h"
@@ -246,6 +249,13 @@
   cr_expect_not(settings->reports_usage);
 }
 
+Test(gateway_settings, the_example_file_is_valid) {
+  std::ifstream file(std::string(SOURCE_DIR) + "/examples/gateway.toml");
+  std::ostringstream text;
+  text << file.rdbuf();
+  cr_expect(gateway::ParseSettings(text.str(), "gateway.toml").has_value());
+}
+
 Test(gateway_settings, every_error_is_reported_at_once) {
   const auto settings = gateway::ParseSettings(
       "[node]\nname = \"n\"\n[listen]\ncallers = \"x\"\n"
