--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -34,12 +34,12 @@
 /// A plain call that waits ahead takes about this much.
 constexpr double kPlainCallMs = 8;
 /// Computing tokens delays the requests running beside them, too.
-constexpr double kOthersPart = 0.5;
+constexpr double kOthersPart = 1.0;
 /// Servers of other domains are taken when they are ahead by this much.
-constexpr double kOtherDomainMs = 25;
+constexpr double kOtherDomainMs = 10;
 /// Part of a shared prefix counted as kept at its home in the domain, which
 /// other instances of the domain may have filled.
-constexpr double kHomePart = 0.5;
+constexpr double kHomePart = 0.8;
 /// Requests beyond a server's places wait for one to end.
 constexpr double kNoPlaceMs = 400;
 /// A server that always fails is as bad as one this many objectives away.
@@ -155,7 +155,6 @@
     const std::string key = std::to_string(m_shared.back().id);
     std::uint64_t best = 0;
     for (std::size_t i = 0; i < m_backends.size(); ++i) {
-      if (!IsLocal(m_backends[i], m_context)) continue;
       const std::uint64_t weight =
           RendezvousWeight(key, m_backends[i].entry.id.Text());
       if (home != m_backends.size() && weight <= best) continue;
