--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -18,7 +18,7 @@
 /// tolerated overage, absorb shares that are not yet in force everywhere.
 constexpr double kSlackPart = 0.75;
 /// Part of a request's cost that must be there when it is granted.
-constexpr double kPaidPart = 0.5;
+constexpr double kPaidPart = 0.2;
 /// A share of zero would never grant again.
 constexpr double kSmallestShare = 0.001;
 
--- a/tests/unit/gateway_quota_test.cc
+++ b/tests/unit/gateway_quota_test.cc
@@ -1,5 +1,6 @@
 #include <rapidcheck.h>
 
+#include <cmath>
 #include <random>
 
 #include "cowslipknot/gateway/quota.h"
@@ -27,6 +28,9 @@
   return tolerance;
 }
 
+/// Most requests are small, a few have prompts of ten times the mean.
+constexpr double kMeanCost = 4000;
+constexpr double kMostCost = 50000;
 constexpr std::chrono::milliseconds kStep(10);
 constexpr std::chrono::milliseconds kExchange(1600);
 
@@ -100,14 +104,15 @@
   }
 
   void Send(Node& node, double rate) {
-    constexpr double kCost = 4000;
     const double expected =
-        rate / kCost * std::chrono::duration<double>(kStep).count();
+        rate / kMeanCost * std::chrono::duration<double>(kStep).count();
     std::poisson_distribution<int> arrivals(expected);
+    std::lognormal_distribution<double> costs(std::log(kMeanCost) - 0.5, 1);
     for (int left = arrivals(m_random); left > 0; --left) {
-      m_asked += kCost;
-      const auto wait = node.limiter.Take(m_workspace, kCost, m_now);
-      if (wait.count() == 0) m_grants.granted.emplace_back(m_now, kCost);
+      const double cost = std::min(kMostCost, costs(m_random));
+      m_asked += cost;
+      const auto wait = node.limiter.Take(m_workspace, cost, m_now);
+      if (wait.count() == 0) m_grants.granted.emplace_back(m_now, cost);
     }
   }
 
