--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -11,9 +11,14 @@
 
 /// A change of the configuration is waited for in calls of this length: a
 /// connection that has gone silent is noticed after it.
-constexpr Milliseconds kConfigurationWait(1200);
-constexpr Milliseconds kServersPause(700);
+constexpr Milliseconds kConfigurationWait(1400);
+/// Reads of registrations within the bound on a leaving server's last request.
+constexpr int kReadsPerDrain = 3;
 constexpr Milliseconds kReportPause(1500);
+/// Instances beyond which each reports less often, so that the store's load
+/// grows with half their number, and the longest pause that usage allows.
+constexpr std::size_t kFewInstances = 8;
+constexpr Milliseconds kLongestReportPause(3000);
 constexpr Milliseconds kRetryPause(150);
 /// Entries that lapsed in an outage of the store are back within this time.
 constexpr Milliseconds kReturnGrace(2000);
@@ -171,7 +176,7 @@
       m_servers_known = true;
       Publish();
     }
-    co_await SleepFor(kServersPause);
+    co_await SleepFor(m_settings.drain / kReadsPerDrain);
   }
 }
 
@@ -294,10 +299,20 @@
       Publish();
       co_await m_duties.Perform(m_configuration, m_registry.Usable());
     }
-    co_await SleepFor(kReportPause);
+    co_await SleepFor(ReportPause());
   }
 }
 
+Milliseconds Control::ReportPause() const {
+  // The holder renews its lease with its reports.
+  if (m_duties.HoldsLease()) return kReportPause;
+  const auto instances = static_cast<Milliseconds::rep>(
+      m_duties.Instances().Serving(BootTime()).size());
+  const auto few = static_cast<Milliseconds::rep>(kFewInstances);
+  return std::clamp(kReportPause * instances / few, kReportPause,
+                    kLongestReportPause);
+}
+
 Awaitable<void> Control::Leave() {
   Duties::Input input =
       co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -37,6 +37,8 @@
   void NoteStore(bool reachable, const std::string& detail);
   void Publish();
   void UpdateShares();
+  /// Time until this instance reports again.
+  Milliseconds ReportPause() const;
   std::map<ServiceId, std::vector<Backend>> BuildServers();
   const Service* FindService(const ServiceId& name) const;
 
