--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "cowslipknot/events.h"
 #include "serve/gateway_control.h"
+#include "serve/refusal.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot::gateway {
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -3,7 +3,10 @@
 #include "cowslipknot/events.h"
 #include "protocol/connection_fields.h"
 #include "protocol/event_splitter.h"
+#include "serve/backend_load.h"
 #include "serve/gateway_worker.h"
+#include "serve/refusal.h"
+#include "serve/request_admission.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -14,13 +17,12 @@
 /// run only once is not risked on it.
 constexpr Milliseconds kUnsafeMaxIdle(2000);
 constexpr Milliseconds kMaxIdle(8000);
+/// Servers that rejected work have ended some of it within this time.
 constexpr Milliseconds kRetryNoServer(400);
-constexpr Milliseconds kRetryNoConfiguration(500);
 /// Attempts that did not run, after which a request is refused.
 constexpr std::uint32_t kMaxRejections = 3;
+/// The least urgent rank that model servers know.
 constexpr std::uint32_t kMaxPriority = 9;
-/// Time kept for the answer's way to the caller before its deadline.
-constexpr Milliseconds kAnswerMargin(5);
 /// Prompt tokens a model server computes a millisecond beside a batch.
 constexpr double kPromptTokensPerMs = 50;
 /// Silence of a stream, in pauses that are still in time, after which its
@@ -28,37 +30,6 @@
 constexpr int kStallPauses = 2;
 constexpr Milliseconds kLeastStall(500);
 
-/// Counts a request at a server from its sending to its end.
-class BackendLoad {
- public:
-  BackendLoad(std::shared_ptr<BackendState> state, const Placement& placement,
-              const std::vector<PromptPart>& parts)
-      : m_state(std::move(state)),
-        m_placement(placement),
-        m_sent(m_state->NoteSent(m_placement.uncached, parts, BootTime())) {}
-  BackendLoad(const BackendLoad&) = delete;
-  BackendLoad& operator=(const BackendLoad&) = delete;
-  ~BackendLoad() {
-    if (m_begun) {
-      m_state->NoteFinished();
-    } else {
-      m_state->NoteUnstarted(m_sent, m_placement.uncached);
-    }
-  }
-
-  void NoteFirstEvent() {
-    m_begun = true;
-    m_state->NoteFirstEvent(m_sent, m_placement.uncached, m_placement.work,
-                            m_placement.first_event_ms, BootTime());
-  }
-
- private:
-  std::shared_ptr<BackendState> m_state;
-  Placement m_placement;
-  std::uint64_t m_sent;
-  bool m_begun = false;
-};
-
 /// How one attempt ended.
 enum class AttemptEnd : std::uint8_t {
   kAnswered,     ///< the caller has an answer, or is gone
@@ -75,9 +46,15 @@
         m_snapshot(worker.GetSnapshot()) {}
 
   Awaitable<void> Run() {
-    const auto ready = Prepare();
-    if (!ready) {
-      co_await Refuse(ready.error());
+    AdmittedRequest admitted =
+        AdmitRequest(m_worker, *m_snapshot, m_exchange.Request());
+    m_request = std::move(admitted.request);
+    m_route = admitted.route;
+    m_workspace = admitted.workspace;
+    m_retry_after = admitted.retry_after;
+    m_deadline = m_started + admitted.patience;
+    if (admitted.rejection) {
+      co_await Refuse(*admitted.rejection);
       co_return;
     }
     m_exchange.WatchPeer([this] {
@@ -96,57 +73,6 @@
 
   bool IsModelCall() const { return m_request.prompt.has_value(); }
 
-  double Cost() const {
-    if (!m_workspace->counts_tokens) return 1;
-    if (!m_request.prompt) {
-      return static_cast<double>(m_workspace->uncounted_tokens.Count());
-    }
-    return static_cast<double>(m_request.prompt->Count() +
-                               m_request.most_output.Count());
-  }
-
-  /// Reads the request, finds its route and workspace, and takes its cost.
-  Result<void> Prepare() {
-    const auto& http = m_exchange.Request();
-    auto request = m_worker.GetDialect().read_caller(http);
-    if (!request) return tl::make_unexpected(request.error());
-    m_request = std::move(*request);
-    if (!m_snapshot->configuration) {
-      m_retry_after = kRetryNoConfiguration;
-      return Fail(ResultCode::kNoConfiguration);
-    }
-    const std::string_view host = http[http::field::host];
-    m_route = m_snapshot->routes->Find(host, http.target());
-    if (m_route == nullptr) {
-      if (m_worker.KeysAreFresh()) return Fail(ResultCode::kNoRoute);
-      m_retry_after = kRetryNoConfiguration;
-      return Fail(ResultCode::kNoConfiguration, "not confirmed lately");
-    }
-    const Milliseconds patience =
-        m_request.deadline.value_or(m_route->timeout) - kAnswerMargin;
-    m_deadline = m_started + std::min(patience, m_route->timeout);
-    return Authorize();
-  }
-
-  Result<void> Authorize() {
-    const Configuration& configuration = *m_snapshot->configuration;
-    if (!configuration.HasWorkspaces() || m_route->is_public) return {};
-    if (!m_worker.KeysAreFresh()) {
-      m_retry_after = kRetryNoConfiguration;
-      return Fail(ResultCode::kNoConfiguration, "not confirmed lately");
-    }
-    const auto key = configuration.api_keys.find(m_request.api_key);
-    if (key == configuration.api_keys.end()) {
-      return Fail(ResultCode::kUnknownKey);
-    }
-    m_workspace = &configuration.workspaces.at(key->second);
-    const Milliseconds wait =
-        m_worker.Quota().Take(*m_workspace, Cost(), BootTime());
-    if (wait.count() == 0) return {};
-    m_retry_after = wait;
-    return Fail(ResultCode::kOverLimit, m_workspace->name.Text());
-  }
-
   Awaitable<void> Refuse(const Error& error) {
     LogEvent(Event::kRequestRefused,
              {{"request", m_request.id.Text()},
@@ -532,24 +458,6 @@
 
 }  // namespace
 
-HttpResponse RefusalOf(const Error& error, Milliseconds retry_after) {
-  const ResultCodeRow& row = Describe(error.code);
-  HttpResponse response(static_cast<http::status>(row.http_status), 11);
-  response.set("X-Result-Code", std::to_string(static_cast<int>(error.code)));
-  response.set("X-Execution", error.execution == Execution::kNotRun
-                                  ? "not-run"
-                                  : "outcome-unknown");
-  if (retry_after.count() > 0) {
-    constexpr double kMsPerSecond = 1000;
-    std::string seconds =
-        std::to_string(static_cast<double>(retry_after.count()) / kMsPerSecond);
-    response.set(http::field::retry_after, seconds);
-  }
-  response.set(http::field::content_type, "text/plain");
-  response.body() = std::string(row.message) + "\n";
-  return response;
-}
-
 Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange) {
   ++worker.InFlight();
   Call call(worker, exchange);
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -96,11 +96,14 @@
 Awaitable<void> Control::FollowConfiguration() {
   const std::string& table = m_dialect.names.configuration_table;
   std::optional<std::uint64_t> since;
+  bool failed = false;
   while (true) {
     const auto asked = BootTime();
     Result<StoreRows> rows = Fail(ResultCode::kInternal);
     if (since) {
-      rows = co_await m_dialect.follow_table(table, *since, kConfigurationWait);
+      // After a failure a short call finds the store's return sooner.
+      const Milliseconds wait = failed ? Milliseconds(0) : kConfigurationWait;
+      rows = co_await m_dialect.follow_table(table, *since, wait);
     } else {
       rows = co_await m_dialect.read_table(table);
     }
@@ -108,12 +111,15 @@
       if (rows.error().code == ResultCode::kHistoryLost) {
         LogEvent(Event::kHistoryLost, {{"table", table}});
         since.reset();
+        co_await SleepFor(kRetryPause);
         continue;
       }
+      failed = true;
       NoteStore(false, rows.error().detail);
       co_await SleepFor(kRetryPause);
       continue;
     }
+    failed = false;
     ApplyConfiguration(*rows);
     since = rows->version;
     // Posted behind the snapshot, so that traffic never takes an older
@@ -162,6 +168,7 @@
       if (rows.error().code == ResultCode::kHistoryLost) {
         LogEvent(Event::kHistoryLost, {{"table", table}});
         since.reset();
+        co_await SleepFor(kRetryPause);
         continue;
       }
       NoteStore(false, rows.error().detail);
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -90,7 +90,4 @@
 /// Answers one caller.
 Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange);
 
-/// The answer to a request that ends here without a server's answer.
-HttpResponse RefusalOf(const Error& error, Milliseconds retry_after);
-
 }  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/request_admission.cc
@@ -0,0 +1,86 @@
+#include "serve/request_admission.h"
+
+#include <algorithm>
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// An instance that has just started has its configuration within this time.
+constexpr Milliseconds kRetryNoConfiguration(500);
+/// Time kept for the answer's way to the caller before its deadline.
+constexpr Milliseconds kAnswerMargin(5);
+constexpr char kNotConfirmed[] = "not confirmed lately";
+
+void Reject(AdmittedRequest& admitted, ResultCode code, std::string detail = {},
+            Milliseconds retry_after = {}) {
+  admitted.rejection = Error{code, std::move(detail)};
+  admitted.retry_after = retry_after;
+}
+
+double CostOf(const AdmittedRequest& admitted) {
+  const Workspace& workspace = *admitted.workspace;
+  const CallerRequest& request = admitted.request;
+  if (!workspace.counts_tokens) return 1;
+  if (!request.prompt) {
+    return static_cast<double>(workspace.uncounted_tokens.Count());
+  }
+  return static_cast<double>(request.prompt->Count() +
+                             request.most_output.Count());
+}
+
+void Authorize(Worker& worker, const Configuration& configuration,
+               AdmittedRequest& admitted) {
+  if (!configuration.HasWorkspaces() || admitted.route->is_public) return;
+  if (!worker.KeysAreFresh()) {
+    Reject(admitted, ResultCode::kNoConfiguration, kNotConfirmed,
+           kRetryNoConfiguration);
+    return;
+  }
+  const auto key = configuration.api_keys.find(admitted.request.api_key);
+  if (key == configuration.api_keys.end()) {
+    Reject(admitted, ResultCode::kUnknownKey);
+    return;
+  }
+  admitted.workspace = &configuration.workspaces.at(key->second);
+  const Milliseconds wait =
+      worker.Quota().Take(*admitted.workspace, CostOf(admitted), BootTime());
+  if (wait.count() == 0) return;
+  Reject(admitted, ResultCode::kOverLimit, admitted.workspace->name.Text(),
+         wait);
+}
+
+}  // namespace
+
+AdmittedRequest AdmitRequest(Worker& worker, const Snapshot& snapshot,
+                             const HttpRequest& http) {
+  AdmittedRequest admitted;
+  auto request = worker.GetDialect().read_caller(http);
+  if (!request) {
+    admitted.rejection = request.error();
+    return admitted;
+  }
+  admitted.request = std::move(*request);
+  if (!snapshot.configuration) {
+    Reject(admitted, ResultCode::kNoConfiguration, {}, kRetryNoConfiguration);
+    return admitted;
+  }
+  const std::string_view host = http[http::field::host];
+  admitted.route = snapshot.routes->Find(host, http.target());
+  if (admitted.route == nullptr) {
+    // A route may have been added since the configuration was confirmed.
+    if (worker.KeysAreFresh()) {
+      Reject(admitted, ResultCode::kNoRoute);
+    } else {
+      Reject(admitted, ResultCode::kNoConfiguration, kNotConfirmed,
+             kRetryNoConfiguration);
+    }
+    return admitted;
+  }
+  const Milliseconds timeout = admitted.route->timeout;
+  const Milliseconds deadline = admitted.request.deadline.value_or(timeout);
+  admitted.patience = std::min(deadline - kAnswerMargin, timeout);
+  Authorize(worker, *snapshot.configuration, admitted);
+  return admitted;
+}
+
+}  // namespace cowslipknot::gateway
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -345,6 +345,16 @@
         self.store.down = False
         eventually(lambda: gateway.call("/safe/x", request_id="r3")[0] == 200)
 
+    def test_connections_to_the_store_that_went_silent_are_replaced(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        gateway = self.start()
+        self.store.silent = True
+        eventually(lambda: not gateway.ready())
+        self.store.silent = False
+        eventually(gateway.ready)
+        self.assertEqual(gateway.call("/safe/x")[0], 200)
+
     def test_a_change_is_in_force_after_history_was_lost(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -69,6 +69,7 @@
         self.version = 0
         self.oldest = 0  # changes at or before it are no longer to be had
         self.down = False
+        self.silent = False  # calls get no answer, also after it ends
         self.lose_answers = 0  # transactions performed but not answered
         self.calls = []
         self.server = Server(StoreHandler, self)
@@ -160,9 +161,23 @@
 
 
 class StoreHandler(Handler):
+    def swallowed(self):
+        """Leaves the call without an answer while the store is silent."""
+        if not self.server.owner.silent:
+            return False
+        self.connection.settimeout(10)
+        try:
+            self.connection.recv(1)
+        except OSError:
+            pass
+        self.close_connection = True
+        return True
+
     def do_GET(self):
         store = self.server.owner
         store.calls.append(self.path)
+        if self.swallowed():
+            return
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
         if store.down:
@@ -180,6 +195,8 @@
         store = self.server.owner
         store.calls.append(self.path)
         change = json.loads(self.body())
+        if self.swallowed():
+            return
         if store.down:
             self.send(503)
             return
