--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -106,6 +106,7 @@
     const auto costs = *rc::gen::container<std::vector<std::uint16_t>>(
         rc::gen::arbitrary<std::uint16_t>());
     std::vector<std::uint64_t> sent;
+    sent.reserve(costs.size());
     for (const auto cost : costs) {
       sent.push_back(state.NoteSent(TokenCount(cost), {}, kStart));
     }
