--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -152,7 +152,7 @@
         break;
       }
       if (repeat && m_reached && !m_worker.Retries().TrySpend()) break;
-      const Backend chosen = *server;
+      const Backend& chosen = *server;
       const AttemptEnd end = co_await Attempt(chosen, last);
       if (end == AttemptEnd::kAnswered) co_return;
       if (end == AttemptEnd::kNotExecuted) {
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -174,8 +174,8 @@
       auto report = DecodeReport(row.value);
       if (report) reports[row.key] = std::move(*report);
     } else if (row.key.starts_with(kUsagePrefix)) {
-      const auto window =
-          ParseWhole(std::string_view(row.key).substr(kUsagePrefix.size()));
+      const std::string_view key = row.key;
+      const auto window = ParseWhole(key.substr(kUsagePrefix.size()));
       auto counts = DecodeCounts(row.value);
       if (window && counts) m_committed[*window] = std::move(*counts);
     }
