Read both followed tables by one function; parse settings files by one

Cause: the two loops of the control thread repeated how history loss and failures are met, and two settings readers how a TOML error is reported.

--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -37,8 +37,8 @@
 constexpr double kOthersPart = 1.0;
 /// Servers of other domains are taken when they are ahead by this much.
 constexpr double kOtherDomainMs = 10;
-/// Part of a shared prefix counted as kept at its home in the domain, which
-/// other instances of the domain may have filled.
+/// Part of a shared prefix counted as kept at its home, which other instances
+/// may have filled.
 constexpr double kHomePart = 0.8;
 /// Requests beyond a server's places wait for one to end.
 constexpr double kNoPlaceMs = 400;
@@ -148,7 +148,7 @@
         std::max<std::size_t>(1, m_context.instances_in_domain) - 1);
   }
 
-  /// The domain's server that its instances agree on for the shared prefix.
+  /// The server that all instances agree on for the shared prefix.
   std::size_t FindHome() const {
     std::size_t home = m_backends.size();
     if (m_shared.empty()) return home;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -93,35 +93,40 @@
   }
 }
 
+Awaitable<std::optional<StoreRows>> Control::ReadChanges(TableCursor& cursor,
+                                                         Milliseconds wait) {
+  Result<StoreRows> rows = Fail(ResultCode::kInternal);
+  cursor.whole = !cursor.since.has_value();
+  if (cursor.whole) {
+    rows = co_await m_dialect.read_table(cursor.table);
+  } else {
+    // After a failure a short call finds the store's return sooner.
+    const Milliseconds patience = cursor.failed ? Milliseconds(0) : wait;
+    rows =
+        co_await m_dialect.follow_table(cursor.table, *cursor.since, patience);
+  }
+  cursor.failed = !rows.has_value();
+  if (rows) {
+    cursor.since = rows->version;
+    co_return std::move(*rows);
+  }
+  if (rows.error().code == ResultCode::kHistoryLost) {
+    LogEvent(Event::kHistoryLost, {{"table", cursor.table}});
+    cursor.since.reset();
+  } else {
+    NoteStore(false, rows.error().detail);
+  }
+  co_await SleepFor(kRetryPause);
+  co_return std::nullopt;
+}
+
 Awaitable<void> Control::FollowConfiguration() {
-  const std::string& table = m_dialect.names.configuration_table;
-  std::optional<std::uint64_t> since;
-  bool failed = false;
+  TableCursor cursor{m_dialect.names.configuration_table};
   while (true) {
     const auto asked = BootTime();
-    Result<StoreRows> rows = Fail(ResultCode::kInternal);
-    if (since) {
-      // After a failure a short call finds the store's return sooner.
-      const Milliseconds wait = failed ? Milliseconds(0) : kConfigurationWait;
-      rows = co_await m_dialect.follow_table(table, *since, wait);
-    } else {
-      rows = co_await m_dialect.read_table(table);
-    }
-    if (!rows) {
-      if (rows.error().code == ResultCode::kHistoryLost) {
-        LogEvent(Event::kHistoryLost, {{"table", table}});
-        since.reset();
-        co_await SleepFor(kRetryPause);
-        continue;
-      }
-      failed = true;
-      NoteStore(false, rows.error().detail);
-      co_await SleepFor(kRetryPause);
-      continue;
-    }
-    failed = false;
+    const auto rows = co_await ReadChanges(cursor, kConfigurationWait);
+    if (!rows) continue;
     ApplyConfiguration(*rows);
-    since = rows->version;
     // Posted behind the snapshot, so that traffic never takes an older
     // configuration for confirmed.
     if (m_configuration && m_configuration_readable) {
@@ -155,30 +160,13 @@
 }
 
 Awaitable<void> Control::FollowServers() {
-  const std::string& table = m_dialect.names.server_table;
-  std::optional<std::uint64_t> since;
+  TableCursor cursor{m_dialect.names.server_table};
   while (true) {
-    Result<StoreRows> rows = Fail(ResultCode::kInternal);
-    if (since) {
-      rows = co_await m_dialect.follow_table(table, *since, Milliseconds(0));
-    } else {
-      rows = co_await m_dialect.read_table(table);
-    }
-    if (!rows) {
-      if (rows.error().code == ResultCode::kHistoryLost) {
-        LogEvent(Event::kHistoryLost, {{"table", table}});
-        since.reset();
-        co_await SleepFor(kRetryPause);
-        continue;
-      }
-      NoteStore(false, rows.error().detail);
-      co_await SleepFor(kRetryPause);
-      continue;
-    }
-    NoteStore(true, table);
-    bool changed = ApplyServers(*rows, !since.has_value());
+    const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
+    if (!rows) continue;
+    NoteStore(true, cursor.table);
+    bool changed = ApplyServers(*rows, cursor.whole);
     changed = m_registry.Expire(BootTime()) || changed;
-    since = rows->version;
     if (changed || !m_servers_known) {
       m_servers_known = true;
       Publish();
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -28,6 +28,18 @@
   Awaitable<std::string> RenderMetrics();
 
  private:
+  /// How far a table of the store has been read.
+  struct TableCursor {
+    std::string table;
+    std::optional<std::uint64_t> since;  ///< none: it is read whole
+    bool whole = false;                  ///< the last rows are the whole table
+    bool failed = false;                 ///< the last call
+  };
+
+  /// Reads what has changed in a table. A failure is noted and followed by a
+  /// pause; the next call goes on from there.
+  Awaitable<std::optional<StoreRows>> ReadChanges(TableCursor& cursor,
+                                                  Milliseconds wait);
   Awaitable<void> FollowConfiguration();
   Awaitable<void> FollowServers();
   Awaitable<void> ExchangeReports();
--- a/src/state/section_reader.cc
+++ b/src/state/section_reader.cc
@@ -6,6 +6,17 @@
 
 namespace cowslipknot {
 
+std::optional<toml::table> ParseToml(std::string_view text,
+                                     const std::string& file,
+                                     std::vector<ObjectProblem>& problems) {
+  toml::parse_result parsed = toml::parse(text);
+  if (parsed) return std::move(parsed).table();
+  const toml::parse_error& error = parsed.error();
+  problems.push_back({file, static_cast<int>(error.source().begin.line), "file",
+                      std::string(error.description())});
+  return std::nullopt;
+}
+
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key) {
   const std::string text = reader.Text(key, true);
   if (text.empty()) return {};
--- a/src/state/section_reader.h
+++ b/src/state/section_reader.h
@@ -2,13 +2,21 @@
 
 #include <toml++/toml.h>
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "state/object_reader.h"
 
 namespace cowslipknot {
 
+/// Parses a settings file.
+/// @return nothing when it is no TOML; the problem is then added
+std::optional<toml::table> ParseToml(std::string_view text,
+                                     const std::string& file,
+                                     std::vector<ObjectProblem>& problems);
+
 /// Reads a required "IP:port" field; reports what is no endpoint.
 Endpoint ReadEndpoint(ObjectReader& reader, const std::string& key);
 
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -126,15 +126,10 @@
 tl::expected<Settings, Problems> ParseSettings(std::string_view text,
                                                const std::string& file) {
   Problems problems;
-  const toml::parse_result parsed = toml::parse(text);
-  if (!parsed) {
-    const toml::parse_error& error = parsed.error();
-    problems.push_back({file, static_cast<int>(error.source().begin.line),
-                        "file", std::string(error.description())});
-    return tl::make_unexpected(std::move(problems));
-  }
+  const auto root = ParseToml(text, file, problems);
+  if (!root) return tl::make_unexpected(std::move(problems));
   Settings settings;
-  SectionReader sections(parsed.table(), file, problems);
+  SectionReader sections(*root, file, problems);
   ReadRequired(sections, settings);
   ReadOptional(sections, settings);
   sections.Finish();
