Order reclaimable servers before load is known; keep them through a lull

Reclaimable ones were then cut on the first, still rising reading of the load. Change: until load has been observed, reclaimable servers replace firm ones one for one as they become ready; later a lower need must hold for 15 s before reclaimable ones go.

--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -55,12 +55,13 @@
     Time reclaimable_ordered_at{0};
     Time unavailable_until{0};
     std::optional<Time> fewer_since;
+    std::optional<Time> fewer_reclaimable_since;
   };
 
   void UpdateNeed(const std::map<DomainId, DomainCapacity>& domains, Time now);
   /// Whole servers within the service's limits.
   std::uint32_t Clamp(double servers) const;
-  std::uint32_t WantedReclaimable(const DomainState& state,
+  std::uint32_t WantedReclaimable(DomainState& state,
                                   const DomainCapacity& capacity,
                                   Time now) const;
   std::uint32_t WantedFirm(DomainState& state, const DomainCapacity& capacity,
@@ -68,6 +69,10 @@
   /// Whether ordered reclaimable servers may still be starting.
   bool IsComing(const DomainState& state, const DomainCapacity& capacity,
                 Time now) const;
+  /// Until load has been observed: the same number of servers, reclaimable
+  /// ones in place of firm ones as they become ready.
+  void ReplaceFirm(const DomainId& domain, const DomainCapacity& capacity,
+                   Time now, std::vector<CapacityOrder>& orders);
   void PlanDomain(const DomainId& domain, const DomainCapacity& capacity,
                   Time now, std::vector<CapacityOrder>& orders);
 
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds kBootMargin(3000);
 /// Fewer servers needed for this long before firm ones are given back.
 constexpr std::chrono::milliseconds kSettled(4000);
+/// The same for reclaimable ones, which cost a fraction of a firm one.
+constexpr std::chrono::milliseconds kReclaimableSettled(15000);
 
 double Seconds(std::chrono::nanoseconds duration) {
   return std::chrono::duration<double>(duration).count();
@@ -48,7 +50,7 @@
                     std::max(least, m_scaling.most));
 }
 
-std::uint32_t CapacityPlanner::WantedReclaimable(const DomainState& state,
+std::uint32_t CapacityPlanner::WantedReclaimable(DomainState& state,
                                                  const DomainCapacity& capacity,
                                                  Time now) const {
   if (m_scaling.spot_price >= 1) return 0;
@@ -56,7 +58,15 @@
   const double domains =
       static_cast<double>(std::max<std::size_t>(2, m_states.size()));
   const std::uint32_t spread = Clamp(state.need * domains / (domains - 1));
-  const std::uint32_t wanted = spread - std::min(spread, kFirmServers);
+  std::uint32_t wanted = spread - std::min(spread, kFirmServers);
+  if (wanted >= capacity.reclaimable) {
+    state.fewer_reclaimable_since.reset();
+  } else {
+    if (!state.fewer_reclaimable_since) state.fewer_reclaimable_since = now;
+    const bool settled =
+        now - *state.fewer_reclaimable_since >= kReclaimableSettled;
+    if (!settled) wanted = capacity.reclaimable;
+  }
   if (now >= state.unavailable_until) return wanted;
   return std::min(wanted, capacity.reclaimable);
 }
@@ -104,6 +114,25 @@
   }
 }
 
+void CapacityPlanner::ReplaceFirm(const DomainId& domain,
+                                  const DomainCapacity& capacity, Time now,
+                                  std::vector<CapacityOrder>& orders) {
+  if (m_scaling.spot_price >= 1) return;
+  DomainState& state = m_states[domain];
+  const std::uint32_t firm = state.firm_ordered.value_or(capacity.firm);
+  const std::uint32_t room = m_scaling.most - std::min(firm, m_scaling.most);
+  const std::uint32_t wanted =
+      std::max(capacity.reclaimable, std::min(firm, room));
+  const bool asked = state.reclaimable_ordered.value_or(0) >= wanted &&
+                     IsComing(state, capacity, now);
+  if (wanted > capacity.reclaimable && !asked &&
+      now >= state.unavailable_until) {
+    orders.push_back({m_service, domain, wanted, true});
+  }
+  if (firm <= kFirmServers || capacity.reclaimable < firm) return;
+  orders.push_back({m_service, domain, kFirmServers, false});
+}
+
 std::vector<CapacityOrder> CapacityPlanner::Plan(
     const std::map<DomainId, DomainCapacity>& domains, Time now) {
   UpdateNeed(domains, now);
@@ -112,10 +141,14 @@
   });
   if (!busy) m_busy_since.reset();
   if (busy && !m_busy_since) m_busy_since = now;
+  const bool observed = m_busy_since && now - *m_busy_since >= kObserve;
   std::vector<CapacityOrder> orders;
-  if (!m_busy_since || now - *m_busy_since < kObserve) return orders;
   for (const auto& [domain, capacity] : domains) {
-    PlanDomain(domain, capacity, now, orders);
+    if (observed) {
+      PlanDomain(domain, capacity, now, orders);
+    } else {
+      ReplaceFirm(domain, capacity, now, orders);
+    }
   }
   return orders;
 }
