Lend limits from home instances; write reports though the lease is lost

Cause: each instance granted from its own part of a limit only. A second cause showed in the log: a report and an attempt at the lease shared one transaction, so all instances that lost a race for the lease also lost their report (6 s old reports after a holder's death). Change: 0.6 of each limit is pooled at three home instances (rendezvous hashing), which lend what a request lacks over framed TCP. Tokens are only moved, so instances need not agree; a new home lends only after the former one must have read of it, and begins empty. A conflict on the lease writes the report alone. The test of the report failed on the code before. The property test of limits now runs 5 and 30 instances with lending (100 schedules).

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -47,6 +47,8 @@
   kUsageNotAccepted = 611,
   kCapacityOrdered = 612,
   kCapacityNotAccepted = 613,
+  kQuotaHomeSilent = 620,
+  kQuotaHomeChanged = 621,
   kPlatformLost = 700,
   kPlatformBack = 701,
   kHistoryLost = 702,
--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -25,6 +25,10 @@
   /// Processes that may be serving: not replaced, stopping or silent for long.
   std::vector<const InstanceReport*> Serving(Time now) const;
 
+  /// The latest earlier process of a node, if its report is still there.
+  const InstanceReport* Predecessor(const NodeId& node,
+                                    std::uint64_t started) const;
+
   /// What was counted in a window by all processes, dead ones included.
   WindowCounts Sum(std::uint64_t window) const;
   /// The first window that any report counts.
--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "cowslipknot/gateway/routes.h"
@@ -36,8 +37,50 @@
   bool m_updated = false;
 };
 
+/// Part of each limit that its home instances lend to the others, so that
+/// requests large against one instance's part are granted from the whole.
+inline constexpr double kPooledPart = 0.6;
+/// Homes of each limit; the loss of one leaves most of the pooled part.
+inline constexpr std::size_t kQuotaHomes = 3;
+inline constexpr double kHomePart =
+    kPooledPart / static_cast<double>(kQuotaHomes);
+
+/// Tells a limit's new home when it may lend: not before the former one has
+/// surely read of the change. Pure: readings of a monotonic clock are
+/// arguments.
+class HomeTenure {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  /// @param hand_over  longest time until all instances know of a change
+  explicit HomeTenure(Milliseconds hand_over) : m_hand_over(hand_over) {}
+
+  /// Notes whether this instance is the home.
+  /// @param inherits  it succeeds a process of the same node that was until
+  ///                  just now, so that no other instance lends
+  void Update(bool is_home, bool inherits, Time now) {
+    if (!is_home) {
+      m_since.reset();
+    } else if (!m_since) {
+      m_since = inherits ? now - m_hand_over : now;
+    }
+  }
+  bool IsHome() const { return m_since.has_value(); }
+  bool MayLend(Time now) const {
+    return m_since && now - *m_since >= m_hand_over;
+  }
+
+ private:
+  Milliseconds m_hand_over;
+  std::optional<Time> m_since;
+};
+
 /// Grants requests of one instance within its part of each limit.
 ///
+/// A request is paid from the instance's bucket; what is missing may be
+/// borrowed from the limit's home (QuotaPool). Tokens are only ever moved, so
+/// that no two instances need to agree.
+///
 /// Pure: readings of a monotonic clock are arguments. Single-threaded.
 class QuotaLimiter {
  public:
@@ -48,9 +91,16 @@
   /// @param share  part of the limit that is granted here
   void SetShare(const WorkspaceId& workspace, double share);
 
-  /// Takes a request's cost from the workspace's limit.
+  /// Takes as much of a request's cost as is there, and notes the demand.
+  /// @return what is missing; zero when the request is paid
+  double Reserve(const Workspace& workspace, double cost, Time now);
+  /// Gives back what was reserved for a request that was not granted.
+  void Refund(const Workspace& workspace, double amount);
+
+  /// Takes a request's cost where no home can be asked: a fifth of it must be
+  /// there, the rest is owed. Notes no demand.
   /// @return zero when granted, else the time until it would be
-  Milliseconds Take(const Workspace& workspace, double cost, Time now);
+  Milliseconds TakeOnCredit(const Workspace& workspace, double cost, Time now);
 
   /// Mean demand of each workspace over the last seconds, per second.
   std::map<WorkspaceId, double> Demand(Time now);
@@ -74,4 +124,40 @@
   std::map<WorkspaceId, Bucket> m_buckets;
 };
 
+/// The pooled parts of the limits whose home this instance is.
+///
+/// Pure: readings of a monotonic clock are arguments. Single-threaded.
+class QuotaPool {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  explicit QuotaPool(QuotaTolerance tolerance) : m_tolerance(tolerance) {}
+
+  /// @param part  of the limit that is lent here; zero where this instance is
+  ///              not its home. A pool begins empty.
+  void SetPart(const WorkspaceId& workspace, double part, Time now);
+
+  /// Lends a cost. A fifth of it must be there, the rest is owed, so that a
+  /// large request is not starved by small ones.
+  /// @return zero when lent, else the time until it would be; none when this
+  ///         instance is not the limit's home
+  std::optional<Milliseconds> Lend(const Workspace& workspace, double amount,
+                                   Time now);
+
+ private:
+  struct Pool {
+    double part = 0;
+    double level = 0;
+    Time updated{0};
+  };
+
+  QuotaTolerance m_tolerance;
+  std::map<WorkspaceId, Pool> m_pools;
+};
+
+/// The instances that lend a limit: the same ones wherever the same instances
+/// are known. @return kQuotaHomes of them, or none where there are fewer
+std::vector<NodeId> QuotaHomes(const WorkspaceId& workspace,
+                               const std::vector<NodeId>& instances);
+
 }  // namespace cowslipknot::gateway
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
   Endpoint callers;
   Endpoint readiness;  ///< asked by the balancer
   Endpoint metrics;
+  std::optional<Endpoint> peers;  ///< where other instances borrow limits
   Endpoint store;
   Endpoint cloud;
   bool reports_usage = false;
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -35,9 +35,10 @@
 struct InstanceReport {
   NodeId node;
   DomainId domain;
-  std::uint64_t started = 0;   ///< tells processes of one node apart
-  std::uint64_t sequence = 0;  ///< rises with each report
-  std::int64_t as_of_ms = 0;   ///< on the shared clock; its counts are whole
+  std::optional<Endpoint> peers;  ///< where limits are lent
+  std::uint64_t started = 0;      ///< tells processes of one node apart
+  std::uint64_t sequence = 0;     ///< rises with each report
+  std::int64_t as_of_ms = 0;      ///< on the shared clock; its counts are whole
   bool stopping = false;
   std::map<WorkspaceId, double> demand;  ///< per second
   /// Servers of a service kept busy by this instance's requests.
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -39,6 +39,17 @@
   return serving;
 }
 
+const InstanceReport* InstanceTable::Predecessor(const NodeId& node,
+                                                 std::uint64_t started) const {
+  const InstanceReport* latest = nullptr;
+  for (const auto& [key, seen] : m_seen) {
+    const InstanceReport& report = seen.report;
+    if (report.node != node || report.started >= started) continue;
+    if (latest == nullptr || report.started > latest->started) latest = &report;
+  }
+  return latest;
+}
+
 WindowCounts InstanceTable::Sum(std::uint64_t window) const {
   WindowCounts sum;
   for (const auto& [key, seen] : m_seen) {
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numeric>
 
+#include "cowslipknot/coordination/rendezvous.h"
+
 namespace cowslipknot::gateway {
 namespace {
 
@@ -26,6 +28,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+Milliseconds TimeToFill(double missing, double rate_per_s) {
+  constexpr double kMsPerSecond = 1000;
+  return Milliseconds(
+      1 + static_cast<std::int64_t>(missing / rate_per_s * kMsPerSecond));
+}
+
 }  // namespace
 
 double QuotaShare(double own, const std::vector<double>& others) {
@@ -66,25 +74,35 @@
   bucket.demand_updated = now;
 }
 
-Milliseconds QuotaLimiter::Take(const Workspace& workspace, double cost,
-                                Time now) {
-  if (workspace.rate_per_s <= 0) return Milliseconds(0);
+double QuotaLimiter::Reserve(const Workspace& workspace, double cost,
+                             Time now) {
+  if (workspace.rate_per_s <= 0) return 0;
   Bucket& bucket = m_buckets[workspace.name];
   if (bucket.demand_since.count() == 0) bucket.demand_since = now;
   Decay(bucket, now);
   bucket.demand += cost / kDemandSeconds;
   Refill(bucket, workspace, now);
-  // A request larger than what remains is granted partly on credit, so that a
-  // small share of the limit still serves large requests.
+  const double paid = std::clamp(bucket.level, 0.0, cost);
+  bucket.level -= paid;
+  return cost - paid;
+}
+
+void QuotaLimiter::Refund(const Workspace& workspace, double amount) {
+  m_buckets[workspace.name].level += amount;
+}
+
+Milliseconds QuotaLimiter::TakeOnCredit(const Workspace& workspace, double cost,
+                                        Time now) {
+  if (workspace.rate_per_s <= 0) return Milliseconds(0);
+  Bucket& bucket = m_buckets[workspace.name];
+  Refill(bucket, workspace, now);
   const double most = Capacity(bucket, workspace);
   const double needed = std::min(cost, most) * kPaidPart;
   if (bucket.level >= needed) {
     bucket.level -= cost;
     return Milliseconds(0);
   }
-  const double wait =
-      (needed - bucket.level) / (workspace.rate_per_s * bucket.share);
-  return Milliseconds(1 + static_cast<std::int64_t>(wait * 1000));
+  return TimeToFill(needed - bucket.level, workspace.rate_per_s * bucket.share);
 }
 
 std::map<WorkspaceId, double> QuotaLimiter::Demand(Time now) {
@@ -100,4 +118,43 @@
   return demand;
 }
 
+void QuotaPool::SetPart(const WorkspaceId& workspace, double part, Time now) {
+  Pool& pool = m_pools[workspace];
+  if (pool.part <= 0) {
+    pool.level = 0;
+    pool.updated = now;
+  }
+  pool.part = part;
+}
+
+std::optional<Milliseconds> QuotaPool::Lend(const Workspace& workspace,
+                                            double amount, Time now) {
+  const auto found = m_pools.find(workspace.name);
+  if (found == m_pools.end() || found->second.part <= 0) return std::nullopt;
+  Pool& pool = found->second;
+  const double most =
+      pool.part * (workspace.burst + kSlackPart * m_tolerance.slack);
+  const double rate = workspace.rate_per_s * pool.part;
+  const double passed = std::max(0.0, Seconds(now - pool.updated));
+  pool.level = std::min(most, pool.level + rate * passed);
+  pool.updated = now;
+  const double needed = std::min(amount, most) * kPaidPart;
+  if (pool.level >= needed) {
+    pool.level -= amount;
+    return Milliseconds(0);
+  }
+  return TimeToFill(needed - pool.level, rate);
+}
+
+std::vector<NodeId> QuotaHomes(const WorkspaceId& workspace,
+                               const std::vector<NodeId>& instances) {
+  if (instances.size() < kQuotaHomes) return {};
+  std::vector<HolderCandidate> candidates;
+  candidates.reserve(instances.size());
+  for (const auto& instance : instances) candidates.push_back({instance});
+  auto homes = RankHolders(RequestId(workspace.Text()), NodeId(), candidates);
+  homes.resize(kQuotaHomes);
+  return homes;
+}
+
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -44,6 +44,11 @@
     auto metrics = Listen(m_context, m_settings.metrics);
     if (!metrics) return tl::make_unexpected(metrics.error());
     m_metrics = std::make_shared<tcp::acceptor>(std::move(*metrics));
+    if (m_settings.peers) {
+      auto peers = Listen(m_worker.Context(), *m_settings.peers);
+      if (!peers) return tl::make_unexpected(peers.error());
+      m_peers = std::make_shared<tcp::acceptor>(std::move(*peers));
+    }
     return {};
   }
 
@@ -92,6 +97,10 @@
     asio::co_spawn(m_worker.Context(),
                    ServeHttp(m_callers, HttpServerLimits(), callers),
                    asio::detached);
+    if (m_peers) {
+      asio::co_spawn(m_worker.Context(), m_worker.Lenders().Serve(m_peers),
+                     asio::detached);
+    }
     HttpServerHooks readiness;
     readiness.handle = [this](HttpExchange& exchange) {
       return AnswerReadiness(exchange);
@@ -185,6 +194,7 @@
   std::shared_ptr<tcp::acceptor> m_callers;
   std::shared_ptr<tcp::acceptor> m_readiness;
   std::shared_ptr<tcp::acceptor> m_metrics;
+  std::shared_ptr<tcp::acceptor> m_peers;
   std::atomic<bool> m_stopping{false};
   bool m_was_ready = false;
 };
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -47,7 +47,7 @@
 
   Awaitable<void> Run() {
     AdmittedRequest admitted =
-        AdmitRequest(m_worker, *m_snapshot, m_exchange.Request());
+        co_await AdmitRequest(m_worker, *m_snapshot, m_exchange.Request());
     m_request = std::move(admitted.request);
     m_route = admitted.route;
     m_workspace = admitted.workspace;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -19,6 +19,13 @@
 /// grows with half their number, and the longest pause that usage allows.
 constexpr std::size_t kFewInstances = 8;
 constexpr Milliseconds kLongestReportPause(3000);
+/// A change of the instances is known to all that reach the store after the
+/// longest pause and a slow call.
+constexpr Milliseconds kHandOver(4000);
+/// A young process reports this often, so that its part of the limits and its
+/// duties are known soon.
+constexpr Milliseconds kYoungReportPause(500);
+constexpr Milliseconds kYoung(3000);
 constexpr Milliseconds kRetryPause(150);
 /// Entries that lapsed in an outage of the store are back within this time.
 constexpr Milliseconds kReturnGrace(2000);
@@ -240,16 +247,55 @@
       const auto share = m_shares.find(name);
       snapshot->shares[name] =
           share == m_shares.end() ? equal : share->second.InForce();
+      const auto tenure = m_tenures.find(name);
+      const bool lends =
+          tenure != m_tenures.end() && tenure->second.MayLend(now);
+      snapshot->pooled[name] = lends ? kHomePart : 0;
     }
+    snapshot->homes = FindHomes(serving);
   }
   asio::post(m_worker.Context(),
              [this, snapshot] { m_worker.SetSnapshot(snapshot); });
 }
 
+std::map<WorkspaceId, std::vector<Endpoint>> Control::FindHomes(
+    const std::vector<const InstanceReport*>& serving) const {
+  std::vector<NodeId> lenders;
+  std::map<NodeId, Endpoint> addresses;
+  for (const auto* report : serving) {
+    if (!report->peers) continue;
+    lenders.push_back(report->node);
+    addresses[report->node] = *report->peers;
+  }
+  std::map<WorkspaceId, std::vector<Endpoint>> homes;
+  if (lenders.size() < kQuotaHomes) return homes;
+  for (const auto& [name, workspace] : m_configuration->workspaces) {
+    for (const auto& node : QuotaHomes(name, lenders)) {
+      homes[name].push_back(addresses.at(node));
+    }
+  }
+  return homes;
+}
+
 void Control::UpdateShares() {
   if (!m_configuration) return;
   const auto serving = m_duties.Instances().Serving(BootTime());
+  const auto homes = FindHomes(serving);
+  const bool succeeds = m_duties.SucceedsLatePredecessor();
   for (const auto& [name, workspace] : m_configuration->workspaces) {
+    const auto home = homes.find(name);
+    const bool is_home = home != homes.end() &&
+                         std::find(home->second.begin(), home->second.end(),
+                                   m_settings.peers) != home->second.end();
+    HomeTenure& tenure = m_tenures.try_emplace(name, kHandOver).first->second;
+    if (is_home != tenure.IsHome()) {
+      LogEvent(Event::kQuotaHomeChanged,
+               {{"workspace", name.Text()},
+                {"home", is_home ? "true" : "false"},
+                {"at_once", succeeds ? "true" : "false"},
+                {"instances", std::to_string(serving.size())}});
+    }
+    tenure.Update(is_home, succeeds, BootTime());
     double own = 0;
     std::vector<double> others;
     for (const auto* report : serving) {
@@ -266,7 +312,8 @@
     if (BootTime() - m_started < kDemandUnknown) {
       own = std::max(own, MeanOf(others));
     }
-    m_shares[name].Update(QuotaShare(own, others));
+    const double kept = home == homes.end() ? 1 : 1 - kPooledPart;
+    m_shares[name].Update(kept * QuotaShare(own, others));
   }
 }
 
@@ -301,6 +348,7 @@
 Milliseconds Control::ReportPause() const {
   // The holder renews its lease with its reports.
   if (m_duties.HoldsLease()) return kReportPause;
+  if (BootTime() - m_started < kYoung) return kYoungReportPause;
   const auto instances = static_cast<Milliseconds::rep>(
       m_duties.Instances().Serving(BootTime()).size());
   const auto few = static_cast<Milliseconds::rep>(kFewInstances);
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -49,6 +49,9 @@
   void NoteStore(bool reachable, const std::string& detail);
   void Publish();
   void UpdateShares();
+  /// Where the pooled part of each limit is lent.
+  std::map<WorkspaceId, std::vector<Endpoint>> FindHomes(
+      const std::vector<const InstanceReport*>& serving) const;
   /// Time until this instance reports again.
   Milliseconds ReportPause() const;
   std::map<ServiceId, std::vector<Backend>> BuildServers();
@@ -64,6 +67,7 @@
   std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
       m_states;  ///< by id, with the start that it belongs to
   std::map<WorkspaceId, DelayedShare> m_shares;
+  std::map<WorkspaceId, HomeTenure> m_tenures;
   const std::chrono::nanoseconds m_started = BootTime();
   bool m_servers_known = false;
   bool m_store_reachable = true;
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -100,6 +100,14 @@
   return std::chrono::duration_cast<Milliseconds>(BootTime() + *offset).count();
 }
 
+bool Duties::SucceedsLatePredecessor() const {
+  const auto now = SharedNowMs();
+  const InstanceReport* predecessor =
+      m_instances.Predecessor(m_settings.node, m_started);
+  if (!now || predecessor == nullptr || predecessor->stopping) return false;
+  return *now - predecessor->as_of_ms < m_settings.revoke.count();
+}
+
 Awaitable<Result<StoreRows>> Duties::Change(StoreChange change) {
   const auto asked = BootTime();
   auto changed = co_await m_dialect.change_store(std::move(change));
@@ -111,6 +119,7 @@
   InstanceReport report;
   report.node = m_settings.node;
   report.domain = m_settings.domain;
+  report.peers = m_settings.peers;
   report.started = m_started;
   report.sequence = ++m_sequence;
   report.as_of_ms = SharedNowMs().value_or(0);
@@ -128,20 +137,30 @@
   const bool renews = m_lease.ShouldRenew(now);
   const bool takes = !input.stopping && m_table_read && m_lease.MayTake(now);
   StoreChange change;
-  const InstanceReport report = BuildReport(input);
   change.conditions.push_back(Row(m_report_key, {}, m_report_version));
-  change.writes.push_back(Row(m_report_key, EncodeReport(report)));
-  const LeaseRow lease = m_lease.NextRow();
+  change.writes.push_back(Row(m_report_key, EncodeReport(BuildReport(input))));
   m_lease_sent.reset();
   if (renews || takes) {
-    change.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
-    change.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
+    StoreChange with_lease = change;
+    const LeaseRow lease = m_lease.NextRow();
+    with_lease.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
+    with_lease.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
     m_lease_sent = SentLease{lease, now};
+    const auto changed = co_await Change(std::move(with_lease));
+    if (changed) {
+      m_report_version = changed->version;
+      m_lease.NoteOwnWrite(lease, changed->version, now);
+      co_return Result<void>();
+    }
+    // Where another instance took the lease, the report still has to be
+    // written; other failures may have taken effect.
+    if (changed.error().code != ResultCode::kRevisionConflict) {
+      co_return tl::make_unexpected(changed.error());
+    }
   }
   const auto changed = co_await Change(std::move(change));
   if (!changed) co_return tl::make_unexpected(changed.error());
   m_report_version = changed->version;
-  if (renews || takes) m_lease.NoteOwnWrite(lease, changed->version, now);
   co_return Result<void>();
 }
 
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -61,6 +61,8 @@
 
   const InstanceTable& Instances() const { return m_instances; }
   const NodeId& Self() const { return m_settings.node; }
+  /// Whether a process of this node was serving until just now.
+  bool SucceedsLatePredecessor() const;
   std::uint64_t Started() const { return m_started; }
   std::optional<std::chrono::nanoseconds> ClockFromBoot() const {
     return m_clock.FromBoot();
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -26,6 +26,7 @@
       m_dialect(dialect),
       m_http(HttpClient::Create(m_context.get_executor(), kMaxResponse)),
       m_quota(settings.quota),
+      m_lenders(m_context.get_executor(), settings),
       m_retries(settings.retry_ratio * kRatioPart, RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
                            settings.node.Text().size())) {}
@@ -35,6 +36,8 @@
   for (const auto& [workspace, share] : m_snapshot->shares) {
     m_quota.SetShare(workspace, share);
   }
+  m_lenders.Update(m_snapshot->pooled, m_snapshot->homes,
+                   m_snapshot->configuration);
 }
 
 bool Worker::KeysAreFresh() const {
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -14,6 +14,7 @@
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
 #include "protocol/gateway_dialect.h"
+#include "serve/quota_peers.h"
 #include "transport/http_server.h"
 
 namespace cowslipknot::gateway {
@@ -24,7 +25,9 @@
   std::shared_ptr<const RouteTable> routes;
   std::map<ServiceId, std::vector<Backend>> servers;
   std::map<WorkspaceId, double> shares;  ///< parts of limits granted here
-  std::size_t instances = 1;             ///< gateway instances, this included
+  std::map<WorkspaceId, double> pooled;  ///< parts of limits lent here
+  std::map<WorkspaceId, std::vector<Endpoint>> homes;  ///< of the limits
+  std::size_t instances = 1;  ///< gateway instances, this included
   std::size_t instances_in_domain = 1;
 };
 
@@ -42,6 +45,7 @@
   HttpClient& Http() { return *m_http; }
   MetricSet& Metrics() { return m_metrics; }
   QuotaLimiter& Quota() { return m_quota; }
+  QuotaPeers& Lenders() { return m_lenders; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
@@ -75,6 +79,7 @@
   SnapshotPtr m_snapshot = std::make_shared<Snapshot>();
   MetricSet m_metrics;
   QuotaLimiter m_quota;
+  QuotaPeers m_lenders;
   UsageLedger m_usage;
   LoadMeter m_load;
   RetryBudget m_retries;
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -28,41 +28,55 @@
                              request.most_output.Count());
 }
 
-void Authorize(Worker& worker, const Configuration& configuration,
-               AdmittedRequest& admitted) {
-  if (!configuration.HasWorkspaces() || admitted.route->is_public) return;
+/// Takes a request's cost from its workspace's limit.
+/// @return zero when granted, else the time until it would be
+Awaitable<Milliseconds> TakeCost(Worker& worker, const Workspace& workspace,
+                                 double cost) {
+  const double missing = worker.Quota().Reserve(workspace, cost, BootTime());
+  if (missing <= 0) co_return Milliseconds(0);
+  const auto wait = co_await worker.Lenders().Borrow(workspace, missing);
+  if (wait && wait->count() == 0) co_return Milliseconds(0);
+  worker.Quota().Refund(workspace, cost - missing);
+  if (wait) co_return *wait;
+  co_return worker.Quota().TakeOnCredit(workspace, cost, BootTime());
+}
+
+Awaitable<void> Authorize(Worker& worker, const Configuration& configuration,
+                          AdmittedRequest& admitted) {
+  if (!configuration.HasWorkspaces() || admitted.route->is_public) co_return;
   if (!worker.KeysAreFresh()) {
     Reject(admitted, ResultCode::kNoConfiguration, kNotConfirmed,
            kRetryNoConfiguration);
-    return;
+    co_return;
   }
   const auto key = configuration.api_keys.find(admitted.request.api_key);
   if (key == configuration.api_keys.end()) {
     Reject(admitted, ResultCode::kUnknownKey);
-    return;
+    co_return;
   }
   admitted.workspace = &configuration.workspaces.at(key->second);
   const Milliseconds wait =
-      worker.Quota().Take(*admitted.workspace, CostOf(admitted), BootTime());
-  if (wait.count() == 0) return;
+      co_await TakeCost(worker, *admitted.workspace, CostOf(admitted));
+  if (wait.count() == 0) co_return;
   Reject(admitted, ResultCode::kOverLimit, admitted.workspace->name.Text(),
          wait);
 }
 
 }  // namespace
 
-AdmittedRequest AdmitRequest(Worker& worker, const Snapshot& snapshot,
-                             const HttpRequest& http) {
+Awaitable<AdmittedRequest> AdmitRequest(Worker& worker,
+                                        const Snapshot& snapshot,
+                                        const HttpRequest& http) {
   AdmittedRequest admitted;
   auto request = worker.GetDialect().read_caller(http);
   if (!request) {
     admitted.rejection = request.error();
-    return admitted;
+    co_return admitted;
   }
   admitted.request = std::move(*request);
   if (!snapshot.configuration) {
     Reject(admitted, ResultCode::kNoConfiguration, {}, kRetryNoConfiguration);
-    return admitted;
+    co_return admitted;
   }
   const std::string_view host = http[http::field::host];
   admitted.route = snapshot.routes->Find(host, http.target());
@@ -74,13 +88,13 @@
       Reject(admitted, ResultCode::kNoConfiguration, kNotConfirmed,
              kRetryNoConfiguration);
     }
-    return admitted;
+    co_return admitted;
   }
   const Milliseconds timeout = admitted.route->timeout;
   const Milliseconds deadline = admitted.request.deadline.value_or(timeout);
   admitted.patience = std::min(deadline - kAnswerMargin, timeout);
-  Authorize(worker, *snapshot.configuration, admitted);
-  return admitted;
+  co_await Authorize(worker, *snapshot.configuration, admitted);
+  co_return admitted;
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/request_admission.h
+++ b/src/serve/request_admission.h
@@ -19,7 +19,8 @@
 
 /// Reads a request, finds its route and workspace, and takes its cost from the
 /// workspace's limit.
-AdmittedRequest AdmitRequest(Worker& worker, const Snapshot& snapshot,
-                             const HttpRequest& http);
+Awaitable<AdmittedRequest> AdmitRequest(Worker& worker,
+                                        const Snapshot& snapshot,
+                                        const HttpRequest& http);
 
 }  // namespace cowslipknot::gateway
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -30,6 +30,7 @@
     settings.callers = ReadEndpoint(reader, "callers");
     settings.readiness = ReadEndpoint(reader, "readiness");
     settings.metrics = ReadEndpoint(reader, "metrics");
+    if (reader.Has("peers")) settings.peers = ReadEndpoint(reader, "peers");
   });
   sections.Section("store", true, [&](ObjectReader& reader) {
     settings.store = ReadEndpoint(reader, "address");
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "base/endpoint_text.h"
+
 namespace cowslipknot::gateway {
 namespace {
 
@@ -54,6 +56,7 @@
   json::object object;
   object["node"] = report.node.Text();
   object["domain"] = report.domain.Text();
+  if (report.peers) object["peers"] = FormatEndpoint(*report.peers);
   object["started"] = report.started;
   object["sequence"] = report.sequence;
   object["as_of_ms"] = report.as_of_ms;
@@ -82,6 +85,10 @@
     const json::value parsed = json::parse(text);
     report.node = NodeId(std::string(parsed.at("node").as_string()));
     report.domain = DomainId(std::string(parsed.at("domain").as_string()));
+    if (const auto* peers = parsed.as_object().if_contains("peers")) {
+      const auto address = ParseEndpointText(peers->as_string());
+      if (address) report.peers = *address;
+    }
     report.started = parsed.at("started").to_number<std::uint64_t>();
     report.sequence = parsed.at("sequence").to_number<std::uint64_t>();
     report.as_of_ms = parsed.at("as_of_ms").to_number<std::int64_t>();
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -85,6 +85,7 @@
         self.port = free_port()
         self.ready_port = free_port()
         self.metrics_port = free_port()
+        self.peers_port = free_port()
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name) / "settings.toml"
         self.settings.write_text(f"""
@@ -95,6 +96,7 @@
 callers = "127.0.0.1:{self.port}"
 readiness = "127.0.0.1:{self.ready_port}"
 metrics = "127.0.0.1:{self.metrics_port}"
+peers = "127.0.0.1:{self.peers_port}"
 [store]
 address = "{store.server.address}"
 [cloud]
@@ -423,6 +425,29 @@
                                     if call["holder"] == "gw2"])
         self.assertGreater(taken[0]["epoch"], epoch)
 
+    def test_a_report_is_written_though_another_instance_takes_the_lease(self):
+        self.store.rival_lease = True
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        self.start(name="gw1")
+        eventually(lambda: [key for key in self.store.keys("cowslipknot")
+                            if key.startswith("report/gw1/")])
+
+    def test_a_limit_is_lent_to_the_instance_that_has_the_load(self):
+        limited = [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
+                    "uncached_tokens": 10, "rate_per_s": 1000, "burst": 1000}]
+        self.store.put("op", "config", configuration(tenants=limited))
+        self.add_backend("m1", "model", events=1)
+        gateways = [self.start(name=name) for name in ("gw1", "gw2", "gw3")]
+
+        def served_twice():
+            # Each costs more than twice this instance's own part.
+            size = {"Cowslipknot_Token_Count": "200,100"}
+            return [gateways[0].call("/stream/x", name, **size)[0]
+                    for name in ("r1", "r2")] == [200, 200]
+
+        eventually(served_twice)
+
     def test_a_planned_stop_finishes_what_is_in_flight(self):
         self.store.put("op", "config", configuration())
         self.add_backend("m1", "model", events=10, event_pause_s=0.2)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -71,6 +71,7 @@
         self.down = False
         self.silent = False  # calls get no answer, also after it ends
         self.lose_answers = 0  # transactions performed but not answered
+        self.rival_lease = False  # another instance always writes the lease first
         self.calls = []
         self.server = Server(StoreHandler, self)
 
@@ -109,6 +110,9 @@
     def transact(self, change):
         """Returns whether all conditions held and the change was made."""
         with self.changed:
+            on_lease = any(row["key"] == "lease" for row in change["expected"])
+            if self.rival_lease and on_lease:
+                self._set("cowslipknot", "lease", b"{}")
             for row in change["expected"]:
                 known = self.rows.get((row["table"], row["key"]))
                 present = known is not None and known["value"] is not None
--- a/tests/unit/gateway_quota_test.cc
+++ b/tests/unit/gateway_quota_test.cc
@@ -68,10 +68,15 @@
       : m_workspace(MakeWorkspace(rate)), m_nodes(nodes), m_random(seed) {
     for (auto& node : m_nodes) {
       node.next_exchange = std::chrono::milliseconds(m_random() % 1600);
-      node.limiter.SetShare(m_workspace.name, 1.0 / nodes);
+      node.limiter.SetShare(m_workspace.name, (1 - kPooledPart) / nodes);
+    }
+    for (auto& pool : m_pools) {
+      pool.SetPart(m_workspace.name, kHomePart, m_now);
     }
   }
 
+  void SetHomeAnswers(bool answers) { m_home_answers = answers; }
+
   /// @param weights  part of the demand at each node
   void Run(Time length, double demand_per_s,
            const std::vector<double>& weights) {
@@ -99,10 +104,25 @@
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
       if (i != index) others.push_back(m_nodes[i].reported);
     }
-    node.share.Update(QuotaShare(node.reported, others));
+    node.share.Update((1 - kPooledPart) * QuotaShare(node.reported, others));
     node.limiter.SetShare(m_workspace.name, node.share.InForce());
   }
 
+  bool Grant(Node& node, double cost) {
+    const double missing = node.limiter.Reserve(m_workspace, cost, m_now);
+    if (missing <= 0) return true;
+    if (m_home_answers) {
+      for (auto& pool : m_pools) {
+        const auto wait = pool.Lend(m_workspace, missing, m_now);
+        if (wait->count() == 0) return true;
+      }
+      node.limiter.Refund(m_workspace, cost - missing);
+      return false;
+    }
+    node.limiter.Refund(m_workspace, cost - missing);
+    return node.limiter.TakeOnCredit(m_workspace, cost, m_now).count() == 0;
+  }
+
   void Send(Node& node, double rate) {
     const double expected =
         rate / kMeanCost * std::chrono::duration<double>(kStep).count();
@@ -111,13 +131,14 @@
     for (int left = arrivals(m_random); left > 0; --left) {
       const double cost = std::min(kMostCost, costs(m_random));
       m_asked += cost;
-      const auto wait = node.limiter.Take(m_workspace, cost, m_now);
-      if (wait.count() == 0) m_grants.granted.emplace_back(m_now, cost);
+      if (Grant(node, cost)) m_grants.granted.emplace_back(m_now, cost);
     }
   }
 
   gateway::Workspace m_workspace;
   std::vector<Node> m_nodes;
+  std::vector<QuotaPool> m_pools{kQuotaHomes, QuotaPool(MakeTolerance())};
+  bool m_home_answers = true;
   std::mt19937 m_random;
   Time m_now{0};
   Grants m_grants;
@@ -139,16 +160,21 @@
 }
 
 // Answers the load in which one workspace asks many times its limit at once,
-// at all instances or moving between them.
+// at all instances or moving between them, with limits lent or not.
 Test(quota, a_workspace_far_over_its_limit_stays_within_the_tolerance) {
   cr_assert(rc::check([] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-    const auto hot = *rc::gen::inRange(0, 5);
+    const int nodes = *rc::gen::element(5, 30);
+    const auto hot = *rc::gen::inRange(0, nodes);
     const double rate = *rc::gen::element(kRate, kSmallRate);
-    Deployment deployment(5, rate, seed);
-    const std::vector<double> even(5, 0.2);
-    std::vector<double> skewed(5, 0.1);
-    skewed[static_cast<std::size_t>(hot)] = 0.6;
+    Deployment deployment(nodes, rate, seed);
+    // Without lending a large deployment grants too little, never too much:
+    // its parts are small against a request.
+    deployment.SetHomeAnswers(nodes == 30 || *rc::gen::arbitrary<bool>());
+    const auto count = static_cast<std::size_t>(nodes);
+    const std::vector<double> even(count, 1.0 / nodes);
+    std::vector<double> skewed(count, 0.5 / nodes);
+    skewed[static_cast<std::size_t>(hot)] += 0.5;
     deployment.Run(std::chrono::seconds(6), rate * 0.5, even);
     deployment.Run(std::chrono::seconds(9), rate * 6, skewed);
     deployment.Run(std::chrono::seconds(9), rate * 6, even);
@@ -156,19 +182,97 @@
   }));
 }
 
+namespace {
+
+double GrantedPart(int nodes, double rate) {
+  Deployment deployment(nodes, rate, 7);
+  std::vector<double> weights;
+  double sum = 0;
+  for (int i = 0; i < nodes; ++i) {
+    weights.push_back(1 + i % 3);
+    sum += weights.back();
+  }
+  for (auto& weight : weights) weight /= sum;
+  deployment.Run(std::chrono::seconds(60), rate * 0.55, weights);
+  double granted = 0;
+  for (const auto& [time, cost] : deployment.Granted().granted) {
+    granted += cost;
+  }
+  return granted / deployment.Asked();
+}
+
+}  // namespace
+
 // Answers calm days: callers in clumps far below the limit.
 Test(quota, a_workspace_well_below_its_limit_is_hardly_ever_refused) {
-  for (const double rate : {kRate, kSmallRate}) {
-    Deployment deployment(5, rate, 7);
-    const std::vector<double> weights = {0.1, 0.1, 0.25, 0.25, 0.3};
-    deployment.Run(std::chrono::seconds(60), rate * 0.55, weights);
-    double granted = 0;
-    for (const auto& [time, cost] : deployment.Granted().granted) {
-      granted += cost;
+  cr_expect_gt(GrantedPart(5, kRate), 0.995);
+  cr_expect_gt(GrantedPart(5, kSmallRate), 0.98);
+}
+
+// Answers a small workspace spread over many instances, each of whose parts
+// is smaller than a request.
+Test(quota, many_instances_grant_as_much_as_few) {
+  cr_expect_gt(GrantedPart(30, kRate), 0.995);
+  cr_expect_gt(GrantedPart(30, kSmallRate), 0.98);
+}
+
+Test(quota, what_was_reserved_for_a_rejected_request_is_given_back) {
+  QuotaLimiter limiter(QuotaTolerance{});
+  const gateway::Workspace workspace = MakeWorkspace(1000);
+  limiter.SetShare(workspace.name, 1);
+  const Time now = std::chrono::seconds(1);
+  const double missing = limiter.Reserve(workspace, 1500, now);
+  cr_expect_float_eq(missing, 500, 1);
+  limiter.Refund(workspace, 1500 - missing);
+  const double again = limiter.Reserve(workspace, 1000, now);
+  cr_expect_float_eq(again, 0, 1);
+}
+
+Test(quota, a_pool_begins_empty_and_lends_only_at_the_limits_home) {
+  QuotaPool pool(MakeTolerance());
+  const gateway::Workspace workspace = MakeWorkspace(1000);
+  const Time now = std::chrono::seconds(1);
+  cr_expect_not(pool.Lend(workspace, 100, now).has_value());
+  pool.SetPart(workspace.name, kPooledPart, now);
+  const auto wait = pool.Lend(workspace, 100, now);
+  cr_assert(wait.has_value());
+  cr_expect_gt(wait->count(), 0);
+  cr_expect_eq(pool.Lend(workspace, 100, now + *wait)->count(), 0);
+  pool.SetPart(workspace.name, 0, now + *wait);
+  cr_expect_not(pool.Lend(workspace, 100, now + 2 * *wait).has_value());
+}
+
+Test(quota, a_new_home_lends_only_after_the_former_one_has_stopped) {
+  constexpr Milliseconds kHandOver(4000);
+  const Time now = std::chrono::seconds(1);
+  HomeTenure tenure(kHandOver);
+  tenure.Update(true, false, now);
+  cr_expect_not(tenure.MayLend(now + kHandOver - Milliseconds(1)));
+  cr_expect(tenure.MayLend(now + kHandOver));
+  tenure.Update(false, false, now + kHandOver);
+  cr_expect_not(tenure.MayLend(now + 2 * kHandOver));
+  HomeTenure restarted(kHandOver);
+  restarted.Update(true, true, now);
+  cr_expect(restarted.MayLend(now));
+}
+
+Test(quota, all_instances_agree_on_a_home_and_few_limits_move_with_one) {
+  std::vector<NodeId> nodes;
+  for (int i = 0; i < 30; ++i) nodes.emplace_back("n" + std::to_string(i));
+  std::vector<NodeId> fewer(nodes.begin(), nodes.end() - 1);
+  int moved = 0;
+  for (int i = 0; i < 300; ++i) {
+    const WorkspaceId workspace("w" + std::to_string(i));
+    const auto homes = QuotaHomes(workspace, nodes);
+    cr_assert_eq(homes.size(), kQuotaHomes);
+    for (const auto& later : QuotaHomes(workspace, fewer)) {
+      if (std::find(homes.begin(), homes.end(), later) == homes.end()) ++moved;
     }
-    const double part = rate == kRate ? 0.995 : 0.98;
-    cr_expect_gt(granted, part * deployment.Asked(), "at %g", rate);
   }
+  // A thirtieth of 900 homes.
+  cr_expect_lt(moved, 60);
+  fewer.resize(kQuotaHomes - 1);
+  cr_expect(QuotaHomes(WorkspaceId("w"), fewer).empty());
 }
 
 Test(quota, a_refusal_names_the_time_until_the_request_would_be_granted) {
@@ -177,9 +281,9 @@
   limiter.SetShare(workspace.name, 1);
   Time now = std::chrono::seconds(1);
   Milliseconds wait(0);
-  while (wait.count() == 0) wait = limiter.Take(workspace, 500, now);
-  cr_expect_gt(limiter.Take(workspace, 500, now + wait / 2).count(), 0);
-  cr_expect_eq(limiter.Take(workspace, 500, now + wait).count(), 0);
+  while (wait.count() == 0) wait = limiter.TakeOnCredit(workspace, 500, now);
+  cr_expect_gt(limiter.TakeOnCredit(workspace, 500, now + wait / 2).count(), 0);
+  cr_expect_eq(limiter.TakeOnCredit(workspace, 500, now + wait).count(), 0);
 }
 
 Test(quota, a_share_rises_one_exchange_late_and_falls_at_once) {
