Let the test of a lost race for the lease see the later reports

It now waits for the fourth report. Command: python3 -m unittest gateway_test.GatewayTest.test_a_report_is_written_though_another_instance_takes_the_lease

--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -430,8 +430,15 @@
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
         self.start(name="gw1")
-        eventually(lambda: [key for key in self.store.keys("cowslipknot")
-                            if key.startswith("report/gw1/")])
+
+        def sequence():
+            reports = [self.store.get("cowslipknot", key)["sequence"]
+                       for key in self.store.keys("cowslipknot")
+                       if key.startswith("report/gw1/")]
+            return max(reports, default=0)
+
+        # The lease is attempted from the second report on.
+        eventually(lambda: sequence() >= 4)
 
     def test_a_limit_is_lent_to_the_instance_that_has_the_load(self):
         limited = [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
