Tell peers of leaving servers; read the store less often

Each of 36 instances read registrations three times within the bound on a leaving server and confirmed the configuration every 1.4 s. Change: an instance that reads of a leaving server tells its peers at once, so registrations are read every 0.6 of that bound; the configuration is waited for in calls of 0.6 of the removal bound, and counts as confirmed from when the store made the answer, bounded by the store's clock (AnswerAge). Quick reports of a young process end after 0.6 s.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -47,6 +47,7 @@
   kUsageNotAccepted = 611,
   kCapacityOrdered = 612,
   kCapacityNotAccepted = 613,
+  kInstancesKnown = 619,
   kQuotaHomeSilent = 620,
   kQuotaHomeChanged = 621,
   kPlatformLost = 700,
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -51,6 +51,11 @@
   /// Applies the whole list; entries that it lacks count as removed.
   bool Replace(const std::vector<ServerEntry>& entries, Time now);
 
+  /// Another instance has read that a server leaves.
+  /// @param started_ms  start of the server that is meant
+  /// @return true if it was in use
+  bool NoteLeaving(const ServerId& id, std::int64_t started_ms);
+
   /// The store did not answer.
   void NoteOutage() { m_store_away = true; }
   /// The store answers.
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -82,6 +82,8 @@
      "a number of backend servers was ordered"},
     {Event::kCapacityNotAccepted, "warn", "capacity_not_accepted",
      "an order for backend servers was not accepted"},
+    {Event::kInstancesKnown, "info", "instances_known",
+     "the number of instances that may be serving changed"},
     {Event::kQuotaHomeSilent, "warn", "quota_home_silent",
      "the instance that lends a limit does not answer"},
     {Event::kQuotaHomeChanged, "info", "quota_home_changed",
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -98,7 +98,7 @@
                    ServeHttp(m_callers, HttpServerLimits(), callers),
                    asio::detached);
     if (m_peers) {
-      asio::co_spawn(m_worker.Context(), m_worker.Lenders().Serve(m_peers),
+      asio::co_spawn(m_worker.Context(), m_worker.Links().Serve(m_peers),
                      asio::detached);
     }
     HttpServerHooks readiness;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
@@ -9,11 +10,12 @@
 namespace cowslipknot::gateway {
 namespace {
 
-/// A change of the configuration is waited for in calls of this length: a
-/// connection that has gone silent is noticed after it.
-constexpr Milliseconds kConfigurationWait(1400);
-/// Reads of registrations within the bound on a leaving server's last request.
-constexpr int kReadsPerDrain = 3;
+/// A change of the configuration is waited for in calls of this part of the
+/// bound on removed keys: one that fails leaves time for another.
+constexpr double kConfigurationWaitPart = 0.6;
+/// Time between reads of registrations, as part of the bound on a leaving
+/// server's last request; the rest is for one call that fails.
+constexpr double kServersPausePart = 0.6;
 constexpr Milliseconds kReportPause(1500);
 /// Instances beyond which each reports less often, so that the store's load
 /// grows with half their number, and the longest pause that usage allows.
@@ -25,7 +27,7 @@
 /// A young process reports this often, so that its part of the limits and its
 /// duties are known soon.
 constexpr Milliseconds kYoungReportPause(500);
-constexpr Milliseconds kYoung(3000);
+constexpr Milliseconds kYoung(600);
 constexpr Milliseconds kRetryPause(150);
 /// Entries that lapsed in an outage of the store are back within this time.
 constexpr Milliseconds kReturnGrace(2000);
@@ -56,6 +58,12 @@
       m_duties(settings, dialect) {}
 
 void Control::Start() {
+  m_worker.Links().Handle(
+      wire::Kind::ServersLeaving, [this](const PeerFrame& frame) {
+        asio::post(m_context,
+                   [this, frame] { NoteLeaving(TakeRecords(frame)); });
+        return PeerFrame();
+      });
   asio::co_spawn(m_context, FollowConfiguration(), asio::detached);
   asio::co_spawn(m_context, FollowServers(), asio::detached);
   asio::co_spawn(m_context, ExchangeReports(), asio::detached);
@@ -129,20 +137,68 @@
 
 Awaitable<void> Control::FollowConfiguration() {
   TableCursor cursor{m_dialect.names.configuration_table};
+  const auto wait = std::chrono::duration_cast<Milliseconds>(
+      m_settings.revoke * kConfigurationWaitPart);
   while (true) {
     const auto asked = BootTime();
-    const auto rows = co_await ReadChanges(cursor, kConfigurationWait);
+    const auto rows = co_await ReadChanges(cursor, wait);
     if (!rows) continue;
+    const auto confirmed = m_answer_age.AnsweredAfter(asked, rows->store_time);
     ApplyConfiguration(*rows);
     // Posted behind the snapshot, so that traffic never takes an older
     // configuration for confirmed.
     if (m_configuration && m_configuration_readable) {
       asio::post(m_worker.Context(),
-                 [this, asked] { m_worker.NoteConfirmed(asked); });
+                 [this, confirmed] { m_worker.NoteConfirmed(confirmed); });
     }
   }
 }
 
+void Control::NoteLeaving(const std::vector<SpreadRecord>& servers) {
+  bool changed = false;
+  for (const auto& server : servers) {
+    const bool leaves = m_registry.NoteLeaving(
+        ServerId(server.key), static_cast<std::int64_t>(server.version));
+    if (!leaves) continue;
+    changed = true;
+    LogEvent(Event::kServerLeaving, {{"server", server.key}});
+  }
+  if (changed) Publish();
+}
+
+void Control::TellLeaving(const std::vector<ServerEntry>& left) {
+  if (left.empty()) return;
+  std::vector<SpreadRecord> records;
+  for (const auto& server : left) {
+    LogEvent(Event::kServerLeaving, {{"server", server.id.Text()}});
+    records.push_back(
+        {server.id.Text(), static_cast<std::uint64_t>(server.started_ms), {}});
+  }
+  auto frame = std::make_shared<PeerFrame>();
+  frame->kind = wire::Kind::ServersLeaving;
+  AddRecords(*frame, records);
+  std::vector<Endpoint> peers;
+  for (const auto* report : m_duties.Instances().Serving(BootTime())) {
+    if (report->peers && report->peers != m_settings.peers) {
+      peers.push_back(*report->peers);
+    }
+  }
+  asio::post(m_worker.Context(), [this, frame, peers] {
+    m_worker.Links().Broadcast(peers, *frame);
+  });
+}
+
+std::vector<ServerEntry> Control::NoLongerUsable(
+    const std::vector<ServerEntry>& before) const {
+  std::set<ServerId> usable;
+  for (const auto& entry : m_registry.Usable()) usable.insert(entry.id);
+  std::vector<ServerEntry> left;
+  std::copy_if(
+      before.begin(), before.end(), std::back_inserter(left),
+      [&](const ServerEntry& entry) { return !usable.contains(entry.id); });
+  return left;
+}
+
 bool Control::ApplyServers(const StoreRows& rows, bool whole) {
   std::vector<ServerChange> changes;
   std::vector<ServerEntry> entries;
@@ -172,13 +228,16 @@
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
     if (!rows) continue;
     NoteStore(true, cursor.table);
+    const auto before = m_registry.Usable();
     bool changed = ApplyServers(*rows, cursor.whole);
+    if (changed && m_servers_known) TellLeaving(NoLongerUsable(before));
     changed = m_registry.Expire(BootTime()) || changed;
     if (changed || !m_servers_known) {
       m_servers_known = true;
       Publish();
     }
-    co_await SleepFor(m_settings.drain / kReadsPerDrain);
+    co_await SleepFor(std::chrono::duration_cast<Milliseconds>(
+        m_settings.drain * kServersPausePart));
   }
 }
 
@@ -277,6 +336,13 @@
   return homes;
 }
 
+void Control::NoteInstances() {
+  const std::size_t serving = m_duties.Instances().Serving(BootTime()).size();
+  if (serving == m_instances) return;
+  m_instances = serving;
+  LogEvent(Event::kInstancesKnown, {{"instances", std::to_string(serving)}});
+}
+
 void Control::UpdateShares() {
   if (!m_configuration) return;
   const auto serving = m_duties.Instances().Serving(BootTime());
@@ -337,6 +403,7 @@
     const auto clock = m_duties.ClockFromBoot();
     if (clock) m_worker.SetClock(*clock);
     if (exchanged) {
+      NoteInstances();
       UpdateShares();
       Publish();
       co_await m_duties.Perform(m_configuration, m_registry.Usable());
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/answer_age.h"
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/server_registry.h"
 #include "serve/gateway_duties.h"
@@ -46,8 +47,15 @@
 
   void ApplyConfiguration(const StoreRows& rows);
   bool ApplyServers(const StoreRows& rows, bool whole);
+  std::vector<ServerEntry> NoLongerUsable(
+      const std::vector<ServerEntry>& before) const;
+  /// Tells the other instances at once of servers that leave, so that each
+  /// can read registrations less often.
+  void TellLeaving(const std::vector<ServerEntry>& left);
+  void NoteLeaving(const std::vector<SpreadRecord>& servers);
   void NoteStore(bool reachable, const std::string& detail);
   void Publish();
+  void NoteInstances();
   void UpdateShares();
   /// Where the pooled part of each limit is lent.
   std::map<WorkspaceId, std::vector<Endpoint>> FindHomes(
@@ -68,6 +76,8 @@
       m_states;  ///< by id, with the start that it belongs to
   std::map<WorkspaceId, DelayedShare> m_shares;
   std::map<WorkspaceId, HomeTenure> m_tenures;
+  AnswerAge m_answer_age;
+  std::size_t m_instances = 0;  ///< last known to be serving
   const std::chrono::nanoseconds m_started = BootTime();
   bool m_servers_known = false;
   bool m_store_reachable = true;
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -26,7 +26,8 @@
       m_dialect(dialect),
       m_http(HttpClient::Create(m_context.get_executor(), kMaxResponse)),
       m_quota(settings.quota),
-      m_lenders(m_context.get_executor(), settings),
+      m_links(m_context.get_executor(), settings),
+      m_lenders(m_links, settings),
       m_retries(settings.retry_ratio * kRatioPart, RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
                            settings.node.Text().size())) {}
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -45,6 +45,7 @@
   HttpClient& Http() { return *m_http; }
   MetricSet& Metrics() { return m_metrics; }
   QuotaLimiter& Quota() { return m_quota; }
+  PeerLinks& Links() { return m_links; }
   QuotaPeers& Lenders() { return m_lenders; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
@@ -79,6 +80,7 @@
   SnapshotPtr m_snapshot = std::make_shared<Snapshot>();
   MetricSet m_metrics;
   QuotaLimiter m_quota;
+  PeerLinks m_links;
   QuotaPeers m_lenders;
   UsageLedger m_usage;
   LoadMeter m_load;
--- /dev/null
+++ b/src/serve/peer_links.cc
@@ -0,0 +1,70 @@
+#include "serve/peer_links.h"
+
+#include "cowslipknot/events.h"
+
+namespace cowslipknot::gateway {
+namespace {
+
+/// A notice that was not taken within this time is too old to matter.
+constexpr Milliseconds kBroadcastTimeout(500);
+/// Instances on the managed platform share no secret.
+constexpr char kNoToken[] = "";
+
+}  // namespace
+
+PeerLinks::PeerLinks(asio::any_io_executor executor, const Settings& settings)
+    : m_settings(settings),
+      m_executor(executor),
+      m_client(std::move(executor),
+               settings.peers ? settings.peers->host : std::string()) {}
+
+Awaitable<Result<PeerFrame>> PeerLinks::Call(Endpoint peer, PeerFrame frame,
+                                             Milliseconds timeout) {
+  frame.token = kNoToken;
+  frame.sender = m_settings.node.Text();
+  FrameBytes bytes = EncodeFrame(frame);
+  const auto answer =
+      co_await m_client.Call(std::move(peer), std::move(bytes), timeout);
+  if (!answer) co_return tl::make_unexpected(answer.error());
+  co_return DecodeFrame(*answer, kNoToken);
+}
+
+void PeerLinks::Broadcast(const std::vector<Endpoint>& peers,
+                          const PeerFrame& frame) {
+  const auto shared = std::make_shared<const FrameBytes>(EncodeFrame(frame));
+  for (const auto& peer : peers) {
+    asio::co_spawn(
+        m_executor,
+        [](PeerLinks& links, Endpoint to,
+           std::shared_ptr<const FrameBytes> bytes) -> Awaitable<void> {
+          // A peer that is missed learns of it from the store.
+          co_await links.m_client.Call(to, *bytes, kBroadcastTimeout);
+        }(*this, peer, shared),
+        asio::detached);
+  }
+}
+
+Awaitable<FrameBytes> PeerLinks::Answer(const FrameBytes& bytes) {
+  const auto frame = DecodeFrame(bytes, kNoToken);
+  if (!frame) {
+    LogEvent(Event::kFrameRejected, {{"detail", frame.error().detail}});
+    co_return FrameBytes();
+  }
+  const auto handler = m_handlers.find(frame->kind);
+  if (handler == m_handlers.end()) {
+    LogEvent(Event::kFrameRejected, {{"detail", "unexpected kind"}});
+    co_return FrameBytes();
+  }
+  PeerFrame answer = handler->second(*frame);
+  answer.kind = wire::Kind::Answer;
+  answer.sender = m_settings.node.Text();
+  co_return EncodeFrame(answer);
+}
+
+Awaitable<void> PeerLinks::Serve(std::shared_ptr<tcp::acceptor> acceptor) {
+  co_await ServeFrames(
+      std::move(acceptor),
+      [this](const FrameBytes& bytes) { return Answer(bytes); }, m_traffic);
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/peer_links.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "cowslipknot/gateway/settings.h"
+#include "protocol/peer_frame.h"
+
+namespace cowslipknot::gateway {
+
+/// Frames between gateway instances. Used on the traffic thread only.
+class PeerLinks {
+ public:
+  /// Answers a frame of one kind.
+  using Handler = std::function<PeerFrame(const PeerFrame&)>;
+
+  PeerLinks(asio::any_io_executor executor, const Settings& settings);
+
+  /// Sets what answers frames of a kind; called before Serve().
+  void Handle(wire::Kind kind, Handler handler) {
+    m_handlers[kind] = std::move(handler);
+  }
+  /// Answers other instances until the acceptor is closed.
+  Awaitable<void> Serve(std::shared_ptr<tcp::acceptor> acceptor);
+
+  /// Sends a frame and waits for its answer.
+  /// @return kPeerUnreachable or kBadFrame
+  Awaitable<Result<PeerFrame>> Call(Endpoint peer, PeerFrame frame,
+                                    Milliseconds timeout);
+  /// Sends a frame to each peer; failures are not repeated.
+  void Broadcast(const std::vector<Endpoint>& peers, const PeerFrame& frame);
+
+ private:
+  Awaitable<FrameBytes> Answer(const FrameBytes& bytes);
+
+  const Settings& m_settings;
+  asio::any_io_executor m_executor;
+  FrameClient m_client;
+  std::map<wire::Kind, Handler> m_handlers;
+  std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
+};
+
+}  // namespace cowslipknot::gateway
--- a/src/serve/quota_peers.cc
+++ b/src/serve/quota_peers.cc
@@ -7,7 +7,6 @@
 #include "base/clock.h"
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
-#include "protocol/peer_frame.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -19,19 +18,19 @@
 /// Longest time for which a pool that did not lend is not asked again; its
 /// limit may have been raised meanwhile.
 constexpr Milliseconds kMostEmpty(250);
-/// Instances on the managed platform share no secret.
-constexpr char kNoToken[] = "";
 
 }  // namespace
 
-QuotaPeers::QuotaPeers(asio::any_io_executor executor, const Settings& settings)
+QuotaPeers::QuotaPeers(PeerLinks& links, const Settings& settings)
     : m_settings(settings),
-      m_client(std::move(executor),
-               settings.peers ? settings.peers->host : std::string()),
+      m_links(links),
       m_pool(settings.quota),
       m_first_home(XXH3_64bits(settings.node.Text().data(),
                                settings.node.Text().size()) %
-                   kQuotaHomes) {}
+                   kQuotaHomes) {
+  m_links.Handle(wire::Kind::BorrowQuota,
+                 [this](const PeerFrame& frame) { return Answer(frame); });
+}
 
 void QuotaPeers::Update(const std::map<WorkspaceId, double>& pooled,
                         std::map<WorkspaceId, std::vector<Endpoint>> homes,
@@ -96,50 +95,30 @@
                                                 double amount) {
   PeerFrame frame;
   frame.kind = wire::Kind::BorrowQuota;
-  frame.token = kNoToken;
-  frame.sender = m_settings.node.Text();
   frame.text = workspace.Text();
   frame.amount = static_cast<std::uint64_t>(std::ceil(amount));
-  FrameBytes bytes = EncodeFrame(frame);
   const auto answer =
-      co_await m_client.Call(home, std::move(bytes), kBorrowTimeout);
+      co_await m_links.Call(home, std::move(frame), kBorrowTimeout);
   if (!answer) co_return tl::make_unexpected(answer.error());
-  const auto decoded = DecodeFrame(*answer, kNoToken);
-  if (!decoded) co_return tl::make_unexpected(decoded.error());
+  // An answer without the workspace's name says that nothing is lent there.
   const bool lends =
-      decoded->kind == wire::Kind::Answer && decoded->text == workspace.Text();
+      answer->kind == wire::Kind::Answer && answer->text == workspace.Text();
   if (!lends) co_return Fail(ResultCode::kPeerUnreachable, "lends nothing");
-  co_return Milliseconds(static_cast<std::int64_t>(decoded->wait_ms));
+  co_return Milliseconds(static_cast<std::int64_t>(answer->wait_ms));
 }
 
-Awaitable<FrameBytes> QuotaPeers::Answer(const FrameBytes& bytes) {
-  const auto frame = DecodeFrame(bytes, kNoToken);
-  if (!frame || frame->kind != wire::Kind::BorrowQuota) {
-    co_return FrameBytes();
-  }
+PeerFrame QuotaPeers::Answer(const PeerFrame& frame) {
   PeerFrame answer;
-  answer.kind = wire::Kind::Answer;
-  answer.sender = m_settings.node.Text();
-  const WorkspaceId name(frame->text);
-  const auto* workspaces =
-      m_configuration ? &m_configuration->workspaces : nullptr;
-  if (workspaces != nullptr && workspaces->contains(name)) {
-    const auto wait = m_pool.Lend(
-        workspaces->at(name), static_cast<double>(frame->amount), BootTime());
-    // Without the workspace's name the answer says that nothing is lent here.
-    if (wait) {
-      answer.text = frame->text;
-      answer.amount = wait->count() == 0 ? frame->amount : 0;
-      answer.wait_ms = static_cast<std::uint64_t>(wait->count());
-    }
-  }
-  co_return EncodeFrame(answer);
-}
-
-Awaitable<void> QuotaPeers::Serve(std::shared_ptr<tcp::acceptor> acceptor) {
-  co_await ServeFrames(
-      std::move(acceptor),
-      [this](const FrameBytes& bytes) { return Answer(bytes); }, m_traffic);
+  if (!m_configuration) return answer;
+  const auto found = m_configuration->workspaces.find(WorkspaceId(frame.text));
+  if (found == m_configuration->workspaces.end()) return answer;
+  const auto wait =
+      m_pool.Lend(found->second, static_cast<double>(frame.amount), BootTime());
+  if (!wait) return answer;
+  answer.text = frame.text;
+  answer.amount = wait->count() == 0 ? frame.amount : 0;
+  answer.wait_ms = static_cast<std::uint64_t>(wait->count());
+  return answer;
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/quota_peers.h
+++ b/src/serve/quota_peers.h
@@ -6,7 +6,7 @@
 
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/settings.h"
-#include "transport/frame_link.h"
+#include "serve/peer_links.h"
 
 namespace cowslipknot::gateway {
 
@@ -14,7 +14,7 @@
 /// traffic thread only.
 class QuotaPeers {
  public:
-  QuotaPeers(asio::any_io_executor executor, const Settings& settings);
+  QuotaPeers(PeerLinks& links, const Settings& settings);
 
   /// Takes a new view of the instances.
   /// @param pooled  parts of limits that are lent here
@@ -29,9 +29,6 @@
   Awaitable<std::optional<Milliseconds>> Borrow(const Workspace& workspace,
                                                 double amount);
 
-  /// Answers other instances until the acceptor is closed.
-  Awaitable<void> Serve(std::shared_ptr<tcp::acceptor> acceptor);
-
  private:
   using Time = std::chrono::nanoseconds;
 
@@ -45,20 +42,19 @@
   Awaitable<std::optional<Milliseconds>> BorrowFrom(const Endpoint& home,
                                                     const Workspace& workspace,
                                                     double amount);
-  Awaitable<FrameBytes> Answer(const FrameBytes& bytes);
+  PeerFrame Answer(const PeerFrame& frame);
   Awaitable<Result<Milliseconds>> Ask(const Endpoint& home,
                                       const WorkspaceId& workspace,
                                       double amount);
 
   const Settings& m_settings;
-  FrameClient m_client;
+  PeerLinks& m_links;
   QuotaPool m_pool;
   std::size_t m_first_home;  ///< index of the home that is asked first
   std::map<WorkspaceId, std::vector<Endpoint>> m_homes;
   std::map<Endpoint, Time> m_silent_until;
   std::map<std::pair<WorkspaceId, Endpoint>, Shortage> m_shortages;
   ConfigurationPtr m_configuration;
-  std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -41,6 +41,16 @@
   return true;
 }
 
+bool ServerRegistry::NoteLeaving(const ServerId& id, std::int64_t started_ms) {
+  const auto known = m_entries.find(id);
+  if (known == m_entries.end()) return false;
+  ServerEntry& entry = known->second.entry;
+  const bool in_use = entry.state == ServerState::kReady;
+  if (!in_use || entry.started_ms != started_ms) return false;
+  entry.state = ServerState::kDraining;
+  return true;
+}
+
 bool ServerRegistry::Apply(const std::vector<ServerChange>& changes, Time now) {
   bool changed = false;
   for (const auto& change : changes) {
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -80,7 +80,8 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, store, cloud, name="gw1", usage_window_s=1):
+    def __init__(self, store, cloud, name="gw1", usage_window_s=1,
+                 store_address=None):
         self.name = name
         self.port = free_port()
         self.ready_port = free_port()
@@ -98,7 +99,7 @@
 metrics = "127.0.0.1:{self.metrics_port}"
 peers = "127.0.0.1:{self.peers_port}"
 [store]
-address = "{store.server.address}"
+address = "{store_address or store.server.address}"
 [cloud]
 address = "{cloud.server.address}"
 reports_usage = true
@@ -337,6 +338,27 @@
         self.assertTrue(any(line["name"] == "registration_unreadable"
                             for line in gateway.lines()))
 
+    def test_a_leaving_server_is_known_where_the_store_is_out_of_reach(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain")
+        front = standin.Server(standin.StoreHandler, self.store)
+        self.addCleanup(front.stop)
+        self.start(name="gw1")
+        cut_off = self.start(name="gw2", store_address=front.address)
+        # Both have read of each other.
+        eventually(lambda: [line for line in cut_off.lines()
+                            if line["name"] == "instances_known"
+                            and line["instances"] == "2"])
+        eventually(lambda: [line for line in self.gateways[0].lines()
+                            if line["name"] == "instances_known"
+                            and line["instances"] == "2"])
+        front.refuses = True
+        entry = backend.entry("plain")
+        entry["state"] = "draining"
+        self.store.put("servers", "p1", entry)
+        eventually(lambda: [line for line in cut_off.lines()
+                            if line["name"] == "server_leaving"])
+
     def test_keyed_requests_stop_when_the_store_is_silent_and_public_ones_go_on(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -18,6 +18,7 @@
     """Serves one address until stopped."""
 
     daemon_threads = True
+    refuses = False  # calls of the store at this address get 503
     allow_reuse_address = True
 
     def __init__(self, handler, owner):
@@ -184,7 +185,7 @@
             return
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
-        if store.down:
+        if store.down or self.server.refuses:
             self.send(503)
         elif url.path == "/-/rows-get":
             self.send_json(200, store.read(query["table"]))
@@ -201,7 +202,7 @@
         change = json.loads(self.body())
         if self.swallowed():
             return
-        if store.down:
+        if store.down or self.server.refuses:
             self.send(503)
             return
         done = store.transact(change)
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "base/line_budget.h"
+#include "cowslipknot/gateway/answer_age.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/load_meter.h"
 #include "cowslipknot/gateway/routes.h"
@@ -101,6 +102,56 @@
   cr_expect_eq(registry.Usable().front().id.Text(), "a");
 }
 
+Test(server_registry, a_peers_notice_takes_the_meant_server_out_of_use) {
+  ServerRegistry registry(Milliseconds(2000));
+  ServerEntry entry = MakeEntry("a");
+  entry.started_ms = 7;
+  registry.Replace({entry}, kNow);
+  cr_expect_not(registry.NoteLeaving(ServerId("other"), 7));
+  cr_expect_not(registry.NoteLeaving(entry.id, 6), "an earlier start");
+  cr_expect(registry.NoteLeaving(entry.id, 7));
+  cr_expect(registry.Usable().empty());
+  cr_expect_not(registry.NoteLeaving(entry.id, 7));
+}
+
+Test(answer_age, a_long_wait_is_no_age_but_a_late_answer_is) {
+  using std::chrono::milliseconds;
+  AnswerAge age;
+  const Time start = std::chrono::seconds(100);
+  // The store's clock reads 40 ms when a call that was sent at `start` ends.
+  cr_expect_eq(age.AnsweredAfter(start, Milliseconds(40)).count(),
+               start.count());
+  // Made 3 s later, whenever it was asked for.
+  const Time made =
+      age.AnsweredAfter(start + milliseconds(10), Milliseconds(3040));
+  cr_expect_eq(made.count(), (start + milliseconds(3000)).count());
+  // A call sent later shows that the clocks are closer than was known.
+  const Time closer =
+      age.AnsweredAfter(start + milliseconds(4030), Milliseconds(4040));
+  cr_expect_eq(closer.count(), (start + milliseconds(4030)).count());
+  // A clock that reads less is another one.
+  const Time again =
+      age.AnsweredAfter(start + milliseconds(9000), Milliseconds(5));
+  cr_expect_eq(again.count(), (start + milliseconds(9000)).count());
+}
+
+Test(answer_age, is_never_after_the_answer) {
+  cr_assert(rc::check([] {
+    AnswerAge age;
+    const Time offset = std::chrono::milliseconds(*rc::gen::inRange(0, 100000));
+    Time now = std::chrono::seconds(1000);
+    for (int call = 0; call < 20; ++call) {
+      const Time asked = now;
+      now += std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+      const auto store_time =
+          std::chrono::duration_cast<Milliseconds>(now - offset);
+      RC_ASSERT(age.AnsweredAfter(asked, store_time) <= now);
+      RC_ASSERT(age.AnsweredAfter(asked, store_time) >= asked);
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+    }
+  }));
+}
+
 Test(server_registry, without_an_outage_a_removal_counts_at_once) {
   ServerRegistry registry(Milliseconds(2000));
   registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
