Move services to new versions on evidence; hand the lease over sooner; close behind a stop

Moves: orders of the operator were not read, so a new version got traffic as soon as its servers registered. A lease lasts 3.6 s instead of 4.5, a stopping holder gives it up, and a process succeeds the former one of its machine at once.

--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -41,6 +41,13 @@
   /// Whether the holder has been silent for longer than its lease.
   bool MayTake(Time now) const;
   bool ShouldRenew(Time now) const;
+  /// Whether the holder has given the lease up.
+  bool IsReleased() const { return m_row && m_row->holder.Empty(); }
+  /// Whether the row names this instance, though not by a write of this
+  /// process that is known to have taken effect.
+  bool IsOfFormerProcess() const { return IsOwn() && !m_own_write; }
+  /// The row to write in order to give the lease up.
+  LeaseRow ReleasedRow() const;
 
   /// The row to write in order to take or renew the lease.
   LeaseRow NextRow() const;
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -44,6 +44,7 @@
   /// Servers of a service kept busy by this instance's requests.
   std::map<ServiceId, double> busy;
   UsageLedger usage;
+  std::string evidence;  ///< on moves, as EncodeEvidence() writes it
 };
 
 std::string EncodeReport(const InstanceReport& report);
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -74,6 +74,13 @@
   return MayAct(now) && now >= After(m_held_since, m_duration, kRenewPart);
 }
 
+LeaseRow LeaseView::ReleasedRow() const {
+  // The epoch stays, so that the next holder's is higher.
+  LeaseRow row = NextRow();
+  row.holder = NodeId();
+  return row;
+}
+
 LeaseRow LeaseView::NextRow() const {
   LeaseRow next;
   next.holder = m_self;
--- a/src/protocol/gateway_dialect.h
+++ b/src/protocol/gateway_dialect.h
@@ -9,6 +9,7 @@
 #include "cowslipknot/gateway/placement.h"
 #include "cowslipknot/gateway/routes.h"
 #include "cowslipknot/gateway/server_registry.h"
+#include "cowslipknot/gateway/version_move.h"
 #include "cowslipknot/result.h"
 #include "transport/asio.h"
 
@@ -108,6 +109,13 @@
   std::function<Result<ServerEntry>(const std::string&, std::string_view)>
       decode_server;
 
+  /// Whether a key of the configuration's table orders a move.
+  std::function<bool(std::string_view key)> orders_move;
+  /// @return kInvalidObjects when the bytes are no order
+  std::function<Result<MoveOrder>(std::string_view)> decode_move;
+  /// The row by which the operator learns what became of an order.
+  std::function<StoreRow(const VersionMove&)> move_status;
+
   // Calls to the platform; used on the control thread.
   std::function<Awaitable<Result<StoreRows>>(std::string table)> read_table;
   /// Rows changed after `since`; waits for the first one.
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -30,6 +30,11 @@
 constexpr int kStallPauses = 2;
 constexpr Milliseconds kLeastStall(500);
 
+/// An answer is slow when it takes this many times the predicted time, and
+/// this much longer.
+constexpr double kSlowTimes = 3;
+constexpr double kSlowMargin = 100;
+
 /// How one attempt ended.
 enum class AttemptEnd : std::uint8_t {
   kAnswered,     ///< the caller has an answer, or is gone
@@ -113,10 +118,45 @@
     context.now = BootTime();
     context.instances_in_domain = latest->instances_in_domain;
     context.draw = m_worker.Draw();
-    const auto placement = Place(request, servers->second, context);
+    const std::vector<Backend>& candidates =
+        ServersOfVersion(*latest, service, servers->second, hash);
+    const auto placement = Place(request, candidates, context);
     if (!placement) return tl::make_unexpected(placement.error());
     m_placement = *placement;
-    return servers->second[placement->index];
+    return candidates[placement->index];
+  }
+
+  /// The servers of the version that a move gives this request, or all where
+  /// that has none.
+  const std::vector<Backend>& ServersOfVersion(
+      const Snapshot& latest, const ServiceId& service,
+      const std::vector<Backend>& servers, std::uint64_t hash) {
+    m_move_key = MoveId();
+    const auto found = latest.moves.find(service);
+    if (found == latest.moves.end()) return servers;
+    const MovedService& moved = found->second;
+    if (moved.Undecided()) m_move_key = MoveKey(moved.move.order);
+    m_new_version = moved.move.order.to;
+    const bool to_new = GoesToNew(moved.move, hash, !m_tried.empty());
+    const auto& chosen = to_new ? moved.new_servers : moved.old_servers;
+    return chosen.empty() ? servers : chosen;
+  }
+
+  /// Counts an answer for the move that its service is in.
+  void NoteEvidence(const Backend& server, bool failed, bool slow) {
+    if (m_move_key.Empty()) return;
+    RouteEvidence& seen = m_worker.Evidence()[m_move_key][m_route->name];
+    const bool is_new = server.entry.version == m_new_version;
+    Tally& errors = is_new ? seen.new_errors : seen.old_errors;
+    Tally& slows = is_new ? seen.new_slow : seen.old_slow;
+    errors += Tally{1, failed ? 1U : 0U};
+    slows += Tally{1, slow ? 1U : 0U};
+  }
+
+  /// Whether an answer took several times longer than predicted.
+  bool IsSlow(SteadyClock::time_point sent) const {
+    return FractionalMsSince(sent) >
+           kSlowTimes * m_placement.first_event_ms + kSlowMargin;
   }
 
   HttpRequest BuildAttempt(const Backend& server) const {
@@ -250,6 +290,7 @@
       return answer.id.Empty() || answer.id == m_request.id;
     };
     const auto started = SteadyClock::now();
+    m_sent = started;
     m_progress = CallProgress();
     auto opened = co_await m_worker.Http().Open(
         server.entry.address, BuildAttempt(server), options, m_progress);
@@ -293,6 +334,9 @@
   }
 
   void NoteFailure(const Backend& server, const Error& error) {
+    const bool ran = error.code != ResultCode::kBackendRefused &&
+                     error.code != ResultCode::kConnectFailed;
+    if (ran) NoteEvidence(server, true, false);
     server.state->NoteFailure(BootTime());
     const bool silent = error.code == ResultCode::kConnectFailed ||
                         error.code == ResultCode::kBackendTimeout;
@@ -335,6 +379,7 @@
     if (!m_counted) NoteBegan();
     response.body() = std::move(*body);
     const bool failed = response.result_int() >= 500;
+    NoteEvidence(server, failed, IsSlow(m_sent));
     if (failed) {
       server.state->NoteFailure(BootTime());
     } else {
@@ -383,6 +428,7 @@
                                    ResponseStream& stream, BackendLoad& load,
                                    Error& error) {
     bool first = true;
+    bool slow = false;
     while (true) {
       const Milliseconds left = TimeLeft();
       if (left.count() == 0) {
@@ -400,6 +446,7 @@
       if (first) {
         first = false;
         load.NoteFirstEvent();
+        slow = IsSlow(m_sent);
         if (!m_counted) NoteBegan();
       }
       const std::string events = m_events.Feed(*piece);
@@ -415,6 +462,7 @@
       co_return AttemptEnd::kFailed;
     }
     server.state->NoteSuccess();
+    NoteEvidence(server, false, slow);
     if (!m_streaming && !co_await PassOn(stream, std::string())) {
       co_return AttemptEnd::kAnswered;
     }
@@ -447,6 +495,9 @@
   Milliseconds m_retry_after{0};
   CallProgress m_progress;
   Placement m_placement;
+  MoveId m_move_key;  ///< undecided move of the service; empty without one
+  VersionId m_new_version;
+  SteadyClock::time_point m_sent{};  ///< the latest attempt
   std::vector<ServerId> m_tried;
   EventSplitter m_events;
   std::optional<HttpResponse> m_last_answer;
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -17,6 +17,11 @@
 /// server's last request; the rest is for one call that fails.
 constexpr double kServersPausePart = 0.6;
 constexpr Milliseconds kReportPause(1500);
+/// The holder renews its lease with its reports.
+constexpr Milliseconds kHolderPause(1000);
+/// While a version is on trial, so that its harm is known to all within three
+/// reports.
+constexpr Milliseconds kMovePause(1000);
 /// Instances beyond which each reports less often, so that the store's load
 /// grows with half their number, and the longest pause that usage allows.
 constexpr std::size_t kFewInstances = 8;
@@ -85,7 +90,37 @@
            {{"detail", detail}});
 }
 
+void Control::ApplyOrders(const StoreRows& rows) {
+  bool changed = false;
+  for (const auto& row : rows.rows) {
+    if (!m_dialect.orders_move(row.key)) continue;
+    changed = true;
+    if (row.removed) {
+      m_orders.erase(row.key);
+      continue;
+    }
+    auto order = m_dialect.decode_move(row.value);
+    if (!order) {
+      LogEvent(Event::kConfigurationUnreadable,
+               {{"key", row.key}, {"detail", order.error().detail}});
+      continue;
+    }
+    order->revision = row.version;
+    order->seen = WallTime(m_duties.SharedNowMs().value_or(0));
+    const auto known = m_orders.find(row.key);
+    const bool same =
+        known != m_orders.end() && known->second.revision == order->revision;
+    if (!same) m_orders[row.key] = std::move(*order);
+  }
+  if (!changed) return;
+  std::map<ServiceId, MoveOrder> orders;
+  for (const auto& [key, order] : m_orders) orders[order.service] = order;
+  m_duties.SetOrders(std::move(orders));
+  Publish();
+}
+
 void Control::ApplyConfiguration(const StoreRows& rows) {
+  ApplyOrders(rows);
   for (const auto& row : rows.rows) {
     if (row.key != m_dialect.names.configuration_key || row.removed) continue;
     auto decoded = m_dialect.decode_configuration(row.value);
@@ -291,6 +326,14 @@
   snapshot->configuration = m_configuration;
   snapshot->routes = m_routes;
   snapshot->servers = BuildServers();
+  for (auto& [service, move] : m_duties.Moves()) {
+    MovedService& moved = snapshot->moves[service];
+    for (const auto& server : snapshot->servers[service]) {
+      const bool is_new = server.entry.version == move.order.to;
+      (is_new ? moved.new_servers : moved.old_servers).push_back(server);
+    }
+    moved.move = move;
+  }
   const auto now = BootTime();
   const auto serving = m_duties.Instances().Serving(now);
   snapshot->instances = std::max<std::size_t>(1, serving.size());
@@ -390,6 +433,7 @@
   input.demand = worker.Quota().Demand(BootTime());
   input.busy = worker.Load().Busy(BootTime());
   input.usage = std::exchange(worker.Usage(), UsageLedger());
+  input.evidence = worker.Evidence();
   co_return input;
 }
 
@@ -413,8 +457,8 @@
 }
 
 Milliseconds Control::ReportPause() const {
-  // The holder renews its lease with its reports.
-  if (m_duties.HoldsLease()) return kReportPause;
+  if (m_duties.IsMoving()) return kMovePause;
+  if (m_duties.HoldsLease()) return kHolderPause;
   if (BootTime() - m_started < kYoung) return kYoungReportPause;
   const auto instances = static_cast<Milliseconds::rep>(
       m_duties.Instances().Serving(BootTime()).size());
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -45,6 +45,7 @@
   Awaitable<void> FollowServers();
   Awaitable<void> ExchangeReports();
 
+  void ApplyOrders(const StoreRows& rows);
   void ApplyConfiguration(const StoreRows& rows);
   bool ApplyServers(const StoreRows& rows, bool whole);
   std::vector<ServerEntry> NoLongerUsable(
@@ -77,7 +78,8 @@
   std::map<WorkspaceId, DelayedShare> m_shares;
   std::map<WorkspaceId, HomeTenure> m_tenures;
   AnswerAge m_answer_age;
-  std::size_t m_instances = 0;  ///< last known to be serving
+  std::map<std::string, MoveOrder> m_orders;  ///< by key
+  std::size_t m_instances = 0;                ///< last known to be serving
   const std::chrono::nanoseconds m_started = BootTime();
   bool m_servers_known = false;
   bool m_store_reachable = true;
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "coordination/move_controller.h"
 #include "cowslipknot/events.h"
 
 namespace cowslipknot::gateway {
@@ -13,14 +14,18 @@
 constexpr char kClockKey[] = "clock";
 constexpr char kDoneKey[] = "usage_done";
 constexpr std::string_view kReportPrefix = "report/";
+constexpr std::string_view kMovePrefix = "move/";
 constexpr std::string_view kUsagePrefix = "usage/";
 
-/// A lease lasts 3/2 of the deployment's bound on silence, so that one slow
+/// A lease lasts 6/5 of the deployment's bound on silence, so that one slow
 /// call to the store does not end it.
-constexpr int kLeaseNumerator = 3;
-constexpr int kLeaseDenominator = 2;
-/// Renewals come with the reports, 1.5 s and two calls apart.
-constexpr Milliseconds kLeastLease(4500);
+constexpr int kLeaseNumerator = 6;
+constexpr int kLeaseDenominator = 5;
+/// Renewals come with the holder's reports, 1 s and two calls apart.
+constexpr Milliseconds kLeastLease(3600);
+/// A process this young may succeed one that held the lease lately. It takes
+/// no released lease, so that holders never act in turns.
+constexpr Milliseconds kYoungForLease(5000);
 /// After the removal bound an instance without the store serves no keyed
 /// requests; this much later its part of the limits is dealt anew.
 constexpr Milliseconds kLifetimeMargin(1000);
@@ -129,20 +134,38 @@
   m_usage.Merge(input.usage);
   if (m_done && *m_done > kWindowsKept) m_usage.Forget(*m_done - kWindowsKept);
   report.usage = m_usage;
+  m_evidence = input.evidence;
+  std::erase_if(m_evidence, [this](const auto& item) {
+    return std::none_of(m_orders.begin(), m_orders.end(), [&](auto& order) {
+      return MoveKey(order.second) == item.first;
+    });
+  });
+  if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
   return report;
 }
 
+bool Duties::MayTakeLease(LeaseView::Time now) const {
+  if (m_lease.MayTake(now)) return true;
+  if (m_lease.IsReleased()) return BootTime() - m_began >= kYoungForLease;
+  // A former process on the same machine has ended.
+  const InstanceReport* former =
+      m_instances.Predecessor(m_settings.node, m_started);
+  return m_lease.IsOfFormerProcess() && former != nullptr && former->peers &&
+         former->peers == m_settings.peers;
+}
+
 Awaitable<Result<void>> Duties::WriteReport(Input input) {
   const auto now = LeaseNow();
   const bool renews = m_lease.ShouldRenew(now);
-  const bool takes = !input.stopping && m_table_read && m_lease.MayTake(now);
+  const bool takes = !input.stopping && m_table_read && MayTakeLease(now);
+  const bool releases = input.stopping && m_lease.MayAct(now);
   StoreChange change;
   change.conditions.push_back(Row(m_report_key, {}, m_report_version));
   change.writes.push_back(Row(m_report_key, EncodeReport(BuildReport(input))));
   m_lease_sent.reset();
-  if (renews || takes) {
+  if (renews || takes || releases) {
     StoreChange with_lease = change;
-    const LeaseRow lease = m_lease.NextRow();
+    const LeaseRow lease = releases ? m_lease.ReleasedRow() : m_lease.NextRow();
     with_lease.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
     with_lease.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
     m_lease_sent = SentLease{lease, now};
@@ -175,6 +198,7 @@
   std::uint64_t lease_version = 0;
   m_report_version = 0;
   m_committed.clear();
+  std::map<ServiceId, StoredMove> moves;
   for (const auto& row : rows->rows) {
     if (row.key == kLeaseKey) {
       lease = DecodeLease(row.value);
@@ -188,6 +212,11 @@
     } else if (row.key == kDoneKey) {
       m_done = ParseWhole(row.value);
       m_done_version = row.version;
+    } else if (row.key.starts_with(kMovePrefix)) {
+      auto move = DecodeMove(row.value);
+      if (!move) continue;
+      const ServiceId service = move->order.service;
+      moves[service] = {std::move(*move), row.version};
     } else if (row.key.starts_with(kReportPrefix)) {
       if (row.key == m_report_key) m_report_version = row.version;
       auto report = DecodeReport(row.value);
@@ -200,6 +229,7 @@
     }
   }
   m_instances.Observe(std::move(reports), now);
+  m_moves = std::move(moves);
   // A write whose answer was lost has taken effect if its row is found.
   const bool own = lease && m_lease_sent && *lease == m_lease_sent->row;
   if (own && lease_version != m_lease.Version()) {
@@ -314,6 +344,82 @@
   }
 }
 
+std::map<ServiceId, VersionMove> Duties::Moves() const {
+  std::map<ServiceId, VersionMove> moves;
+  for (const auto& [service, order] : m_orders) {
+    VersionMove& move = moves[service];
+    move.order = order;
+    const auto stored = m_moves.find(service);
+    const bool known = stored != m_moves.end() &&
+                       stored->second.move.order.revision == order.revision;
+    if (!known) continue;  // The new version gets nothing before a decision.
+    move = stored->second.move;
+    const auto own = m_evidence.find(MoveKey(order));
+    const bool undecided = move.state.phase != MovePhase::kDone;
+    if (own == m_evidence.end() || !undecided) continue;
+    if (!FindHarm(order, own->second).empty()) move.state.share = 0;
+  }
+  return moves;
+}
+
+bool Duties::IsMoving() const {
+  const auto moves = Moves();
+  return std::any_of(moves.begin(), moves.end(), [](const auto& item) {
+    const MovePhase phase = item.second.state.phase;
+    return phase == MovePhase::kRunning || phase == MovePhase::kWatching;
+  });
+}
+
+MoveEvidence Duties::EvidenceOf(const MoveId& key) const {
+  MoveEvidence sum;
+  for (const auto* report : m_instances.Serving(BootTime())) {
+    const EvidenceByMove evidence = DecodeEvidence(report->evidence);
+    const auto found = evidence.find(key);
+    if (found != evidence.end()) Accumulate(sum, found->second);
+  }
+  return sum;
+}
+
+Awaitable<void> Duties::StepMoves() {
+  const auto now = SharedNowMs();
+  if (!now) co_return;
+  const auto orders = m_orders;
+  for (const auto& [service, order] : orders) {
+    const auto stored = m_moves.find(service);
+    const bool known = stored != m_moves.end() &&
+                       stored->second.move.order.revision == order.revision;
+    StoredMove next;
+    if (stored != m_moves.end()) next.version = stored->second.version;
+    next.move.order = order;
+    if (known) {
+      const auto state = NextState(stored->second.move,
+                                   EvidenceOf(MoveKey(order)), WallTime(*now));
+      if (!state) continue;
+      next.move.state = *state;
+    } else {
+      const bool timed = order.seen.Count() > 0;
+      next.move.state = FirstState(m_settings.exposure_share,
+                                   timed ? order.seen : WallTime(*now));
+    }
+    if (!HoldsLease()) co_return;
+    const std::string key = std::string(kMovePrefix) + service.Text();
+    StoreChange change;
+    change.conditions.push_back(Row(key, {}, next.version));
+    change.writes.push_back(Row(key, EncodeMove(next.move)));
+    change.writes.push_back(m_dialect.move_status(next.move));
+    const auto changed = co_await Change(std::move(change));
+    if (!changed) co_return;
+    next.version = changed->version;
+    LogEvent(Event::kMoveStep,
+             {{"move", MoveKey(order).Text()},
+              {"to", order.to.Text()},
+              {"phase", std::string(MovePhaseName(next.move.state.phase))},
+              {"share", std::to_string(next.move.state.share)},
+              {"reason", next.move.state.reason}});
+    m_moves[service] = next;
+  }
+}
+
 std::map<DomainId, DomainCapacity> Duties::DomainCapacities(
     const ServiceId& service, const std::vector<ServerEntry>& servers) const {
   std::map<DomainId, DomainCapacity> domains;
@@ -334,6 +440,12 @@
                                       std::vector<ServerEntry> servers) {
   for (const auto& [name, service] : configuration->services) {
     if (!service.scaling) continue;
+    // The servers of both versions run side by side until a move is decided.
+    const auto move = m_moves.find(name);
+    const bool moving = m_orders.contains(name) && move != m_moves.end() &&
+                        move->second.move.state.phase != MovePhase::kDone &&
+                        move->second.move.state.phase != MovePhase::kTakenBack;
+    if (moving) continue;
     auto planner = m_planners.try_emplace(name, name, *service.scaling).first;
     auto domains = DomainCapacities(name, servers);
     const auto orders = planner->second.Plan(domains, BootTime());
@@ -368,6 +480,7 @@
     m_planners.clear();
     co_return;
   }
+  co_await StepMoves();
   if (m_settings.reports_usage) co_await ReportUsage();
   if (!m_settings.orders_capacity || !configuration) co_return;
   co_await OrderCapacity(std::move(configuration), std::move(servers));
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -45,6 +45,7 @@
     UsageLedger usage;  ///< counted since the last exchange
     std::map<ServiceId, double> busy;
     bool stopping = false;
+    std::map<MoveId, MoveEvidence> evidence;
   };
 
   Duties(const Settings& settings, const Dialect& dialect);
@@ -59,6 +60,16 @@
   Awaitable<void> Perform(ConfigurationPtr configuration,
                           std::vector<ServerEntry> servers);
 
+  /// Notes the orders in force; those known before and not named are over.
+  void SetOrders(std::map<ServiceId, MoveOrder> orders) {
+    m_orders = std::move(orders);
+  }
+  /// Moves that are ordered, as last read; one that this instance's own
+  /// evidence shows as harmful gets no share here.
+  std::map<ServiceId, VersionMove> Moves() const;
+  /// Whether a move is undecided.
+  bool IsMoving() const;
+
   const InstanceTable& Instances() const { return m_instances; }
   const NodeId& Self() const { return m_settings.node; }
   /// Whether a process of this node was serving until just now.
@@ -68,6 +79,8 @@
     return m_clock.FromBoot();
   }
   bool HoldsLease() const { return m_lease.MayAct(LeaseNow()); }
+  /// Time of day that all instances share, once it is known.
+  std::optional<std::int64_t> SharedNowMs() const;
 
  private:
   static LeaseView::Time LeaseNow() {
@@ -75,7 +88,9 @@
         std::chrono::duration_cast<LeaseView::Time::duration>(BootTime()));
   }
   InstanceReport BuildReport(const Input& input);
-  std::optional<std::int64_t> SharedNowMs() const;
+  /// Whether the lease has lapsed, was given up, or was held by an earlier
+  /// process of this machine.
+  bool MayTakeLease(LeaseView::Time now) const;
   Awaitable<Result<void>> WriteReport(Input input);
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClock();
@@ -84,13 +99,16 @@
                                 std::vector<ServerEntry> servers);
   std::map<DomainId, DomainCapacity> DomainCapacities(
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
+  Awaitable<void> StepMoves();
+  MoveEvidence EvidenceOf(const MoveId& key) const;
   Awaitable<bool> SendUsage(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
   Awaitable<Result<StoreRows>> Change(StoreChange change);
 
   const Settings& m_settings;
   const Dialect& m_dialect;
-  std::uint64_t m_started;
+  std::chrono::nanoseconds m_began = BootTime();
+  std::uint64_t m_started;  ///< time of day; tells processes apart
   std::string m_report_key;
   std::uint64_t m_report_version = 0;
   std::uint64_t m_sequence = 0;
@@ -111,6 +129,15 @@
   std::uint64_t m_done_version = 0;
   bool m_table_read = false;
   std::map<ServiceId, CapacityPlanner> m_planners;
+
+  /// A move's row in the store.
+  struct StoredMove {
+    VersionMove move;
+    std::uint64_t version = 0;
+  };
+  std::map<ServiceId, MoveOrder> m_orders;
+  std::map<ServiceId, StoredMove> m_moves;
+  std::map<MoveId, MoveEvidence> m_evidence;  ///< of this instance
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -19,6 +19,18 @@
 
 namespace cowslipknot::gateway {
 
+/// A service with an order to move it, and its servers by version.
+struct MovedService {
+  VersionMove move;
+  std::vector<Backend> old_servers;
+  std::vector<Backend> new_servers;
+
+  bool Undecided() const {
+    return move.state.phase == MovePhase::kRunning ||
+           move.state.phase == MovePhase::kWatching;
+  }
+};
+
 /// What the traffic thread routes by. Immutable; control publishes a new one.
 struct Snapshot {
   ConfigurationPtr configuration;  ///< null until the first is read
@@ -27,6 +39,7 @@
   std::map<WorkspaceId, double> shares;  ///< parts of limits granted here
   std::map<WorkspaceId, double> pooled;  ///< parts of limits lent here
   std::map<WorkspaceId, std::vector<Endpoint>> homes;  ///< of the limits
+  std::map<ServiceId, MovedService> moves;
   std::size_t instances = 1;  ///< gateway instances, this included
   std::size_t instances_in_domain = 1;
 };
@@ -50,6 +63,8 @@
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
+  /// What was seen of both versions, by move, since the process began.
+  std::map<MoveId, MoveEvidence>& Evidence() { return m_evidence; }
   IdleConnections& Idle() { return *m_idle; }
   std::shared_ptr<IdleConnections> IdlePtr() { return m_idle; }
 
@@ -85,6 +100,7 @@
   UsageLedger m_usage;
   LoadMeter m_load;
   RetryBudget m_retries;
+  std::map<MoveId, MoveEvidence> m_evidence;
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
   std::uint64_t m_in_flight = 0;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -76,6 +76,7 @@
     windows[std::to_string(window)] = CountsToJson(counts);
   }
   object["usage"] = std::move(windows);
+  if (!report.evidence.empty()) object["evidence"] = report.evidence;
   return json::serialize(object);
 }
 
@@ -101,6 +102,9 @@
       report.busy[ServiceId(std::string(service))] =
           servers.to_number<double>();
     }
+    if (const auto* evidence = parsed.as_object().if_contains("evidence")) {
+      report.evidence = std::string(evidence->as_string());
+    }
     for (const auto& [window, counts] : parsed.at("usage").as_object()) {
       for (const auto& [workspace, count] :
            CountsFromJson(counts.as_object())) {
--- /dev/null
+++ b/src/state/version_move.cc
@@ -0,0 +1,53 @@
+#include "cowslipknot/gateway/version_move.h"
+
+#include <boost/json.hpp>
+
+namespace cowslipknot::gateway {
+namespace {
+
+namespace json = boost::json;
+
+}  // namespace
+
+std::string EncodeMove(const VersionMove& move) {
+  json::object object;
+  object["service"] = move.order.service.Text();
+  object["to"] = move.order.to.Text();
+  object["duration_ms"] = move.order.duration.count();
+  object["revision"] = move.order.revision;
+  object["phase"] = static_cast<int>(move.state.phase);
+  object["share"] = move.state.share;
+  object["started_ms"] = move.state.started.Count();
+  object["full_since_ms"] = move.state.full_since.Count();
+  object["reason"] = move.state.reason;
+  return json::serialize(object);
+}
+
+std::optional<VersionMove> DecodeMove(std::string_view text) {
+  VersionMove move;
+  try {
+    const json::value parsed = json::parse(text);
+    move.order.service =
+        ServiceId(std::string(parsed.at("service").as_string()));
+    move.order.to = VersionId(std::string(parsed.at("to").as_string()));
+    move.order.duration =
+        Milliseconds(parsed.at("duration_ms").to_number<std::int64_t>());
+    move.order.revision = parsed.at("revision").to_number<std::uint64_t>();
+    const auto phase = parsed.at("phase").to_number<int>();
+    if (phase < 0 || phase > static_cast<int>(MovePhase::kTakenBack)) {
+      return std::nullopt;
+    }
+    move.state.phase = static_cast<MovePhase>(phase);
+    move.state.share = parsed.at("share").to_number<double>();
+    move.state.started =
+        WallTime(parsed.at("started_ms").to_number<std::int64_t>());
+    move.state.full_since =
+        WallTime(parsed.at("full_since_ms").to_number<std::int64_t>());
+    move.state.reason = std::string(parsed.at("reason").as_string());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return move;
+}
+
+}  // namespace cowslipknot::gateway
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -2,9 +2,13 @@
 
 #include <sys/socket.h>
 
+#include <array>
+
 namespace cowslipknot {
 namespace {
 
+/// The peer's answer to a close takes a round trip.
+constexpr Milliseconds kLinger(150);
 constexpr Milliseconds kAcceptRetry(20);
 
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
@@ -195,6 +199,20 @@
   co_return body_error;
 }
 
+/// Ends a connection so that the peer gets all that was written: bytes that
+/// are still on their way here would reset it.
+Awaitable<void> CloseGracefully(beast::tcp_stream& stream) {
+  error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  std::array<char, 4096> discarded;
+  stream.expires_after(kLinger);
+  while (true) {
+    auto [error, size] =
+        co_await stream.async_read_some(asio::buffer(discarded), kAsTuple);
+    if (error) co_return;
+  }
+}
+
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
                                 HttpServerHooks hooks) {
   beast::flat_buffer buffer;
@@ -212,10 +230,13 @@
     if (hooks.closing && hooks.closing()) exchange.CloseAfter();
     co_await hooks.handle(exchange);
     exchange.EndWatch();
-    if (!exchange.Intact() || !exchange.KeepAlive()) break;
+    if (!exchange.Intact()) co_return;
+    if (!exchange.KeepAlive()) break;
+    // An answer that began before the stop did not announce the close; a
+    // request that follows it must not be begun.
+    if (hooks.closing && hooks.closing()) break;
   }
-  error_code ignored;
-  stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+  co_await CloseGracefully(*stream);
 }
 
 }  // namespace
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -359,6 +359,47 @@
         eventually(lambda: [line for line in cut_off.lines()
                             if line["name"] == "server_leaving"])
 
+    def order_move(self, duration_s):
+        """Starts a version beside the old one and asks for the move."""
+        self.store.put("op", "config", configuration())
+        self.add_backend("old", "plain")
+        gateway = self.start()
+        self.store.put("op", "rollout/plain", {
+            "service": "plain", "to": "v2", "duration_s": duration_s})
+        new = self.add_backend("new", "plain")
+        self.store.put("servers", "new", new.entry("plain", version="v2"))
+        eventually(lambda: self.store.get("status", "rollout/plain"))
+        return gateway, new
+
+    def send_until(self, gateway, state):
+        """Sends requests until the move's status says so."""
+        sent = 0
+        deadline = time.monotonic() + PATIENCE_S
+        while self.store.get("status", "rollout/plain")["state"] != state:
+            self.assertLess(time.monotonic(), deadline)
+            gateway.call("/once/x", request_id=f"m{sent}")
+            sent += 1
+        return sent
+
+    def test_a_good_version_is_moved_to_and_the_order_is_completed(self):
+        gateway, new = self.order_move(duration_s=8)
+        status = self.store.get("status", "rollout/plain")
+        self.assertEqual((status["to"], status["state"]), ("v2", "in_progress"))
+        self.send_until(gateway, "completed")
+        runs = len(new.runs)
+        gateway.call("/once/x", request_id="after")
+        self.assertEqual(len(new.runs), runs + 1)
+
+    def test_a_bad_version_is_taken_back_and_gets_nothing_more(self):
+        gateway, new = self.order_move(duration_s=15)
+        new.behave = ["fail"] * 100000
+        sent = self.send_until(gateway, "reverted")
+        self.assertLess(len(new.runs), 0.1 * sent + 50)
+        runs = len(new.runs)
+        for name in range(100):
+            gateway.call("/once/x", request_id=f"after{name}")
+        self.assertEqual(len(new.runs), runs)
+
     def test_keyed_requests_stop_when_the_store_is_silent_and_public_ones_go_on(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
@@ -493,6 +534,25 @@
         self.assertEqual(body.count(b"\n\n"), 10)
         self.assertEqual(gateway.child.wait(timeout=PATIENCE_S), 0)
 
+    def test_a_request_behind_an_answer_that_began_before_a_stop_is_not_begun(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("m1", "model", events=10, event_pause_s=0.1)
+        gateway = self.start()
+        ask = ("POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
+               "Cowslipknot-Request-Id: {}\r\nAuthorization: Token key1\r\n"
+               "Cowslipknot-Token-Count: 10,10\r\nContent-Length: 1\r\n\r\nx")
+        with socket.create_connection(("127.0.0.1", gateway.port), 10) as caller:
+            caller.sendall(ask.format("r1").encode())
+            received = caller.recv(1)
+            gateway.child.send_signal(signal.SIGTERM)
+            eventually(lambda: not gateway.ready())
+            caller.sendall(ask.format("r2").encode())
+            while piece := caller.recv(65536):
+                received += piece
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 1)
+        self.assertTrue(received.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.ran("r2"), [])
+
     def test_a_new_connection_is_served_until_the_balancer_has_noticed_a_stop(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
