Tell peers of long prompts; make up for a reclaim at once

Prompts of 1000 tokens and more are told to all peers when they are sent; the queue that others put on a server drains by its believed speed. A drop of a quarter now counts as a reclaim at once, rejections are made up for in the same turn, firm servers stay 8 s.

--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -52,12 +52,16 @@
     double need = 0;  ///< high-water mark of busy servers, decaying
     std::optional<std::uint32_t> firm_ordered;
     std::optional<std::uint32_t> reclaimable_ordered;
+    std::uint32_t reclaimable_seen = 0;  ///< ready at the latest plan
     Time reclaimable_ordered_at{0};
     Time unavailable_until{0};
     std::optional<Time> fewer_since;
     std::optional<Time> fewer_reclaimable_since;
   };
 
+  /// Notes when a domain's reclaimable servers were taken away.
+  static void NoteReclaim(DomainState& state, const DomainCapacity& capacity,
+                          Time now);
   void UpdateNeed(const std::map<DomainId, DomainCapacity>& domains, Time now);
   /// Whole servers within the service's limits.
   std::uint32_t Clamp(double servers) const;
--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -61,6 +61,12 @@
   /// A request that had begun has ended.
   void NoteFinished();
 
+  /// Another instance sent a prompt here.
+  void NoteRemote(TokenCount uncached, Time now);
+  /// Tokens that other instances sent and that are not computed yet, as far
+  /// as they told.
+  double RemoteQueue(Time now) const;
+
   void NoteSuccess();
   void NoteFailure(Time now);
   /// The server was not reached, or went silent.
@@ -85,6 +91,8 @@
   std::uint64_t m_queue = 0;  ///< tokens sent whose first event has not come
   std::uint64_t m_sent = 0;
   std::map<std::uint64_t, Time> m_waiting;  ///< when sent, oldest first
+  double m_remote = 0;                      ///< tokens
+  Time m_remote_updated{0};
   double m_lag_ms = 0;
   Time m_lag_updated{0};
   std::uint64_t m_running = 0;
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -21,7 +21,10 @@
 /// Beyond their boot, until ordered servers count as not coming.
 constexpr std::chrono::milliseconds kBootMargin(3000);
 /// Fewer servers needed for this long before firm ones are given back.
-constexpr std::chrono::milliseconds kSettled(4000);
+constexpr std::chrono::milliseconds kSettled(8000);
+/// Losing more than this part of a domain's reclaimable servers between two
+/// plans is a reclaim: none are to be had there for a while.
+constexpr double kReclaimedPart = 0.25;
 /// The same for reclaimable ones, which cost a fraction of a firm one.
 constexpr std::chrono::milliseconds kReclaimableSettled(15000);
 
@@ -94,6 +97,17 @@
          now - state.reclaimable_ordered_at < m_scaling.boot + kBootMargin;
 }
 
+void CapacityPlanner::NoteReclaim(DomainState& state,
+                                  const DomainCapacity& capacity, Time now) {
+  const auto before = static_cast<double>(state.reclaimable_seen);
+  const double lost = before - capacity.reclaimable;
+  state.reclaimable_seen = capacity.reclaimable;
+  const bool ordered_away = state.reclaimable_ordered.value_or(0) < before;
+  if (ordered_away || lost < 2 || lost < kReclaimedPart * before) return;
+  state.unavailable_until = now + kUnavailable;
+  state.reclaimable_ordered = capacity.reclaimable;
+}
+
 void CapacityPlanner::PlanDomain(const DomainId& domain,
                                  const DomainCapacity& capacity, Time now,
                                  std::vector<CapacityOrder>& orders) {
@@ -136,6 +150,9 @@
 std::vector<CapacityOrder> CapacityPlanner::Plan(
     const std::map<DomainId, DomainCapacity>& domains, Time now) {
   UpdateNeed(domains, now);
+  for (const auto& [domain, capacity] : domains) {
+    NoteReclaim(m_states[domain], capacity, now);
+  }
   const bool busy = std::any_of(domains.begin(), domains.end(), [](auto& item) {
     return item.second.busy > 0;
   });
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -68,7 +68,6 @@
 /// Mean load that this domain's instances put on one of its servers; taken
 /// for the load of servers that other instances use.
 struct Background {
-  double queue = 0;
   double running = 0;
 };
 
@@ -78,13 +77,11 @@
   double servers = 0;
   for (const auto& backend : backends) {
     if (!IsLocal(backend, context)) continue;
-    mean.queue += static_cast<double>(backend.state->Queue().Count());
     mean.running += static_cast<double>(backend.state->Running() +
                                         backend.state->Waiting());
     servers += 1;
   }
   if (servers > 0) {
-    mean.queue /= servers;
     mean.running /= servers;
   }
   return mean;
@@ -114,9 +111,9 @@
     const bool local = IsLocal(backend, m_context);
     double queue = static_cast<double>(state.Queue().Count());
     double present = static_cast<double>(state.Running() + state.Waiting());
-    // What other instances sent is not seen: those of this domain are taken
+    // What other instances run is not seen: those of this domain are taken
     // to do as this one does, those of others as this domain does.
-    queue += local ? m_background.queue * others : m_background.queue;
+    queue += state.RemoteQueue(m_context.now);
     present += local ? m_background.running * others : m_background.running;
     const double uncached = Uncached(index);
     Score score;
@@ -264,6 +261,16 @@
       std::clamp(m_tokens_per_ms, kSlowestTokensPerMs, kFastestTokensPerMs);
 }
 
+void BackendState::NoteRemote(TokenCount uncached, Time now) {
+  m_remote = RemoteQueue(now) + static_cast<double>(uncached.Count());
+  m_remote_updated = now;
+}
+
+double BackendState::RemoteQueue(Time now) const {
+  const double computed = Ms(now - m_remote_updated) * m_tokens_per_ms;
+  return std::max(0.0, m_remote - std::max(0.0, computed));
+}
+
 double BackendState::DecayedLag(Time now) const {
   return m_lag_ms * std::exp(-Ms(now - m_lag_updated) / kLagDecayMs);
 }
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -278,6 +278,9 @@
     m_events.DropRest();
     BackendLoad load(server.state, m_placement, m_request.parts);
     NotePromptLoad(server);
+    if (server.is_model) {
+      m_worker.TellPrompt(server.entry.id, m_placement.uncached);
+    }
     LogAttempt(server);
     m_worker.Metrics().Add("cowslipknot_attempts_total",
                            Label("route", m_route->name.Text()));
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -212,14 +212,8 @@
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::ServersLeaving;
   AddRecords(*frame, records);
-  std::vector<Endpoint> peers;
-  for (const auto* report : m_duties.Instances().Serving(BootTime())) {
-    if (report->peers && report->peers != m_settings.peers) {
-      peers.push_back(*report->peers);
-    }
-  }
-  asio::post(m_worker.Context(), [this, frame, peers] {
-    m_worker.Links().Broadcast(peers, *frame);
+  asio::post(m_worker.Context(), [this, frame] {
+    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
   });
 }
 
@@ -337,6 +331,10 @@
   const auto now = BootTime();
   const auto serving = m_duties.Instances().Serving(now);
   snapshot->instances = std::max<std::size_t>(1, serving.size());
+  for (const auto* report : serving) {
+    const bool other = report->peers && report->peers != m_settings.peers;
+    if (other) snapshot->peers.push_back(*report->peers);
+  }
   const auto near = std::count_if(serving.begin(), serving.end(),
                                   [this](const InstanceReport* report) {
                                     return report->domain == m_settings.domain;
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -448,8 +448,11 @@
     if (moving) continue;
     auto planner = m_planners.try_emplace(name, name, *service.scaling).first;
     auto domains = DomainCapacities(name, servers);
-    const auto orders = planner->second.Plan(domains, BootTime());
-    for (const auto& order : orders) {
+    auto orders = planner->second.Plan(domains, BootTime());
+    // What is not to be had is made up for in the same turn.
+    bool replanned = false;
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+      const CapacityOrder order = orders[i];
       if (!HoldsLease()) co_return;
       DutyHolder holder;
       holder.node = m_settings.node;
@@ -469,6 +472,10 @@
                 {"busy", std::to_string(domains[order.domain].busy)},
                 {"firm", std::to_string(domains[order.domain].firm)}});
       if (outcome == CallOutcome::kUnknown) co_return;
+      if (accepted || replanned || i + 1 < orders.size()) continue;
+      replanned = true;
+      const auto more = planner->second.Plan(domains, BootTime());
+      orders.insert(orders.end(), more.begin(), more.end());
     }
   }
 }
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -13,6 +13,12 @@
 constexpr double kSlackPart = 0.6;
 constexpr double kRatioPart = 0.7;
 constexpr double kFewestInstances = 5;
+/// Prompts of more tokens keep a server busy for long enough (some 50 ms) that
+/// other instances should know.
+constexpr double kToldTokens = 1000;
+/// With more instances only longer prompts are told, so that the notices each
+/// instance reads do not grow with their number.
+constexpr double kInstancesToldAll = 40;
 
 double RetryReserve(const Settings& settings) {
   return settings.retry_slack * kSlackPart /
@@ -30,10 +36,17 @@
       m_lenders(m_links, settings),
       m_retries(settings.retry_ratio * kRatioPart, RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
-                           settings.node.Text().size())) {}
+                           settings.node.Text().size())) {
+  m_links.Handle(wire::Kind::PromptSent,
+                 [this](const PeerFrame& frame) { return NotePrompt(frame); });
+}
 
 void Worker::SetSnapshot(SnapshotPtr snapshot) {
   m_snapshot = std::move(snapshot);
+  m_states.clear();
+  for (const auto& [service, servers] : m_snapshot->servers) {
+    for (const auto& server : servers) m_states[server.entry.id] = server.state;
+  }
   for (const auto& [workspace, share] : m_snapshot->shares) {
     m_quota.SetShare(workspace, share);
   }
@@ -41,6 +54,27 @@
                    m_snapshot->configuration);
 }
 
+void Worker::TellPrompt(const ServerId& server, TokenCount uncached) {
+  const auto instances = static_cast<double>(m_snapshot->instances);
+  const double least =
+      kToldTokens * std::max(1.0, instances / kInstancesToldAll);
+  if (static_cast<double>(uncached.Count()) < least) return;
+  PeerFrame frame;
+  frame.kind = wire::Kind::PromptSent;
+  frame.sender = m_settings.node.Text();
+  frame.text = server.Text();
+  frame.amount = uncached.Count();
+  m_links.Broadcast(m_snapshot->peers, frame);
+}
+
+PeerFrame Worker::NotePrompt(const PeerFrame& frame) {
+  const auto state = m_states.find(ServerId(frame.text));
+  if (state != m_states.end()) {
+    state->second->NoteRemote(TokenCount(frame.amount), BootTime());
+  }
+  return PeerFrame();
+}
+
 bool Worker::KeysAreFresh() const {
   const auto confirmed = m_confirmed.load();
   if (confirmed.count() == 0) return false;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 #include "base/clock.h"
 #include "base/metrics.h"
@@ -40,7 +41,8 @@
   std::map<WorkspaceId, double> pooled;  ///< parts of limits lent here
   std::map<WorkspaceId, std::vector<Endpoint>> homes;  ///< of the limits
   std::map<ServiceId, MovedService> moves;
-  std::size_t instances = 1;  ///< gateway instances, this included
+  std::vector<Endpoint> peers;  ///< of the other instances
+  std::size_t instances = 1;    ///< gateway instances, this included
   std::size_t instances_in_domain = 1;
 };
 
@@ -71,6 +73,9 @@
   SnapshotPtr GetSnapshot() const { return m_snapshot; }
   void SetSnapshot(SnapshotPtr snapshot);
 
+  /// Tells the other instances of a prompt that keeps a server busy.
+  void TellPrompt(const ServerId& server, TokenCount uncached);
+
   /// Whether the configuration was confirmed recently enough that no key can
   /// have been removed for longer than the bound.
   bool KeysAreFresh() const;
@@ -88,6 +93,8 @@
   std::uint64_t& InFlight() { return m_in_flight; }
 
  private:
+  PeerFrame NotePrompt(const PeerFrame& frame);
+
   const Settings& m_settings;
   const Dialect& m_dialect;
   asio::io_context m_context{1};
@@ -97,6 +104,7 @@
   QuotaLimiter m_quota;
   PeerLinks m_links;
   QuotaPeers m_lenders;
+  std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_states;
   UsageLedger m_usage;
   LoadMeter m_load;
   RetryBudget m_retries;
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -226,6 +226,22 @@
   }
 }
 
+// Answers a reclaim of one domain in a market that is dry afterwards.
+Test(capacity_plan, a_reclaim_is_made_up_for_by_firm_servers_at_once) {
+  CapacityPlanner planner(ServiceId("m"), MakeScaling());
+  Domains domains = {{DomainId("a"), {4.0, 1, 7}},
+                     {DomainId("b"), {4.0, 1, 7}}};
+  Drive(planner, domains, 0, 30);
+  // More reclaimable servers were ordered just before.
+  domains = {{DomainId("a"), {5.0, 1, 8}}, {DomainId("b"), {5.0, 1, 8}}};
+  Drive(planner, domains, 30, 31);
+  domains = {{DomainId("a"), {5.0, 1, 0}}, {DomainId("b"), {5.0, 1, 8}}};
+  const auto orders = Drive(planner, domains, 31, 32);
+  cr_expect_geq(Last(orders, "a", false).value_or(0), 6);
+  cr_expect_not(Last(orders, "a", true).has_value());
+  cr_expect_not(Last(orders, "b", false).has_value());
+}
+
 Test(capacity_plan, a_short_lull_gives_no_reclaimable_server_back) {
   CapacityPlanner planner(ServiceId("m"), MakeScaling());
   Domains domains = {{DomainId("a"), {4.0, 1, 9}},
