Report after each window's end; count no outage of the store as silence

Change: time between two reads that is longer than reads are apart counts for no one's age; a report follows each window's end within 0.6 s. What is left are windows in which processes are killed with counts that they had not written.

--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -19,7 +19,8 @@
   /// @param lifetime  an instance silent for longer serves no keyed requests
   explicit InstanceTable(Milliseconds lifetime) : m_lifetime(lifetime) {}
 
-  /// Notes the reports found, by key; others have been removed.
+  /// Notes the reports found, by key; others have been removed. A long time
+  /// since the last call is an outage of the store, and no one's silence.
   void Observe(std::map<std::string, InstanceReport> reports, Time now);
 
   /// Processes that may be serving: not replaced, stopping or silent for long.
@@ -49,6 +50,7 @@
   bool IsServing(const Seen& seen, Time now) const;
 
   Milliseconds m_lifetime;
+  Time m_observed{0};  ///< latest call of Observe()
   std::map<std::string, Seen> m_seen;
   std::map<NodeId, std::uint64_t> m_newest;  ///< start of each node's latest
 };
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -50,6 +50,13 @@
 std::string EncodeReport(const InstanceReport& report);
 std::optional<InstanceReport> DecodeReport(std::string_view text);
 
+/// The pause before the next report, shortened so that one follows each
+/// window's end: its counts are then complete soon.
+/// @param now_ms  on the shared clock
+/// @param offset  of this instance's report from the end; spreads the calls
+Milliseconds PauseBeforeReport(std::int64_t now_ms, Milliseconds window,
+                               Milliseconds pause, Milliseconds offset);
+
 std::string EncodeCounts(const WindowCounts& counts);
 std::optional<WindowCounts> DecodeCounts(std::string_view text);
 
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -3,9 +3,21 @@
 #include <algorithm>
 
 namespace cowslipknot::gateway {
+namespace {
+
+/// Longest time between two reads of the reports while the store answers:
+/// the longest pause between them and a slow call.
+constexpr std::chrono::milliseconds kLongestGap(4000);
+
+}  // namespace
 
 void InstanceTable::Observe(std::map<std::string, InstanceReport> reports,
                             Time now) {
+  const Time gap = now - m_observed;
+  if (m_observed.count() > 0 && gap > kLongestGap) {
+    for (auto& [key, seen] : m_seen) seen.changed += gap;
+  }
+  m_observed = now;
   std::erase_if(m_seen, [&reports](const auto& item) {
     return !reports.contains(item.first);
   });
--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -1,5 +1,7 @@
 #include "serve/gateway_control.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <numeric>
 #include <set>
@@ -29,6 +31,10 @@
 /// A change of the instances is known to all that reach the store after the
 /// longest pause and a slow call.
 constexpr Milliseconds kHandOver(4000);
+/// Reports follow a window's end after this time, spread over the next: the
+/// requests of a window are noted by then.
+constexpr Milliseconds kReportAfterWindow(100);
+constexpr Milliseconds kReportSpread(500);
 /// A young process reports this often, so that its part of the limits and its
 /// duties are known soon.
 constexpr Milliseconds kYoungReportPause(500);
@@ -461,8 +467,16 @@
   const auto instances = static_cast<Milliseconds::rep>(
       m_duties.Instances().Serving(BootTime()).size());
   const auto few = static_cast<Milliseconds::rep>(kFewInstances);
-  return std::clamp(kReportPause * instances / few, kReportPause,
-                    kLongestReportPause);
+  const Milliseconds pause = std::clamp(kReportPause * instances / few,
+                                        kReportPause, kLongestReportPause);
+  const auto now = m_duties.SharedNowMs();
+  if (!now) return pause;
+  const std::string& node = m_settings.node.Text();
+  const Milliseconds offset(static_cast<Milliseconds::rep>(
+      XXH3_64bits(node.data(), node.size()) %
+      static_cast<std::uint64_t>(kReportSpread.count())));
+  return PauseBeforeReport(*now, m_settings.usage_window, pause,
+                           kReportAfterWindow + offset);
 }
 
 Awaitable<void> Control::Leave() {
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -40,6 +40,14 @@
   m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
 }
 
+Milliseconds PauseBeforeReport(std::int64_t now_ms, Milliseconds window,
+                               Milliseconds pause, Milliseconds offset) {
+  const std::int64_t since = (now_ms - offset.count()) % window.count();
+  const Milliseconds left =
+      window - Milliseconds(std::max<std::int64_t>(0, since));
+  return std::min(pause, left);
+}
+
 std::string EncodeCounts(const WindowCounts& counts) {
   return json::serialize(CountsToJson(counts));
 }
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "base/line_budget.h"
@@ -191,6 +192,26 @@
   cr_expect_eq(table.Serving(kNow + std::chrono::seconds(7)).size(), 1u);
 }
 
+// Answers an outage of the store that is longer than a report's lifetime.
+Test(instance_table, an_outage_of_the_store_is_no_ones_silence) {
+  InstanceTable table(Milliseconds(6000));
+  std::map<std::string, InstanceReport> reports;
+  reports["report/a/1"] = MakeReport("a", 1, 1);
+  reports["report/a/1"].as_of_ms = 1000;
+  table.Observe(reports, kNow);
+  const Time back = kNow + std::chrono::seconds(8);
+  table.Observe(reports, back);
+  cr_expect_eq(table.Serving(back).size(), 1u);
+  cr_expect_not(table.Complete(5000, back), "its counts are still to come");
+  // Silence while the store answers counts.
+  Time now = back;
+  for (int read = 0; read < 3; ++read) {
+    now += std::chrono::seconds(3);
+    table.Observe(reports, now);
+  }
+  cr_expect(table.Serving(now).empty());
+}
+
 Test(instance_table, counts_of_dead_processes_stay_in_a_windows_sum) {
   InstanceTable table{Milliseconds(6000)};
   InstanceReport dead = MakeReport("a", 1, 1);
@@ -232,6 +253,27 @@
   cr_expect_not(DecodeReport("{\"node\":3}").has_value());
 }
 
+Test(usage, a_report_follows_each_windows_end) {
+  cr_assert(rc::check([] {
+    const Milliseconds window(5000);
+    const Milliseconds offset(*rc::gen::inRange(0, 600));
+    std::int64_t now = 1000000000LL + *rc::gen::inRange(0, 100000);
+    std::set<std::int64_t> reported;
+    const std::int64_t begin = now;
+    while (now < begin + 60000) {
+      const auto pause =
+          PauseBeforeReport(now, window, Milliseconds(3000), offset);
+      RC_ASSERT(pause.count() > 0 && pause.count() <= 3000);
+      now += pause.count();
+      reported.insert(now - offset.count());
+    }
+    for (std::int64_t end = begin - begin % 5000 + 10000; end < begin + 55000;
+         end += 5000) {
+      RC_ASSERT(reported.contains(end));
+    }
+  }));
+}
+
 Test(load_meter, shows_the_servers_that_steady_load_keeps_busy) {
   LoadMeter meter;
   for (int ms = 0; ms < 20000; ms += 50) {
