Mend what the linter found; keep the text form of moves in its layer

Cause: the linter (a copy of an endpoint, a vector without reserve) and the layer check (the move's text form includes a coordination header). No change of behaviour.

--- a/src/state/version_move.cc
+++ b/src/coordination/version_move_text.cc
@@ -1,7 +1,7 @@
-#include "cowslipknot/gateway/version_move.h"
-
 #include <boost/json.hpp>
 
+#include "cowslipknot/gateway/version_move.h"
+
 namespace cowslipknot::gateway {
 namespace {
 
--- a/src/serve/quota_peers.cc
+++ b/src/serve/quota_peers.cc
@@ -50,7 +50,7 @@
   std::optional<Milliseconds> least;
   // Instances begin with different homes, so that these are used evenly.
   for (std::size_t i = 0; i < homes.size(); ++i) {
-    const Endpoint home = homes[(m_first_home + i) % homes.size()];
+    const Endpoint& home = homes[(m_first_home + i) % homes.size()];
     const auto wait = co_await BorrowFrom(home, workspace, amount);
     if (!wait) continue;
     if (wait->count() == 0) co_return wait;
--- a/tests/unit/gateway_quota_test.cc
+++ b/tests/unit/gateway_quota_test.cc
@@ -258,6 +258,7 @@
 
 Test(quota, all_instances_agree_on_a_home_and_few_limits_move_with_one) {
   std::vector<NodeId> nodes;
+  nodes.reserve(30);
   for (int i = 0; i < 30; ++i) nodes.emplace_back("n" + std::to_string(i));
   std::vector<NodeId> fewer(nodes.begin(), nodes.end() - 1);
   int moved = 0;
