Split usage, moves, capacity, servers and reports from the gateway's control

Cause: gateway_duties.cc and gateway_control.cc had grown to about 500 lines with several jobs each. Functions are moved unchanged; constants go with them; keys of the own rows get one place (own_rows.h). No change of behaviour.

--- a/src/serve/gateway_control.cc
+++ b/src/serve/gateway_control.cc
@@ -1,10 +1,6 @@
 #include "serve/gateway_control.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <numeric>
-#include <set>
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
@@ -15,48 +11,11 @@
 /// A change of the configuration is waited for in calls of this part of the
 /// bound on removed keys: one that fails leaves time for another.
 constexpr double kConfigurationWaitPart = 0.6;
-/// Time between reads of registrations, as part of the bound on a leaving
-/// server's last request; the rest is for one call that fails.
-constexpr double kServersPausePart = 0.6;
-constexpr Milliseconds kReportPause(1500);
-/// The holder renews its lease with its reports.
-constexpr Milliseconds kHolderPause(1000);
-/// While a version is on trial, so that its harm is known to all within three
-/// reports.
-constexpr Milliseconds kMovePause(1000);
-/// Instances beyond which each reports less often, so that the store's load
-/// grows with half their number, and the longest pause that usage allows.
-constexpr std::size_t kFewInstances = 8;
-constexpr Milliseconds kLongestReportPause(3000);
-/// A change of the instances is known to all that reach the store after the
-/// longest pause and a slow call.
-constexpr Milliseconds kHandOver(4000);
-/// Reports follow a window's end after this time, spread over the next: the
-/// requests of a window are noted by then.
-constexpr Milliseconds kReportAfterWindow(100);
-constexpr Milliseconds kReportSpread(500);
-/// A young process reports this often, so that its part of the limits and its
-/// duties are known soon.
-constexpr Milliseconds kYoungReportPause(500);
-constexpr Milliseconds kYoung(600);
 constexpr Milliseconds kRetryPause(150);
 /// Entries that lapsed in an outage of the store are back within this time.
 constexpr Milliseconds kReturnGrace(2000);
-/// Part of a server's memory that is believed to keep prompt parts; the rest
-/// is taken by running requests and by what other instances send.
-constexpr double kCachePart = 0.5;
-
 /// Instances assumed before their reports have been read.
 constexpr double kAssumedInstances = 8;
-/// A process this young has not seen its share of the callers.
-constexpr Milliseconds kDemandUnknown(4000);
-
-double MeanOf(const std::vector<double>& values) {
-  if (values.empty()) return 0;
-  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
-  return sum / static_cast<double>(values.size());
-}
-
 }  // namespace
 
 Control::Control(const Settings& settings, const Dialect& dialect,
@@ -195,132 +154,6 @@
   }
 }
 
-void Control::NoteLeaving(const std::vector<SpreadRecord>& servers) {
-  bool changed = false;
-  for (const auto& server : servers) {
-    const bool leaves = m_registry.NoteLeaving(
-        ServerId(server.key), static_cast<std::int64_t>(server.version));
-    if (!leaves) continue;
-    changed = true;
-    LogEvent(Event::kServerLeaving, {{"server", server.key}});
-  }
-  if (changed) Publish();
-}
-
-void Control::TellLeaving(const std::vector<ServerEntry>& left) {
-  if (left.empty()) return;
-  std::vector<SpreadRecord> records;
-  for (const auto& server : left) {
-    LogEvent(Event::kServerLeaving, {{"server", server.id.Text()}});
-    records.push_back(
-        {server.id.Text(), static_cast<std::uint64_t>(server.started_ms), {}});
-  }
-  auto frame = std::make_shared<PeerFrame>();
-  frame->kind = wire::Kind::ServersLeaving;
-  AddRecords(*frame, records);
-  asio::post(m_worker.Context(), [this, frame] {
-    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
-  });
-}
-
-std::vector<ServerEntry> Control::NoLongerUsable(
-    const std::vector<ServerEntry>& before) const {
-  std::set<ServerId> usable;
-  for (const auto& entry : m_registry.Usable()) usable.insert(entry.id);
-  std::vector<ServerEntry> left;
-  std::copy_if(
-      before.begin(), before.end(), std::back_inserter(left),
-      [&](const ServerEntry& entry) { return !usable.contains(entry.id); });
-  return left;
-}
-
-bool Control::ApplyServers(const StoreRows& rows, bool whole) {
-  std::vector<ServerChange> changes;
-  std::vector<ServerEntry> entries;
-  for (const auto& row : rows.rows) {
-    ServerChange change;
-    change.id = ServerId(row.key);
-    if (!row.removed) {
-      auto entry = m_dialect.decode_server(row.key, row.value);
-      if (entry) {
-        change.entry = *entry;
-        entries.push_back(std::move(*entry));
-      } else {
-        LogEvent(Event::kRegistrationUnreadable,
-                 {{"key", row.key}, {"detail", entry.error().detail}});
-        continue;
-      }
-    }
-    changes.push_back(std::move(change));
-  }
-  if (whole) return m_registry.Replace(entries, BootTime());
-  return m_registry.Apply(changes, BootTime());
-}
-
-Awaitable<void> Control::FollowServers() {
-  TableCursor cursor{m_dialect.names.server_table};
-  while (true) {
-    const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
-    if (!rows) continue;
-    NoteStore(true, cursor.table);
-    const auto before = m_registry.Usable();
-    bool changed = ApplyServers(*rows, cursor.whole);
-    if (changed && m_servers_known) TellLeaving(NoLongerUsable(before));
-    changed = m_registry.Expire(BootTime()) || changed;
-    if (changed || !m_servers_known) {
-      m_servers_known = true;
-      Publish();
-    }
-    co_await SleepFor(std::chrono::duration_cast<Milliseconds>(
-        m_settings.drain * kServersPausePart));
-  }
-}
-
-std::map<ServiceId, std::vector<Backend>> Control::BuildServers() {
-  std::map<ServiceId, std::vector<Backend>> servers;
-  decltype(m_states) states;
-  for (const auto& entry : m_registry.Usable()) {
-    Backend backend;
-    backend.entry = entry;
-    const Service* service = FindService(entry.service);
-    backend.is_model = service != nullptr && service->is_model;
-    const auto known = m_states.find(entry.id);
-    const bool same =
-        known != m_states.end() && known->second.first == entry.started_ms;
-    if (same) {
-      backend.state = known->second.second;
-    } else {
-      const double memory =
-          service == nullptr
-              ? 0
-              : static_cast<double>(service->kv_capacity.Count());
-      backend.state = std::make_shared<BackendState>(
-          TokenCount(static_cast<std::uint64_t>(memory * kCachePart)));
-      LogEvent(Event::kServerRegistered,
-               {{"server", entry.id.Text()},
-                {"service", entry.service.Text()},
-                {"address", FormatEndpoint(entry.address)},
-                {"domain", entry.domain.Text()},
-                {"version", entry.version.Text()}});
-    }
-    states[entry.id] = {entry.started_ms, backend.state};
-    servers[entry.service].push_back(std::move(backend));
-  }
-  for (const auto& [id, known] : m_states) {
-    if (!states.contains(id)) {
-      LogEvent(Event::kServerGone, {{"server", id.Text()}});
-    }
-  }
-  m_states = std::move(states);
-  return servers;
-}
-
-const Service* Control::FindService(const ServiceId& name) const {
-  if (!m_configuration) return nullptr;
-  const auto found = m_configuration->services.find(name);
-  return found == m_configuration->services.end() ? nullptr : &found->second;
-}
-
 void Control::Publish() {
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->configuration = m_configuration;
@@ -364,128 +197,6 @@
              [this, snapshot] { m_worker.SetSnapshot(snapshot); });
 }
 
-std::map<WorkspaceId, std::vector<Endpoint>> Control::FindHomes(
-    const std::vector<const InstanceReport*>& serving) const {
-  std::vector<NodeId> lenders;
-  std::map<NodeId, Endpoint> addresses;
-  for (const auto* report : serving) {
-    if (!report->peers) continue;
-    lenders.push_back(report->node);
-    addresses[report->node] = *report->peers;
-  }
-  std::map<WorkspaceId, std::vector<Endpoint>> homes;
-  if (lenders.size() < kQuotaHomes) return homes;
-  for (const auto& [name, workspace] : m_configuration->workspaces) {
-    for (const auto& node : QuotaHomes(name, lenders)) {
-      homes[name].push_back(addresses.at(node));
-    }
-  }
-  return homes;
-}
-
-void Control::NoteInstances() {
-  const std::size_t serving = m_duties.Instances().Serving(BootTime()).size();
-  if (serving == m_instances) return;
-  m_instances = serving;
-  LogEvent(Event::kInstancesKnown, {{"instances", std::to_string(serving)}});
-}
-
-void Control::UpdateShares() {
-  if (!m_configuration) return;
-  const auto serving = m_duties.Instances().Serving(BootTime());
-  const auto homes = FindHomes(serving);
-  const bool succeeds = m_duties.SucceedsLatePredecessor();
-  for (const auto& [name, workspace] : m_configuration->workspaces) {
-    const auto home = homes.find(name);
-    const bool is_home = home != homes.end() &&
-                         std::find(home->second.begin(), home->second.end(),
-                                   m_settings.peers) != home->second.end();
-    HomeTenure& tenure = m_tenures.try_emplace(name, kHandOver).first->second;
-    if (is_home != tenure.IsHome()) {
-      LogEvent(Event::kQuotaHomeChanged,
-               {{"workspace", name.Text()},
-                {"home", is_home ? "true" : "false"},
-                {"at_once", succeeds ? "true" : "false"},
-                {"instances", std::to_string(serving.size())}});
-    }
-    tenure.Update(is_home, succeeds, BootTime());
-    double own = 0;
-    std::vector<double> others;
-    for (const auto* report : serving) {
-      const auto demand = report->demand.find(name);
-      const double value = demand == report->demand.end() ? 0 : demand->second;
-      const bool is_self = report->node == m_settings.node &&
-                           report->started == m_duties.Started();
-      if (is_self) {
-        own = value;
-      } else {
-        others.push_back(value);
-      }
-    }
-    if (BootTime() - m_started < kDemandUnknown) {
-      own = std::max(own, MeanOf(others));
-    }
-    const double kept = home == homes.end() ? 1 : 1 - kPooledPart;
-    m_shares[name].Update(kept * QuotaShare(own, others));
-  }
-}
-
-namespace {
-
-Awaitable<Duties::Input> CollectInput(Worker& worker) {
-  Duties::Input input;
-  input.demand = worker.Quota().Demand(BootTime());
-  input.busy = worker.Load().Busy(BootTime());
-  input.usage = std::exchange(worker.Usage(), UsageLedger());
-  input.evidence = worker.Evidence();
-  co_return input;
-}
-
-}  // namespace
-
-Awaitable<void> Control::ExchangeReports() {
-  while (true) {
-    Duties::Input input = co_await RunOn(m_worker.Context().get_executor(),
-                                         CollectInput(m_worker));
-    const auto exchanged = co_await m_duties.Exchange(std::move(input));
-    const auto clock = m_duties.ClockFromBoot();
-    if (clock) m_worker.SetClock(*clock);
-    if (exchanged) {
-      NoteInstances();
-      UpdateShares();
-      Publish();
-      co_await m_duties.Perform(m_configuration, m_registry.Usable());
-    }
-    co_await SleepFor(ReportPause());
-  }
-}
-
-Milliseconds Control::ReportPause() const {
-  if (m_duties.IsMoving()) return kMovePause;
-  if (m_duties.HoldsLease()) return kHolderPause;
-  if (BootTime() - m_started < kYoung) return kYoungReportPause;
-  const auto instances = static_cast<Milliseconds::rep>(
-      m_duties.Instances().Serving(BootTime()).size());
-  const auto few = static_cast<Milliseconds::rep>(kFewInstances);
-  const Milliseconds pause = std::clamp(kReportPause * instances / few,
-                                        kReportPause, kLongestReportPause);
-  const auto now = m_duties.SharedNowMs();
-  if (!now) return pause;
-  const std::string& node = m_settings.node.Text();
-  const Milliseconds offset(static_cast<Milliseconds::rep>(
-      XXH3_64bits(node.data(), node.size()) %
-      static_cast<std::uint64_t>(kReportSpread.count())));
-  return PauseBeforeReport(*now, m_settings.usage_window, pause,
-                           kReportAfterWindow + offset);
-}
-
-Awaitable<void> Control::Leave() {
-  Duties::Input input =
-      co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
-  input.stopping = true;
-  co_await m_duties.Leave(std::move(input));
-}
-
 Awaitable<std::string> Control::RenderMetrics() {
   auto copy = [](Worker& worker) -> Awaitable<MetricSet> {
     co_return worker.Metrics();
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -5,18 +5,11 @@
 
 #include "coordination/move_controller.h"
 #include "cowslipknot/events.h"
+#include "serve/own_rows.h"
 
 namespace cowslipknot::gateway {
 namespace {
 
-constexpr char kTable[] = "cowslipknot";
-constexpr char kLeaseKey[] = "lease";
-constexpr char kClockKey[] = "clock";
-constexpr char kDoneKey[] = "usage_done";
-constexpr std::string_view kReportPrefix = "report/";
-constexpr std::string_view kMovePrefix = "move/";
-constexpr std::string_view kUsagePrefix = "usage/";
-
 /// A lease lasts 6/5 of the deployment's bound on silence, so that one slow
 /// call to the store does not end it.
 constexpr int kLeaseNumerator = 6;
@@ -29,27 +22,9 @@
 /// After the removal bound an instance without the store serves no keyed
 /// requests; this much later its part of the limits is dealt anew.
 constexpr Milliseconds kLifetimeMargin(1000);
-/// After a window's end, the instances have written its counts.
-constexpr Milliseconds kCountsWritten(1500);
-/// Part of the time until usage is due that instances without the store are
-/// waited for.
-constexpr double kWaitPart = 0.8;
-/// Windows kept after their report was accepted.
-constexpr std::uint64_t kWindowsKept = 4;
-constexpr std::uint64_t kMaxWindowsBehind = 6;
 /// A sample of the store's clock is replaced by one this much worse at most.
 constexpr std::chrono::milliseconds kRoundTripSlack(3);
 
-StoreRow Row(std::string key, std::string value = {},
-             std::uint64_t version = 0) {
-  StoreRow row;
-  row.table = kTable;
-  row.key = std::move(key);
-  row.value = std::move(value);
-  row.version = version;
-  return row;
-}
-
 std::optional<std::uint64_t> ParseWhole(std::string_view text) {
   std::uint64_t number = 0;
   const auto [end, error] =
@@ -58,10 +33,6 @@
   return number;
 }
 
-std::string UsageKey(std::uint64_t window) {
-  return std::string(kUsagePrefix) + std::to_string(window);
-}
-
 }  // namespace
 
 void ClusterClock::NoteStoreTime(Milliseconds store_time,
@@ -92,8 +63,8 @@
     : m_settings(settings),
       m_dialect(dialect),
       m_started(static_cast<std::uint64_t>(NowWall().Count())),
-      m_report_key(std::string(kReportPrefix) + settings.node.Text() + "/" +
-                   std::to_string(m_started)),
+      m_report_key(std::string(own_rows::kReportPrefix) + settings.node.Text() +
+                   "/" + std::to_string(m_started)),
       m_instances(settings.revoke + kLifetimeMargin),
       m_lease(settings.node,
               std::max(settings.lease * kLeaseNumerator / kLeaseDenominator,
@@ -132,7 +103,8 @@
   report.demand = input.demand;
   report.busy = input.busy;
   m_usage.Merge(input.usage);
-  if (m_done && *m_done > kWindowsKept) m_usage.Forget(*m_done - kWindowsKept);
+  if (m_done && *m_done > own_rows::kWindowsKept)
+    m_usage.Forget(*m_done - own_rows::kWindowsKept);
   report.usage = m_usage;
   m_evidence = input.evidence;
   std::erase_if(m_evidence, [this](const auto& item) {
@@ -160,14 +132,18 @@
   const bool takes = !input.stopping && m_table_read && MayTakeLease(now);
   const bool releases = input.stopping && m_lease.MayAct(now);
   StoreChange change;
-  change.conditions.push_back(Row(m_report_key, {}, m_report_version));
-  change.writes.push_back(Row(m_report_key, EncodeReport(BuildReport(input))));
+  change.conditions.push_back(
+      own_rows::Row(m_report_key, {}, m_report_version));
+  change.writes.push_back(
+      own_rows::Row(m_report_key, EncodeReport(BuildReport(input))));
   m_lease_sent.reset();
   if (renews || takes || releases) {
     StoreChange with_lease = change;
     const LeaseRow lease = releases ? m_lease.ReleasedRow() : m_lease.NextRow();
-    with_lease.conditions.push_back(Row(kLeaseKey, {}, m_lease.Version()));
-    with_lease.writes.push_back(Row(kLeaseKey, EncodeLease(lease)));
+    with_lease.conditions.push_back(
+        own_rows::Row(own_rows::kLeaseKey, {}, m_lease.Version()));
+    with_lease.writes.push_back(
+        own_rows::Row(own_rows::kLeaseKey, EncodeLease(lease)));
     m_lease_sent = SentLease{lease, now};
     const auto changed = co_await Change(std::move(with_lease));
     if (changed) {
@@ -189,7 +165,7 @@
 
 Awaitable<Result<void>> Duties::ReadTable() {
   const auto asked = BootTime();
-  const auto rows = co_await m_dialect.read_table(kTable);
+  const auto rows = co_await m_dialect.read_table(own_rows::kTable);
   if (!rows) co_return tl::make_unexpected(rows.error());
   const auto now = BootTime();
   m_clock.NoteStoreTime(rows->store_time, asked, now);
@@ -200,30 +176,30 @@
   m_committed.clear();
   std::map<ServiceId, StoredMove> moves;
   for (const auto& row : rows->rows) {
-    if (row.key == kLeaseKey) {
+    if (row.key == own_rows::kLeaseKey) {
       lease = DecodeLease(row.value);
       lease_version = row.version;
-    } else if (row.key == kClockKey) {
+    } else if (row.key == own_rows::kClockKey) {
       const auto offset = ParseWhole(row.value);
       if (offset && !m_clock.HasOffset()) {
         m_clock.SetOffset(Milliseconds(*offset));
         LogEvent(Event::kClusterClockSet, {{"offset_ms", row.value}});
       }
-    } else if (row.key == kDoneKey) {
+    } else if (row.key == own_rows::kDoneKey) {
       m_done = ParseWhole(row.value);
       m_done_version = row.version;
-    } else if (row.key.starts_with(kMovePrefix)) {
+    } else if (row.key.starts_with(own_rows::kMovePrefix)) {
       auto move = DecodeMove(row.value);
       if (!move) continue;
       const ServiceId service = move->order.service;
       moves[service] = {std::move(*move), row.version};
-    } else if (row.key.starts_with(kReportPrefix)) {
+    } else if (row.key.starts_with(own_rows::kReportPrefix)) {
       if (row.key == m_report_key) m_report_version = row.version;
       auto report = DecodeReport(row.value);
       if (report) reports[row.key] = std::move(*report);
-    } else if (row.key.starts_with(kUsagePrefix)) {
+    } else if (row.key.starts_with(own_rows::kUsagePrefix)) {
       const std::string_view key = row.key;
-      const auto window = ParseWhole(key.substr(kUsagePrefix.size()));
+      const auto window = ParseWhole(key.substr(own_rows::kUsagePrefix.size()));
       auto counts = DecodeCounts(row.value);
       if (window && counts) m_committed[*window] = std::move(*counts);
     }
@@ -251,8 +227,9 @@
   const auto offset = m_clock.ProposeOffset(NowWall(), BootTime());
   if (!offset) co_return;
   StoreChange change;
-  change.conditions.push_back(Row(kClockKey));
-  change.writes.push_back(Row(kClockKey, std::to_string(offset->count())));
+  change.conditions.push_back(own_rows::Row(own_rows::kClockKey));
+  change.writes.push_back(
+      own_rows::Row(own_rows::kClockKey, std::to_string(offset->count())));
   // If another instance was first, or the answer is lost, the row is read.
   co_await Change(std::move(change));
 }
@@ -274,212 +251,6 @@
   }
 }
 
-Awaitable<Result<WindowCounts>> Duties::CommitUsage(std::uint64_t window) {
-  const auto known = m_committed.find(window);
-  if (known != m_committed.end()) co_return known->second;
-  const WindowCounts counts = m_instances.Sum(window);
-  StoreChange change;
-  change.conditions.push_back(Row(UsageKey(window)));
-  change.writes.push_back(Row(UsageKey(window), EncodeCounts(counts)));
-  if (window >= kWindowsKept) {
-    const std::uint64_t old = window - kWindowsKept;
-    change.removals.push_back(Row(UsageKey(old)));
-    for (const auto& key : m_instances.Obsolete(old, BootTime())) {
-      change.removals.push_back(Row(key));
-    }
-  }
-  const auto changed = co_await Change(std::move(change));
-  if (!changed) co_return tl::make_unexpected(changed.error());
-  m_committed[window] = counts;
-  co_return counts;
-}
-
-Awaitable<bool> Duties::SendUsage(std::uint64_t window) {
-  auto counts = co_await CommitUsage(window);
-  if (!counts || !HoldsLease()) co_return false;
-  UsageReport report;
-  report.window = window;
-  report.counts = std::move(*counts);
-  DutyHolder holder;
-  holder.node = m_settings.node;
-  holder.epoch = m_lease.CurrentEpoch();
-  const CallOutcome outcome =
-      co_await m_dialect.report_usage(std::move(holder), std::move(report));
-  if (outcome != CallOutcome::kAccepted) {
-    LogEvent(Event::kUsageNotAccepted, {{"window", std::to_string(window)}});
-    co_return false;
-  }
-  LogEvent(Event::kUsageReported, {{"window", std::to_string(window)}});
-  m_done = window;
-  StoreChange change;
-  change.conditions.push_back(Row(kDoneKey, {}, m_done_version));
-  change.writes.push_back(Row(kDoneKey, std::to_string(window)));
-  const auto changed = co_await Change(std::move(change));
-  if (changed) m_done_version = changed->version;
-  co_return true;
-}
-
-Awaitable<void> Duties::ReportUsage() {
-  const auto now = SharedNowMs();
-  if (!now) co_return;
-  const std::int64_t length = m_settings.usage_window.count();
-  const auto current = static_cast<std::uint64_t>(*now / length);
-  // The first report is of the first window in which a request began, or the
-  // latest whose counts are written.
-  const auto written =
-      static_cast<std::uint64_t>((*now - kCountsWritten.count()) / length);
-  const std::uint64_t first = m_instances.FirstWindow().value_or(written - 1);
-  std::uint64_t window = m_done ? *m_done + 1 : std::min(first, written - 1);
-  if (current > kMaxWindowsBehind) {
-    window = std::max(window, current - kMaxWindowsBehind);
-  }
-  for (; window < current; ++window) {
-    const std::int64_t end = static_cast<std::int64_t>(window + 1) * length;
-    const auto patience = static_cast<std::int64_t>(
-        static_cast<double>(m_settings.usage_due.count()) * kWaitPart);
-    if (*now < end + kCountsWritten.count()) co_return;
-    const bool whole = m_instances.Complete(end, BootTime());
-    if (!whole && *now < end + patience) co_return;
-    if (!co_await SendUsage(window)) co_return;
-  }
-}
-
-std::map<ServiceId, VersionMove> Duties::Moves() const {
-  std::map<ServiceId, VersionMove> moves;
-  for (const auto& [service, order] : m_orders) {
-    VersionMove& move = moves[service];
-    move.order = order;
-    const auto stored = m_moves.find(service);
-    const bool known = stored != m_moves.end() &&
-                       stored->second.move.order.revision == order.revision;
-    if (!known) continue;  // The new version gets nothing before a decision.
-    move = stored->second.move;
-    const auto own = m_evidence.find(MoveKey(order));
-    const bool undecided = move.state.phase != MovePhase::kDone;
-    if (own == m_evidence.end() || !undecided) continue;
-    if (!FindHarm(order, own->second).empty()) move.state.share = 0;
-  }
-  return moves;
-}
-
-bool Duties::IsMoving() const {
-  const auto moves = Moves();
-  return std::any_of(moves.begin(), moves.end(), [](const auto& item) {
-    const MovePhase phase = item.second.state.phase;
-    return phase == MovePhase::kRunning || phase == MovePhase::kWatching;
-  });
-}
-
-MoveEvidence Duties::EvidenceOf(const MoveId& key) const {
-  MoveEvidence sum;
-  for (const auto* report : m_instances.Serving(BootTime())) {
-    const EvidenceByMove evidence = DecodeEvidence(report->evidence);
-    const auto found = evidence.find(key);
-    if (found != evidence.end()) Accumulate(sum, found->second);
-  }
-  return sum;
-}
-
-Awaitable<void> Duties::StepMoves() {
-  const auto now = SharedNowMs();
-  if (!now) co_return;
-  const auto orders = m_orders;
-  for (const auto& [service, order] : orders) {
-    const auto stored = m_moves.find(service);
-    const bool known = stored != m_moves.end() &&
-                       stored->second.move.order.revision == order.revision;
-    StoredMove next;
-    if (stored != m_moves.end()) next.version = stored->second.version;
-    next.move.order = order;
-    if (known) {
-      const auto state = NextState(stored->second.move,
-                                   EvidenceOf(MoveKey(order)), WallTime(*now));
-      if (!state) continue;
-      next.move.state = *state;
-    } else {
-      const bool timed = order.seen.Count() > 0;
-      next.move.state = FirstState(m_settings.exposure_share,
-                                   timed ? order.seen : WallTime(*now));
-    }
-    if (!HoldsLease()) co_return;
-    const std::string key = std::string(kMovePrefix) + service.Text();
-    StoreChange change;
-    change.conditions.push_back(Row(key, {}, next.version));
-    change.writes.push_back(Row(key, EncodeMove(next.move)));
-    change.writes.push_back(m_dialect.move_status(next.move));
-    const auto changed = co_await Change(std::move(change));
-    if (!changed) co_return;
-    next.version = changed->version;
-    LogEvent(Event::kMoveStep,
-             {{"move", MoveKey(order).Text()},
-              {"to", order.to.Text()},
-              {"phase", std::string(MovePhaseName(next.move.state.phase))},
-              {"share", std::to_string(next.move.state.share)},
-              {"reason", next.move.state.reason}});
-    m_moves[service] = next;
-  }
-}
-
-std::map<DomainId, DomainCapacity> Duties::DomainCapacities(
-    const ServiceId& service, const std::vector<ServerEntry>& servers) const {
-  std::map<DomainId, DomainCapacity> domains;
-  for (const auto& server : servers) {
-    if (server.service != service) continue;
-    DomainCapacity& capacity = domains[server.domain];
-    ++(server.reclaimable ? capacity.reclaimable : capacity.firm);
-  }
-  for (const auto* report : m_instances.Serving(BootTime())) {
-    const auto busy = report->busy.find(service);
-    if (busy != report->busy.end())
-      domains[report->domain].busy += busy->second;
-  }
-  return domains;
-}
-
-Awaitable<void> Duties::OrderCapacity(ConfigurationPtr configuration,
-                                      std::vector<ServerEntry> servers) {
-  for (const auto& [name, service] : configuration->services) {
-    if (!service.scaling) continue;
-    // The servers of both versions run side by side until a move is decided.
-    const auto move = m_moves.find(name);
-    const bool moving = m_orders.contains(name) && move != m_moves.end() &&
-                        move->second.move.state.phase != MovePhase::kDone &&
-                        move->second.move.state.phase != MovePhase::kTakenBack;
-    if (moving) continue;
-    auto planner = m_planners.try_emplace(name, name, *service.scaling).first;
-    auto domains = DomainCapacities(name, servers);
-    auto orders = planner->second.Plan(domains, BootTime());
-    // What is not to be had is made up for in the same turn.
-    bool replanned = false;
-    for (std::size_t i = 0; i < orders.size(); ++i) {
-      const CapacityOrder order = orders[i];
-      if (!HoldsLease()) co_return;
-      DutyHolder holder;
-      holder.node = m_settings.node;
-      holder.epoch = m_lease.CurrentEpoch();
-      const CallOutcome outcome =
-          co_await m_dialect.order_capacity(std::move(holder), order);
-      const bool accepted = outcome == CallOutcome::kAccepted;
-      if (accepted) planner->second.NoteAccepted(order, BootTime());
-      if (outcome == CallOutcome::kRejected) {
-        planner->second.NoteUnavailable(order, BootTime());
-      }
-      LogEvent(accepted ? Event::kCapacityOrdered : Event::kCapacityNotAccepted,
-               {{"service", name.Text()},
-                {"domain", order.domain.Text()},
-                {"servers", std::to_string(order.servers)},
-                {"reclaimable", order.reclaimable ? "true" : "false"},
-                {"busy", std::to_string(domains[order.domain].busy)},
-                {"firm", std::to_string(domains[order.domain].firm)}});
-      if (outcome == CallOutcome::kUnknown) co_return;
-      if (accepted || replanned || i + 1 < orders.size()) continue;
-      replanned = true;
-      const auto more = planner->second.Plan(domains, BootTime());
-      orders.insert(orders.end(), more.begin(), more.end());
-    }
-  }
-}
-
 Awaitable<void> Duties::Perform(ConfigurationPtr configuration,
                                 std::vector<ServerEntry> servers) {
   if (!HoldsLease()) {
--- /dev/null
+++ b/src/serve/gateway_moves.cc
@@ -0,0 +1,87 @@
+#include <algorithm>
+
+#include "coordination/move_controller.h"
+#include "cowslipknot/events.h"
+#include "serve/gateway_duties.h"
+#include "serve/own_rows.h"
+
+/// Moves of services to new versions, decided by the lease's holder.
+namespace cowslipknot::gateway {
+
+std::map<ServiceId, VersionMove> Duties::Moves() const {
+  std::map<ServiceId, VersionMove> moves;
+  for (const auto& [service, order] : m_orders) {
+    VersionMove& move = moves[service];
+    move.order = order;
+    const auto stored = m_moves.find(service);
+    const bool known = stored != m_moves.end() &&
+                       stored->second.move.order.revision == order.revision;
+    if (!known) continue;  // The new version gets nothing before a decision.
+    move = stored->second.move;
+    const auto own = m_evidence.find(MoveKey(order));
+    const bool undecided = move.state.phase != MovePhase::kDone;
+    if (own == m_evidence.end() || !undecided) continue;
+    if (!FindHarm(order, own->second).empty()) move.state.share = 0;
+  }
+  return moves;
+}
+
+bool Duties::IsMoving() const {
+  const auto moves = Moves();
+  return std::any_of(moves.begin(), moves.end(), [](const auto& item) {
+    const MovePhase phase = item.second.state.phase;
+    return phase == MovePhase::kRunning || phase == MovePhase::kWatching;
+  });
+}
+
+MoveEvidence Duties::EvidenceOf(const MoveId& key) const {
+  MoveEvidence sum;
+  for (const auto* report : m_instances.Serving(BootTime())) {
+    const EvidenceByMove evidence = DecodeEvidence(report->evidence);
+    const auto found = evidence.find(key);
+    if (found != evidence.end()) Accumulate(sum, found->second);
+  }
+  return sum;
+}
+
+Awaitable<void> Duties::StepMoves() {
+  const auto now = SharedNowMs();
+  if (!now) co_return;
+  const auto orders = m_orders;
+  for (const auto& [service, order] : orders) {
+    const auto stored = m_moves.find(service);
+    const bool known = stored != m_moves.end() &&
+                       stored->second.move.order.revision == order.revision;
+    StoredMove next;
+    if (stored != m_moves.end()) next.version = stored->second.version;
+    next.move.order = order;
+    if (known) {
+      const auto state = NextState(stored->second.move,
+                                   EvidenceOf(MoveKey(order)), WallTime(*now));
+      if (!state) continue;
+      next.move.state = *state;
+    } else {
+      const bool timed = order.seen.Count() > 0;
+      next.move.state = FirstState(m_settings.exposure_share,
+                                   timed ? order.seen : WallTime(*now));
+    }
+    if (!HoldsLease()) co_return;
+    const std::string key = std::string(own_rows::kMovePrefix) + service.Text();
+    StoreChange change;
+    change.conditions.push_back(own_rows::Row(key, {}, next.version));
+    change.writes.push_back(own_rows::Row(key, EncodeMove(next.move)));
+    change.writes.push_back(m_dialect.move_status(next.move));
+    const auto changed = co_await Change(std::move(change));
+    if (!changed) co_return;
+    next.version = changed->version;
+    LogEvent(Event::kMoveStep,
+             {{"move", MoveKey(order).Text()},
+              {"to", order.to.Text()},
+              {"phase", std::string(MovePhaseName(next.move.state.phase))},
+              {"share", std::to_string(next.move.state.share)},
+              {"reason", next.move.state.reason}});
+    m_moves[service] = next;
+  }
+}
+
+}  // namespace cowslipknot::gateway
