--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -92,6 +92,7 @@
       return RefusalOf(Error{code}, Milliseconds(0));
     };
     callers.closing = [this] { return m_stopping.load(); };
+    callers.ending = [this] { return m_ending.load(); };
     callers.limits = [this] { return CallerLimitsNow(); };
     callers.idle = m_worker.IdlePtr();
     asio::co_spawn(m_worker.Context(),
@@ -172,6 +173,7 @@
       m_worker.Idle().CloseAll();
       co_return m_worker.InFlight() > 0 || m_worker.Idle().Count() > 0;
     };
+    m_ending = true;
     asio::post(m_worker.Context(),
                [acceptor = m_callers] { acceptor->close(); });
     while (Since(started) < patience) {
@@ -196,6 +198,7 @@
   std::shared_ptr<tcp::acceptor> m_metrics;
   std::shared_ptr<tcp::acceptor> m_peers;
   std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_ending{false};  ///< idle connections are closed
   bool m_was_ready = false;
 };
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -233,8 +233,8 @@
     if (!exchange.Intact()) co_return;
     if (!exchange.KeepAlive()) break;
     // An answer that began before the stop did not announce the close; a
-    // request that follows it must not be begun.
-    if (hooks.closing && hooks.closing()) break;
+    // request that follows it late in the stop must not be begun.
+    if (hooks.ending && hooks.ending()) break;
   }
   co_await CloseGracefully(*stream);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -61,6 +61,8 @@
   std::function<HttpResponse(ResultCode)> refuse;
   /// True once connections should close after the response in flight.
   std::function<bool()> closing;
+  /// Whether no further request may begin on a kept connection; may be empty.
+  std::function<bool()> ending;
   /// The limits for the next request, where they change with time.
   std::function<HttpServerLimits()> limits;
   std::shared_ptr<IdleConnections> idle;  ///< may be null
