Take an answer whose finish reason has come for whole

The run counted finish reason and end mark per attempt: it asked another engine to go on after the last token, which has nothing to add and no finish reason to give, and so on until the route's timeout.

The finish reason is now the run's, goes along in a request's copy, and ends the run: no engine is asked for nothing.

--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -47,8 +48,8 @@
   SteadyClock::time_point started = SteadyClock::now();
   bool answered = false;  ///< the first output has come
   bool slow = false;
-  bool saw_finish = false;
-  bool saw_done = false;
+  /// Tokens had when its stream was last resumed.
+  std::optional<std::size_t> resumed_at;
 };
 
 /// The server and version for the next attempt at a service.
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -68,6 +68,9 @@
   Awaitable<Result<void>> ReconnectStream(Attempt& attempt);
   Result<bool> ApplyEvents(Attempt& attempt, std::string_view bytes,
                            SseParser& parser);
+  /// Whether every token has come: the finish reason comes with the last one.
+  /// A server asked to go on from there has nothing to add.
+  bool HasWholeAnswer() const { return !m_finish_reason.empty(); }
   /// Takes the first output of an attempt as a reading of the server's speed.
   void NoteFirstOutput(Attempt& attempt);
   Result<void> Select(Attempt& attempt);
