Show operators what the store says of all gateways

Reports now carry the revision in force. The settings of `gateway` and `fleet` are read by one function.

--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -39,6 +39,7 @@
   std::uint64_t started = 0;      ///< tells processes of one node apart
   std::uint64_t sequence = 0;     ///< rises with each report
   std::int64_t as_of_ms = 0;      ///< on the shared clock; its counts are whole
+  std::uint64_t revision = 0;     ///< of the configuration in force; 0: none
   bool stopping = false;
   std::map<WorkspaceId, double> demand;  ///< per second
   /// Servers of a service kept busy by this instance's requests.
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -14,6 +14,7 @@
 #include "cowslipknot/events.h"
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/objects.h"
+#include "serve/fleet_status.h"
 #include "serve/serve.h"
 
 namespace cowslipknot {
@@ -72,13 +73,54 @@
   return Serve(*settings);
 }
 
+/// Reads the settings file of a gateway; prints problems.
+std::optional<gateway::Settings> LoadGatewaySettings(const Options& options,
+                                                     int& exit_code) {
+  if (options.config.empty()) {
+    exit_code = Usage(options.command + " needs --config FILE");
+    return std::nullopt;
+  }
+  const auto text = ReadFile(options.config);
+  if (!text) {
+    exit_code = Report(text.error());
+    return std::nullopt;
+  }
+  auto settings = gateway::ParseSettings(*text, options.config);
+  if (!settings) {
+    exit_code = PrintProblems(settings.error());
+    return std::nullopt;
+  }
+  return std::move(*settings);
+}
+
+/// Shows what the platform's store says of a fleet of gateways.
+int RunFleet(const Options& options,
+             const gateway::DialectFactory& make_dialect) {
+  int exit_code = kExitOk;
+  const auto settings = LoadGatewaySettings(options, exit_code);
+  if (!settings) return exit_code;
+  asio::io_context context;
+  const auto dialect = make_dialect(context.get_executor(), *settings);
+  Result<json::object> status = Fail(ResultCode::kPlatformUnavailable);
+  auto read = [&]() -> Awaitable<void> {
+    status = co_await gateway::ReadFleetStatus(*dialect);
+  };
+  asio::co_spawn(context, read(), asio::detached);
+  context.run();
+  if (!status) return Report(status.error());
+  if (options.output == OutputFormat::kJson) {
+    std::cout << json::serialize(*status) << "\n";
+  } else {
+    PrintFleetStatus(*status);
+  }
+  return kExitOk;
+}
+
 int RunGateway(const Options& options,
                const gateway::DialectFactory& make_dialect) {
-  if (options.config.empty()) return Usage("gateway needs --config FILE");
-  const auto text = ReadFile(options.config);
-  if (!text) return Report(text.error());
-  const auto settings = gateway::ParseSettings(*text, options.config);
-  if (!settings) return PrintProblems(settings.error());
+  int exit_code = kExitOk;
+  const auto settings = LoadGatewaySettings(options, exit_code);
+  if (!settings) return exit_code;
   if (options.check) {
     std::cout << options.config << ": ok\n";
     return kExitOk;
@@ -315,6 +357,11 @@
           return RunGateway(options, make_dialect);
         },
         "--config FILE [--check]  run an instance on a managed platform"}},
+      {"fleet",
+       {[&make_dialect](const Options& options) {
+          return RunFleet(options, make_dialect);
+        },
+        "--config FILE  show what the platform's store says of all gateways"}},
       {"serve", {RunServe, "--config FILE [--check]  run an entry instance"}},
       {"check", {RunCheck, "FILE  check an object file"}},
       {"diff",
--- a/src/cli/print.cc
+++ b/src/cli/print.cc
@@ -16,7 +16,14 @@
   return json::serialize(value);
 }
 
-/// Prints rows of objects as columns under a heading.
+std::string Percent(double share) {
+  std::ostringstream text;
+  text << std::setprecision(3) << share * 100 << "%";
+  return text.str();
+}
+
+}  // namespace
+
 void PrintTable(const json::array& rows,
                 const std::vector<std::string>& columns) {
   std::vector<std::size_t> widths;
@@ -41,14 +48,6 @@
   }
 }
 
-std::string Percent(double share) {
-  std::ostringstream text;
-  text << std::setprecision(3) << share * 100 << "%";
-  return text.str();
-}
-
-}  // namespace
-
 void PrintChanges(const std::vector<ObjectChange>& changes) {
   for (const auto& change : changes) {
     switch (change.kind) {
@@ -82,6 +81,25 @@
   PrintTable(moves, {"move", "phase", "share", "reason"});
 }
 
+void PrintFleetStatus(const json::object& status) {
+  std::cout << "revision " << status.at("revision") << "  lease "
+            << status.at("lease") << "\nusage reported up to window "
+            << status.at("usage_done") << "  unreadable rows "
+            << status.at("unreadable_rows") << "\n";
+  std::cout << "\n";
+  PrintTable(status.at("instances").as_array(),
+             {"node", "domain", "revision", "report", "as_of_ms", "stopping",
+              "demand_per_s"});
+  std::cout << "\n";
+  PrintTable(status.at("servers").as_array(),
+             {"server", "service", "domain", "version", "state", "reclaimable",
+              "address"});
+  if (status.at("moves").as_array().empty()) return;
+  std::cout << "\n";
+  PrintTable(status.at("moves").as_array(),
+             {"service", "to", "phase", "share", "reason"});
+}
+
 std::string DescribeMove(const json::object& move, bool platform_reachable,
                          WallTime now) {
   const std::string phase(move.at("phase").as_string());
--- a/src/serve/gateway_control.h
+++ b/src/serve/gateway_control.h
@@ -43,6 +43,7 @@
                                                   Milliseconds wait);
   Awaitable<void> FollowConfiguration();
   Awaitable<void> FollowServers();
+  Awaitable<Duties::Input> CollectReport();
   Awaitable<void> ExchangeReports();
 
   void ApplyOrders(const StoreRows& rows);
--- a/src/serve/gateway_duties.cc
+++ b/src/serve/gateway_duties.cc
@@ -99,6 +99,7 @@
   report.started = m_started;
   report.sequence = ++m_sequence;
   report.as_of_ms = SharedNowMs().value_or(0);
+  report.revision = input.revision;
   report.stopping = input.stopping;
   report.demand = input.demand;
   report.busy = input.busy;
--- a/src/serve/gateway_duties.h
+++ b/src/serve/gateway_duties.h
@@ -44,6 +44,7 @@
     std::map<WorkspaceId, double> demand;
     UsageLedger usage;  ///< counted since the last exchange
     std::map<ServiceId, double> busy;
+    std::uint64_t revision = 0;  ///< of the configuration in force
     bool stopping = false;
     std::map<MoveId, MoveEvidence> evidence;
   };
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -122,10 +122,16 @@
 
 }  // namespace
 
+Awaitable<Duties::Input> Control::CollectReport() {
+  Duties::Input input =
+      co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
+  if (m_configuration) input.revision = m_configuration->version;
+  co_return input;
+}
+
 Awaitable<void> Control::ExchangeReports() {
   while (true) {
-    Duties::Input input = co_await RunOn(m_worker.Context().get_executor(),
-                                         CollectInput(m_worker));
+    Duties::Input input = co_await CollectReport();
     const auto exchanged = co_await m_duties.Exchange(std::move(input));
     const auto clock = m_duties.ClockFromBoot();
     if (clock) m_worker.SetClock(*clock);
@@ -159,8 +165,7 @@
 }
 
 Awaitable<void> Control::Leave() {
-  Duties::Input input =
-      co_await RunOn(m_worker.Context().get_executor(), CollectInput(m_worker));
+  Duties::Input input = co_await CollectReport();
   input.stopping = true;
   co_await m_duties.Leave(std::move(input));
 }
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -68,6 +68,7 @@
   object["started"] = report.started;
   object["sequence"] = report.sequence;
   object["as_of_ms"] = report.as_of_ms;
+  object["revision"] = report.revision;
   object["stopping"] = report.stopping;
   json::object demand;
   for (const auto& [workspace, value] : report.demand) {
@@ -101,6 +102,9 @@
     report.started = parsed.at("started").to_number<std::uint64_t>();
     report.sequence = parsed.at("sequence").to_number<std::uint64_t>();
     report.as_of_ms = parsed.at("as_of_ms").to_number<std::int64_t>();
+    if (const auto* revision = parsed.as_object().if_contains("revision")) {
+      report.revision = revision->to_number<std::uint64_t>();
+    }
     report.stopping = parsed.at("stopping").as_bool();
     for (const auto& [workspace, value] : parsed.at("demand").as_object()) {
       report.demand[WorkspaceId(std::string(workspace))] =
