--- a/tests/fakes/fake_forwarder.cc
+++ b/tests/fakes/fake_forwarder.cc
@@ -1,6 +1,13 @@
-// Forwards TCP connections so that tests can cut links or make them go silent.
-// Links are named; POST /test/links {"name": "pass" | "cut" | "silent"}. The
-// name "SOURCE>LINK" sets the mode for connections from one source address.
+// Forwards TCP connections so that tests can disturb links.
+//
+// Links are named; POST /test/links {"name": MODE}. The name "SOURCE>LINK" cuts
+// connections from one source address only. Modes:
+//   pass     ends "cut", "one_way" and "delay"
+//   cut      closes connections and accepts no more
+//   silent   connections that are open now carry nothing any more
+//   reset    resets the connections that are open now
+//   one_way  what the target sends is lost, with the rest of its connection
+//   delay    each piece is held for kDelay
 #include <list>
 #include <set>
 #include <sstream>
@@ -15,6 +22,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t kPieceBytes = 16 << 10;
+constexpr Milliseconds kDelay(150);  ///< well above a usual round trip
 
 /// One forwarded address.
 struct Link {
@@ -22,6 +30,8 @@
   Endpoint listen;
   Endpoint target;
   bool cut = false;
+  bool one_way = false;
+  bool delayed = false;
   std::set<std::string> cut_sources;
   std::uint64_t silence_epoch = 0;
   std::list<std::pair<std::string, std::weak_ptr<tcp::socket>>> sockets;
@@ -29,14 +39,22 @@
 
 using SocketPtr = std::shared_ptr<tcp::socket>;
 
+enum class Direction : std::uint8_t { kToTarget, kFromTarget };
+
 Awaitable<void> Pump(std::shared_ptr<Link> link, SocketPtr from, SocketPtr to,
-                     std::uint64_t epoch) {
+                     Direction direction) {
+  const std::uint64_t epoch = link->silence_epoch;
+  bool swallows = false;
   std::string piece(kPieceBytes, '\0');
   while (true) {
     auto [read_error, size] =
         co_await from->async_read_some(asio::buffer(piece), kAsTuple);
     if (read_error) break;
-    if (epoch < link->silence_epoch) continue;  // swallowed
+    const bool lost = link->one_way && direction == Direction::kFromTarget;
+    // Bytes after a gap would be taken for something else.
+    swallows = swallows || lost || epoch < link->silence_epoch;
+    if (swallows) continue;
+    if (link->delayed) co_await SleepFor(kDelay);
     auto [write_error, written] = co_await asio::async_write(
         *to, asio::buffer(piece.data(), size), kAsTuple);
     if (write_error) break;
@@ -45,6 +63,24 @@
   to->shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+/// Connects to the target and carries both directions.
+Awaitable<void> Carry(std::shared_ptr<Link> link, SocketPtr inner,
+                      std::string source) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto outer = std::make_shared<tcp::socket>(executor);
+  const auto target = ToTcpEndpoint(link->target);
+  auto [error] = co_await outer->async_connect(*target, kAsTuple);
+  if (error) co_return;
+  error_code ignored;
+  inner->set_option(tcp::no_delay(true), ignored);
+  link->sockets.emplace_back(source, inner);
+  link->sockets.emplace_back(source, outer);
+  asio::co_spawn(executor, Pump(link, inner, outer, Direction::kToTarget),
+                 asio::detached);
+  asio::co_spawn(executor, Pump(link, outer, inner, Direction::kFromTarget),
+                 asio::detached);
+}
+
 Awaitable<void> Accept(std::shared_ptr<Link> link, tcp::acceptor acceptor) {
   const auto executor = co_await asio::this_coro::executor;
   while (true) {
@@ -55,26 +91,20 @@
         accepted.remote_endpoint(ignored).address().to_string();
     if (link->cut || link->cut_sources.contains(source)) continue;
     auto inner = std::make_shared<tcp::socket>(std::move(accepted));
-    auto outer = std::make_shared<tcp::socket>(executor);
-    const auto target = ToTcpEndpoint(link->target);
-    auto [connect_error] = co_await outer->async_connect(*target, kAsTuple);
-    if (connect_error) continue;
-    inner->set_option(tcp::no_delay(true), ignored);
-    outer->set_option(tcp::no_delay(true), ignored);
-    link->sockets.emplace_back(source, inner);
-    link->sockets.emplace_back(source, outer);
-    asio::co_spawn(executor, Pump(link, inner, outer, link->silence_epoch),
-                   asio::detached);
-    asio::co_spawn(executor, Pump(link, outer, inner, link->silence_epoch),
+    asio::co_spawn(executor, Carry(link, std::move(inner), source),
                    asio::detached);
   }
 }
 
-void CloseFrom(Link& link, const std::string& source) {
-  link.sockets.remove_if([&source](const auto& entry) {
+/// @param reset  whether the peers see a reset, not an end
+void CloseFrom(Link& link, const std::string& source, bool reset) {
+  link.sockets.remove_if([&source, reset](const auto& entry) {
     if (!source.empty() && entry.first != source) return false;
     const auto socket = entry.second.lock();
     error_code ignored;
+    if (socket && reset) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     if (socket) socket->close(ignored);
     return true;
   });
@@ -84,6 +114,10 @@
 void SetMode(Link& link, const std::string& source, const std::string& mode) {
   const bool cut = mode == "cut";
   if (mode == "silent") ++link.silence_epoch;
+  if (source.empty()) {
+    link.one_way = mode == "one_way";
+    link.delayed = mode == "delay";
+  }
   if (source.empty()) {
     link.cut = cut;
   } else if (cut) {
@@ -91,7 +125,7 @@
   } else {
     link.cut_sources.erase(source);
   }
-  if (cut) CloseFrom(link, source);
+  if (cut || mode == "reset") CloseFrom(link, source, mode == "reset");
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/platform/documents.py
@@ -0,0 +1,35 @@
+"""The operator's documents, as the tests write them."""
+
+
+def route(name, prefix, kind, service, **fields):
+    entry = {"name": name, "hostname": "h.example", "path_prefix": prefix,
+             "kind": kind, "service": service, "timeout_ms": 3000, "slo_ms": 500,
+             "priority": 0, "max_attempts": 2, "public": False, "sticky": False,
+             "resumable": False}
+    entry.update(fields)
+    return entry
+
+
+def configuration(version=1, **fields):
+    value = {
+        "version": version,
+        "route_list": [
+            route("safe", "/safe/", "safe", "plain"),
+            route("once", "/once/", "unsafe", "plain"),
+            route("open", "/open/", "safe", "plain", public=True),
+            route("stream", "/stream/", "streaming", "model", resumable=True,
+                  itl_target_ms=300),
+            route("stream1", "/stream1/", "streaming", "model"),
+        ],
+        "services": [
+            {"name": "plain", "max_conns": 10},
+            {"name": "model", "max_conns": 10,
+             "engine": {"slots": 4, "kv_capacity": 100000}},
+        ],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000,
+                   "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
+                     "uncached_tokens": 10, "rate_per_s": 0, "burst": 0}],
+    }
+    value.update(fields)
+    return value
--- /dev/null
+++ b/tests/platform/gateway_process.py
@@ -0,0 +1,130 @@
+"""A gateway process before stand-ins of the users' platform, on loopback."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BINARY = ROOT / os.environ.get("BUILD_DIR", "build") / "cowslipknot"
+FIRST_PORT = 20000  # below the ephemeral range and the test clusters' ports
+LAST_PORT = 25999
+PATIENCE_S = 20
+
+_ports = {"first": FIRST_PORT, "last": LAST_PORT,
+          "next": FIRST_PORT + os.getpid() % 900}
+
+
+def use_ports(first, last):
+    """Keeps to a range, so that processes of tests don't take each other's."""
+    _ports.update(first=first, last=last, next=first)
+
+
+def free_port():
+    """A port that nothing listens on."""
+    while True:
+        port = _ports["next"]
+        _ports["next"] = port + 1 if port < _ports["last"] else _ports["first"]
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                return port
+
+
+def eventually(condition):
+    """Waits until the condition returns something true, and returns it."""
+    deadline = time.monotonic() + PATIENCE_S
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError("the condition did not come true")
+
+
+class Gateway:
+    """One gateway's machine: its addresses and settings stay, its process may be
+    started again."""
+
+    def __init__(self, store, cloud, name="gw1", usage_window_s=1,
+                 store_address=None, domain="z1", bounds=None, port=None):
+        self.name = name
+        self.port = port or free_port()
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        self.peers_port = free_port()
+        self.folder = tempfile.TemporaryDirectory()
+        self.settings = pathlib.Path(self.folder.name) / "settings.toml"
+        used = {"revoke_ms": 3000, "lease_ms": 1000, "usage_window_s": usage_window_s,
+                "usage_due_s": 6, "stop_s": 6, **(bounds or {})}
+        rendered = "\n".join(f"{key} = {value}" for key, value in used.items())
+        self.settings.write_text(f"""
+[node]
+name = "{name}"
+domain = "{domain}"
+[listen]
+callers = "127.0.0.1:{self.port}"
+readiness = "127.0.0.1:{self.ready_port}"
+metrics = "127.0.0.1:{self.metrics_port}"
+peers = "127.0.0.1:{self.peers_port}"
+[store]
+address = "{store_address or store.server.address}"
+[cloud]
+address = "{cloud.server.address}"
+reports_usage = true
+orders_capacity = true
+[bounds]
+{rendered}
+""", encoding="utf-8")
+        self.log_path = pathlib.Path(self.folder.name) / "log"
+        self.log = open(self.log_path, "wb")
+        self.start()
+
+    def start(self):
+        self.child = subprocess.Popen(
+            [BINARY, "gateway", "--config", self.settings], stdout=self.log,
+            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready_port,
+                                                    timeout=2)
+            connection.request("GET", "/-/readyz")
+            status = connection.getresponse().status
+            connection.close()
+            return status == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGKILL)
+        self.child.wait()
+        self.log.close()
+        self.folder.cleanup()
+
+    def lines(self):
+        return [json.loads(line)
+                for line in self.log_path.read_text(encoding="utf-8").splitlines()
+                if line.startswith("{")]
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
+
+    def call(self, path, request_id="r1", method="POST", body=b"hello", **headers):
+        """Sends one request; returns status, headers and body."""
+        connection = self.connect()
+        fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
+                  "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
+        fields.update({name.replace("_", "-"): value
+                       for name, value in headers.items()})
+        try:
+            connection.request(method, path, body=body, headers=fields)
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+        finally:
+            connection.close()
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -2,163 +2,19 @@
 
 import http.client
 import json
-import os
-import pathlib
 import signal
 import socket
 import subprocess
-import tempfile
 import threading
 import time
 import unittest
 
 import standin
+from documents import configuration, route
+from gateway_process import BINARY, PATIENCE_S, Gateway, eventually
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-BINARY = ROOT / os.environ.get("BUILD_DIR", "build") / "cowslipknot"
-FIRST_PORT = 20000  # below the ephemeral range and the test clusters' ports
-LAST_PORT = 20999
-PATIENCE_S = 20
 MOVE_PATIENCE_S = 30  # twice the duration of the moves ordered here
 
-_next_port = [FIRST_PORT + os.getpid() % 900]
-
-
-def free_port():
-    """A port that nothing listens on."""
-    while True:
-        port = _next_port[0]
-        _next_port[0] = port + 1 if port < LAST_PORT else FIRST_PORT
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)) != 0:
-                return port
-
-
-def eventually(condition):
-    """Waits until the condition returns something true, and returns it."""
-    deadline = time.monotonic() + PATIENCE_S
-    while time.monotonic() < deadline:
-        found = condition()
-        if found:
-            return found
-        time.sleep(0.02)
-    raise AssertionError("the condition did not come true")
-
-
-def route(name, prefix, kind, service, **fields):
-    entry = {"name": name, "hostname": "h.example", "path_prefix": prefix,
-             "kind": kind, "service": service, "timeout_ms": 3000, "slo_ms": 500,
-             "priority": 0, "max_attempts": 2, "public": False, "sticky": False,
-             "resumable": False}
-    entry.update(fields)
-    return entry
-
-
-def configuration(version=1, **fields):
-    value = {
-        "version": version,
-        "route_list": [
-            route("safe", "/safe/", "safe", "plain"),
-            route("once", "/once/", "unsafe", "plain"),
-            route("open", "/open/", "safe", "plain", public=True),
-            route("stream", "/stream/", "streaming", "model", resumable=True,
-                  itl_target_ms=300),
-            route("stream1", "/stream1/", "streaming", "model"),
-        ],
-        "services": [
-            {"name": "plain", "max_conns": 10},
-            {"name": "model", "max_conns": 10,
-             "engine": {"slots": 4, "kv_capacity": 100000}},
-        ],
-        "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000,
-                   "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
-        "tenants": [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
-                     "uncached_tokens": 10, "rate_per_s": 0, "burst": 0}],
-    }
-    value.update(fields)
-    return value
-
-
-class Gateway:
-    """One gateway process."""
-
-    def __init__(self, store, cloud, name="gw1", usage_window_s=1,
-                 store_address=None):
-        self.name = name
-        self.port = free_port()
-        self.ready_port = free_port()
-        self.metrics_port = free_port()
-        self.peers_port = free_port()
-        self.folder = tempfile.TemporaryDirectory()
-        self.settings = pathlib.Path(self.folder.name) / "settings.toml"
-        self.settings.write_text(f"""
-[node]
-name = "{name}"
-domain = "z1"
-[listen]
-callers = "127.0.0.1:{self.port}"
-readiness = "127.0.0.1:{self.ready_port}"
-metrics = "127.0.0.1:{self.metrics_port}"
-peers = "127.0.0.1:{self.peers_port}"
-[store]
-address = "{store_address or store.server.address}"
-[cloud]
-address = "{cloud.server.address}"
-reports_usage = true
-orders_capacity = true
-[bounds]
-revoke_ms = 3000
-lease_ms = 1000
-usage_window_s = {usage_window_s}
-usage_due_s = 6
-stop_s = 6
-""", encoding="utf-8")
-        self.log_path = pathlib.Path(self.folder.name) / "log"
-        self.log = open(self.log_path, "wb")
-        self.child = subprocess.Popen(
-            [BINARY, "gateway", "--config", self.settings], stdout=self.log,
-            stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
-
-    def ready(self):
-        try:
-            connection = http.client.HTTPConnection("127.0.0.1", self.ready_port,
-                                                    timeout=2)
-            connection.request("GET", "/-/readyz")
-            status = connection.getresponse().status
-            connection.close()
-            return status == 200
-        except OSError:
-            return False
-
-    def stop(self):
-        if self.child.poll() is None:
-            self.child.kill()
-        self.child.wait()
-        self.log.close()
-        self.folder.cleanup()
-
-    def lines(self):
-        return [json.loads(line)
-                for line in self.log_path.read_text(encoding="utf-8").splitlines()
-                if line.startswith("{")]
-
-    def connect(self):
-        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
-
-    def call(self, path, request_id="r1", method="POST", body=b"hello", **headers):
-        """Sends one request; returns status, headers and body."""
-        connection = self.connect()
-        fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
-                  "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
-        fields.update({name.replace("_", "-"): value
-                       for name, value in headers.items()})
-        try:
-            connection.request(method, path, body=body, headers=fields)
-            response = connection.getresponse()
-            return response.status, response.headers, response.read()
-        finally:
-            connection.close()
-
 
 class GatewayTest(unittest.TestCase):
     def setUp(self):
@@ -588,6 +444,37 @@
                                for line in gateway.lines()))
         self.assertEqual(gateway.call("/safe/x")[0], 200)
 
+    def fleet(self, gateway, *options):
+        return subprocess.run([BINARY, "fleet", "--config", gateway.settings, *options],
+                              capture_output=True, text=True, timeout=60, check=False)
+
+    def test_operators_see_what_the_store_says_of_all_gateways(self):
+        self.store.put("op", "config", configuration(version=7))
+        self.add_backend("p1", "plain")
+        self.store.put_raw("servers", "broken", b"{\"service\":7")
+        gateways = [self.start(name=name) for name in ("gw1", "gw2")]
+
+        def status():
+            shown = json.loads(self.fleet(gateways[0], "--output", "json").stdout)
+            known = [row for row in shown["instances"] if row["revision"] == 7]
+            return shown if len(known) == 2 and shown["lease"] else None
+
+        shown = eventually(status)
+        self.assertEqual(shown["revision"], 7)
+        self.assertIn(shown["lease"]["holder"], ("gw1", "gw2"))
+        self.assertEqual([row["server"] for row in shown["servers"]], ["p1"])
+        self.assertEqual(shown["unreadable_rows"], 1)
+        table = self.fleet(gateways[1])
+        self.assertEqual(table.returncode, 0)
+        self.assertIn("gw2", table.stdout)
+
+    def test_operators_are_told_that_the_store_is_away(self):
+        gateway = self.start(wait=False)
+        self.store.down = True
+        told = self.fleet(gateway)
+        self.assertNotEqual(told.returncode, 0)
+        self.assertIn("error", told.stderr)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -18,11 +18,13 @@
     """Serves one address until stopped."""
 
     daemon_threads = True
+    request_queue_size = 128  # a full queue drops connections for seconds
     refuses = False  # calls of the store at this address get 503
     allow_reuse_address = True
 
-    def __init__(self, handler, owner):
-        super().__init__(("127.0.0.1", 0), handler)
+    def __init__(self, handler, owner, port=0):
+        self.open = set()  # connections
+        super().__init__(("127.0.0.1", port), handler)
         self.owner = owner
         self.thread = threading.Thread(target=self.serve_forever, daemon=True)
         self.thread.start()
@@ -35,6 +37,20 @@
         self.shutdown()
         self.server_close()
 
+    def kill(self):
+        """Ends as a crashed process does: its connections are reset."""
+        self.stop()
+        for connection in list(self.open):
+            abort(connection)
+
+    def process_request(self, request, client_address):
+        self.open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.open.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         """Connections that tests cut on purpose need no traceback."""
 
@@ -71,6 +87,7 @@
         self.oldest = 0  # changes at or before it are no longer to be had
         self.down = False
         self.silent = False  # calls get no answer, also after it ends
+        self.delay_s = 0.0  # before each answer
         self.lose_answers = 0  # transactions performed but not answered
         self.rival_lease = False  # another instance always writes the lease first
         self.calls = []
@@ -168,6 +185,7 @@
 class StoreHandler(Handler):
     def swallowed(self):
         """Leaves the call without an answer while the store is silent."""
+        time.sleep(self.server.owner.delay_s)
         if not self.server.owner.silent:
             return False
         self.connection.settimeout(10)
@@ -213,11 +231,19 @@
         self.send_json(200 if done else 412, store.render([]))
 
 
+def abort(connection):
+    """Closes a connection so that the peer sees a reset."""
+    try:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.shutdown(socket.SHUT_RD)  # wakes the thread that reads
+        connection.close()
+    except OSError:
+        pass  # the peer has closed it already
+
+
 def reset(handler):
-    """Closes the connection so that the peer sees a reset."""
-    linger = struct.pack("ii", 1, 0)
-    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    handler.connection.close()
+    abort(handler.connection)
     handler.close_connection = True
 
 
@@ -227,6 +253,7 @@
     def __init__(self):
         self.usage = []
         self.scale = []
+        self.down = False
         self.server = Server(CloudHandler, self)
 
 
@@ -236,6 +263,10 @@
         call = json.loads(self.body())
         call["holder"] = self.headers["Cowslipknot-Lease-Holder"]
         call["epoch"] = int(self.headers["Cowslipknot-Fencing-Token"])
+        call["time"] = time.monotonic()
+        if cloud.down:
+            self.send(503)
+            return
         (cloud.usage if self.path == "/usage" else cloud.scale).append(call)
         self.send(200)
 
@@ -247,14 +278,14 @@
     request's answer first), "cut" (a body that ends early), "fail", "mute".
     """
 
-    def __init__(self, name, events=5, event_pause_s=0.0):
+    def __init__(self, name, events=5, event_pause_s=0.0, port=0):
         self.name = name
         self.events = events
         self.event_pause_s = event_pause_s
         self.behave = []
         self.runs = []  # headers of the requests that ran
-        self.gone = []  # ids whose caller left before the end
-        self.server = Server(BackendHandler, self)
+        self.gone = {}  # ids whose caller left before the end: time of notice
+        self.server = Server(BackendHandler, self, port)
 
     def entry(self, service, zone="z1", **fields):
         entry = {"service": service, "address": self.server.address, "zone": zone,
@@ -284,7 +315,8 @@
                                     "Cowslipknot-Not-Executed": "1"})
             return
         backend.runs.append({"method": self.command, "path": self.path,
-                             "body": body, "headers": dict(self.headers)})
+                             "body": body, "headers": dict(self.headers),
+                             "time": time.monotonic(), "fault": fault})
         if fault == "reset":
             reset(self)
             return
@@ -315,9 +347,9 @@
         self.connection.settimeout(10)
         try:
             if not self.connection.recv(1):
-                self.server.owner.gone.append(request)
+                self.server.owner.gone[request] = time.monotonic()
         except OSError:
-            self.server.owner.gone.append(request)
+            self.server.owner.gone[request] = time.monotonic()
         self.close_connection = True
 
     def stream(self, signed, crash, request):
@@ -340,7 +372,7 @@
                 time.sleep(backend.event_pause_s)
             self.wfile.write(b"0\r\n\r\n")
         except OSError:
-            backend.gone.append(request)
+            backend.gone[request] = time.monotonic()
             self.close_connection = True
 
     def chunk(self, data):
