Wait for the usage counts of instances behind a cut

Cause: they serve for the removal bound after their last confirmation; the holder took them for gone 6 s after their last reports and held the window for complete without them, with 8 s left to wait. Ruled out: restarts, lost reports, limits.

A window is now complete once no silent process can have served in it; until then it is waited for, up to 0.8 of the due time as before.

Test: instance_table, counts_behind_a_cut_are_waited_for (fails on the old code).

--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -34,9 +34,11 @@
   WindowCounts Sum(std::uint64_t window) const;
   /// The first window that any report counts.
   std::optional<std::uint64_t> FirstWindow() const;
-  /// Whether each process that may be serving has counted a window to its end.
-  /// @param end_ms  the window's end on the shared clock
-  bool Complete(std::int64_t end_ms, Time now) const;
+  /// Whether all counts of a window are known. A process that is silent, as
+  /// behind a cut, may have served for a lifetime after its last report.
+  /// @param start_ms  the window's start on the shared clock
+  /// @param end_ms  its end
+  bool Complete(std::int64_t start_ms, std::int64_t end_ms, Time now) const;
 
   /// Keys of reports whose process is gone and whose counts are all before
   /// `window`.
@@ -47,6 +49,8 @@
     InstanceReport report;
     Time changed{0};
   };
+  /// Whether a process has ended: a later one of its node runs, or it said so.
+  bool HasEnded(const Seen& seen) const;
   bool IsServing(const Seen& seen, Time now) const;
 
   Milliseconds m_lifetime;
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -36,11 +36,15 @@
   }
 }
 
-bool InstanceTable::IsServing(const Seen& seen, Time now) const {
+bool InstanceTable::HasEnded(const Seen& seen) const {
   const auto newest = m_newest.find(seen.report.node);
   const bool replaced =
       newest != m_newest.end() && newest->second > seen.report.started;
-  return !replaced && !seen.report.stopping && now - seen.changed < m_lifetime;
+  return replaced || seen.report.stopping;
+}
+
+bool InstanceTable::IsServing(const Seen& seen, Time now) const {
+  return !HasEnded(seen) && now - seen.changed < m_lifetime;
 }
 
 std::vector<const InstanceReport*> InstanceTable::Serving(Time now) const {
@@ -85,10 +89,13 @@
   return first;
 }
 
-bool InstanceTable::Complete(std::int64_t end_ms, Time now) const {
+bool InstanceTable::Complete(std::int64_t start_ms, std::int64_t end_ms,
+                             Time now) const {
   return std::all_of(m_seen.begin(), m_seen.end(), [&](const auto& item) {
-    return !IsServing(item.second, now) ||
-           item.second.report.as_of_ms >= end_ms;
+    const Seen& seen = item.second;
+    const std::int64_t as_of = seen.report.as_of_ms;
+    if (HasEnded(seen) || as_of >= end_ms) return true;
+    return !IsServing(seen, now) && as_of + m_lifetime.count() <= start_ms;
   });
 }
 
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -88,7 +88,7 @@
     const auto patience = static_cast<std::int64_t>(
         static_cast<double>(m_settings.usage_due.count()) * kWaitPart);
     if (*now < end + kCountsWritten.count()) co_return;
-    const bool whole = m_instances.Complete(end, BootTime());
+    const bool whole = m_instances.Complete(end - length, end, BootTime());
     if (!whole && *now < end + patience) co_return;
     if (!co_await SendUsage(window)) co_return;
   }
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -357,6 +357,45 @@
                                     if call["holder"] == "gw2"])
         self.assertGreater(taken[0]["epoch"], epoch)
 
+    def test_a_planned_stop_gives_the_lease_up(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("p1", "plain")
+        first = self.start(name="gw1")
+        eventually(lambda: self.store.lease_holders[-1:] == ["gw1"])
+        second = self.start(name="gw2")
+        first.child.send_signal(signal.SIGTERM)
+        eventually(lambda: self.store.lease_holders[-1:] == ["gw2"])
+        self.assertIn("", self.store.lease_holders)
+        self.assertEqual(second.child.poll(), None)
+
+    def test_a_long_prompt_at_a_server_is_known_to_other_instances(self):
+        self.store.put("op", "config", configuration())
+        self.add_backend("m1", "model", events=1)
+        self.add_backend("m2", "model", events=1)
+        gateways = [self.start(name=name) for name in ("gw1", "gw2")]
+        for gateway in gateways:
+            eventually(lambda g=gateway: [line for line in g.lines()
+                                          if line["name"] == "instances_known"
+                                          and line["instances"] == "2"])
+        tries = iter(range(1000))
+
+        def avoided():
+            """Whether many short prompts all miss the server of a long one."""
+            name = f"t{next(tries)}"
+            gateways[0].call("/stream/x", name, Cowslipknot_Token_Count="90000,8")
+            for number in range(30):
+                # Without a body, each is sent in one segment.
+                gateways[1].call("/stream/x", f"{name}-{number}", method="GET",
+                                 body=None, Cowslipknot_Token_Count="10,8")
+            by_server = [{run["headers"]["Cowslipknot-Request-Id"]
+                          for run in backend.runs}
+                         for backend in self.backends.values()]
+            long = [ids for ids in by_server if name in ids]
+            return long and not any(f"{name}-{number}" in long[0]
+                                    for number in range(30))
+
+        eventually(avoided)
+
     def test_a_report_is_written_though_another_instance_takes_the_lease(self):
         self.store.rival_lease = True
         self.store.put("op", "config", configuration())
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -91,6 +91,7 @@
         self.lose_answers = 0  # transactions performed but not answered
         self.rival_lease = False  # another instance always writes the lease first
         self.calls = []
+        self.lease_holders = []  # as written, empty when given up
         self.server = Server(StoreHandler, self)
 
     def put(self, table, key, value):
@@ -138,8 +139,11 @@
                     return False
             self.version += 1
             for row in change["set_keys"]:
+                value = base64.b64decode(row["value"])
                 self.rows[(row["table"], row["key"])] = {
-                    "value": base64.b64decode(row["value"]), "ver": self.version}
+                    "value": value, "ver": self.version}
+                if row["key"] == "lease":
+                    self.lease_holders.append(json.loads(value)["holder"])
             for row in change["remove"]:
                 self.rows[(row["table"], row["key"])] = {
                     "value": None, "ver": self.version}
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -202,7 +202,7 @@
   const Time back = kNow + std::chrono::seconds(8);
   table.Observe(reports, back);
   cr_expect_eq(table.Serving(back).size(), 1u);
-  cr_expect_not(table.Complete(5000, back), "its counts are still to come");
+  cr_expect_not(table.Complete(0, 5000, back), "its counts are still to come");
   // Silence while the store answers counts.
   Time now = back;
   for (int read = 0; read < 3; ++read) {
@@ -212,6 +212,24 @@
   cr_expect(table.Serving(now).empty());
 }
 
+// Answers instances that are cut off from the store for longer than a report's
+// lifetime, serve on for a while and write their counts after the cut.
+Test(instance_table, counts_behind_a_cut_are_waited_for) {
+  InstanceTable table(Milliseconds(6000));
+  InstanceReport cut_off = MakeReport("a", 1, 1);
+  cut_off.as_of_ms = 1000;
+  std::uint64_t sequence = 0;
+  Time now = kNow;
+  for (; now < kNow + std::chrono::seconds(9); now += std::chrono::seconds(3)) {
+    InstanceReport other = MakeReport("b", 1, ++sequence);
+    other.as_of_ms = 20000;
+    table.Observe({{"a/1", cut_off}, {"b/1", other}}, now);
+  }
+  cr_expect_eq(table.Serving(now).size(), 1u);
+  cr_expect_not(table.Complete(5000, 10000, now), "it may have served in it");
+  cr_expect(table.Complete(7000, 12000, now), "it had stopped by then");
+}
+
 Test(instance_table, counts_of_dead_processes_stay_in_a_windows_sum) {
   InstanceTable table{Milliseconds(6000)};
   InstanceReport dead = MakeReport("a", 1, 1);
@@ -221,8 +239,8 @@
   alive.as_of_ms = 40000;
   table.Observe({{"a/1", dead}, {"a/2", alive}}, kNow);
   cr_expect_eq(table.Sum(7).at(WorkspaceId("w")), 5u);
-  cr_expect(table.Complete(40000, kNow));
-  cr_expect_not(table.Complete(40001, kNow));
+  cr_expect(table.Complete(35000, 40000, kNow));
+  cr_expect_not(table.Complete(35001, 40001, kNow));
   cr_expect_eq(table.Obsolete(8, kNow).size(), 1u);
   cr_expect(table.Obsolete(7, kNow).empty());
 }
