--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,18 +26,18 @@
 
 SERVING_S = 3.0  # of load after the recovery
 START_S = 4.0  # before the first fault, so that bounds hold from it on
-FIRST_PORT = 26000  # above those of the other tests, below the ephemeral range
-PORTS = 1000  # of one process that runs seeds
-MOST_PARALLEL = 6
+FIRST_PORT = 26000  # above those of the other tests
+LAST_PORT = 31999  # below the ephemeral range
 SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
 
 
-def take_ports(counter):
+def take_ports(counter, processes):
     """Gives each process that runs seeds ports of its own."""
+    ports = (LAST_PORT - FIRST_PORT + 1) // processes
     with counter.get_lock():
-        first = FIRST_PORT + counter.value * PORTS
+        first = FIRST_PORT + counter.value * ports
         counter.value += 1
-    use_ports(first, first + PORTS - 1)
+    use_ports(first, first + ports - 1)
 
 
 def wait_until(moment):
@@ -149,9 +149,9 @@
         jobs = [(seed, options.seconds, options.instances)
                 for seed in range(int(first), int(last or first) + 1)]
     context = multiprocessing.get_context("spawn")
-    workers = min(options.parallel, MOST_PARALLEL)
     with concurrent.futures.ProcessPoolExecutor(
-            workers, context, take_ports, (context.Value("i", 0),)) as pool:
+            options.parallel, context, take_ports,
+            (context.Value("i", 0), options.parallel)) as pool:
         passed = [future.result() for future in
                   [pool.submit(run_seed, *job, options.quiet) for job in jobs]]
     print(f"{passed.count(True)} passed, {passed.count(False)} failed")
