Name the soak's figures once; drop a field that no check reads

Only tests/soak: the limited key and a stream's events are named in one place, Record.first_key is removed_by.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,15 +6,15 @@
 import threading
 import time
 
-from world import LIMITED_KEY, key_of
+from world import EVENTS, LIMITED_KEY, key_of
 
 DEADLINE_MS = 3000
 PACE_S = 0.08  # mean pause of a caller between two requests
 CALLERS = 10
-EVENTS = 6
 ABANDONED = 0.03  # of the streams
-SECOND_PROMPT_TOKENS = 300
+PROMPT_TOKENS = 300
 OUTPUT_TOKENS = 40
+UNSIZED_TOKENS = 10  # what a request without a stated size costs
 
 KINDS = {"safe": 25, "once": 25, "open": 10, "stream": 20, "stream1": 8, "probe": 12}
 
@@ -29,7 +29,6 @@
     key: str
     tokens: int
     sent: float
-    begun_at_kept: bool = False  # on a connection that served an earlier one
     ended: float = 0.0
     status: int = 0  # 0: no whole header came
     whole: bool = False
@@ -50,7 +49,6 @@
         self.calls = []
         self.machine = None
         self.connection = None
-        self.used = False
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
@@ -71,7 +69,6 @@
             self.machine.front.split(":")
         self.connection = http.client.HTTPConnection(host, int(port), timeout=8)
         self.connection.connect()
-        self.used = False
 
     def _disconnect(self):
         if self.connection is not None:
@@ -79,13 +76,14 @@
         self.connection = None
 
     def _key(self):
-        """A key that is in force, was just taken away, or has a limit."""
+        """A key that has a limit, was just taken away, or is in force."""
         index = self.world.current_index()
         drawn = self.random.random()
         if drawn < 0.2:
             return LIMITED_KEY
-        return key_of(max(0, index - 1) if drawn < 0.35 else index + 1 if
-                      drawn < 0.6 else index)
+        if drawn < 0.35:
+            return key_of(max(0, index - 1))
+        return key_of(index + 1 if drawn < 0.6 else index)
 
     def _call(self, request, kind):
         try:
@@ -95,7 +93,7 @@
             self._disconnect()
             return
         key = "" if kind in ("open", "probe") else self._key()
-        prompt = SECOND_PROMPT_TOKENS if kind in ("stream", "stream1") else 0
+        prompt = PROMPT_TOKENS if kind in ("stream", "stream1") else 0
         headers = {"Host": "h.example", "Cowslipknot-Request-Id": request,
                    "Cowslipknot-Deadline-Ms": str(DEADLINE_MS)}
         if key:
@@ -103,8 +101,8 @@
         if prompt:
             headers["Cowslipknot-Token-Count"] = f"{prompt},{OUTPUT_TOKENS}"
         call = Call(request, kind, self.machine.name, self.machine.boot, key,
-                    prompt + OUTPUT_TOKENS if prompt else 10, time.monotonic(),
-                    begun_at_kept=self.used)
+                    prompt + OUTPUT_TOKENS if prompt else UNSIZED_TOKENS,
+                    time.monotonic())
         self.calls.append(call)
         body = f"body of {request}".encode()
         try:
@@ -121,7 +119,6 @@
             received = answer.read()
             call.whole = True
             call.correct = received == expected_body(kind, body)
-            self.used = True
             if answer.will_close:
                 self._disconnect()
         except (OSError, http.client.HTTPException):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -36,7 +36,8 @@
     bounds: dict
     limit: dict
     recovered: float  # when all gateways were ready after the last fault; or 0
-    first_key: dict  # key: index of the version that removes it
+    removed_by: dict  # key: index of the version that takes it away
+    limited_key: str
     probe_services: int
 
     def __post_init__(self):
@@ -128,7 +129,7 @@
     broken = []
     acknowledged = {index: done for index, _, done in record.changes}
     for call in record.calls:
-        removal = acknowledged.get(record.first_key.get(call.key))
+        removal = acknowledged.get(record.removed_by.get(call.key))
         if removal is None or call.request not in record.runs:
             continue
         if call.sent > removal + record.bounds["revoke_ms"] / 1000:
@@ -214,7 +215,7 @@
             * (1 + record.bounds["quota_overage"]) + record.bounds["quota_slack"])
     ran = sorted((record.runs[call.request][0]["time"], call.tokens)
                  for call in record.calls
-                 if call.key == "limited-key" and call.request in record.runs)
+                 if call.key == record.limited_key and call.request in record.runs)
     window = collections.deque()
     tokens = 0
     for time, size in ran:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 from checks import CHECKS, RECOVERY_S, Record
 from schedule import draw_changes, draw_faults
 from world import (
-    BOUNDS, LIMIT, PROBE_SERVICES, World, eventually, key_of, use_ports)
+    BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, World, eventually, key_of, use_ports)
 
 SERVING_S = 3.0  # of load after the recovery
 START_S = 4.0  # before the first fault, so that bounds hold from it on
@@ -86,7 +86,8 @@
         own_ends=[(machine.name, code) for machine in world.machines.values()
                   for code in machine.own_ends],
         gone=gone, bounds=BOUNDS, limit=LIMIT, recovered=recovered,
-        first_key={key_of(index): index + 1 for index, _, _ in world.changes},
+        limited_key=LIMITED_KEY,
+        removed_by={key_of(index): index + 1 for index, _, _ in world.changes},
         probe_services=PROBE_SERVICES)
 
 
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -31,7 +31,7 @@
     values = {"runs": {}, "troubles": [], "drains": [], "changes": [], "usage": [],
               "scale": [], "own_ends": [], "gone": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
-              "first_key": {}, "probe_services": 3}
+              "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
     values.update(fields)
     return checks.Record(calls=list(calls), **values)
 
@@ -88,7 +88,7 @@
                     record([late], changes=changes))
 
     def test_a_key_that_was_taken_away_ends_also_where_the_store_is_away(self):
-        fields = {"runs": {"r1": [run()]}, "first_key": {"key-1": 1},
+        fields = {"runs": {"r1": [run()]}, "removed_by": {"key-1": 1},
                   "troubles": [("world", "store_down", 90.0, 110.0)]}
         self.expect(checks.check_keys,
                     record([call()], changes=[(1, 96.0, 96.0)], **fields),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,7 +23,8 @@
           "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 2000}
 LIMIT = {"rate_per_s": 600, "burst": 3000}  # of tenant "limited", tokens
 RESTART_PAUSE_S = 0.3  # from a process' end to its next start
-HEARTBEATS_S = 2.0  # after which a crashed server's registration lapses
+LAPSE_S = 2.0  # after which a crashed server's registration lapses
+EVENTS = 6  # of a stream
 PROBE_SERVICES = 3
 LIMITED_KEY = "limited-key"
 
@@ -160,7 +161,7 @@
     def _add_backend(self, slot):
         """Starts a server at the slot's address under a name of its own."""
         self.generation += 1
-        backend = standin.Backend(f"{slot}-{self.generation}", events=6,
+        backend = standin.Backend(f"{slot}-{self.generation}", events=EVENTS,
                                   event_pause_s=0.05, port=self.ports[slot])
         with self.lock:
             self.backends[slot] = backend
@@ -291,7 +292,7 @@
             self._end_backend(slot, crash=False)
         elif kind == "crash":
             self._end_backend(slot, crash=True)
-            time.sleep(HEARTBEATS_S)
+            time.sleep(LAPSE_S)
             self.store.drop("servers", name)
         else:  # born again at once, at the same address
             self._end_backend(slot, crash=True)
