Fail a soak whose own threads fail; leave no process after a failed start

An exception in the thread of a fault or a caller was printed and lost: the seed then passed with a fault missing. It now fails the seed. Routes, services and tenants of the tests' documents are written once; pauses and counts of the soak have names.

Tests: test_an_error_in_a_thread_is_kept, test_a_start_that_fails_leaves_no_process.

--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -10,26 +10,41 @@
     return entry
 
 
+def routes():
+    return [
+        route("safe", "/safe/", "safe", "plain"),
+        route("once", "/once/", "unsafe", "plain"),
+        route("open", "/open/", "safe", "plain", public=True),
+        route("stream", "/stream/", "streaming", "model", resumable=True,
+              itl_target_ms=300),
+        route("stream1", "/stream1/", "streaming", "model"),
+    ]
+
+
+def services(max_conns=10, slots=4):
+    return [
+        {"name": "plain", "max_conns": max_conns},
+        {"name": "model", "max_conns": max_conns,
+         "engine": {"slots": slots, "kv_capacity": 100000}},
+    ]
+
+
+def tenant(name, *keys, **limit):
+    """A tenant whose requests count by their tokens, without a limit by default."""
+    entry = {"name": name, "api_keys": list(keys), "unit": "tokens",
+             "uncached_tokens": 10, "rate_per_s": 0, "burst": 0}
+    entry.update(limit)
+    return entry
+
+
 def configuration(version=1, **fields):
     value = {
         "version": version,
-        "route_list": [
-            route("safe", "/safe/", "safe", "plain"),
-            route("once", "/once/", "unsafe", "plain"),
-            route("open", "/open/", "safe", "plain", public=True),
-            route("stream", "/stream/", "streaming", "model", resumable=True,
-                  itl_target_ms=300),
-            route("stream1", "/stream1/", "streaming", "model"),
-        ],
-        "services": [
-            {"name": "plain", "max_conns": 10},
-            {"name": "model", "max_conns": 10,
-             "engine": {"slots": 4, "kv_capacity": 100000}},
-        ],
+        "route_list": routes(),
+        "services": services(),
         "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000,
                    "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
-        "tenants": [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
-                     "uncached_tokens": 10, "rate_per_s": 0, "burst": 0}],
+        "tenants": [tenant("tenant1", "key1")],
     }
     value.update(fields)
     return value
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -10,7 +10,7 @@
 import unittest
 
 import standin
-from documents import configuration, route
+from documents import configuration, route, tenant
 from gateway_process import BINARY, PATIENCE_S, Gateway, eventually
 
 MOVE_PATIENCE_S = 30  # twice the duration of the moves ordered here
@@ -412,8 +412,7 @@
         eventually(lambda: sequence() >= 4)
 
     def test_a_limit_is_lent_to_the_instance_that_has_the_load(self):
-        limited = [{"name": "tenant1", "api_keys": ["key1"], "unit": "tokens",
-                    "uncached_tokens": 10, "rate_per_s": 1000, "burst": 1000}]
+        limited = [tenant("tenant1", "key1", rate_per_s=1000, burst=1000)]
         self.store.put("op", "config", configuration(tenants=limited))
         self.add_backend("m1", "model", events=1)
         gateways = [self.start(name=name) for name in ("gw1", "gw2", "gw3")]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 from callers import CALLERS, Caller
 from checks import CHECKS, RECOVERY_S, Record
@@ -44,6 +45,15 @@
     time.sleep(max(0.0, moment - time.monotonic()))
 
 
+def collect_thread_errors():
+    """Errors of the soak's own threads from now on. With one, a fault or a
+    caller may be missing, so that the seed can't pass."""
+    errors = []
+    threading.excepthook = lambda raised: errors.append(
+        "".join(traceback.format_exception(raised.exc_value)))
+    return errors
+
+
 def inject(world, faults, changes, start):
     """Starts each fault and change at its time; returns when all are over."""
     def change_at(at_s):
@@ -101,6 +111,7 @@
 
 def run_seed(seed, seconds, instances, quiet):
     draw = random.Random(seed)
+    errors = collect_thread_errors()
     with World(instances) as world:
         eventually(lambda: all(machine.in_rotation
                                for machine in world.machines.values()))
@@ -117,6 +128,8 @@
         record = record_of(world, callers, recovered)
         broken = {name: found for name, check in CHECKS.items()
                   if (found := check(record))}
+        if errors:
+            broken["soak_itself"] = errors
         served = collections.Counter(call.status for call in record.calls)
         print(f"{'FAIL' if broken else 'ok'} seed={seed} faults={len(faults)} "
               f"answers={json.dumps(served, sort_keys=True)}", flush=True)
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -3,12 +3,15 @@
 import pathlib
 import random
 import sys
+import threading
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
 import checks  # noqa: E402
 import schedule  # noqa: E402
+import soak  # noqa: E402
+import world  # noqa: E402
 from callers import Call  # noqa: E402
 
 BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
@@ -145,6 +148,28 @@
         self.assertNotEqual(checks.check_recovery(record([call()], recovered=0)), [])
 
 
+class OwnErrorsTest(unittest.TestCase):
+    def test_an_error_in_a_thread_is_kept(self):
+        self.addCleanup(setattr, threading, "excepthook", threading.excepthook)
+        errors = soak.collect_thread_errors()
+        thread = threading.Thread(target=lambda: 1 / 0)
+        thread.start()
+        thread.join()
+        self.assertEqual(len(errors), 1)
+        self.assertIn("ZeroDivisionError", errors[0])
+
+    def test_a_start_that_fails_leaves_no_process(self):
+        class Failing(world.World):
+            def change_configuration(self):
+                raise RuntimeError("no configuration")
+
+        failing = Failing(instances=1)
+        with self.assertRaises(RuntimeError):
+            with failing:
+                pass
+        self.assertIsNotNone(failing.forwarder.returncode)
+
+
 class ScheduleTest(unittest.TestCase):
     def test_a_seed_draws_the_same_faults_which_end_in_time(self):
         def draw(seed):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,8 @@
 sys.path.insert(0, str(ROOT / "tests" / "platform"))
 
 import standin  # noqa: E402
-from documents import configuration, route  # noqa: E402
+from documents import (  # noqa: E402
+    configuration, route, routes, services, tenant)
 from gateway_process import (  # noqa: E402
     BINARY, Gateway, eventually, free_port, use_ports)
 
@@ -25,6 +26,13 @@
 RESTART_PAUSE_S = 0.3  # from a process' end to its next start
 LAPSE_S = 2.0  # after which a crashed server's registration lapses
 EVENTS = 6  # of a stream
+EVENT_PAUSE_S = 0.05
+MAX_CONNS = 100  # of a server; beyond what the callers need
+SLOTS = 8  # of a model server
+STORE_DELAY_S = 0.3  # within what a call to the store waits, 0.9 s
+ANSWERS_LOST = 4  # transactions of the store in a row
+AWAIT_READY_S = 5.0  # a started process is ready within a second or two
+READINESS_PAUSE_S = 0.25  # between two questions; two misses end the rotation
 PROBE_SERVICES = 3
 LIMITED_KEY = "limited-key"
 
@@ -39,24 +47,15 @@
     return configuration(
         version=1 + 3 * index,
         route_list=[
-            route("safe", "/safe/", "safe", "plain"),
-            route("once", "/once/", "unsafe", "plain"),
-            route("open", "/open/", "safe", "plain", public=True),
-            route("stream", "/stream/", "streaming", "model", resumable=True,
-                  itl_target_ms=300),
-            route("stream1", "/stream1/", "streaming", "model"),
+            *routes(),
             route("probe", "/probe/", "safe", f"probe{index % PROBE_SERVICES}",
                   public=True)],
-        services=[{"name": "plain", "max_conns": 100},
-                  {"name": "model", "max_conns": 100,
-                   "engine": {"slots": 8, "kv_capacity": 100000}},
-                  *({"name": f"probe{n}", "max_conns": 100}
-                    for n in range(PROBE_SERVICES))],
-        tenants=[{"name": "main", "api_keys": [key_of(index), key_of(index + 1)],
-                  "unit": "tokens", "uncached_tokens": 10, "rate_per_s": 0,
-                  "burst": 0},
-                 {"name": "limited", "api_keys": [LIMITED_KEY], "unit": "tokens",
-                  "uncached_tokens": 10, **LIMIT}])
+        services=[
+            *services(max_conns=MAX_CONNS, slots=SLOTS),
+            *({"name": f"probe{n}", "max_conns": MAX_CONNS}
+              for n in range(PROBE_SERVICES))],
+        tenants=[tenant("main", key_of(index), key_of(index + 1)),
+                 tenant("limited", LIMITED_KEY, **LIMIT)])
 
 
 class Machine:
@@ -96,7 +95,7 @@
                 self.gateway.start()
             misses = 0 if self.gateway.ready() else misses + 1
             self.in_rotation = misses < 2
-            time.sleep(0.25)
+            time.sleep(READINESS_PAUSE_S)
 
 
 class World:
@@ -116,6 +115,11 @@
         self.slots = {f"plain{n}": "plain" for n in range(plains)}
         self.slots.update({f"model{n}": "model" for n in range(models)})
         self.slot_locks = {slot: threading.Lock() for slot in self.slots}
+        self.forwarder = None
+        self.machines = {}
+        self.threads = []
+
+    def _start(self):
         self._start_links()
         for slot in self.slots:
             self._add_backend(slot)
@@ -124,11 +128,12 @@
             self.backends[f"probe{n}"] = backend
             self.store.put("servers", backend.name, backend.entry(f"probe{n}"))
         self.change_configuration()
-        self.machines = {name: Machine(self, name) for name in self.names}
-        self.threads = [threading.Thread(target=machine.supervise, daemon=True)
-                        for machine in self.machines.values()]
-        for thread in self.threads:
+        for name in self.names:
+            self.machines[name] = Machine(self, name)
+        for machine in self.machines.values():
+            thread = threading.Thread(target=machine.supervise, daemon=True)
             thread.start()
+            self.threads.append(thread)
 
     # Links ---------------------------------------------------------------
     def _start_links(self):
@@ -162,7 +167,7 @@
         """Starts a server at the slot's address under a name of its own."""
         self.generation += 1
         backend = standin.Backend(f"{slot}-{self.generation}", events=EVENTS,
-                                  event_pause_s=0.05, port=self.ports[slot])
+                                  event_pause_s=EVENT_PAUSE_S, port=self.ports[slot])
         with self.lock:
             self.backends[slot] = backend
         self.store.put("servers", backend.name, self._entry(slot))
@@ -255,7 +260,7 @@
         self._await_ready(machine)
 
     def _await_ready(self, machine):
-        deadline = time.monotonic() + 5
+        deadline = time.monotonic() + AWAIT_READY_S
         while not machine.gateway.ready() and time.monotonic() < deadline:
             time.sleep(0.1)
 
@@ -310,13 +315,13 @@
             time.sleep(fault.for_s)
             self.store.silent = False
         elif kind == "store_slow":
-            self.store.delay_s = 0.3
+            self.store.delay_s = STORE_DELAY_S
             time.sleep(fault.for_s)
             self.store.delay_s = 0.0
         elif kind == "store_forgets":
             self.store.forget_history()
         elif kind == "store_loses_answers":
-            self.store.lose_answers = 4
+            self.store.lose_answers = ANSWERS_LOST
             time.sleep(fault.for_s)
             self.store.lose_answers = 0
         elif kind == "cloud_down":
@@ -339,6 +344,11 @@
 
     # The end -------------------------------------------------------------
     def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()  # leaves no process behind
+            raise
         return self
 
     def __exit__(self, *unused):
@@ -349,5 +359,6 @@
         for machine in self.machines.values():
             machine.gateway.child.send_signal(signal.SIGCONT)
             machine.gateway.stop()
-        self.forwarder.terminate()
-        self.forwarder.wait()
+        if self.forwarder is not None:
+            self.forwarder.terminate()
+            self.forwarder.wait()
