Split the gateway's commands and a run's answer from their files

commands.cc (420 lines) held the gateway's commands beside the operator interface's; model_run.cc (409) held reading a stream beside attempts. Functions are moved as they are: gateway_commands, command_output, model_run_answer.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,20 +1,19 @@
 #include "cli/commands.h"
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
-#include <sstream>
 #include <thread>
 
 #include "base/clock.h"
+#include "cli/command_output.h"
+#include "cli/gateway_commands.h"
 #include "cli/operator_client.h"
 #include "cli/print.h"
 #include "cowslipknot/events.h"
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/objects.h"
-#include "serve/fleet_status.h"
 #include "serve/serve.h"
 
 namespace cowslipknot {
@@ -24,34 +23,6 @@
 
 constexpr Milliseconds kPollPause(200);
 
-int Report(const Error& error) {
-  std::cerr << "error " << static_cast<int>(error.code) << " "
-            << Describe(error.code).name << ": " << error.detail << "\n";
-  return ExitCodeOf(error);
-}
-
-int Usage(const std::string& message) {
-  std::cerr << message << "\nTry 'cowslipknot --help'.\n";
-  return kExitUsage;
-}
-
-Result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return Fail(ResultCode::kInvalidSettings, "cannot read " + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-/// Prints each problem of a file. @return the exit code
-int PrintProblems(const std::vector<ObjectProblem>& problems) {
-  for (const auto& problem : problems) {
-    std::cerr << FormatProblem(problem) << "\n";
-  }
-  std::cerr << problems.size() << " error(s)\n";
-  return kExitInvalid;
-}
-
 bool Confirm(const Options& options, const std::string& question) {
   if (options.yes) return true;
   std::cerr << question << " [y/N] " << std::flush;
@@ -73,61 +44,6 @@
   return Serve(*settings);
 }
 
-/// Reads the settings file of a gateway; prints problems.
-std::optional<gateway::Settings> LoadGatewaySettings(const Options& options,
-                                                     int& exit_code) {
-  if (options.config.empty()) {
-    exit_code = Usage(options.command + " needs --config FILE");
-    return std::nullopt;
-  }
-  const auto text = ReadFile(options.config);
-  if (!text) {
-    exit_code = Report(text.error());
-    return std::nullopt;
-  }
-  auto settings = gateway::ParseSettings(*text, options.config);
-  if (!settings) {
-    exit_code = PrintProblems(settings.error());
-    return std::nullopt;
-  }
-  return std::move(*settings);
-}
-
-/// Shows what the platform's store says of a fleet of gateways.
-int RunFleet(const Options& options,
-             const gateway::DialectFactory& make_dialect) {
-  int exit_code = kExitOk;
-  const auto settings = LoadGatewaySettings(options, exit_code);
-  if (!settings) return exit_code;
-  asio::io_context context;
-  const auto dialect = make_dialect(context.get_executor(), *settings);
-  Result<json::object> status = Fail(ResultCode::kPlatformUnavailable);
-  auto read = [&]() -> Awaitable<void> {
-    status = co_await gateway::ReadFleetStatus(*dialect);
-  };
-  asio::co_spawn(context, read(), asio::detached);
-  context.run();
-  if (!status) return Report(status.error());
-  if (options.output == OutputFormat::kJson) {
-    std::cout << json::serialize(*status) << "\n";
-  } else {
-    PrintFleetStatus(*status);
-  }
-  return kExitOk;
-}
-
-int RunGateway(const Options& options,
-               const gateway::DialectFactory& make_dialect) {
-  int exit_code = kExitOk;
-  const auto settings = LoadGatewaySettings(options, exit_code);
-  if (!settings) return exit_code;
-  if (options.check) {
-    std::cout << options.config << ": ok\n";
-    return kExitOk;
-  }
-  return gateway::Serve(*settings, options.config, make_dialect);
-}
-
 /// Reads and checks an object file; prints problems.
 std::optional<std::string> LoadObjects(const Options& options, int& exit_code) {
   if (options.arguments.size() != 1) {
--- /dev/null
+++ b/src/cli/gateway_commands.cc
@@ -0,0 +1,70 @@
+#include "cli/gateway_commands.h"
+
+#include <iostream>
+
+#include "cli/command_output.h"
+#include "cli/print.h"
+#include "serve/fleet_status.h"
+
+namespace cowslipknot {
+namespace {
+
+namespace json = boost::json;
+
+/// Reads the settings file of a gateway; prints problems.
+std::optional<gateway::Settings> LoadGatewaySettings(const Options& options,
+                                                     int& exit_code) {
+  if (options.config.empty()) {
+    exit_code = Usage(options.command + " needs --config FILE");
+    return std::nullopt;
+  }
+  const auto text = ReadFile(options.config);
+  if (!text) {
+    exit_code = Report(text.error());
+    return std::nullopt;
+  }
+  auto settings = gateway::ParseSettings(*text, options.config);
+  if (!settings) {
+    exit_code = PrintProblems(settings.error());
+    return std::nullopt;
+  }
+  return std::move(*settings);
+}
+
+}  // namespace
+
+int RunFleet(const Options& options,
+             const gateway::DialectFactory& make_dialect) {
+  int exit_code = kExitOk;
+  const auto settings = LoadGatewaySettings(options, exit_code);
+  if (!settings) return exit_code;
+  asio::io_context context;
+  const auto dialect = make_dialect(context.get_executor(), *settings);
+  Result<json::object> status = Fail(ResultCode::kPlatformUnavailable);
+  auto read = [&]() -> Awaitable<void> {
+    status = co_await gateway::ReadFleetStatus(*dialect);
+  };
+  asio::co_spawn(context, read(), asio::detached);
+  context.run();
+  if (!status) return Report(status.error());
+  if (options.output == OutputFormat::kJson) {
+    std::cout << json::serialize(*status) << "\n";
+  } else {
+    PrintFleetStatus(*status);
+  }
+  return kExitOk;
+}
+
+int RunGateway(const Options& options,
+               const gateway::DialectFactory& make_dialect) {
+  int exit_code = kExitOk;
+  const auto settings = LoadGatewaySettings(options, exit_code);
+  if (!settings) return exit_code;
+  if (options.check) {
+    std::cout << options.config << ": ok\n";
+    return kExitOk;
+  }
+  return gateway::Serve(*settings, options.config, make_dialect);
+}
+
+}  // namespace cowslipknot
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -52,6 +52,13 @@
   std::optional<std::size_t> resumed_at;
 };
 
+/// Pause before a server is asked again where nothing was gained.
+constexpr Milliseconds kRetryPause(100);
+
+/// What an engine's refusal in the header means.
+Result<void> CheckEngineHeader(const http::response_header<>& header,
+                               const std::string& attempt);
+
 /// The server and version for the next attempt at a service.
 struct ServerChoice {
   ServerView server;
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -1,14 +1,11 @@
 #include "serve/model_run.h"
 
-#include <boost/json.hpp>
-
 #include "cowslipknot/events.h"
 #include "serve/attempt.h"
 
 namespace cowslipknot {
 namespace {
 
-constexpr Milliseconds kRetryPause(100);
 constexpr Milliseconds kUnreadWindow(5000);
 constexpr Milliseconds kCancelTimeout(1000);
 constexpr int kSpanIdDigits = 16;
@@ -27,28 +24,6 @@
   }
 }
 
-/// What an engine's refusal in the header means.
-Result<void> CheckEngineHeader(const http::response_header<>& header,
-                               const std::string& attempt) {
-  const auto status = header.result_int();
-  if (status == 200) {
-    if (header["X-Request-Id"] != attempt) {
-      return Fail(ResultCode::kBackendMalformed, "answer to another attempt",
-                  Execution::kUnknown);
-    }
-    return {};
-  }
-  if (status == 503 && header.find("X-Leaving") != header.end()) {
-    return Fail(ResultCode::kBackendRefused, "the server is leaving");
-  }
-  if (status >= 500 || status == 429) {
-    return Fail(ResultCode::kBackendFailed, "status " + std::to_string(status),
-                Execution::kUnknown);
-  }
-  return Fail(ResultCode::kMalformedRequest,
-              "the engine answered " + std::to_string(status));
-}
-
 }  // namespace
 
 ModelRun::ModelRun(Worker& worker, RequestId id, WorkspaceId workspace,
@@ -276,117 +251,6 @@
   co_return outcome;
 }
 
-Result<bool> ModelRun::ApplyEvents(Attempt& attempt, std::string_view bytes,
-                                   SseParser& parser) {
-  auto events = parser.Feed(bytes);
-  if (!events) return tl::make_unexpected(events.error());
-  bool grew = false;
-  for (const auto& raw : *events) {
-    const auto event = ParseEngineEvent(raw);
-    if (!event) return tl::make_unexpected(event.error());
-    if (event->done) continue;
-    if (event->recomputed_tokens > 0) {
-      m_worker.Metrics().Add("cowslipknot_recomputed_tokens_total", Labels(),
-                             event->recomputed_tokens);
-    }
-    NoteReport(*attempt.server.live, TokenCount(event->queue_tokens),
-               NowWall());
-    if (!event->finish_reason.empty()) m_finish_reason = event->finish_reason;
-    if (event->text.empty()) continue;
-    if (event->index < m_chunks.size()) {
-      m_worker.Metrics().Add("cowslipknot_late_tokens_total", Labels());
-      continue;
-    }
-    if (event->index > m_chunks.size()) {
-      return Fail(ResultCode::kBackendMalformed, "a gap in the stream",
-                  Execution::kUnknown);
-    }
-    m_chunks.push_back(event->text);
-    grew = true;
-  }
-  return grew;
-}
-
-void ModelRun::NoteFirstOutput(Attempt& attempt) {
-  if (attempt.answered) return;
-  attempt.answered = true;
-  attempt.in_flight->ReleaseTokens();
-  const TokenCount work(attempt.pick.queue.Count() +
-                        attempt.pick.uncached.Count());
-  NoteFirstToken(*attempt.server.live, work, Since(attempt.started));
-}
-
-Awaitable<Result<void>> ModelRun::ReadAnswer(
-    Attempt& attempt, std::unique_ptr<ResponseStream> stream) {
-  SseParser parser;
-  auto last_piece = SteadyClock::now();
-  while (!m_cancelled && !m_finished) {
-    auto piece = co_await stream->Read(m_route.stall_timeout);
-    if (!piece) {
-      if (HasWholeAnswer()) co_return Result<void>();
-      const bool may_reconnect =
-          !IsDisabled(m_worker.GetSettings(), "silent_links") &&
-          Since(m_started) < m_route.timeout;
-      if (!may_reconnect) co_return tl::make_unexpected(piece.error());
-      stream.reset();
-      m_worker.Http().Forget(attempt.server.record.address);
-      co_return co_await ReconnectStream(attempt);
-    }
-    if (piece->empty()) break;
-    const std::size_t before = m_chunks.size();
-    const auto grew = ApplyEvents(attempt, *piece, parser);
-    if (!grew) co_return tl::make_unexpected(grew.error());
-    if (!*grew) continue;
-    NoteFirstOutput(attempt);
-    if (!m_first_token_noted) {
-      m_first_token_noted = true;
-      const Milliseconds first = Since(m_started);
-      m_worker.Metrics().Observe("cowslipknot_first_token_ms", Labels(), first);
-      attempt.slow = Since(attempt.started) > m_route.first_token;
-    } else {
-      const auto pieces = static_cast<std::int64_t>(m_chunks.size() - before);
-      m_worker.Metrics().Observe("cowslipknot_between_tokens_ms", Labels(),
-                                 Since(last_piece) / pieces);
-    }
-    last_piece = SteadyClock::now();
-    m_changed.cancel();
-  }
-  if (m_cancelled || m_finished) {
-    co_return Fail(ResultCode::kDraining, "cancelled", Execution::kUnknown);
-  }
-  if (!HasWholeAnswer() &&
-      !IsDisabled(m_worker.GetSettings(), "completeness")) {
-    co_return Fail(ResultCode::kBackendFailed, "the answer was cut short",
-                   Execution::kUnknown);
-  }
-  co_return Result<void>();
-}
-
-Awaitable<Result<void>> ModelRun::ReconnectStream(Attempt& attempt) {
-  const bool fruitless = attempt.resumed_at == m_chunks.size();
-  attempt.resumed_at = m_chunks.size();
-  if (fruitless) co_await SleepFor(kRetryPause);
-  HttpRequest request(
-      http::verb::get,
-      "/v1/streams/" + attempt.id + "?from=" + std::to_string(m_chunks.size()),
-      11);
-  CallProgress progress;
-  auto opened = co_await m_worker.Http().Open(
-      attempt.server.record.address, std::move(request),
-      WithTimeout(m_route.stall_timeout, Reuse::kFreshOnly), progress);
-  if (!opened) co_return tl::make_unexpected(opened.error());
-  const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
-  if (!checked) {
-    co_return Fail(ResultCode::kBackendFailed, "the stream is gone",
-                   Execution::kUnknown);
-  }
-  m_worker.Metrics().Add("cowslipknot_streams_resumed_total", Labels());
-  LogEvent(Event::kRequestResumed, {{"request", m_id.Text()},
-                                    {"server", m_server.Text()},
-                                    {"from", std::to_string(m_chunks.size())}});
-  co_return co_await ReadAnswer(attempt, std::move(*opened));
-}
-
 void ModelRun::NoteEvidence(const Attempt& attempt, bool failed) {
   AddEvidence(m_worker.Evidence(), attempt.choice, m_route.name, failed,
               attempt.slow);
