--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -13,6 +13,9 @@
 /// Fraction of Settings::usage_report_timeout for which a report waits for
 /// instances that cannot reach the store.
 constexpr double kIncompleteWaitFraction = 0.8;
+/// Obsolete reports deleted with each window, so that the transaction stays
+/// within the store's limit on entries. The next window deletes the rest.
+constexpr std::size_t kMaxDeletedReports = 50;
 /// Older windows are skipped.
 constexpr std::uint64_t kMaxWindowsBehind = 6;
 
@@ -34,8 +37,10 @@
   if (window >= store_rows::kRetainedWindows) {
     const std::uint64_t old = window - store_rows::kRetainedWindows;
     transaction.removals.push_back(store_rows::MakeRow(UsageKey(old)));
-    for (const auto& key : m_instances.ObsoleteKeys(old, TimeSinceBoot())) {
-      transaction.removals.push_back(store_rows::MakeRow(key));
+    auto obsolete = m_instances.ObsoleteKeys(old, TimeSinceBoot());
+    obsolete.resize(std::min(obsolete.size(), kMaxDeletedReports));
+    for (auto& key : obsolete) {
+      transaction.removals.push_back(store_rows::MakeRow(std::move(key)));
     }
   }
   const auto changed = co_await CommitTransaction(std::move(transaction));
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -20,6 +20,7 @@
     daemon_threads = True
     request_queue_size = 128  # a full queue drops connections, which stalls clients for seconds
     rejects_calls = False  # answers 503 to the store calls at this address
+    store_calls = 0  # at this address
     allow_reuse_address = True
 
     def __init__(self, handler, owner, port=0):
@@ -77,6 +78,10 @@
                   {"Content-Type": "application/json"})
 
 
+MAX_TRANSACTION_ENTRIES = 100  # of the platform's store
+ENTRY_LISTS = ("expected", "set_keys", "remove")  # of a transaction
+
+
 class Store:
     """A store of versioned rows with conditional transactions and a change feed."""
 
@@ -204,6 +209,7 @@
     def do_GET(self):
         store = self.server.owner
         store.calls.append(self.path)
+        self.server.store_calls += 1
         if self.hold_if_silent():
             return
         url = urllib.parse.urlsplit(self.path)
@@ -222,12 +228,16 @@
     def do_POST(self):
         store = self.server.owner
         store.calls.append(self.path)
+        self.server.store_calls += 1
         change = json.loads(self.read_body())
         if self.hold_if_silent():
             return
         if store.down or self.server.rejects_calls:
             self.send(503)
             return
+        if sum(len(change[name]) for name in ENTRY_LISTS) > MAX_TRANSACTION_ENTRIES:
+            self.send(400)
+            return
         applied = store.transact(change)
         if applied and store.lose_answers > 0:
             store.lose_answers -= 1
@@ -284,7 +294,15 @@
     "reset": executes the request and resets the connection,
     "foreign": sends an answer with another request's id before its own,
     "cut": ends the body before its Content-Length, "fail": answers 500,
-    "mute": executes the request and never answers.
+    "mute": executes the request and never answers,
+    "endless_head", "endless_interim", "endless_body": sends a header, interim responses or
+    the body of a signed answer until the caller closes,
+    "endless_refusal": refuses without executing, with such a body,
+    "endless_event": such an event as the third of a stream,
+    "trickle": a byte of the third event of a stream now and then, "comments": comments
+    instead of the third event of a stream, now and then,
+    "late_copy": answers, and sends the answer once more when the next request on the
+    connection has arrived, without an id.
     """
 
     def __init__(self, name, events=5, event_pause_s=0.0, port=0):
@@ -319,6 +337,10 @@
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
         fault = backend.pending_faults.pop(0) if backend.pending_faults else ""
+        if fault == "endless_refusal":
+            self.send_endless_body(503, {"Cowslipknot-Request-Id": request,
+                                         "Cowslipknot-Not-Executed": "1"})
+            return
         if fault == "reject":
             self.send(503, headers={"Cowslipknot-Request-Id": request,
                                     "Cowslipknot-Not-Executed": "1"})
@@ -334,6 +356,22 @@
             return
         signed_headers = {"Cowslipknot-Request-Id": request,
                           "Cowslipknot-Server-Signature": f"sig-{backend.name}"}
+        if fault in ("endless_head", "endless_interim"):
+            piece = (b"X-Filler: " + b"x" * 2000 + b"\r\n" if fault == "endless_head"
+                     else b"HTTP/1.1 100 Continue\r\n\r\n")
+            if fault == "endless_head":
+                self.send_raw(b"HTTP/1.1 200 OK\r\n")
+            self.send_without_end(piece, request)
+            return
+        if fault == "endless_body":
+            self.send_endless_body(200, signed_headers)
+            return
+        if self.late_copy:
+            self.send_raw(self.late_copy)
+            self.late_copy = b""
+        if fault == "late_copy":
+            self.late_copy = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                              b"Cowslipknot-Server-Signature: sig\r\n\r\nlate")
         if fault == "foreign":
             self.send(200, b"not yours",
                       dict(signed_headers, **{"Cowslipknot-Request-Id": "other"}))
@@ -348,7 +386,7 @@
             self.wfile.write(b"half")
             self.close_connection = True
         elif self.path.startswith("/stream"):
-            self.stream(signed_headers, fault == "crash", request)
+            self.stream(signed_headers, fault, request)
         else:
             self.send(200, b"echo:" + body, signed_headers)
 
@@ -361,7 +399,32 @@
             self.server.owner.disconnects[request] = time.monotonic()
         self.close_connection = True
 
-    def stream(self, signed_headers, crash, request):
+    late_copy = b""  # sent before the next answer of this connection
+
+    def send_raw(self, data):
+        self.wfile.write(data)
+        self.wfile.flush()
+
+    def send_without_end(self, piece, request, pause_s=0.001):
+        """Sends until the caller closes."""
+        try:
+            while True:
+                self.send_raw(piece)
+                time.sleep(pause_s)
+        except OSError:
+            self.server.owner.disconnects[request] = time.monotonic()
+        self.close_connection = True
+
+    def send_endless_body(self, status, headers):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n",
+                              headers["Cowslipknot-Request-Id"])
+
+    def stream(self, signed_headers, fault, request):
         backend = self.server.owner
         self.send_response(200)
         for name, value in signed_headers.items():
@@ -373,10 +436,21 @@
         try:
             for number in range(first, backend.events + 1):
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
-                if crash and number == 3:
+                if fault == "crash" and number == 3:
                     self.chunk(event[:7])
                     reset_client(self)
                     return
+                if fault == "endless_event" and number == 3:
+                    self.chunk(event[:-2])
+                    self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n", request)
+                    return
+                if fault == "trickle" and number == 3:
+                    self.chunk(event[:-2])
+                    self.send_without_end(b"1\r\nx\r\n", request, pause_s=0.2)
+                    return
+                if fault == "comments" and number == 3:
+                    self.send_without_end(b"4\r\n: \n\n\r\n", request, pause_s=0.2)
+                    return
                 self.chunk(event)
                 time.sleep(backend.event_pause_s)
             self.wfile.write(b"0\r\n\r\n")
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -346,6 +346,18 @@
         windows = sorted(by_window)
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
 
+    def test_usage_is_reported_after_many_processes_have_been_replaced(self):
+        self.store.put("op", "config", configuration())
+        for number in range(250):
+            self.store.put("cowslipknot", f"report/old{number}/1", {
+                "node": f"old{number}", "domain": "z1", "started": 1, "sequence": 1,
+                "as_of_ms": 1, "stopping": True, "demand": {}, "busy": {}, "usage": {}})
+        self.add_backend("p1", "plain")
+        self.start()
+        eventually(lambda: len(self.cloud.usage) >= 6)
+        eventually(lambda: not [key for key in self.store.keys("cowslipknot")
+                                if key.startswith("report/old")])
+
     def test_lease_failover_increases_the_epoch(self):
         self.store.put("op", "config", configuration())
         self.add_backend("p1", "plain")
