--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -14,11 +14,14 @@
 
 void EventSplitter::RecordEvent(std::string_view event) {
   ++m_events;
+  bool has_field = false;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
     event = end == std::string_view::npos ? std::string_view()
                                           : event.substr(end + 1);
+    has_field = has_field ||
+                (!line.empty() && line.front() != ':' && line.front() != '\r');
     if (!line.starts_with(kIdField)) continue;
     line.remove_prefix(kIdField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
@@ -27,6 +30,7 @@
         std::from_chars(line.data(), line.data() + line.size(), id);
     if (error == std::errc()) m_last_id = id;
   }
+  if (has_field) ++m_field_events;
 }
 
 std::string EventSplitter::Feed(std::string_view bytes) {
@@ -46,7 +50,6 @@
     consumed = end;
     m_scanned = consumed;
   }
-  if (m_buffer.size() - consumed > kMaxEventBytes) consumed = m_buffer.size();
   std::string complete = m_buffer.substr(0, consumed);
   m_buffer.erase(0, consumed);
   const std::size_t overlap = kEventEndCrLf.size() - 1;
--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -11,7 +11,7 @@
 /// breaks within an event can resume with that event at another server.
 class EventSplitter {
  public:
-  /// Largest event that is buffered. A larger one is passed on in fragments.
+  /// Largest event. What is larger is not an event; see IsOverlong().
   static constexpr std::size_t kMaxEventBytes = 256 << 10;
 
   /// @return the bytes of all events completed by `bytes`, unchanged
@@ -26,6 +26,11 @@
   /// The numeric "id" of the last complete event that has one.
   std::optional<std::uint64_t> LastId() const { return m_last_id; }
   std::uint64_t EventCount() const { return m_events; }
+  /// Complete events that are not only comments: the progress of the stream.
+  std::uint64_t FieldEventCount() const { return m_field_events; }
+  /// Whether the partial event is larger than any event may be. Its source is
+  /// faulty, and no fragment of it has been passed on.
+  bool IsOverlong() const { return m_buffer.size() > kMaxEventBytes; }
   /// The bytes of a partial event.
   const std::string& PartialEvent() const { return m_buffer; }
 
@@ -36,6 +41,7 @@
   std::size_t m_scanned = 0;
   std::optional<std::uint64_t> m_last_id;
   std::uint64_t m_events = 0;
+  std::uint64_t m_field_events = 0;
 };
 
 }  // namespace cowslipknot
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -159,7 +159,10 @@
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
     const auto response = m_worker.GetAdapter().decode_backend_response(header);
-    return response.id.Empty() || response.id == m_request.id;
+    if (!response.id.Empty()) return response.id == m_request.id;
+    // Without an id, a response of a server that ran a request may be a late
+    // copy of the answer to an earlier request on the connection.
+    return !response.is_signed || !m_progress.reused_connection;
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = started;
@@ -180,7 +183,7 @@
   const auto response =
       m_worker.GetAdapter().decode_backend_response((*opened)->Header());
   if (response.not_executed) {
-    co_await ReadBody(**opened);
+    co_await DiscardBody(**opened);
     m_progress.abort = nullptr;
     error = Error{ResultCode::kBackendRefused,
                   std::to_string((*opened)->Header().result_int())};
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -53,9 +53,13 @@
   Awaitable<AttemptOutcome> ForwardResponse(const Backend& server,
                                             ResponseStream& stream,
                                             Error& error);
-  /// Maximum time without data after the first data of a stream. A longer gap
-  /// fails the attempt, and a resumable stream fails over to another server.
+  /// Maximum time without a complete event after the first data of a stream. A
+  /// longer gap fails the attempt, and a resumable stream fails over to another
+  /// server. Other bytes are no progress.
   Milliseconds StallTimeout() const;
+  /// Reads the body of a response that declined a request. A body that is long
+  /// or slow is left, which closes the connection.
+  static Awaitable<void> DiscardBody(ResponseStream& stream);
   /// Forwards complete server-sent events as they arrive.
   Awaitable<AttemptOutcome> ForwardEvents(const Backend& server,
                                           ResponseStream& stream,
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -17,8 +17,25 @@
 constexpr double kSlowFactor = 3;
 constexpr double kSlowMarginMs = 100;
 
+/// Limits on the body of a response that declines a request: the caller waits
+/// for another server meanwhile.
+constexpr Milliseconds kDiscardTimeout(50);
+constexpr std::size_t kMaxDiscardedBytes = 64 << 10;
+
 }  // namespace
 
+Awaitable<void> Call::DiscardBody(ResponseStream& stream) {
+  const auto started = SteadyClock::now();
+  std::size_t bytes = 0;
+  while (bytes < kMaxDiscardedBytes) {
+    const Milliseconds left = kDiscardTimeout - ElapsedSince(started);
+    if (left.count() <= 0) co_return;
+    const auto chunk = co_await stream.Read(left);
+    if (!chunk || chunk->empty()) co_return;
+    bytes += chunk->size();
+  }
+}
+
 Awaitable<Result<std::string>> Call::ReadBody(ResponseStream& stream) {
   std::string body;
   while (true) {
@@ -76,14 +93,18 @@
                                               Error& error) {
   bool first = true;
   bool slow = false;
+  std::uint64_t events_seen = m_events.FieldEventCount();
+  auto last_event = SteadyClock::now();
   while (true) {
     const Milliseconds time_left = TimeLeft();
     if (time_left.count() == 0) {
       error = Error{ResultCode::kBackendTimeout, "stream"};
       co_return AttemptOutcome::kFailed;
     }
+    const Milliseconds until_stalled =
+        std::max(Milliseconds(1), StallTimeout() - ElapsedSince(last_event));
     const Milliseconds read_timeout =
-        first ? time_left : std::min(time_left, StallTimeout());
+        first ? time_left : std::min(time_left, until_stalled);
     auto chunk = co_await stream.Read(read_timeout);
     if (!chunk) {
       error = chunk.error();
@@ -93,11 +114,23 @@
     if (chunk->empty()) break;
     if (first) {
       first = false;
+      last_event = SteadyClock::now();
       guard.OnFirstEvent();
       slow = IsSlow(m_attempt_sent);
       if (!m_start_recorded) RecordRequestStart();
     }
     const std::string events = m_events.Feed(*chunk);
+    if (m_events.FieldEventCount() > events_seen) {
+      events_seen = m_events.FieldEventCount();
+      last_event = SteadyClock::now();
+    }
+    if (m_events.IsOverlong() || ElapsedSince(last_event) > StallTimeout()) {
+      error = m_events.IsOverlong()
+                  ? Error{ResultCode::kBackendMalformed, "event without end"}
+                  : Error{ResultCode::kBackendTimeout, "bytes but no event"};
+      RecordAttemptFailure(server, error);
+      co_return AttemptOutcome::kFailed;
+    }
     if (!events.empty() && !co_await WriteEvents(stream, events)) {
       m_caller_gone = true;
       error = Error{ResultCode::kInternal, "caller closed the connection"};
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -5,7 +5,9 @@
 namespace cowslipknot::gateway {
 namespace {
 
-constexpr ByteCount kMaxResponseBytes(64 << 20);
+/// Largest response body, as a fraction of the process's memory, so that a few
+/// servers that send without end do not exhaust it.
+constexpr std::uint64_t kMaxResponseFraction = 64;
 /// Instances that may have been added without being known here.
 constexpr double kUnseenInstances = 4;
 /// Fractions of the retry slack and ratio that are used. The rest of the slack
@@ -31,7 +33,9 @@
 Worker::Worker(const Settings& settings, const PlatformAdapter& adapter)
     : m_settings(settings),
       m_adapter(adapter),
-      m_http(HttpClient::Create(m_context.get_executor(), kMaxResponseBytes)),
+      m_http(HttpClient::Create(
+          m_context.get_executor(),
+          ByteCount(settings.max_memory.Count() / kMaxResponseFraction))),
       m_quota(settings.quota),
       m_links(m_context.get_executor(), settings),
       m_quota_peers(m_links, settings),
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -54,8 +54,10 @@
     restarted."""
 
     def __init__(self, store, cloud, name="gw1", usage_window_s=1,
-                 store_address=None, domain="z1", bounds=None, port=None):
+                 store_address=None, domain="z1", bounds=None, port=None,
+                 memory_mb=256):
         self.name = name
+        self.paused = False  # by a signal of the test
         self.port = port or free_port()
         self.ready_port = free_port()
         self.metrics_port = free_port()
@@ -81,6 +83,8 @@
 address = "{cloud.server.address}"
 reports_usage = true
 orders_capacity = true
+[limits]
+memory_mb = {memory_mb}
 [bounds]
 {bounds_text}
 """, encoding="utf-8")
@@ -111,6 +115,11 @@
         self.log.close()
         self.folder.cleanup()
 
+    def peak_memory_mb(self):
+        status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii")
+        peak_kb = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(peak_kb.split()[1]) / 1024
+
     def log_events(self):
         return [json.loads(line)
                 for line in self.log_path.read_text(encoding="utf-8").splitlines()
--- /dev/null
+++ b/tests/platform/server_faults_test.py
@@ -0,0 +1,146 @@
+"""Tests a gateway against servers that send bytes that are no answer, or no end of one."""
+
+import http.client
+import threading
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration
+from gateway_process import Gateway, eventually
+
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+ROUTE_TIMEOUT_S = 3  # of the routes in configuration()
+STALL_BOUND_S = 1.0  # two allowed gaps of the streams and a margin
+MEMORY_MB = 64  # limit of the gateway in these tests
+
+
+class ServerFaultsTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+        self.store.put("op", "config", configuration())
+        self.backends = []
+
+    def start(self, service, faults, count=2):
+        for number in range(count):
+            backend = fakes.Backend(f"b{number}")
+            backend.pending_faults = list(faults)
+            self.addCleanup(backend.server.stop)
+            self.store.put("servers", backend.name, backend.registration(service))
+            self.backends.append(backend)
+        gateway = Gateway(self.store, self.cloud, memory_mb=MEMORY_MB)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        return gateway
+
+    def assert_server_released(self, request="r1"):
+        """The connection to the server that never ends was closed."""
+        eventually(lambda: any(request in backend.disconnects for backend in self.backends))
+
+    def call_timed(self, gateway, path, **fields):
+        started = time.monotonic()
+        try:
+            result = gateway.call(path, **fields)
+        except (http.client.HTTPException, OSError):
+            result = (0, {}, b"")
+        return result, time.monotonic() - started
+
+    def test_endless_head_ends_the_attempt_at_once(self):
+        gateway = self.start("plain", ["endless_head"], count=1)
+        (status, _, _), took_s = self.call_timed(gateway, "/once/x")
+        self.assertEqual(status, 502)
+        self.assertLess(took_s, ROUTE_TIMEOUT_S)
+        self.assert_server_released()
+
+    def test_endless_interim_responses_end_with_the_timeout(self):
+        gateway = self.start("plain", ["endless_interim"], count=1)
+        (status, _, _), took_s = self.call_timed(gateway, "/once/x")
+        self.assertIn(status, (502, 504))
+        self.assertLess(took_s, ROUTE_TIMEOUT_S + 0.25)
+        self.assert_server_released()
+
+    def test_endless_body_is_not_delivered_and_memory_stays_bounded(self):
+        gateway = self.start("plain", ["endless_body"] * 20, count=1)
+        results = []
+
+        def call(number):
+            results.append(self.call_timed(gateway, "/once/x", request_id=f"r{number}"))
+
+        callers = [threading.Thread(target=call, args=(n,)) for n in range(10)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        for (status, _, body), took_s in results:
+            self.assertIn(status, (502, 504))
+            self.assertNotIn(b"xxxx", body)
+            self.assertLess(took_s, ROUTE_TIMEOUT_S + 0.25)
+        self.assertIsNone(gateway.child.poll())
+        self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
+
+    def test_endless_refusal_is_not_waited_for(self):
+        gateway = self.start("plain", ["endless_refusal"], count=1)
+        spare = fakes.Backend("spare")
+        self.addCleanup(spare.server.stop)
+        self.store.put("servers", "spare", spare.registration("plain"))
+        eventually(lambda: [event for event in gateway.log_events()
+                            if event["name"] == "server_registered"
+                            and event["server"] == "spare"])
+        for number in range(4):
+            (status, _, _), took_s = self.call_timed(
+                gateway, "/once/x", request_id=f"r{number}")
+            self.assertEqual(status, 200)
+            self.assertLess(took_s, 0.5)
+
+    def assert_stalled_stream_resumes(self, fault):
+        gateway = self.start("model", [])
+        faulty, sound = self.backends
+        faulty.pending_faults = [fault]
+        sound.pending_faults = []
+        for number in range(2):
+            (status, _, body), took_s = self.call_timed(
+                gateway, "/stream/x", request_id=f"r{number}",
+                Cowslipknot_Token_Count="100,10")
+            self.assertEqual(status, 200)
+            self.assertEqual(body.replace(b": \n\n", b""), EVENTS)
+            self.assertLess(took_s, STALL_BOUND_S)
+        self.assertFalse(faulty.pending_faults)
+
+    def test_stream_that_sends_a_byte_now_and_then_is_resumed(self):
+        self.assert_stalled_stream_resumes("trickle")
+
+    def test_stream_with_an_event_without_end_is_resumed(self):
+        self.assert_stalled_stream_resumes("endless_event")
+
+    def test_stream_that_sends_only_comments_is_resumed(self):
+        self.assert_stalled_stream_resumes("comments")
+
+    def test_slow_but_sound_stream_is_not_cut(self):
+        gateway = self.start("model", [], count=1)
+        self.backends[0].event_pause_s = 0.5  # longer than the target, within the limit
+        (status, _, body), _ = self.call_timed(gateway, "/stream/x",
+                                               Cowslipknot_Token_Count="100,10")
+        self.assertEqual((status, body), (200, EVENTS))
+        self.assertEqual(len(self.backends[0].runs), 1)
+
+    def test_stream_without_resumption_ends_with_its_route_although_bytes_arrive(self):
+        gateway = self.start("model", ["trickle"], count=1)
+        _, took_s = self.call_timed(gateway, "/stream1/x",
+                                    Cowslipknot_Token_Count="100,10")
+        self.assertLess(took_s, ROUTE_TIMEOUT_S + 0.25)
+        self.assert_server_released()
+
+    def test_late_copy_of_an_answer_does_not_reach_the_next_caller(self):
+        gateway = self.start("plain", ["late_copy"], count=1)
+        self.assertEqual(gateway.call("/safe/x", request_id="r1", body=b"one")[2],
+                         b"echo:one")
+        status, _, body = gateway.call("/safe/x", request_id="r2", body=b"two")
+        self.assertNotIn(b"late", body)
+        self.assertEqual((status, body), (200, b"echo:two"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -331,6 +331,18 @@
   cr_expect(splitter.PartialEvent().empty());
 }
 
+Test(event_splitter, no_part_of_an_event_without_end_is_passed_on) {
+  EventSplitter splitter;
+  const std::string piece(1 << 10, 'x');
+  for (std::size_t i = 0; i <= EventSplitter::kMaxEventBytes / piece.size();
+       ++i) {
+    cr_assert(splitter.Feed(piece).empty());
+  }
+  cr_expect(splitter.IsOverlong());
+  splitter.DiscardPartialEvent();
+  cr_expect_not(splitter.IsOverlong());
+}
+
 Test(event_splitter, events_do_not_depend_on_how_bytes_are_split) {
   cr_assert(rc::check([] {
     const std::string text =
@@ -347,6 +359,7 @@
     }
     RC_ASSERT(joined == text);
     RC_ASSERT(splitter.EventCount() == 4u);
+    RC_ASSERT(splitter.FieldEventCount() == 3u);
     RC_ASSERT(splitter.LastId().value_or(0) == 3u);
   }));
 }
