--- a/include/cowslipknot/gateway/quota.h
+++ b/include/cowslipknot/gateway/quota.h
@@ -17,10 +17,11 @@
 /// Shares are proportional to demand, so an instance with all of the load
 /// gets nearly all of the limit. A minimum share lets an instance without
 /// demand grant its first requests.
-/// @param own     demand per second at this instance, including rejected
-///                requests
-/// @param others  demand per second at each other instance that may be serving
-double QuotaShare(double own, const std::vector<double>& others);
+/// @param own        demand per second at this instance, including rejected
+///                   requests
+/// @param others     demand per second at all other instances together
+/// @param instances  instances that may be serving, including this one
+double QuotaShare(double own, double others, std::size_t instances);
 
 /// A share whose increases take effect one exchange of reports later, when the
 /// instances whose shares decrease have read the same reports. Decreases take
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -25,12 +25,21 @@
   Milliseconds warmup_left{0};
   bool reclaimable = false;
   std::int64_t started_ms = 0;  ///< Unix time of its start; identifies restarts
+  /// Version of its row in the store; 0 if unknown. Orders what different
+  /// instances have read.
+  std::uint64_t row_version = 0;
 };
 
+/// Whether the difference between two registrations of a server affects
+/// routing.
+bool AffectsRouting(const ServerEntry& left, const ServerEntry& right);
+
 /// A change of one registration. No entry means that it was removed.
 struct ServerChange {
   ServerId id;
   std::optional<ServerEntry> entry;
+  /// Version of the store at which it was removed; 0 if unknown.
+  std::uint64_t removed_version = 0;
 };
 
 /// Tracks the registered backend servers.
@@ -39,6 +48,10 @@
 /// running. For a grace period after an outage, ready servers whose
 /// registration is missing are therefore kept, so that they can register again.
 ///
+/// Registrations arrive from the store and from other instances, which may lag
+/// behind. One that is older than a known removal or change of the same server
+/// has no effect.
+///
 /// Reads no clock: readings of a monotonic clock are arguments.
 /// Single-threaded.
 class ServerRegistry {
@@ -52,14 +65,18 @@
   /// Applies changes in order. @return true if routing is affected
   bool Apply(const std::vector<ServerChange>& changes, Time now);
   /// Applies a complete list; missing entries count as removed.
+  /// @param version  version of the store that the list reflects; 0 if unknown
   /// @return true if routing is affected
-  bool Replace(const std::vector<ServerEntry>& entries, Time now);
+  bool Replace(const std::vector<ServerEntry>& entries, Time now,
+               std::uint64_t version = 0);
 
   /// Marks a server as draining after a notice from another instance.
   /// @param started_ms  start time of the server, so that a notice about its
   ///                    former process has no effect
+  /// @param version  version of the store in which it was leaving; 0 if unknown
   /// @return true if the server was ready
-  bool OnServerLeaving(const ServerId& id, std::int64_t started_ms);
+  bool OnServerLeaving(const ServerId& id, std::int64_t started_ms,
+                       std::uint64_t version = 0);
 
   /// Records that the store did not respond.
   void OnStoreUnavailable() { m_store_unavailable = true; }
@@ -80,11 +97,15 @@
     std::optional<Time> lapsed_until;
   };
 
-  bool Remove(const ServerId& id, Time now);
+  bool Remove(const ServerId& id, Time now, std::uint64_t version);
   bool Put(const ServerEntry& entry);
+  void RememberRemoval(const ServerId& id, std::uint64_t version);
+  /// Whether an entry is older than what is known of its server.
+  bool IsOutdated(const ServerEntry& entry) const;
 
   Milliseconds m_reregistration_grace;
   std::map<ServerId, Registration> m_entries;
+  std::map<ServerId, std::uint64_t> m_removed_versions;
   bool m_store_unavailable = false;
   /// End of the last outage of the store.
   std::optional<Time> m_store_recovered_at;
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -28,7 +28,8 @@
 PUBLIC_INCLUDE = re.compile(r'#include "cowslipknot/([a-z_]+)/')
 # Headers in include/cowslipknot/gateway that hold state. The others make decisions, and
 # neither these headers nor src/state may include them.
-GATEWAY_STATE_HEADERS = {"routes", "server_registry", "settings", "usage"}
+GATEWAY_STATE_HEADERS = {"registration_log", "routes", "server_registry", "settings",
+                         "usage"}
 GATEWAY_INCLUDE = re.compile(r'#include "cowslipknot/gateway/([a-z_]+)\.h"')
 # HTTP headers, request paths and JSON fields whose names belong to the outer platform.
 WIRE_NAME = re.compile(
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -85,6 +85,13 @@
      "a number of backend servers was ordered"},
     {Event::kCapacityNotAccepted, "warn", "capacity_not_accepted",
      "an order for backend servers was not accepted"},
+    {Event::kReportsNotRelayed, "warn", "reports_not_relayed",
+     "reports of other instances were not written and will be retried"},
+    {Event::kRelayFollowed, "info", "relay_followed",
+     "this instance receives the store's contents from another instance"},
+    {Event::kRelayLost, "warn", "relay_lost",
+     "an instance that relays the store's contents does not respond or has "
+     "lost the store"},
     {Event::kInstancesKnown, "info", "instances_known",
      "the number of instances that may be serving changed"},
     {Event::kQuotaLenderUnresponsive, "warn", "quota_home_silent",
--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 #include "cowslipknot/coordination/rendezvous.h"
 
@@ -39,10 +38,10 @@
 
 }  // namespace
 
-double QuotaShare(double own, const std::vector<double>& others) {
-  const double instances = static_cast<double>(others.size()) + 1;
-  const double total = own + std::accumulate(others.begin(), others.end(), 0.0);
-  const double equal_share = 1 / instances;
+double QuotaShare(double own, double others, std::size_t instances) {
+  const double total = own + others;
+  const double equal_share =
+      1 / static_cast<double>(std::max<std::size_t>(1, instances));
   if (total <= 0) return equal_share;
   return kFloorShareFraction * equal_share +
          (1 - kFloorShareFraction) * own / total;
--- /dev/null
+++ b/src/serve/follow_codec.cc
@@ -0,0 +1,90 @@
+#include "serve/follow_codec.h"
+
+namespace cowslipknot::gateway {
+
+std::unique_ptr<wire::StoreRowT> PackRow(const StoreRow& row) {
+  auto packed = std::make_unique<wire::StoreRowT>();
+  packed->key = row.key;
+  packed->value = row.value;
+  packed->version = row.version;
+  packed->removed = row.removed;
+  return packed;
+}
+
+StoreRow UnpackRow(const wire::StoreRowT& packed, const std::string& table) {
+  StoreRow row;
+  row.table = table;
+  row.key = packed.key;
+  row.value = packed.value;
+  row.version = packed.version;
+  row.removed = packed.removed;
+  return row;
+}
+
+std::unique_ptr<wire::RegistrationT> PackServer(const ServerChange& change) {
+  auto packed = std::make_unique<wire::RegistrationT>();
+  packed->id = change.id.Text();
+  packed->removed = !change.entry;
+  if (!change.entry) {
+    packed->row_version = change.removed_version;
+    return packed;
+  }
+  const ServerEntry& entry = *change.entry;
+  packed->row_version = entry.row_version;
+  packed->service = entry.service.Text();
+  packed->host = entry.address.host;
+  packed->port = entry.address.port;
+  packed->domain = entry.domain.Text();
+  packed->version = entry.version.Text();
+  packed->slots = entry.slots;
+  packed->warmup_ms = entry.warmup_left.count();
+  packed->reclaimable = entry.reclaimable;
+  packed->started_ms = entry.started_ms;
+  return packed;
+}
+
+ServerChange UnpackServer(const wire::RegistrationT& packed) {
+  ServerChange change;
+  change.id = ServerId(packed.id);
+  if (packed.removed) {
+    change.removed_version = packed.row_version;
+    return change;
+  }
+  ServerEntry entry;
+  entry.id = change.id;
+  entry.row_version = packed.row_version;
+  entry.service = ServiceId(packed.service);
+  entry.address = Endpoint{packed.host, packed.port};
+  entry.domain = DomainId(packed.domain);
+  entry.version = VersionId(packed.version);
+  entry.slots = packed.slots;
+  entry.warmup_left = Milliseconds(packed.warmup_ms);
+  entry.reclaimable = packed.reclaimable;
+  entry.started_ms = packed.started_ms;
+  change.entry = std::move(entry);
+  return change;
+}
+
+std::unique_ptr<wire::InstanceT> PackInstance(const InstanceSummary& instance) {
+  auto packed = std::make_unique<wire::InstanceT>();
+  packed->node = instance.node.Text();
+  packed->domain = instance.domain.Text();
+  packed->started_ms = instance.started_ms;
+  if (instance.peers) {
+    packed->peer_host = instance.peers->host;
+    packed->peer_port = instance.peers->port;
+  }
+  return packed;
+}
+
+InstanceSummary UnpackInstance(const wire::InstanceT& packed) {
+  InstanceSummary instance;
+  instance.node = NodeId(packed.node);
+  instance.domain = DomainId(packed.domain);
+  instance.started_ms = packed.started_ms;
+  if (!packed.peer_host.empty())
+    instance.peers = Endpoint{packed.peer_host, packed.peer_port};
+  return instance;
+}
+
+}  // namespace cowslipknot::gateway
--- /dev/null
+++ b/src/serve/follow_codec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <memory>
+
+#include "cowslipknot/gateway/fleet_view.h"
+#include "cowslipknot/gateway/server_registry.h"
+#include "protocol/peer_frame.h"
+#include "protocol/platform_adapter.h"
+
+/// Conversion between the gateway's types and the frames of a store relay.
+namespace cowslipknot::gateway {
+
+std::unique_ptr<wire::StoreRowT> PackRow(const StoreRow& row);
+StoreRow UnpackRow(const wire::StoreRowT& packed, const std::string& table);
+
+std::unique_ptr<wire::RegistrationT> PackServer(const ServerChange& change);
+ServerChange UnpackServer(const wire::RegistrationT& packed);
+
+std::unique_ptr<wire::InstanceT> PackInstance(const InstanceSummary& instance);
+InstanceSummary UnpackInstance(const wire::InstanceT& packed);
+
+}  // namespace cowslipknot::gateway
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -1,6 +1,7 @@
 #include "serve/gateway_control_plane.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
@@ -28,7 +29,10 @@
       m_worker(worker),
       m_context(context),
       m_registry(kReregistrationGrace),
-      m_coordinator(settings, adapter) {}
+      m_configuration_cursor{adapter.names.configuration_table},
+      m_following_ended(context, SteadyClock::time_point::max()),
+      m_coordinator(settings, adapter),
+      m_relay(settings, context.get_executor(), m_coordinator.StartedMs()) {}
 
 void ControlPlane::Start() {
   m_worker.Links().SetHandler(
@@ -37,6 +41,14 @@
                    [this, frame] { OnServersLeaving(ExtractRecords(frame)); });
         return PeerFrame();
       });
+  m_worker.Links().SetAsyncHandler(
+      wire::Kind::FollowStore,
+      [this](const PeerFrame& frame) -> Awaitable<PeerFrame> {
+        PeerFrame request = frame;
+        co_return co_await RunOn(m_context.get_executor(),
+                                 m_relay.Answer(std::move(request)));
+      });
+  asio::co_spawn(m_context, FollowRelays(), asio::detached);
   asio::co_spawn(m_context, WatchConfiguration(), asio::detached);
   asio::co_spawn(m_context, WatchServers(), asio::detached);
   asio::co_spawn(m_context, ExchangeReports(), asio::detached);
@@ -52,6 +64,7 @@
     m_registry.OnStoreAvailable(TimeSinceBoot());
   } else {
     m_registry.OnStoreUnavailable();
+    m_relay.OnStoreLost();
   }
   if (reachable == m_store_reachable) return;
   m_store_reachable = reachable;
@@ -59,8 +72,15 @@
            {{"detail", detail}});
 }
 
-void ControlPlane::ApplyMoveOrders(const StoreRows& rows) {
+void ControlPlane::ApplyMoveOrders(const StoreRows& rows, bool is_full_read) {
   bool changed = false;
+  if (is_full_read) {
+    std::set<std::string> listed;
+    for (const auto& row : rows.rows) listed.insert(row.key);
+    changed = std::erase_if(m_move_orders, [&listed](const auto& item) {
+                return !listed.contains(item.first);
+              }) > 0;
+  }
   for (const auto& row : rows.rows) {
     if (!m_adapter.is_move_order_key(row.key)) continue;
     changed = true;
@@ -88,8 +108,9 @@
   Publish();
 }
 
-void ControlPlane::ApplyConfiguration(const StoreRows& rows) {
-  ApplyMoveOrders(rows);
+void ControlPlane::ApplyConfiguration(const StoreRows& rows,
+                                      bool is_full_read) {
+  ApplyMoveOrders(rows, is_full_read);
   for (const auto& row : rows.rows) {
     if (row.key != m_adapter.names.configuration_key || row.removed) continue;
     auto decoded = m_adapter.decode_configuration(row.value);
@@ -128,7 +149,8 @@
   }
   cursor.last_call_failed = !rows.has_value();
   if (rows) {
-    cursor.since = rows->version;
+    // A relay may have sent later changes while this call was under way.
+    cursor.since = std::max(cursor.since.value_or(0), rows->version);
     co_return std::move(*rows);
   }
   if (rows.error().code == ResultCode::kHistoryLost) {
@@ -142,26 +164,40 @@
 }
 
 Awaitable<void> ControlPlane::WatchConfiguration() {
-  TableCursor cursor{m_adapter.names.configuration_table};
-  const auto wait = std::chrono::duration_cast<Milliseconds>(
+  const auto long_wait = std::chrono::duration_cast<Milliseconds>(
       m_settings.revoke_bound * kConfigurationWaitFraction);
   while (true) {
+    co_await WhileFollowing();
     const auto sent_at = TimeSinceBoot();
-    const auto rows = co_await ReadChanges(cursor, wait);
+    // Until the other instances are known, this one may turn out to be a relay.
+    const bool may_relay =
+        m_fleet.serving.empty() || IsRelay() || m_relay.HasFollowers(sent_at);
+    const Milliseconds wait =
+        may_relay
+            ? std::min(long_wait, StoreRelay::ConfigurationPoll(m_settings))
+            : long_wait;
+    const auto rows = co_await ReadChanges(m_configuration_cursor, wait);
     if (!rows) continue;
     const auto confirmed =
         m_response_time_bound.EarliestResponseTime(sent_at, rows->store_time);
-    ApplyConfiguration(*rows);
-    // Posted after the snapshot, so that the traffic thread never treats an
-    // older configuration as confirmed.
-    if (m_configuration && m_configuration_readable) {
-      asio::post(m_worker.Context(), [this, confirmed] {
-        m_worker.OnConfigurationConfirmed(confirmed);
-      });
-    }
+    const bool is_full_read = m_configuration_cursor.is_full_read;
+    ApplyConfiguration(*rows, is_full_read);
+    OnConfigurationConfirmed(confirmed);
+    if (m_configuration && m_configuration_readable)
+      m_relay.OnConfiguration(*rows, is_full_read, confirmed);
   }
 }
 
+void ControlPlane::OnConfigurationConfirmed(
+    std::chrono::nanoseconds confirmed) {
+  if (!m_configuration || !m_configuration_readable) return;
+  // Posted after the snapshot, so that the traffic thread never treats an older
+  // configuration as confirmed.
+  asio::post(m_worker.Context(), [this, confirmed] {
+    m_worker.OnConfigurationConfirmed(confirmed);
+  });
+}
+
 void ControlPlane::Publish() {
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->configuration = m_configuration;
@@ -176,15 +212,15 @@
     moved.move = move;
   }
   const auto now = TimeSinceBoot();
-  const auto serving = m_coordinator.Instances().Serving(now);
+  const auto& serving = m_fleet.serving;
   snapshot->instances = std::max<std::size_t>(1, serving.size());
-  for (const auto* report : serving) {
-    const bool other = report->peers && report->peers != m_settings.peers;
-    if (other) snapshot->peers.push_back(*report->peers);
+  for (const auto& instance : serving) {
+    const bool other = instance.peers && instance.peers != m_settings.peers;
+    if (other) snapshot->peers.push_back(*instance.peers);
   }
   const auto in_domain = std::count_if(
-      serving.begin(), serving.end(), [this](const InstanceReport* report) {
-        return report->domain == m_settings.domain;
+      serving.begin(), serving.end(), [this](const InstanceSummary& instance) {
+        return instance.domain == m_settings.domain;
       });
   snapshot->instances_in_domain =
       std::max<std::size_t>(1, static_cast<std::size_t>(in_domain));
@@ -199,7 +235,7 @@
                          lender_status->second.MayLend(now);
       snapshot->lent_shares[name] = lends ? kLenderFraction : 0;
     }
-    snapshot->quota_lenders = FindQuotaLenders(serving);
+    snapshot->quota_lenders = FindQuotaLenders();
   }
   asio::post(m_worker.Context(),
              [this, snapshot] { m_worker.SetSnapshot(snapshot); });
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -8,6 +8,7 @@
 #include "cowslipknot/gateway/response_time_bound.h"
 #include "cowslipknot/gateway/server_registry.h"
 #include "serve/gateway_fleet_coordinator.h"
+#include "serve/gateway_store_relay.h"
 #include "serve/gateway_worker.h"
 
 namespace cowslipknot::gateway {
@@ -15,6 +16,10 @@
 /// State of the control thread. Follows the store's tables, exchanges reports
 /// with other instances through the store, and publishes snapshots to the
 /// traffic thread.
+///
+/// In a failure domain with many instances, most follow one of its relays
+/// (StoreRelay) instead of reading the store. The loops that read the store are
+/// then paused; they resume as soon as no relay responds in time.
 class ControlPlane {
  public:
   ControlPlane(const Settings& settings, const PlatformAdapter& adapter,
@@ -49,9 +54,29 @@
   Awaitable<void> WatchServers();
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
   Awaitable<void> ExchangeReports();
+  Awaitable<void> WriteReportsOfFollowers();
 
-  void ApplyMoveOrders(const StoreRows& rows);
-  void ApplyConfiguration(const StoreRows& rows);
+  // Following a relay: gateway_relay_follower.cc.
+  /// Follows the domain's relays while there are any and this instance is none.
+  Awaitable<void> FollowRelays();
+  bool IsRelay() const;
+  /// Selects the relay to ask next; nothing if the store is to be read.
+  std::optional<InstanceSummary> ChooseRelay() const;
+  /// Asks a relay once. @return whether it sent an update
+  Awaitable<bool> FollowOnce(InstanceSummary relay);
+  Awaitable<PeerFrame> BuildFollowRequest(const InstanceSummary& relay);
+  void ApplyUpdate(const wire::FollowUpdateT& update,
+                   const InstanceSummary& relay,
+                   std::chrono::nanoseconds sent_at);
+  void ApplyUpdatedServers(const wire::FollowUpdateT& update);
+  void ApplyUpdatedFleet(const wire::FollowUpdateT& update);
+  void SetFollowing(bool following);
+  /// Waits until this instance follows no relay.
+  Awaitable<void> WhileFollowing();
+
+  void ApplyMoveOrders(const StoreRows& rows, bool is_full_read);
+  void ApplyConfiguration(const StoreRows& rows, bool is_full_read);
+  void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed);
   bool ApplyServers(const StoreRows& rows, bool is_full_read);
   std::vector<ServerEntry> FindRemovedServers(
       const std::vector<ServerEntry>& before) const;
@@ -61,11 +86,17 @@
   void OnServersLeaving(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
   void Publish();
-  void UpdateInstanceCount();
+  /// Passes the usable servers on to followers.
+  void RelayServers();
+  /// Summarizes the reports and passes the result on to followers.
+  void RefreshFleet();
+  /// Applies a change of the fleet, or new demand once it is due.
+  void UpdateFromFleet();
   void UpdateQuotaShares();
   /// Returns the instances that lend the pooled share of each limit.
-  std::map<WorkspaceId, std::vector<Endpoint>> FindQuotaLenders(
-      const std::vector<const InstanceReport*>& serving) const;
+  std::map<WorkspaceId, std::vector<Endpoint>> FindQuotaLenders() const;
+  /// Regular time between this instance's reports.
+  Milliseconds ReportInterval() const;
   /// Delay until this instance's next report.
   Milliseconds NextReportDelay() const;
   std::map<ServiceId, std::vector<Backend>> BuildBackends();
@@ -84,12 +115,27 @@
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
   std::map<std::string, MoveOrder> m_move_orders;  ///< by row key
-  std::size_t m_serving_instances = 0;             ///< as last logged
+  FleetView m_fleet;
+  std::uint64_t m_instances_digest = 0;
+  std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
+  std::chrono::nanoseconds m_shares_updated_at{0};
+  std::uint64_t m_servers_version = 0;  ///< of the store, as last read
+  TableCursor m_configuration_cursor;
+  bool m_following = false;
+  asio::steady_timer m_following_ended;
+  /// Relays that did not respond, and when to ask them again.
+  std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
+  std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
+  std::uint64_t m_relay_started_ms = 0;
+  std::uint64_t m_relay_moves_version = 0;
+  std::chrono::nanoseconds m_report_due{0};
+  std::size_t m_serving_instances = 0;  ///< as last logged
   const std::chrono::nanoseconds m_started_at = TimeSinceBoot();
   bool m_servers_known = false;
   bool m_store_reachable = true;
   bool m_configuration_readable = false;
   FleetCoordinator m_coordinator;
+  StoreRelay m_relay;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -135,16 +135,19 @@
          predecessor->peers && predecessor->peers == m_settings.peers;
 }
 
-Awaitable<Result<void>> FleetCoordinator::WriteReport(ReportInput input) {
+Awaitable<Result<void>> FleetCoordinator::WriteReport(
+    InstanceReport report, ReportCondition condition) {
   const auto now = LeaseNow();
   const bool renews = m_lease.ShouldRenew(now);
-  const bool takes = !input.stopping && m_table_read && MayAcquireLease(now);
-  const bool releases = input.stopping && m_lease.MayAct(now);
+  const bool takes = !report.stopping && m_table_read && MayAcquireLease(now);
+  const bool releases = report.stopping && m_lease.MayAct(now);
   StoreTransaction transaction;
-  transaction.conditions.push_back(
-      store_rows::MakeRow(m_report_key, {}, m_report_version));
+  if (condition == ReportCondition::kVersion) {
+    transaction.conditions.push_back(
+        store_rows::MakeRow(m_report_key, {}, m_report_version));
+  }
   transaction.writes.push_back(
-      store_rows::MakeRow(m_report_key, EncodeReport(BuildReport(input))));
+      store_rows::MakeRow(m_report_key, EncodeReport(report)));
   m_sent_lease.reset();
   if (renews || takes || releases) {
     StoreTransaction with_lease = transaction;
@@ -183,8 +186,10 @@
   std::optional<LeaseRow> lease;
   std::uint64_t lease_version = 0;
   m_report_version = 0;
+  m_report_version_known = true;
+  m_row_versions.clear();
   m_committed_usage.clear();
-  std::map<ServiceId, StoredMove> moves;
+  std::vector<StoreRow> moves;
   for (const auto& row : rows->rows) {
     if (row.key == store_rows::kLeaseKey) {
       lease = DecodeLease(row.value);
@@ -199,12 +204,10 @@
       m_reported_window = ParseUnsigned(row.value);
       m_reported_window_version = row.version;
     } else if (row.key.starts_with(store_rows::kMovePrefix)) {
-      auto move = DecodeMove(row.value);
-      if (!move) continue;
-      const ServiceId service = move->order.service;
-      moves[service] = {std::move(*move), row.version};
+      moves.push_back(row);
     } else if (row.key.starts_with(store_rows::kReportPrefix)) {
       if (row.key == m_report_key) m_report_version = row.version;
+      m_row_versions[row.key] = row.version;
       auto report = DecodeReport(row.value);
       if (report) reports[row.key] = std::move(*report);
     } else if (row.key.starts_with(store_rows::kUsagePrefix)) {
@@ -216,7 +219,7 @@
     }
   }
   m_instances.Observe(std::move(reports), now);
-  m_moves = std::move(moves);
+  ApplyMoveRows(moves);
   // If the row equals the one sent, a write whose response was lost took
   // effect.
   const bool is_own_write =
@@ -248,8 +251,26 @@
   co_await CommitTransaction(std::move(transaction));
 }
 
+void FleetCoordinator::ApplyMoveRows(const std::vector<StoreRow>& rows) {
+  m_moves.clear();
+  m_move_rows = rows;
+  for (const auto& row : rows) {
+    auto move = DecodeMove(row.value);
+    if (!move) continue;
+    const ServiceId service = move->order.service;
+    m_moves[service] = {std::move(*move), row.version};
+  }
+}
+
 Awaitable<Result<void>> FleetCoordinator::Exchange(ReportInput input) {
-  const auto written = co_await WriteReport(std::move(input));
+  // Built first: it takes over the counts of the input.
+  InstanceReport report = BuildReport(input);
+  if (!m_report_version_known) {
+    const auto read = co_await ReadTable();
+    if (!read) co_return read;
+  }
+  const auto written =
+      co_await WriteReport(std::move(report), ReportCondition::kVersion);
   // The table shows the result of a write whose condition failed or whose
   // response was lost.
   const auto read = co_await ReadTable();
@@ -259,7 +280,12 @@
 }
 
 Awaitable<void> FleetCoordinator::Leave(ReportInput input) {
-  const auto written = co_await WriteReport(std::move(input));
+  // A relay may have written the last report, so its version is not known. The
+  // final report replaces it in any case.
+  InstanceReport report = BuildReport(input);
+  const auto condition = m_report_version_known ? ReportCondition::kVersion
+                                                : ReportCondition::kNone;
+  const auto written = co_await WriteReport(std::move(report), condition);
   if (!written) {
     LogEvent(Event::kPlatformLost, {{"detail", written.error().detail}});
   }
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/fleet_view.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/settings.h"
 #include "protocol/platform_adapter.h"
@@ -63,6 +64,26 @@
   /// Writes this process's final report, which is lost if the store is
   /// unreachable.
   Awaitable<void> Leave(ReportInput input);
+
+  /// Returns the row of this instance's next report, for a relay to write.
+  StoreRow PrepareReport(const ReportInput& input);
+  /// Writes reports of instances that follow this one.
+  /// @return the reports that could not be written
+  Awaitable<std::map<std::string, StoreRow>> WriteRelayedReports(
+      std::map<std::string, StoreRow> reports);
+  /// Applies what a relay has read from the store. This process's report row
+  /// and the lease are then unknown until the table is read again.
+  /// @param moves  none if they have not changed
+  void ApplyRelayed(std::optional<std::vector<StoreRow>> moves,
+                    std::uint64_t reported_window);
+  /// The rows of the moves, as last read.
+  std::vector<StoreRow> MoveRows() const;
+  /// The window whose report was accepted last; 0 if none is known.
+  std::uint64_t ReportedWindow() const { return m_reported_window.value_or(0); }
+  /// Summary of the reports, as last read.
+  FleetView Summarize() const {
+    return SummarizeReports(m_instances.Serving(TimeSinceBoot()));
+  }
   /// Performs the due tasks if this instance holds the lease.
   /// @param servers  ready servers
   Awaitable<void> RunLeaseHolderTasks(ConfigurationPtr configuration,
@@ -100,7 +121,11 @@
   /// Whether the lease has expired, was released, or was held by an earlier
   /// process on this machine.
   bool MayAcquireLease(LeaseView::Time now) const;
-  Awaitable<Result<void>> WriteReport(ReportInput input);
+  /// Whether a report is written only over the version last seen.
+  enum class ReportCondition : std::uint8_t { kVersion, kNone };
+  Awaitable<Result<void>> WriteReport(InstanceReport report,
+                                      ReportCondition condition);
+  void ApplyMoveRows(const std::vector<StoreRow>& rows);
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClockOffset();
   Awaitable<void> ReportUsage();
@@ -120,6 +145,9 @@
   std::uint64_t m_started_ms;  ///< Unix time; tells processes of a node apart
   std::string m_report_key;
   std::uint64_t m_report_version = 0;
+  /// Whether the table was read since the last report that a relay wrote.
+  bool m_report_version_known = true;
+  std::map<std::string, std::uint64_t> m_row_versions;  ///< of all reports
   std::uint64_t m_sequence = 0;
   UsageLedger m_usage;
   InstanceTable m_instances;
@@ -145,6 +173,7 @@
     VersionMove move;
     std::uint64_t version = 0;
   };
+  std::vector<StoreRow> m_move_rows;
   std::map<ServiceId, MoveOrder> m_move_orders;
   std::map<ServiceId, StoredMove> m_moves;
   std::map<MoveId, MoveEvidence> m_evidence;  ///< seen by this instance
--- /dev/null
+++ b/src/serve/gateway_relay_follower.cc
@@ -0,0 +1,191 @@
+#include <algorithm>
+
+#include "base/endpoint_text.h"
+#include "cowslipknot/events.h"
+#include "serve/follow_codec.h"
+#include "serve/gateway_control_plane.h"
+
+/// Follows a relay of this instance's failure domain instead of reading the
+/// store.
+namespace cowslipknot::gateway {
+namespace {
+
+/// Time beyond the hold until a relay that does not respond counts as lost.
+constexpr Milliseconds kRelayResponseTimeout(250);
+/// Delay until a lost relay is asked again.
+constexpr Milliseconds kRelayRetryDelay(3000);
+/// Interval between checks for a relay while this instance reads the store.
+constexpr Milliseconds kRelayCheckInterval(500);
+
+}  // namespace
+
+Awaitable<void> ControlPlane::WhileFollowing() {
+  while (m_following) co_await m_following_ended.async_wait(kAsTuple);
+}
+
+void ControlPlane::SetFollowing(bool following) {
+  if (following == m_following) return;
+  m_following = following;
+  m_relay.SetReadsStore(!following);
+  // Wakes the loops that read the store.
+  if (!following) m_following_ended.cancel();
+}
+
+bool ControlPlane::IsRelay() const {
+  const auto relays = SelectRelays(m_fleet, m_settings.domain);
+  return std::any_of(relays.begin(), relays.end(),
+                     [this](const InstanceSummary& relay) {
+                       return relay.node == m_settings.node;
+                     });
+}
+
+std::optional<InstanceSummary> ControlPlane::ChooseRelay() const {
+  // The holder of the lease needs all reports, which only the store has.
+  if (!m_configuration || !m_servers_known || m_coordinator.HoldsLease())
+    return std::nullopt;
+  if (IsRelay()) return std::nullopt;
+  const auto relays = SelectRelays(m_fleet, m_settings.domain);
+  const auto now = TimeSinceBoot();
+  for (const auto& relay : relays) {
+    const auto retry_at = m_relay_retry_at.find(relay.node);
+    if (retry_at == m_relay_retry_at.end() || now >= retry_at->second)
+      return relay;
+  }
+  return std::nullopt;
+}
+
+Awaitable<void> ControlPlane::FollowRelays() {
+  while (true) {
+    const auto relay = ChooseRelay();
+    if (!relay) {
+      SetFollowing(false);
+      co_await SleepFor(kRelayCheckInterval);
+      continue;
+    }
+    if (co_await FollowOnce(*relay)) continue;
+    LogEvent(Event::kRelayLost, {{"relay", relay->node.Text()}});
+    m_relay_retry_at[relay->node] = TimeSinceBoot() + kRelayRetryDelay;
+    // The next relay, or the store, receives the report.
+    m_report_due = std::chrono::nanoseconds(0);
+  }
+}
+
+Awaitable<PeerFrame> ControlPlane::BuildFollowRequest(
+    const InstanceSummary& relay) {
+  PeerFrame frame;
+  frame.kind = wire::Kind::FollowStore;
+  frame.follow = std::make_unique<wire::FollowRequestT>();
+  frame.follow->configuration_version =
+      m_configuration_cursor.since.value_or(0);
+  const bool is_same_relay =
+      m_following && m_relay_started_ms == relay.started_ms;
+  if (is_same_relay) {
+    frame.follow->relay_started_ms = m_relay_started_ms;
+    frame.follow->registrations_cursor = m_relay_cursor;
+    frame.follow->instances_digest = m_instances_digest;
+    frame.follow->moves_version = m_relay_moves_version;
+  }
+  frame.follow->hold_ms =
+      static_cast<std::uint32_t>(StoreRelay::MaxHold(m_settings).count());
+  // Before the first update, reports are still written to the store.
+  if (m_following && TimeSinceBoot() >= m_report_due) {
+    FleetCoordinator::ReportInput input = co_await CollectReportInput();
+    frame.follow->report = PackRow(m_coordinator.PrepareReport(input));
+    m_report_due = TimeSinceBoot() + NextReportDelay();
+  }
+  co_return frame;
+}
+
+Awaitable<bool> ControlPlane::FollowOnce(InstanceSummary relay) {
+  PeerFrame frame = co_await BuildFollowRequest(relay);
+  const Milliseconds timeout =
+      StoreRelay::MaxHold(m_settings) + kRelayResponseTimeout;
+  const auto sent_at = TimeSinceBoot();
+  const auto answer = co_await RunOn(
+      m_worker.Context().get_executor(),
+      m_worker.Links().Call(*relay.peers, std::move(frame), timeout));
+  if (!answer || !answer->update) co_return false;
+  if (!m_following) {
+    LogEvent(Event::kRelayFollowed,
+             {{"relay", relay.node.Text()},
+              {"address", FormatEndpoint(*relay.peers)}});
+  }
+  SetFollowing(true);
+  ApplyUpdate(*answer->update, relay, sent_at);
+  co_return true;
+}
+
+void ControlPlane::ApplyUpdate(const wire::FollowUpdateT& update,
+                               const InstanceSummary& relay,
+                               std::chrono::nanoseconds sent_at) {
+  StoreRows rows;
+  rows.version = update.configuration_version;
+  for (const auto& packed : update.configuration_rows) {
+    if (packed) {
+      rows.rows.push_back(
+          UnpackRow(*packed, m_adapter.names.configuration_table));
+    }
+  }
+  auto& known_version = m_configuration_cursor.since;
+  // A complete list from a relay that lags behind may lack newer rows.
+  const bool is_full_read = update.configuration_complete &&
+                            rows.version >= known_version.value_or(0);
+  ApplyConfiguration(rows, is_full_read);
+  // The relay answered after `sent_at`, so its age counts from then at the
+  // latest.
+  const auto confirmed = sent_at - Milliseconds(update.configuration_age_ms);
+  OnConfigurationConfirmed(confirmed);
+  m_relay.OnConfiguration(rows, is_full_read, confirmed);
+  known_version = std::max(known_version.value_or(0), rows.version);
+  m_relay_started_ms = relay.started_ms;
+  ApplyUpdatedServers(update);
+  ApplyUpdatedFleet(update);
+}
+
+void ControlPlane::ApplyUpdatedServers(const wire::FollowUpdateT& update) {
+  std::vector<ServerChange> changes;
+  std::vector<ServerEntry> entries;
+  for (const auto& packed : update.registrations) {
+    if (!packed) continue;
+    changes.push_back(UnpackServer(*packed));
+    if (changes.back().entry) entries.push_back(*changes.back().entry);
+  }
+  m_relay_cursor = update.registrations_cursor;
+  m_servers_version = std::max(m_servers_version, update.registrations_version);
+  const auto now = TimeSinceBoot();
+  bool changed =
+      update.registrations_complete
+          ? m_registry.Replace(entries, now, update.registrations_version)
+          : m_registry.Apply(changes, now);
+  changed = m_registry.Expire(now) || changed;
+  if (changed) Publish();
+}
+
+void ControlPlane::ApplyUpdatedFleet(const wire::FollowUpdateT& update) {
+  FleetView fleet;
+  for (const auto& packed : update.demand) {
+    if (packed) fleet.demand[WorkspaceId(packed->workspace)] = packed->per_s;
+  }
+  fleet.serving = m_fleet.serving;
+  if (!update.instances.empty()) {
+    fleet.serving.clear();
+    for (const auto& packed : update.instances) {
+      if (packed) fleet.serving.push_back(UnpackInstance(*packed));
+    }
+  }
+  m_fleet = std::move(fleet);
+  std::optional<std::vector<StoreRow>> moves;
+  if (update.moves_version != m_relay_moves_version) {
+    moves.emplace();
+    for (const auto& packed : update.moves) {
+      if (packed) moves->push_back(UnpackRow(*packed, std::string()));
+    }
+  }
+  m_relay_moves_version = update.moves_version;
+  const bool moved = moves.has_value();
+  m_coordinator.ApplyRelayed(std::move(moves), update.reported_window);
+  if (moved) Publish();
+  UpdateFromFleet();
+}
+
+}  // namespace cowslipknot::gateway
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -1,7 +1,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <numeric>
 
 #include "cowslipknot/events.h"
 #include "serve/gateway_control_plane.h"
@@ -17,6 +16,10 @@
 /// Interval during an undecided move, so that all instances know of a harmful
 /// version within three reports.
 constexpr Milliseconds kMoveReportInterval(1000);
+/// The same where reports pass through a relay, which adds a step.
+constexpr Milliseconds kRelayedMoveReportInterval(500);
+/// Interval at which a relay writes and reads reports while it has followers.
+constexpr Milliseconds kRelayReportInterval(1000);
 /// With more instances than kInstancesAtFullRate each one reports less often,
 /// so that the store's load grows at most half as fast as their number. Usage
 /// reporting allows intervals up to kMaxReportInterval.
@@ -38,22 +41,16 @@
 /// demand counts as at least the mean demand of the other instances.
 constexpr Milliseconds kDemandWarmupPeriod(4000);
 
-double Mean(const std::vector<double>& values) {
-  if (values.empty()) return 0;
-  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
-  return sum / static_cast<double>(values.size());
-}
-
 }  // namespace
 
-std::map<WorkspaceId, std::vector<Endpoint>> ControlPlane::FindQuotaLenders(
-    const std::vector<const InstanceReport*>& serving) const {
+std::map<WorkspaceId, std::vector<Endpoint>> ControlPlane::FindQuotaLenders()
+    const {
   std::vector<NodeId> candidates;
   std::map<NodeId, Endpoint> addresses;
-  for (const auto* report : serving) {
-    if (!report->peers) continue;
-    candidates.push_back(report->node);
-    addresses[report->node] = *report->peers;
+  for (const auto& instance : m_fleet.serving) {
+    if (!instance.peers) continue;
+    candidates.push_back(instance.node);
+    addresses[instance.node] = *instance.peers;
   }
   std::map<WorkspaceId, std::vector<Endpoint>> lenders;
   if (candidates.size() < kLendersPerLimit) return lenders;
@@ -65,18 +62,34 @@
   return lenders;
 }
 
-void ControlPlane::UpdateInstanceCount() {
-  const std::size_t serving =
-      m_coordinator.Instances().Serving(TimeSinceBoot()).size();
-  if (serving == m_serving_instances) return;
-  m_serving_instances = serving;
-  LogEvent(Event::kInstancesKnown, {{"instances", std::to_string(serving)}});
+void ControlPlane::RefreshFleet() {
+  m_fleet = m_coordinator.Summarize();
+  m_relay.OnFleet(m_fleet, m_coordinator.MoveRows(),
+                  m_coordinator.ReportedWindow());
+}
+
+void ControlPlane::UpdateFromFleet() {
+  const std::uint64_t digest = DigestInstances(m_fleet.serving);
+  const bool changed = digest != m_instances_digest;
+  m_instances_digest = digest;
+  if (m_fleet.serving.size() != m_serving_instances) {
+    m_serving_instances = m_fleet.serving.size();
+    LogEvent(Event::kInstancesKnown,
+             {{"instances", std::to_string(m_serving_instances)}});
+  }
+  // Shares follow demand no faster than reports do, so that an increase takes
+  // effect only when the other instances have read the demand behind it.
+  const auto now = TimeSinceBoot();
+  if (!changed && now - m_shares_updated_at < ReportInterval()) return;
+  m_shares_updated_at = now;
+  UpdateQuotaShares();
+  Publish();
 }
 
 void ControlPlane::UpdateQuotaShares() {
   if (!m_configuration) return;
-  const auto serving = m_coordinator.Instances().Serving(TimeSinceBoot());
-  const auto lenders = FindQuotaLenders(serving);
+  const std::size_t instances = m_fleet.serving.size();
+  const auto lenders = FindQuotaLenders();
   const bool has_recent_predecessor = m_coordinator.HasRecentPredecessor();
   for (const auto& [name, workspace] : m_configuration->workspaces) {
     const auto lender = lenders.find(name);
@@ -91,28 +104,22 @@
                {{"workspace", name.Text()},
                 {"home", is_lender ? "true" : "false"},
                 {"at_once", has_recent_predecessor ? "true" : "false"},
-                {"instances", std::to_string(serving.size())}});
+                {"instances", std::to_string(instances)}});
     }
     lender_status.Update(is_lender, has_recent_predecessor, TimeSinceBoot());
-    double own_demand = 0;
-    std::vector<double> other_demands;
-    for (const auto* report : serving) {
-      const auto demand = report->demand.find(name);
-      const double rate = demand == report->demand.end() ? 0 : demand->second;
-      const bool is_self = report->node == m_settings.node &&
-                           report->started_ms == m_coordinator.StartedMs();
-      if (is_self) {
-        own_demand = rate;
-      } else {
-        other_demands.push_back(rate);
-      }
-    }
-    if (TimeSinceBoot() - m_started_at < kDemandWarmupPeriod) {
-      own_demand = std::max(own_demand, Mean(other_demands));
+    const auto total = m_fleet.demand.find(name);
+    const auto own = m_reported_demand.find(name);
+    double own_demand = own == m_reported_demand.end() ? 0 : own->second;
+    const double total_demand =
+        total == m_fleet.demand.end() ? 0 : total->second;
+    const double other_demand = std::max(0.0, total_demand - own_demand);
+    if (TimeSinceBoot() - m_started_at < kDemandWarmupPeriod && instances > 1) {
+      own_demand = std::max(own_demand,
+                            other_demand / static_cast<double>(instances - 1));
     }
     const double kept_share = lender == lenders.end() ? 1 : 1 - kPooledFraction;
-    m_quota_shares[name].Update(kept_share *
-                                QuotaShare(own_demand, other_demands));
+    m_quota_shares[name].Update(
+        kept_share * QuotaShare(own_demand, other_demand, instances));
   }
 }
 
@@ -133,19 +140,21 @@
   FleetCoordinator::ReportInput input = co_await RunOn(
       m_worker.Context().get_executor(), CollectWorkerInput(m_worker));
   if (m_configuration) input.revision = m_configuration->version;
+  m_reported_demand = input.demand;
   co_return input;
 }
 
 Awaitable<void> ControlPlane::ExchangeReports() {
   while (true) {
+    co_await WhileFollowing();
+    co_await WriteReportsOfFollowers();
     FleetCoordinator::ReportInput input = co_await CollectReportInput();
     const auto exchanged = co_await m_coordinator.Exchange(std::move(input));
     const auto clock = m_coordinator.ClockOffset();
     if (clock) m_worker.SetClockOffset(*clock);
     if (exchanged) {
-      UpdateInstanceCount();
-      UpdateQuotaShares();
-      Publish();
+      RefreshFleet();
+      UpdateFromFleet();
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
     }
@@ -153,17 +162,30 @@
   }
 }
 
+Awaitable<void> ControlPlane::WriteReportsOfFollowers() {
+  auto reports = m_relay.TakeReports();
+  if (reports.empty()) co_return;
+  m_relay.KeepReports(
+      co_await m_coordinator.WriteRelayedReports(std::move(reports)));
+}
+
+Milliseconds ControlPlane::ReportInterval() const {
+  const auto instances = static_cast<Milliseconds::rep>(m_fleet.serving.size());
+  const auto full_rate = static_cast<Milliseconds::rep>(kInstancesAtFullRate);
+  return std::clamp(kReportInterval * instances / full_rate, kReportInterval,
+                    kMaxReportInterval);
+}
+
 Milliseconds ControlPlane::NextReportDelay() const {
-  if (m_coordinator.IsMoving()) return kMoveReportInterval;
+  const bool relays = m_relay.HasFollowers(TimeSinceBoot());
+  if (m_coordinator.IsMoving())
+    return relays || m_following ? kRelayedMoveReportInterval
+                                 : kMoveReportInterval;
   if (m_coordinator.HoldsLease()) return kHolderReportInterval;
+  if (relays) return kRelayReportInterval;
   if (TimeSinceBoot() - m_started_at < kStartupPeriod)
     return kStartupReportInterval;
-  const auto instances = static_cast<Milliseconds::rep>(
-      m_coordinator.Instances().Serving(TimeSinceBoot()).size());
-  const auto full_rate = static_cast<Milliseconds::rep>(kInstancesAtFullRate);
-  const Milliseconds interval =
-      std::clamp(kReportInterval * instances / full_rate, kReportInterval,
-                 kMaxReportInterval);
+  const Milliseconds interval = ReportInterval();
   const auto now = m_coordinator.SharedNowMs();
   if (!now) return interval;
   const std::string& node = m_settings.node.Text();
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <charconv>
 #include <set>
 
 #include "base/endpoint_text.h"
@@ -10,10 +11,6 @@
 namespace cowslipknot::gateway {
 namespace {
 
-/// Interval between reads of registrations, as a fraction of the bound on the
-/// last request to a leaving server (Settings::drain_bound). The rest allows
-/// for one failed call.
-constexpr double kServersReadIntervalFraction = 0.6;
 /// Estimated fraction of a server's KV cache that holds prompt prefixes sent by
 /// this instance. Running requests and other instances' prompts use the rest.
 constexpr double kPrefixCacheFraction = 0.5;
@@ -23,13 +20,19 @@
 void ControlPlane::OnServersLeaving(const std::vector<GossipRecord>& servers) {
   bool changed = false;
   for (const auto& server : servers) {
+    std::uint64_t row_version = 0;
+    std::from_chars(server.payload.data(),
+                    server.payload.data() + server.payload.size(), row_version);
     const bool leaves = m_registry.OnServerLeaving(
-        ServerId(server.key), static_cast<std::int64_t>(server.version));
+        ServerId(server.key), static_cast<std::int64_t>(server.version),
+        row_version);
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
   }
-  if (changed) Publish();
+  if (!changed) return;
+  RelayServers();
+  Publish();
 }
 
 void ControlPlane::AnnounceLeavingServers(
@@ -38,8 +41,9 @@
   std::vector<GossipRecord> records;
   for (const auto& server : removed_servers) {
     LogEvent(Event::kServerLeaving, {{"server", server.id.Text()}});
-    records.push_back(
-        {server.id.Text(), static_cast<std::uint64_t>(server.started_ms), {}});
+    records.push_back({server.id.Text(),
+                       static_cast<std::uint64_t>(server.started_ms),
+                       std::to_string(m_servers_version)});
   }
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::ServersLeaving;
@@ -66,9 +70,11 @@
   for (const auto& row : rows.rows) {
     ServerChange change;
     change.id = ServerId(row.key);
+    change.removed_version = row.version;
     if (!row.removed) {
       auto entry = m_adapter.decode_server(row.key, row.value);
       if (entry) {
+        entry->row_version = row.version;
         change.entry = *entry;
         entries.push_back(std::move(*entry));
       } else {
@@ -79,30 +85,41 @@
     }
     changes.push_back(std::move(change));
   }
-  if (is_full_read) return m_registry.Replace(entries, TimeSinceBoot());
+  m_servers_version = rows.version;
+  if (is_full_read)
+    return m_registry.Replace(entries, TimeSinceBoot(), rows.version);
   return m_registry.Apply(changes, TimeSinceBoot());
 }
 
 Awaitable<void> ControlPlane::WatchServers() {
   TableCursor cursor{m_adapter.names.server_table};
   while (true) {
+    // A relay's changes have no position in the store's.
+    if (m_following) cursor.since.reset();
+    co_await WhileFollowing();
+    const auto sent_at = TimeSinceBoot();
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
     if (!rows) continue;
     SetStoreReachable(true, cursor.table);
+    m_relay.OnRegistrationsRead(sent_at);
     const auto before = m_registry.UsableServers();
     bool changed = ApplyServers(*rows, cursor.is_full_read);
     if (changed && m_servers_known)
       AnnounceLeavingServers(FindRemovedServers(before));
     changed = m_registry.Expire(TimeSinceBoot()) || changed;
+    RelayServers();
     if (changed || !m_servers_known) {
       m_servers_known = true;
       Publish();
     }
-    co_await SleepFor(std::chrono::duration_cast<Milliseconds>(
-        m_settings.drain_bound * kServersReadIntervalFraction));
+    co_await SleepFor(StoreRelay::RegistrationsInterval(m_settings));
   }
 }
 
+void ControlPlane::RelayServers() {
+  m_relay.OnRegistrations(m_registry.UsableServers(), m_servers_version);
+}
+
 std::map<ServiceId, std::vector<Backend>> ControlPlane::BuildBackends() {
   std::map<ServiceId, std::vector<Backend>> servers;
   decltype(m_backend_states) states;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -87,7 +88,8 @@
   /// Records that the configuration was current at `confirmed` in
   /// TimeSinceBoot().
   void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed) {
-    m_confirmed_at = confirmed;
+    // Confirmations through a relay may arrive after a more recent one.
+    m_confirmed_at = std::max(m_confirmed_at.load(), confirmed);
   }
 
   /// Sets the offset of the shared wall clock from TimeSinceBoot().
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -18,6 +18,13 @@
       m_client(std::move(executor),
                settings.peers ? settings.peers->host : std::string()) {}
 
+void PeerLinks::SetHandler(wire::Kind kind, Handler handler) {
+  m_handlers[kind] = [handler = std::move(handler)](
+                         const PeerFrame& frame) -> Awaitable<PeerFrame> {
+    co_return handler(frame);
+  };
+}
+
 Awaitable<Result<PeerFrame>> PeerLinks::Call(Endpoint peer, PeerFrame frame,
                                              Milliseconds timeout) {
   frame.token = kNoToken;
@@ -55,7 +62,7 @@
     LogEvent(Event::kFrameRejected, {{"detail", "unexpected frame kind"}});
     co_return FrameBytes();
   }
-  PeerFrame answer = handler->second(*frame);
+  PeerFrame answer = co_await handler->second(*frame);
   answer.kind = wire::Kind::Answer;
   answer.sender = m_settings.node.Text();
   co_return EncodeFrame(answer);
--- a/src/serve/peer_links.h
+++ b/src/serve/peer_links.h
@@ -15,11 +15,14 @@
  public:
   /// Handles a frame of one kind and returns the response frame.
   using Handler = std::function<PeerFrame(const PeerFrame&)>;
+  /// The same, for a response that takes time.
+  using AsyncHandler = std::function<Awaitable<PeerFrame>(const PeerFrame&)>;
 
   PeerLinks(asio::any_io_executor executor, const Settings& settings);
 
   /// Sets the handler for a kind of frame. Call it before Serve().
-  void SetHandler(wire::Kind kind, Handler handler) {
+  void SetHandler(wire::Kind kind, Handler handler);
+  void SetAsyncHandler(wire::Kind kind, AsyncHandler handler) {
     m_handlers[kind] = std::move(handler);
   }
   /// Serves other instances until the acceptor is closed.
@@ -38,7 +41,7 @@
   const Settings& m_settings;
   asio::any_io_executor m_executor;
   FrameClient m_client;
-  std::map<wire::Kind, Handler> m_handlers;
+  std::map<wire::Kind, AsyncHandler> m_handlers;
   std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
 };
 
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -1,11 +1,17 @@
 #include "cowslipknot/gateway/server_registry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace cowslipknot::gateway {
 namespace {
 
-/// Whether the change affects routing.
+/// Removals that are remembered, newest first. Older ones are no longer
+/// contradicted by an instance that lags behind.
+constexpr std::size_t kMaxRememberedRemovals = 1000;
+
+}  // namespace
+
 bool AffectsRouting(const ServerEntry& left, const ServerEntry& right) {
   return left.service != right.service || left.address != right.address ||
          left.domain != right.domain || left.version != right.version ||
@@ -15,9 +21,31 @@
          (left.warmup_left.count() > 0) != (right.warmup_left.count() > 0);
 }
 
-}  // namespace
+bool ServerRegistry::IsOutdated(const ServerEntry& entry) const {
+  if (entry.row_version == 0) return false;
+  const auto known = m_entries.find(entry.id);
+  if (known != m_entries.end())
+    return entry.row_version < known->second.entry.row_version;
+  const auto removed = m_removed_versions.find(entry.id);
+  return removed != m_removed_versions.end() &&
+         entry.row_version <= removed->second;
+}
+
+void ServerRegistry::RememberRemoval(const ServerId& id,
+                                     std::uint64_t version) {
+  if (version == 0) return;
+  m_removed_versions[id] = version;
+  if (m_removed_versions.size() <= kMaxRememberedRemovals) return;
+  m_removed_versions.erase(
+      std::min_element(m_removed_versions.begin(), m_removed_versions.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second < right.second;
+                       }));
+}
 
 bool ServerRegistry::Put(const ServerEntry& entry) {
+  if (IsOutdated(entry)) return false;
+  m_removed_versions.erase(entry.id);
   const auto known = m_entries.find(entry.id);
   if (known == m_entries.end()) {
     m_entries.emplace(entry.id, Registration{entry, std::nullopt});
@@ -28,9 +56,11 @@
   return changed;
 }
 
-bool ServerRegistry::Remove(const ServerId& id, Time now) {
+bool ServerRegistry::Remove(const ServerId& id, Time now,
+                            std::uint64_t version) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
+  if (version > 0 && version < known->second.entry.row_version) return false;
   const bool within_grace =
       m_store_recovered_at &&
       now < *m_store_recovered_at + m_reregistration_grace;
@@ -40,17 +70,21 @@
     return false;
   }
   m_entries.erase(known);
+  RememberRemoval(id, version);
   return true;
 }
 
 bool ServerRegistry::OnServerLeaving(const ServerId& id,
-                                     std::int64_t started_ms) {
+                                     std::int64_t started_ms,
+                                     std::uint64_t version) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
   ServerEntry& entry = known->second.entry;
   const bool ready = entry.state == ServerState::kReady;
   if (!ready || entry.started_ms != started_ms) return false;
+  if (version > 0 && version < entry.row_version) return false;
   entry.state = ServerState::kDraining;
+  entry.row_version = std::max(entry.row_version, version);
   return true;
 }
 
@@ -58,14 +92,15 @@
   bool changed = false;
   for (const auto& change : changes) {
     const bool entry_changed =
-        change.entry ? Put(*change.entry) : Remove(change.id, now);
+        change.entry ? Put(*change.entry)
+                     : Remove(change.id, now, change.removed_version);
     changed = entry_changed || changed;
   }
   return changed;
 }
 
-bool ServerRegistry::Replace(const std::vector<ServerEntry>& entries,
-                             Time now) {
+bool ServerRegistry::Replace(const std::vector<ServerEntry>& entries, Time now,
+                             std::uint64_t version) {
   std::set<ServerId> listed;
   bool changed = false;
   for (const auto& entry : entries) {
@@ -76,7 +111,7 @@
   for (const auto& [id, known] : m_entries) {
     if (!listed.contains(id) && !known.lapsed_until) missing.push_back(id);
   }
-  for (const auto& id : missing) changed = Remove(id, now) || changed;
+  for (const auto& id : missing) changed = Remove(id, now, version) || changed;
   return changed;
 }
 
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -140,12 +140,16 @@
 Awaitable<Result<FrameBytes>> FrameClient::Call(Endpoint peer, FrameBytes frame,
                                                 Milliseconds timeout) {
   ++m_traffic.calls;
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
   bool reused = false;
   auto answer = co_await TryCall(peer, frame, timeout, reused);
   if (!answer) CloseIdle(peer);
-  // Frames are idempotent, so a frame sent on a stale connection is retried.
-  if (!answer && reused)
-    answer = co_await TryCall(peer, frame, timeout, reused);
+  // Frames are idempotent, so a frame sent on a stale connection is retried,
+  // unless the peer did not respond in time.
+  const auto left = std::chrono::duration_cast<Milliseconds>(
+      deadline - std::chrono::steady_clock::now());
+  if (!answer && reused && left.count() > 0)
+    answer = co_await TryCall(peer, frame, left, reused);
   if (!answer) ++m_traffic.failures;
   co_return answer;
 }
--- /dev/null
+++ b/tests/platform/relay_test.py
@@ -0,0 +1,186 @@
+"""Tests gateways of one failure domain, most of which follow a relay instead of reading
+the store."""
+
+import signal
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration, tenant
+from gateway_process import Gateway, eventually
+
+INSTANCES = 6
+APPLY_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+        self.store.put("op", "config", configuration())
+        self.backends = {}
+        for name in ("p1", "p2"):
+            self.backends[name] = fakes.Backend(name)
+            self.addCleanup(self.backends[name].server.stop)
+            self.store.put("servers", name, self.backends[name].registration("plain"))
+        self.links = {}  # name: this gateway's address of the store
+        self.gateways = []
+        for number in range(INSTANCES):
+            self.start(f"gw{number}")
+        eventually(lambda: len(self.followers()) >= INSTANCES - 3)
+
+    def start(self, name):
+        link = fakes.Server(fakes.StoreHandler, self.store)
+        self.addCleanup(link.stop)
+        self.links[name] = link
+        gateway = Gateway(self.store, self.cloud, name=name, store_address=link.address)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        self.gateways.append(gateway)
+        return gateway
+
+    @staticmethod
+    def relay_of(gateway):
+        """The name of the relay that a gateway follows; none if it reads the store."""
+        relay = None
+        for event in gateway.log_events():
+            if event["name"] == "relay_followed":
+                relay = event["relay"]
+        return relay
+
+    def followers(self):
+        return [gateway for gateway in self.gateways if self.relay_of(gateway)]
+
+    def followed_relay(self):
+        names = [self.relay_of(gateway) for gateway in self.followers()]
+        name = max(set(names), key=names.count)
+        return next(gateway for gateway in self.gateways if gateway.name == name)
+
+    def assert_within(self, bound_s, condition):
+        started = time.monotonic()
+        eventually(condition)
+        self.assertLess(time.monotonic() - started, bound_s)
+
+    def test_followers_do_not_call_the_store(self):
+        time.sleep(1.5)  # calls under way when an instance began to follow have ended
+        followers = self.followers()
+        before = {name: link.store_calls for name, link in self.links.items()}
+        time.sleep(4)
+        calls = {name: link.store_calls - before[name]
+                 for name, link in self.links.items()}
+        for gateway in followers:
+            self.assertEqual(calls[gateway.name], 0, calls)
+
+    def test_configuration_change_applies_everywhere(self):
+        self.store.put("op", "config", configuration(
+            version=2, tenants=[tenant("tenant1", "key2")]))
+        self.assert_within(APPLY_BOUND_S, lambda: all(
+            gateway.call("/safe/x")[0] == 401 for gateway in self.gateways))
+        for gateway in self.gateways:
+            self.assertEqual(gateway.call("/safe/x", Authorization="Token key2")[0], 200)
+
+    def drain(self, name):
+        self.store.put("servers", name,
+                       self.backends[name].registration("plain", state="draining"))
+
+    def assert_no_request_reaches(self, name):
+        before = len(self.backends[name].runs)
+        for gateway in self.gateways:
+            if gateway.child.poll() is not None or gateway.paused:
+                continue
+            for number in range(6):
+                gateway.call("/safe/x", request_id=f"{gateway.name}.{number}")
+        self.assertEqual(len(self.backends[name].runs), before)
+
+    def test_leaving_server_gets_no_request(self):
+        self.drain("p1")
+        time.sleep(DRAIN_BOUND_S)
+        self.assert_no_request_reaches("p1")
+
+    def pause(self, gateway):
+        gateway.child.send_signal(signal.SIGSTOP)
+        gateway.paused = True
+        self.addCleanup(gateway.child.send_signal, signal.SIGCONT)
+
+    def test_paused_relay_delays_no_change_past_its_bound(self):
+        relay = self.followed_relay()
+        self.pause(relay)
+        others = [gateway for gateway in self.gateways if gateway is not relay]
+        self.drain("p1")
+        self.store.put("op", "config", configuration(
+            version=2, tenants=[tenant("tenant1", "key2")]))
+        changed = time.monotonic()
+        for gateway in others:
+            eventually(lambda g=gateway: g.call("/safe/x")[0] == 401)
+        self.assertLess(time.monotonic() - changed, APPLY_BOUND_S)
+        time.sleep(max(0.0, changed + DRAIN_BOUND_S - time.monotonic()))
+        before = len(self.backends["p1"].runs)
+        for gateway in others:
+            for number in range(6):
+                gateway.call("/safe/x", request_id=f"{gateway.name}.{number}",
+                             Authorization="Token key2")
+        self.assertEqual(len(self.backends["p1"].runs), before)
+
+    def test_relay_without_the_store_delays_no_change_past_its_bound(self):
+        relay = self.followed_relay()
+        self.links[relay.name].rejects_calls = True
+        self.store.put("op", "config", configuration(
+            version=2, tenants=[tenant("tenant1", "key2")]))
+        others = [gateway for gateway in self.gateways if gateway is not relay]
+        self.assert_within(APPLY_BOUND_S, lambda: all(
+            gateway.call("/safe/x")[0] == 401 for gateway in others))
+
+    def test_resumed_relay_does_not_bring_an_old_state_back(self):
+        relay = self.followed_relay()
+        self.pause(relay)
+        self.drain("p1")
+        self.store.put("op", "config", configuration(
+            version=2, tenants=[tenant("tenant1", "key2")]))
+        others = [gateway for gateway in self.gateways if gateway is not relay]
+        for gateway in others:
+            eventually(lambda g=gateway: g.call("/safe/x")[0] == 401)
+        time.sleep(DRAIN_BOUND_S)
+        relay.child.send_signal(signal.SIGCONT)
+        relay.paused = False
+        before = len(self.backends["p1"].runs)
+        deadline = time.monotonic() + 4
+        while time.monotonic() < deadline:
+            for gateway in others:
+                self.assertEqual(gateway.call("/safe/x")[0], 401)
+                gateway.call("/safe/x", Authorization="Token key2")
+        self.assertEqual(len(self.backends["p1"].runs), before)
+
+    def test_usage_of_followers_is_reported_although_their_relay_dies(self):
+        eventually(lambda: self.cloud.usage)
+        for gateway in self.gateways:
+            eventually(lambda g=gateway: any(event["name"] == "cluster_clock_set"
+                                             for event in g.log_events()))
+        relay = self.followed_relay()
+        others = [gateway for gateway in self.gateways if gateway is not relay]
+        sent = 0
+        for number in range(4):
+            for gateway in others:
+                self.assertEqual(gateway.call("/safe/x", request_id=f"u{sent}")[0], 200)
+                sent += 1
+            if number == 1:
+                relay.child.kill()
+                relay.child.wait()
+        eventually(lambda: sum(call["counts"].get("tenant1", 0)
+                               for call in self.cloud.usage) == sent)
+
+    def test_stopped_follower_writes_its_last_counts(self):
+        eventually(lambda: self.cloud.usage)
+        holder = self.cloud.usage[-1]["holder"]
+        follower = next(gateway for gateway in self.followers()
+                        if gateway.name != holder)
+        self.assertEqual(follower.call("/safe/x")[0], 200)
+        follower.child.send_signal(signal.SIGTERM)
+        eventually(lambda: sum(call["counts"].get("tenant1", 0)
+                               for call in self.cloud.usage) == 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/gateway_quota_test.cc
+++ b/tests/unit/gateway_quota_test.cc
@@ -100,12 +100,12 @@
     const auto demand = node.limiter.Demand(m_now);
     const auto own = demand.find(m_workspace.name);
     node.reported = own == demand.end() ? 0 : own->second;
-    std::vector<double> others;
+    double others = 0;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-      if (i != index) others.push_back(m_nodes[i].reported);
+      if (i != index) others += m_nodes[i].reported;
     }
     node.share.Update((1 - kPooledFraction) *
-                      QuotaShare(node.reported, others));
+                      QuotaShare(node.reported, others, m_nodes.size()));
     node.limiter.SetShare(m_workspace.name, node.share.Current());
   }
 
@@ -155,9 +155,9 @@
 }  // namespace
 
 Test(quota, shares_follow_demand_and_have_a_minimum) {
-  cr_expect_gt(QuotaShare(100, {0, 0, 0, 0}), 0.9);
-  cr_expect_gt(QuotaShare(0, {100, 0, 0, 0}), 0.01);
-  cr_expect_float_eq(QuotaShare(0, {0, 0, 0, 0}), 0.2, 1e-9);
+  cr_expect_gt(QuotaShare(100, 0, 5), 0.9);
+  cr_expect_gt(QuotaShare(0, 100, 5), 0.01);
+  cr_expect_float_eq(QuotaShare(0, 0, 5), 0.2, 1e-9);
 }
 
 // Guards against granting too much when one workspace suddenly requests many
