--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -43,6 +43,12 @@
   CapacityPlanner(ServiceId service, Scaling scaling)
       : m_service(std::move(service)), m_scaling(std::move(scaling)) {}
 
+  /// Records the load without planning, so that an instance that takes over the
+  /// planning knows the load at once.
+  void Observe(const std::map<DomainId, DomainCapacity>& domains, Time now);
+  /// Forgets the orders, because another instance may have changed them.
+  void ForgetOrders();
+
   /// Computes the orders that differ from the last accepted ones.
   std::vector<CapacityOrder> Plan(
       const std::map<DomainId, DomainCapacity>& domains, Time now);
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -170,8 +170,8 @@
   orders.push_back({m_service, domain, kMinOnDemandServers, false});
 }
 
-std::vector<CapacityOrder> CapacityPlanner::Plan(
-    const std::map<DomainId, DomainCapacity>& domains, Time now) {
+void CapacityPlanner::Observe(const std::map<DomainId, DomainCapacity>& domains,
+                              Time now) {
   UpdateNeed(domains, now);
   for (const auto& [domain, capacity] : domains) {
     DetectReclaim(m_states[domain], capacity, now);
@@ -181,6 +181,20 @@
   });
   if (!busy) m_busy_since.reset();
   if (busy && !m_busy_since) m_busy_since = now;
+}
+
+void CapacityPlanner::ForgetOrders() {
+  for (auto& [domain, state] : m_states) {
+    state.on_demand_ordered.reset();
+    state.reclaimable_ordered.reset();
+    state.on_demand_surplus_since.reset();
+    state.reclaimable_surplus_since.reset();
+  }
+}
+
+std::vector<CapacityOrder> CapacityPlanner::Plan(
+    const std::map<DomainId, DomainCapacity>& domains, Time now) {
+  Observe(domains, now);
   const bool observed =
       m_busy_since && now - *m_busy_since >= kObservationPeriod;
   std::vector<CapacityOrder> orders;
--- a/src/serve/gateway_capacity.cc
+++ b/src/serve/gateway_capacity.cc
@@ -20,6 +20,18 @@
   return domains;
 }
 
+void FleetCoordinator::ObserveCapacity(
+    const Configuration& configuration,
+    const std::vector<ServerEntry>& servers) {
+  for (const auto& [name, service] : configuration.services) {
+    if (!service.scaling) continue;
+    CapacityPlanner& planner =
+        m_planners.try_emplace(name, name, *service.scaling).first->second;
+    planner.ForgetOrders();
+    planner.Observe(DomainCapacities(name, servers), TimeSinceBoot());
+  }
+}
+
 Awaitable<void> FleetCoordinator::OrderCapacity(
     ConfigurationPtr configuration, std::vector<ServerEntry> servers) {
   for (const auto& [name, service] : configuration->services) {
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -294,9 +294,8 @@
 Awaitable<void> FleetCoordinator::RunLeaseHolderTasks(
     ConfigurationPtr configuration, std::vector<ServerEntry> servers) {
   if (!HoldsLease()) {
-    // When this instance holds the lease again, planning starts from the state
-    // observed then.
-    m_planners.clear();
+    if (m_settings.orders_capacity && configuration)
+      ObserveCapacity(*configuration, servers);
     co_return;
   }
   co_await AdvanceMoves();
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -131,6 +131,9 @@
   Awaitable<void> ReportUsage();
   Awaitable<void> OrderCapacity(ConfigurationPtr configuration,
                                 std::vector<ServerEntry> servers);
+  /// Records the load while another instance plans the capacity.
+  void ObserveCapacity(const Configuration& configuration,
+                       const std::vector<ServerEntry>& servers);
   std::map<DomainId, DomainCapacity> DomainCapacities(
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
   Awaitable<void> AdvanceMoves();
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -18,7 +18,9 @@
 constexpr Milliseconds kMoveReportInterval(1000);
 /// The same where reports pass through a relay, which adds a step.
 constexpr Milliseconds kRelayedMoveReportInterval(500);
-/// Interval at which a relay writes and reads reports while it has followers.
+/// Interval at which a relay writes and reads reports while it has followers,
+/// and at which these send theirs. A process that is killed loses the counts
+/// since its last report.
 constexpr Milliseconds kRelayReportInterval(1000);
 /// With more instances than kInstancesAtFullRate each one reports less often,
 /// so that the store's load grows at most half as fast as their number. Usage
@@ -185,7 +187,8 @@
   if (relays) return kRelayReportInterval;
   if (TimeSinceBoot() - m_started_at < kStartupPeriod)
     return kStartupReportInterval;
-  const Milliseconds interval = ReportInterval();
+  const Milliseconds interval =
+      m_following ? kRelayReportInterval : ReportInterval();
   const auto now = m_coordinator.SharedNowMs();
   if (!now) return interval;
   const std::string& node = m_settings.node.Text();
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -252,6 +252,46 @@
   cr_expect_not(LastOrder(orders, "b", false).has_value());
 }
 
+// Load pattern: the reclaimable servers of two domains leave under full load,
+// and the holder of the lease loses the store at the same time. Its successor
+// has no time to observe the load first.
+Test(capacity_plan, a_new_planner_orders_at_once_for_a_load_it_has_observed) {
+  const Domains before = {{DomainId("a"), {5.0, 1, 7}},
+                          {DomainId("b"), {5.0, 1, 7}},
+                          {DomainId("c"), {5.0, 1, 7}}};
+  CapacityPlanner successor(ServiceId("m"), MakeScaling());
+  for (int second = 0; second < 20; ++second) {
+    successor.ForgetOrders();
+    successor.Observe(before, kStart + std::chrono::seconds(second));
+  }
+  const Domains after = {{DomainId("a"), {5.0, 1, 0}},
+                         {DomainId("b"), {5.0, 1, 0}},
+                         {DomainId("c"), {5.0, 1, 7}}};
+  const auto now = kStart + std::chrono::seconds(20);
+  auto orders = successor.Plan(after, now);
+  for (const auto& order : orders) {
+    if (order.reclaimable) {
+      successor.OnOrderRejected(order, now);
+    } else {
+      successor.OnOrderAccepted(order, now);
+    }
+  }
+  for (const auto& order : successor.Plan(after, now)) orders.push_back(order);
+  cr_expect_geq(LastOrder(orders, "a", false).value_or(0), 6);
+  cr_expect_geq(LastOrder(orders, "b", false).value_or(0), 6);
+  cr_expect_not(LastOrder(orders, "c", false).has_value());
+}
+
+Test(capacity_plan, an_observer_does_not_take_orders_of_others_for_a_reclaim) {
+  CapacityPlanner planner(ServiceId("m"), MakeScaling());
+  planner.Observe({{DomainId("a"), {2.0, 1, 9}}}, kStart);
+  planner.Observe({{DomainId("a"), {2.0, 1, 4}}},
+                  kStart + std::chrono::seconds(1));
+  const auto orders =
+      RunPlanner(planner, {{DomainId("a"), {4.0, 1, 4}}}, 10, 12);
+  cr_expect_geq(LastOrder(orders, "a", true).value_or(0), 5);
+}
+
 Test(capacity_plan, a_short_drop_in_load_releases_no_reclaimable_server) {
   CapacityPlanner planner(ServiceId("m"), MakeScaling());
   Domains domains = {{DomainId("a"), {4.0, 1, 9}},
