--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -92,6 +92,7 @@
   void RefreshFleet();
   /// Applies a change of the fleet, or new demand once it is due.
   void UpdateFromFleet();
+  void UpdateQuotaLenders();
   void UpdateQuotaShares();
   /// Returns the instances that lend the pooled share of each limit.
   std::map<WorkspaceId, std::vector<Endpoint>> FindQuotaLenders() const;
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -106,6 +106,8 @@
       m_worker.Links().Call(*relay.peers, std::move(frame), timeout));
   if (!answer || !answer->update) co_return false;
   if (!m_following) {
+    // What a relay has read counts as the store's response.
+    SetStoreReachable(true, m_adapter.names.server_table);
     LogEvent(Event::kRelayFollowed,
              {{"relay", relay.node.Text()},
               {"address", FormatEndpoint(*relay.peers)}});
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -79,18 +79,23 @@
     LogEvent(Event::kInstancesKnown,
              {{"instances", std::to_string(m_serving_instances)}});
   }
-  // Shares follow demand no faster than reports do, so that an increase takes
-  // effect only when the other instances have read the demand behind it.
+  // Shares follow demand no faster than the reports of instances that read the
+  // store, so that an increase takes effect only when the others have read the
+  // demand behind it. Updates through a relay come more often.
   const auto now = TimeSinceBoot();
-  if (!changed && now - m_shares_updated_at < ReportInterval()) return;
-  m_shares_updated_at = now;
-  UpdateQuotaShares();
+  const bool relayed = m_following || m_relay.HasFollowers(now);
+  const bool shares_due =
+      !relayed || now - m_shares_updated_at >= ReportInterval();
+  if (!m_configuration || (!changed && !shares_due)) return;
+  UpdateQuotaLenders();
+  if (shares_due) {
+    m_shares_updated_at = now;
+    UpdateQuotaShares();
+  }
   Publish();
 }
 
-void ControlPlane::UpdateQuotaShares() {
-  if (!m_configuration) return;
-  const std::size_t instances = m_fleet.serving.size();
+void ControlPlane::UpdateQuotaLenders() {
   const auto lenders = FindQuotaLenders();
   const bool has_recent_predecessor = m_coordinator.HasRecentPredecessor();
   for (const auto& [name, workspace] : m_configuration->workspaces) {
@@ -106,9 +111,16 @@
                {{"workspace", name.Text()},
                 {"home", is_lender ? "true" : "false"},
                 {"at_once", has_recent_predecessor ? "true" : "false"},
-                {"instances", std::to_string(instances)}});
+                {"instances", std::to_string(m_fleet.serving.size())}});
     }
     lender_status.Update(is_lender, has_recent_predecessor, TimeSinceBoot());
+  }
+}
+
+void ControlPlane::UpdateQuotaShares() {
+  const std::size_t instances = m_fleet.serving.size();
+  const bool has_lenders = !FindQuotaLenders().empty();
+  for (const auto& [name, workspace] : m_configuration->workspaces) {
     const auto total = m_fleet.demand.find(name);
     const auto own = m_reported_demand.find(name);
     double own_demand = own == m_reported_demand.end() ? 0 : own->second;
@@ -119,7 +131,7 @@
       own_demand = std::max(own_demand,
                             other_demand / static_cast<double>(instances - 1));
     }
-    const double kept_share = lender == lenders.end() ? 1 : 1 - kPooledFraction;
+    const double kept_share = has_lenders ? 1 - kPooledFraction : 1;
     m_quota_shares[name].Update(
         kept_share * QuotaShare(own_demand, other_demand, instances));
   }
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -1,5 +1,7 @@
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 #include "cowslipknot/gateway/fleet_view.h"
 #include "cowslipknot/gateway/registration_log.h"
 #include "unit_test.h"
@@ -31,8 +33,9 @@
 }
 
 FleetView MakeFleet(const std::vector<InstanceReport>& reports) {
-  std::vector<const InstanceReport*> serving;
-  for (const auto& report : reports) serving.push_back(&report);
+  std::vector<const InstanceReport*> serving(reports.size());
+  std::transform(reports.begin(), reports.end(), serving.begin(),
+                 [](const InstanceReport& report) { return &report; });
   return SummarizeReports(serving);
 }
 
