--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -50,7 +50,8 @@
 ///
 /// Registrations arrive from the store and from other instances, which may lag
 /// behind. One that is older than a known removal or change of the same server
-/// has no effect.
+/// has no effect. A removal always has: a server that is left too early returns
+/// once the other instance has caught up.
 ///
 /// Reads no clock: readings of a monotonic clock are arguments.
 /// Single-threaded.
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -60,7 +60,6 @@
                             std::uint64_t version) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
-  if (version > 0 && version < known->second.entry.row_version) return false;
   const bool within_grace =
       m_store_recovered_at &&
       now < *m_store_recovered_at + m_reregistration_grace;
