--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -84,6 +84,11 @@
   /// Records that the store responds.
   void OnStoreAvailable(Time now);
 
+  /// Ends the grace period: another instance, which has applied its own, says
+  /// which servers are registered, so that the two do not add up. Lapsed
+  /// entries that it does not list are removed by the next Replace().
+  void EndGrace();
+
   /// Removes lapsed entries whose grace period has passed.
   /// @return true if any was removed
   bool Expire(Time now);
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -153,6 +153,7 @@
     if (changes.back().entry) entries.push_back(*changes.back().entry);
   }
   m_relay_cursor = update.registrations_cursor;
+  m_registry.EndGrace();
   m_servers_version = std::max(m_servers_version, update.registrations_version);
   const auto now = TimeSinceBoot();
   bool changed =
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -119,6 +119,12 @@
   m_store_unavailable = false;
 }
 
+void ServerRegistry::EndGrace() {
+  m_store_unavailable = false;
+  m_store_recovered_at.reset();
+  for (auto& [id, known] : m_entries) known.lapsed_until.reset();
+}
+
 bool ServerRegistry::Expire(Time now) {
   const auto removed = std::erase_if(m_entries, [now](const auto& item) {
     return item.second.lapsed_until && now >= *item.second.lapsed_until;
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -162,6 +162,22 @@
                "the relay has caught up with a server that had come back");
 }
 
+// The store refuses some instances and a follower changes between its relay and
+// the store: the grace periods of both must not add up.
+Test(server_registry, a_removal_by_a_relay_has_no_second_grace_period) {
+  ServerRegistry registry(Milliseconds(2000));
+  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, 12);
+  registry.OnStoreUnavailable();
+  registry.OnStoreAvailable(kNow);
+  registry.Replace({MakeServer("b", 11)}, kNow, 13);
+  cr_expect_eq(registry.UsableServers().size(), 2u, "a may register again");
+  registry.EndGrace();
+  registry.Replace({MakeServer("b", 11)}, kNow, 14);
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+  registry.Apply({{ServerId("b"), std::nullopt, 15}}, kNow);
+  cr_expect(registry.UsableServers().empty());
+}
+
 Test(relays, a_domain_with_few_instances_has_none) {
   const FleetView fleet =
       MakeFleet({MakeReport("a", "d1", 1), MakeReport("b", "d1", 2),
