Read a claim's row on the control thread before it crosses threads

Cause: on arm64 GCC 12 cannot see that the error of a Result<std::optional<Claim>> is set where co_spawn() moves the awaitable's value, and -Werror=maybe-uninitialized ended the build in request_lookup.cc. Ruled out: an error that is really read unset (Error::code has an initializer, and the expected's flag decides which member is moved); switching the warning off, for the file or the tree. Change: the coroutine that runs on the control thread turns "no claim" into kUnknownRequest there, so that a Result<Claim> crosses, as in PlainCall. Before: make build failed on arm64, GCC 12.2, this file only. After: 132 of 132 targets built with -Werror on. Not run: x86-64.

--- a/src/serve/request_lookup.cc
+++ b/src/serve/request_lookup.cc
@@ -12,6 +12,15 @@
 
 constexpr Milliseconds kForwardTimeout(60000);
 
+/// Reads a claim; runs on the control thread.
+/// @return kUnknownRequest if there is none
+Awaitable<Result<Claim>> ReadClaim(ClaimWriter& claims, std::string key) {
+  auto found = co_await claims.Read(std::move(key));
+  if (!found) co_return tl::make_unexpected(found.error());
+  if (!*found) co_return Fail(ResultCode::kUnknownRequest);
+  co_return std::move(**found);
+}
+
 }  // namespace
 
 Awaitable<Result<void>> ForwardLookup(Worker& worker, HttpExchange& exchange,
@@ -54,13 +63,12 @@
 Awaitable<Result<void>> SendClaimOutcome(Worker& worker, HttpExchange& exchange,
                                          WorkspaceId workspace, RequestId id) {
   const ControlHooks& hooks = worker.Hooks();
-  const std::string key = ClaimKey(workspace, id.Text());
-  auto claim = co_await RunOn(hooks.executor, hooks.claims->Read(key));
+  const auto claim = co_await RunOn(
+      hooks.executor, ReadClaim(*hooks.claims, ClaimKey(workspace, id.Text())));
   if (!claim) co_return tl::make_unexpected(claim.error());
-  if (!*claim) co_return Fail(ResultCode::kUnknownRequest);
   json::object body;
   body["id"] = id.Text();
-  switch ((*claim)->state) {
+  switch (claim->state) {
     case ClaimState::kClaimed:
       body["state"] = "running_or_unknown";
       break;
@@ -69,8 +77,8 @@
       break;
     case ClaimState::kDone:
       body["state"] = "done";
-      body["status"] = (*claim)->status;
-      body["body"] = (*claim)->body;
+      body["status"] = claim->status;
+      body["body"] = claim->body;
       break;
   }
   co_await exchange.Respond(
