--- /dev/null
+++ b/tests/platform/lost_request_test.py
@@ -0,0 +1,102 @@
+"""Tests that a gateway answers each request that it accepted, also beside timeouts, silent
+servers and configuration changes."""
+
+import http.client
+import signal
+import socket
+import threading
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration
+from gateway_process import Gateway, eventually
+
+IDLE_TIMEOUT_S = 1.0
+LIMITS = {"max_header_bytes": 8192, "max_body_bytes": 100000, "header_timeout_ms": 1000}
+
+
+def limits(idle_s):
+    return dict(LIMITS, idle_timeout_ms=int(idle_s * 1000))
+
+
+class LostRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+        self.store.put("op", "config", configuration(limits=limits(IDLE_TIMEOUT_S)))
+
+    def start(self, service="plain", count=1):
+        self.backends = []
+        for number in range(count):
+            backend = fakes.Backend(f"b{number}")
+            self.addCleanup(backend.server.stop)
+            self.store.put("servers", backend.name, backend.registration(service))
+            self.backends.append(backend)
+        gateway = Gateway(self.store, self.cloud)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        return gateway
+
+    @staticmethod
+    def send(connection, request, path="/safe/x"):
+        connection.request("POST", path, body=b"hello", headers={
+            "Host": "h.example", "Cowslipknot-Request-Id": request,
+            "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"})
+
+    def assert_answered(self, connection, status=200):
+        answer = connection.getresponse()
+        answer.read()
+        self.assertEqual(answer.status, status)
+
+    # Guards against dropping a request that arrived before its idle connection's
+    # timeout was handled.
+    def test_request_that_arrived_before_a_late_idle_timeout_is_answered(self):
+        gateway = self.start()
+        for attempt in range(5):
+            connection = gateway.connect()
+            self.send(connection, f"a{attempt}")
+            self.assert_answered(connection)
+            time.sleep(IDLE_TIMEOUT_S * 0.6)
+            gateway.child.send_signal(signal.SIGSTOP)
+            self.send(connection, f"b{attempt}")
+            time.sleep(IDLE_TIMEOUT_S * 0.6)
+            gateway.child.send_signal(signal.SIGCONT)
+            self.assert_answered(connection)
+            connection.close()
+
+    # Guards against closing a connection by an idle timeout that was raised meanwhile.
+    def test_raised_idle_timeout_holds_for_connections_that_are_idle_already(self):
+        gateway = self.start()
+        connection = gateway.connect()
+        self.send(connection, "a1")
+        self.assert_answered(connection)
+        self.store.put("op", "config", configuration(2, limits=limits(5)))
+        time.sleep(IDLE_TIMEOUT_S * 2)
+        self.send(connection, "a2")
+        self.assert_answered(connection)
+
+    # Guards against dropping a request that had arrived when a planned stop closed its
+    # idle connection.
+    def test_request_that_arrived_before_a_planned_stop_closes_is_answered(self):
+        self.store.put("op", "config", configuration(2, limits=limits(20)))
+        gateway = self.start()
+        connections = [gateway.connect() for _ in range(10)]
+        for number, connection in enumerate(connections):
+            self.send(connection, f"a{number}")
+            self.assert_answered(connection)
+        gateway.child.send_signal(signal.SIGTERM)
+        time.sleep(2.2)  # before idle connections are closed
+        gateway.child.send_signal(signal.SIGSTOP)
+        for number, connection in enumerate(connections):
+            self.send(connection, f"b{number}")
+        time.sleep(0.8)  # the stop's timer has expired meanwhile
+        gateway.child.send_signal(signal.SIGCONT)
+        for connection in connections:
+            self.assert_answered(connection)
+
+
+if __name__ == "__main__":
+    unittest.main()
