Log each way in which a request loses its connection without an answer

What callers saw: a closed connection; our logs then say nothing of the request. Change: request_unreadable (510) when a request was not read completely, handler_failed (511) for an exception, request_failed with a detail when the response could not be sent. An exception was swallowed by asio::detached and left the count of requests in flight too high, which a planned stop waits for; now the caller gets "outcome unknown", and the count falls. The error response of the server takes the whole Error for that.

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -90,8 +90,8 @@
     callers.handle = [this](HttpExchange& exchange) {
       return HandleCaller(m_worker, exchange);
     };
-    callers.make_error_response = [](ResultCode code) {
-      return MakeErrorResponse(Error{code}, Milliseconds(0));
+    callers.make_error_response = [](const Error& error) {
+      return MakeErrorResponse(error, Milliseconds(0));
     };
     callers.close_after_response = [this] { return m_stopping.load(); };
     callers.no_more_requests = [this] { return m_closing_idle.load(); };
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -24,6 +24,20 @@
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
 
+/// Counts a request as in flight for the lifetime of the object.
+class InFlightCount {
+ public:
+  explicit InFlightCount(Worker& worker) : m_worker(worker) {
+    ++m_worker.InFlight();
+  }
+  InFlightCount(const InFlightCount&) = delete;
+  InFlightCount& operator=(const InFlightCount&) = delete;
+  ~InFlightCount() { --m_worker.InFlight(); }
+
+ private:
+  Worker& m_worker;
+};
+
 }  // namespace
 
 Awaitable<void> Call::Run() {
@@ -220,7 +234,7 @@
     // A signed failure response of a server is forwarded unchanged.
     LogFailure(error);
     RecordOutcome("server_failure");
-    co_await m_exchange.Respond(std::move(*m_last_answer));
+    co_await SendResponse(*m_last_answer);
     co_return;
   }
   if (!may_have_run) {
@@ -237,7 +251,8 @@
   if (TimeLeft().count() == 0) error.code = ResultCode::kOutcomeUnknown;
   LogFailure(error);
   RecordOutcome(std::string(Describe(error.code).name));
-  co_await m_exchange.Respond(MakeErrorResponse(error, Milliseconds(0)));
+  HttpResponse response = MakeErrorResponse(error, Milliseconds(0));
+  co_await SendResponse(response);
 }
 
 Awaitable<void> Call::Reject(const Error& error) {
@@ -247,14 +262,23 @@
             {"detail", error.detail},
             {"retry_after_ms", std::to_string(m_retry_after.count())}});
   RecordOutcome(std::string(Describe(error.code).name));
-  co_await m_exchange.Respond(MakeErrorResponse(error, m_retry_after));
+  HttpResponse response = MakeErrorResponse(error, m_retry_after);
+  co_await SendResponse(response);
+}
+
+Awaitable<void> Call::SendResponse(HttpResponse& response) {
+  const bool sent = co_await m_exchange.Respond(std::move(response));
+  if (!sent) LogResponseNotSent();
+}
+
+void Call::LogResponseNotSent() {
+  LogFailure(Error{ResultCode::kInternal, "the response could not be sent"});
 }
 
 Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange) {
-  ++worker.InFlight();
+  const InFlightCount counted(worker);
   Call call(worker, exchange);
   co_await call.Run();
-  --worker.InFlight();
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -46,6 +46,9 @@
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
   Awaitable<void> Reject(const Error& error);
+  /// Sends and consumes the response; logs a failure to do so.
+  Awaitable<void> SendResponse(HttpResponse& response);
+  void LogResponseNotSent();
 
   // Responses: gateway_response.cc.
   Awaitable<Result<std::string>> ReadBody(ResponseStream& stream);
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -78,7 +78,7 @@
     co_return AttemptOutcome::kFailed;
   }
   LogDone(failed ? "server_failure" : "ok");
-  co_await m_exchange.Respond(std::move(response));
+  co_await SendResponse(response);
   co_return AttemptOutcome::kAnswered;
 }
 
@@ -148,8 +148,12 @@
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
-  co_await m_exchange.EndStream();
-  LogDone("ok");
+  const bool sent = co_await m_exchange.EndStream();
+  if (sent) {
+    LogDone("ok");
+  } else {
+    LogResponseNotSent();
+  }
   co_return AttemptOutcome::kAnswered;
 }
 
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -78,8 +78,8 @@
       hooks.handle = [this, &worker](HttpExchange& exchange) {
         return HandleCaller(worker, m_caller_context, exchange);
       };
-      hooks.make_error_response = [](ResultCode code) {
-        return ErrorResponse(Error{code, "", Execution::kNotRun});
+      hooks.make_error_response = [](const Error& error) {
+        return ErrorResponse(error);
       };
       hooks.close_after_response = [this] { return m_draining.load(); };
       asio::co_spawn(worker.Context(),
@@ -90,8 +90,8 @@
     hooks.handle = [this](HttpExchange& exchange) {
       return m_operator_api.Handle(exchange);
     };
-    hooks.make_error_response = [](ResultCode code) {
-      return ErrorResponse(Error{code});
+    hooks.make_error_response = [](const Error& error) {
+      return ErrorResponse(error);
     };
     asio::co_spawn(m_control.Context(), ServeHttp(m_operators, limits, hooks),
                    asio::detached);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -3,6 +3,9 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <exception>
+
+#include "cowslipknot/events.h"
 
 namespace cowslipknot {
 namespace {
@@ -147,13 +150,15 @@
 Awaitable<void> RejectUnreadable(StreamPtr stream, error_code error,
                                  const HttpServerLimits& limits,
                                  const HttpServerHooks& hooks) {
+  LogEvent(Event::kRequestUnreadable, {{"detail", error.message()}});
   if (IsDisconnect(error) || !hooks.make_error_response) co_return;
   HttpRequest placeholder;
   placeholder.version(11);
   placeholder.keep_alive(false);
   Exchange exchange(std::move(stream), std::move(placeholder),
                     limits.write_timeout);
-  co_await exchange.Respond(hooks.make_error_response(ReadFailureCode(error)));
+  co_await exchange.Respond(
+      hooks.make_error_response(Error{ReadFailureCode(error)}));
 }
 
 /// Waits for the first byte of a request. @return false if none arrives
@@ -223,6 +228,28 @@
   }
 }
 
+/// Handles a request. An exception of the handler ends the exchange with an
+/// error response, or without one if a response has begun.
+Awaitable<void> HandleExchange(Exchange& exchange,
+                               const HttpServerHooks& hooks) {
+  std::string failure;
+  try {
+    co_await hooks.handle(exchange);
+  } catch (const std::exception& exception) {
+    failure = exception.what();
+    LogEvent(Event::kHandlerFailed,
+             {{"detail", failure},
+              {"answered", exchange.Answered() ? "true" : "false"}});
+  }
+  if (failure.empty()) co_return;
+  if (exchange.Answered() || !hooks.make_error_response) {
+    exchange.Abort();
+    co_return;
+  }
+  const Error error{ResultCode::kOutcomeUnknown, failure, Execution::kUnknown};
+  co_await exchange.Respond(hooks.make_error_response(error));
+}
+
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
                                 HttpServerHooks hooks) {
   beast::flat_buffer buffer;
@@ -239,7 +266,7 @@
     Exchange exchange(stream, parser.release(), limits.write_timeout);
     if (hooks.close_after_response && hooks.close_after_response())
       exchange.CloseAfterResponse();
-    co_await hooks.handle(exchange);
+    co_await HandleExchange(exchange, hooks);
     exchange.StopWatching();
     if (!exchange.ConnectionUsable()) co_return;
     if (!exchange.KeepAlive()) break;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -59,8 +59,9 @@
 /// Callbacks of the server.
 struct HttpServerHooks {
   std::function<Awaitable<void>(HttpExchange&)> handle;
-  /// Makes the response to a request that could not be parsed.
-  std::function<HttpResponse(ResultCode)> make_error_response;
+  /// Makes the response to a request that could not be parsed, or whose handler
+  /// failed.
+  std::function<HttpResponse(const Error&)> make_error_response;
   /// Whether connections should close after the response in flight.
   std::function<bool()> close_after_response;
   /// Whether no further request may start on a persistent connection; may be
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -80,7 +80,7 @@
   }
   HttpServerHooks hooks;
   hooks.handle = std::move(handle);
-  hooks.make_error_response = [](ResultCode) {
+  hooks.make_error_response = [](const Error&) {
     return StatusResponse(http::status::bad_request);
   };
   auto shared = std::make_shared<tcp::acceptor>(std::move(*acceptor));
