Look for a request that has arrived before closing an idle connection

What callers saw: beside a configuration that changes the idle timeout, and in a planned stop, a connection closed without an answer to a request that had arrived completely. Cause: check-then-act on old facts. The idle timeout that was in force when the wait began decided, although a configuration had raised it since and callers went by the new one; and a timer or a planned stop cancelled the pending read without looking at what had arrived since the last poll. A planned stop then read that request and discarded it. Evidence: two of three cases of lost_request_test.py failed before: broken pipe 0.4 s after a raised timeout; ten requests that had arrived while the stop's timer expired ended without an answer. The third, a paused process whose idle timer and request are due together, passed before, since asio polls sockets first; it stays as a guard. Change: the wait ends with a last read without waiting, whatever ended it; an idle connection closes only when the old and the present timeout have passed, so that neither a raised nor a lowered one takes callers by surprise; one without a request is closed without reading, which tells the peer that what crosses the close was not accepted. In a shutdown, a request that follows a response which did not announce the close is served. After: 3 of 3, unit tests 128 of 128. Command: python3 -m unittest discover -s tests/platform -p 'lost_request_test.py'

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -16,6 +16,7 @@
 constexpr Milliseconds kAcceptRetryDelay(20);
 
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
+using SteadyTime = std::chrono::steady_clock::time_point;
 
 /// Whether the peer has closed its connection. Reads nothing.
 bool PeerClosed(tcp::socket& socket) {
@@ -161,20 +162,52 @@
       hooks.make_error_response(Error{ReadFailureCode(error)}));
 }
 
-/// Waits for the first byte of a request. @return false if none arrives
-Awaitable<bool> WaitForRequest(beast::tcp_stream& stream,
-                               beast::flat_buffer& buffer,
-                               const HttpServerLimits& limits,
-                               const HttpServerHooks& hooks) {
+/// Reads what has arrived on a connection without waiting.
+/// @return whether anything had arrived
+bool ReadArrived(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   constexpr std::size_t kFirstReadBytes = 16 << 10;
+  error_code error;
+  stream.socket().non_blocking(true, error);
+  buffer.commit(
+      stream.socket().read_some(buffer.prepare(kFirstReadBytes), error));
+  return buffer.size() > 0;
+}
+
+/// Waits until input arrives, the peer closes, the wait is cancelled or a time
+/// is reached.
+Awaitable<void> WaitForInput(StreamPtr stream, SteadyTime deadline) {
+  asio::steady_timer timer(stream->get_executor(), deadline);
+  const auto waiting = std::make_shared<bool>(true);
+  timer.async_wait([stream, waiting](error_code error) {
+    if (!error && *waiting) stream->cancel();
+  });
+  co_await stream->socket().async_wait(tcp::socket::wait_read, kAsTuple);
+  *waiting = false;
+}
+
+/// Waits for the first byte of a request. An idle connection closes when both
+/// the idle timeout that was in force when the wait began and the present one
+/// have passed.
+/// @return false if none arrives
+Awaitable<bool> WaitForRequest(StreamPtr stream, beast::flat_buffer& buffer,
+                               HttpServerLimits limits,
+                               const HttpServerHooks& hooks) {
   if (buffer.size() > 0) co_return true;
-  stream.expires_after(limits.idle_timeout);
-  if (hooks.idle) hooks.idle->Add(stream);
-  auto [error, size] = co_await stream.async_read_some(
-      buffer.prepare(kFirstReadBytes), kAsTuple);
-  if (hooks.idle) hooks.idle->Remove(stream);
-  buffer.commit(size);
-  co_return !error;
+  const auto idle_since = std::chrono::steady_clock::now();
+  Milliseconds idle_timeout = limits.idle_timeout;
+  stream->expires_never();
+  while (true) {
+    const auto deadline = idle_since + idle_timeout;
+    if (hooks.idle) hooks.idle->Add(*stream);
+    co_await WaitForInput(stream, deadline);
+    if (hooks.idle) hooks.idle->Remove(*stream);
+    // A request may have arrived although the wait ended for another reason.
+    if (ReadArrived(*stream, buffer)) co_return true;
+    if (std::chrono::steady_clock::now() < deadline) co_return false;
+    if (hooks.limits) limits = hooks.limits();
+    if (limits.idle_timeout <= idle_timeout) co_return false;
+    idle_timeout = limits.idle_timeout;
+  }
 }
 
 /// Whether the framing of a message determines unambiguously where it ends. The
@@ -255,7 +288,10 @@
   beast::flat_buffer buffer;
   while (true) {
     if (hooks.limits) limits = hooks.limits();
-    if (!co_await WaitForRequest(*stream, buffer, limits, hooks)) break;
+    const bool arrived = co_await WaitForRequest(stream, buffer, limits, hooks);
+    // A request that crosses the close is not read, which tells the peer that
+    // it was not accepted.
+    if (!arrived) co_return;
     http::request_parser<http::string_body> parser;
     const error_code error =
         co_await ReadRequest(*stream, buffer, parser, limits);
@@ -271,8 +307,9 @@
     if (!exchange.ConnectionUsable()) co_return;
     if (!exchange.KeepAlive()) break;
     // A response that started before the shutdown did not announce the close,
-    // so another request may follow. Late in the shutdown it must not start.
-    if (hooks.no_more_requests && hooks.no_more_requests()) break;
+    // so another request may follow. Late in the shutdown none is waited for.
+    const bool closing = hooks.no_more_requests && hooks.no_more_requests();
+    if (closing && buffer.size() == 0 && !ReadArrived(*stream, buffer)) break;
   }
   co_await CloseGracefully(*stream);
 }
