--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -158,8 +158,9 @@
   placeholder.keep_alive(false);
   Exchange exchange(std::move(stream), std::move(placeholder),
                     limits.write_timeout);
-  co_await exchange.Respond(
-      hooks.make_error_response(Error{ReadFailureCode(error)}));
+  const Error failure{ReadFailureCode(error)};
+  HttpResponse response = hooks.make_error_response(failure);
+  co_await exchange.Respond(std::move(response));
 }
 
 /// Reads what has arrived on a connection without waiting.
@@ -280,7 +281,8 @@
     co_return;
   }
   const Error error{ResultCode::kOutcomeUnknown, failure, Execution::kUnknown};
-  co_await exchange.Respond(hooks.make_error_response(error));
+  HttpResponse response = hooks.make_error_response(error);
+  co_await exchange.Respond(std::move(response));
 }
 
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
@@ -307,9 +309,8 @@
     if (!exchange.ConnectionUsable()) co_return;
     if (!exchange.KeepAlive()) break;
     // A response that started before the shutdown did not announce the close,
-    // so another request may follow. Late in the shutdown none is waited for.
-    const bool closing = hooks.no_more_requests && hooks.no_more_requests();
-    if (closing && buffer.size() == 0 && !ReadArrived(*stream, buffer)) break;
+    // so another request may follow. Late in the shutdown it must not start.
+    if (hooks.no_more_requests && hooks.no_more_requests()) break;
   }
   co_await CloseGracefully(*stream);
 }
