Wait for a silent server while no other can go on with its stream

What callers saw: a stream ends in the middle, beside servers that are silent for a second and go on. Cause: a resumable stream was left 500 to 600 ms after its last event, whether or not another server, attempt or retry was left; the connection to the first server, which would have gone on, was closed, and the stream was cut. A server that sends bytes but completes no event is left as before, after two event gaps; that time now counts from the first byte of the partial event, so that a silence is not taken for it. ResponseStream::Read() no longer closes the connection at its timeout, so that the read can be repeated. Ruled out: hedging (asking a second server beside the silent one), since both would run. Command: python3 -m unittest discover -s tests/platform -p 'lost_request_test.py'

--- a/include/cowslipknot/coordination/retry_budget.h
+++ b/include/cowslipknot/coordination/retry_budget.h
@@ -15,9 +15,11 @@
 
   void RecordRequest() { m_balance = std::min(m_reserve, m_balance + m_share); }
 
+  bool HasRetry() const { return m_balance >= 1; }
+
   /// Consumes one retry. @return false when the budget is exhausted
   bool TrySpend() {
-    if (m_balance < 1) return false;
+    if (!HasRetry()) return false;
     m_balance -= 1;
     return true;
   }
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 #include "cowslipknot/events.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
@@ -65,10 +67,29 @@
   return std::max(left, Milliseconds(0));
 }
 
+std::uint64_t Call::RequestHash() const {
+  return XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
+}
+
+bool Call::HasOtherServer() const {
+  const SnapshotPtr latest = m_worker.GetSnapshot();
+  const auto servers =
+      latest->servers.find(PickService(*m_route, RequestHash()));
+  if (servers == latest->servers.end()) return false;
+  const auto now = TimeSinceBoot();
+  return std::any_of(servers->second.begin(), servers->second.end(),
+                     [this, now](const Backend& server) {
+                       const auto excluded =
+                           std::find(m_excluded_servers.begin(),
+                                     m_excluded_servers.end(), server.entry.id);
+                       return excluded == m_excluded_servers.end() &&
+                              !server.state->IsEjected(now);
+                     });
+}
+
 Result<Backend> Call::ChooseServer() {
   const SnapshotPtr latest = m_worker.GetSnapshot();
-  const std::uint64_t hash =
-      XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
+  const std::uint64_t hash = RequestHash();
   const ServiceId& service = PickService(*m_route, hash);
   const auto servers = latest->servers.find(service);
   if (servers == latest->servers.end()) {
@@ -78,7 +99,7 @@
   request.prompt = m_request.prompt.value_or(TokenCount(0));
   request.parts = m_request.prompt_parts;
   request.latency_target = m_route->latency_target;
-  request.tried = m_tried_servers;
+  request.tried = m_excluded_servers;
   PlacementContext context;
   context.domain = m_worker.GetSettings().domain;
   context.now = TimeSinceBoot();
@@ -123,9 +144,13 @@
   return request;
 }
 
+bool Call::TrySpendRetry() {
+  const bool repeats_request = !m_tried_servers.empty() && m_reached_server;
+  return !repeats_request || m_worker.Retries().TrySpend();
+}
+
 Awaitable<void> Call::RunAttemptLoop() {
   m_worker.Retries().RecordRequest();
-  std::uint32_t executed = 0;
   std::uint32_t rejections = 0;
   Error last{ResultCode::kNoServer};
   while (!m_caller_gone) {
@@ -133,13 +158,9 @@
       last.code = ResultCode::kDeadlinePassed;
       break;
     }
-    const bool is_retry = !m_tried_servers.empty();
     const auto server = ChooseServer();
-    if (!server) {
-      if (!is_retry) last = server.error();
-      break;
-    }
-    if (is_retry && m_reached_server && !m_worker.Retries().TrySpend()) break;
+    if (!server && m_tried_servers.empty()) last = server.error();
+    if (!server || !TrySpendRetry()) break;
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
     if (end == AttemptOutcome::kAnswered) co_return;
@@ -147,17 +168,18 @@
       if (++rejections >= kMaxRejections) break;
       continue;
     }
-    ++executed;
+    ++m_executed;
     const bool may_retry =
-        m_route->Repeatable() && executed < m_route->max_attempts;
+        m_route->Repeatable() && m_executed < m_route->max_attempts;
     if (!may_retry) break;
   }
-  co_await FinishWithoutAnswer(executed > 0, last);
+  co_await FinishWithoutAnswer(m_executed > 0, last);
 }
 
 Awaitable<AttemptOutcome> Call::RunAttempt(const Backend& server,
                                            Error& error) {
   m_tried_servers.push_back(server.entry.id);
+  m_excluded_servers.push_back(server.entry.id);
   m_events.DiscardPartialEvent();
   InFlightRequestGuard guard(server.state, m_placement, m_request.prompt_parts);
   RecordPromptLoad(server);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -31,10 +31,14 @@
  private:
   // Attempts: gateway_call.cc.
   Milliseconds TimeLeft() const;
+  std::uint64_t RequestHash() const;
   bool IsModelCall() const { return m_request.prompt.has_value(); }
   /// Chooses a server from the latest snapshot, which may differ from the one
   /// used to admit the request.
   Result<Backend> ChooseServer();
+  /// Whether the request's service has a server that is neither excluded nor
+  /// ejected.
+  bool HasOtherServer() const;
   /// Returns the servers of the version that the service's move assigns to this
   /// request, or all servers if that version has none.
   const std::vector<Backend>& ServersOfVersion(
@@ -42,6 +46,8 @@
       const std::vector<Backend>& servers, std::uint64_t hash);
   HttpRequest BuildAttemptRequest(const Backend& server) const;
   Awaitable<void> RunAttemptLoop();
+  /// Whether the chosen server may be sent another attempt by the retry budget.
+  bool TrySpendRetry();
   Awaitable<AttemptOutcome> RunAttempt(const Backend& server, Error& error);
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
@@ -56,10 +62,12 @@
   Awaitable<AttemptOutcome> ForwardResponse(const Backend& server,
                                             ResponseStream& stream,
                                             Error& error);
-  /// Maximum time without a complete event after the first data of a stream. A
-  /// longer gap fails the attempt, and a resumable stream fails over to another
-  /// server. Other bytes are no progress.
-  Milliseconds StallTimeout() const;
+  /// Whether a stream may be resumed at a server that was not tried.
+  bool MayResumeElsewhere() const;
+  /// Reads the next piece of a stream. Waits for a silent server for as long as
+  /// that is better than to resume the stream elsewhere.
+  Awaitable<Result<std::string>> ReadEvents(ResponseStream& stream,
+                                            const Backend& server);
   /// Reads the body of a response that declined a request. A body that is long
   /// or slow is left, which closes the connection.
   static Awaitable<void> DiscardBody(ResponseStream& stream);
@@ -81,6 +89,8 @@
   void LogAttempt(const Backend& server) const;
   void LogDone(const char* outcome);
   void LogFailure(const Error& error);
+  /// Logs that a stream waits for a silent server.
+  void LogStall(const Backend& server, Milliseconds silence);
   void RecordAttemptFailure(const Backend& server, const Error& error);
   /// Counts the result as evidence for the undecided move of the service.
   void RecordMoveEvidence(const Backend& server, bool failed, bool slow);
@@ -105,7 +115,9 @@
   MoveId m_move_key;  ///< undecided move of the service; empty if none
   VersionId m_new_version;
   SteadyClock::time_point m_attempt_sent{};  ///< latest attempt
-  std::vector<ServerId> m_tried_servers;
+  std::vector<ServerId> m_tried_servers;     ///< in order; may repeat
+  std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
+  std::uint32_t m_executed = 0;  ///< attempts that may have been executed
   EventSplitter m_events;
   std::optional<HttpResponse> m_last_answer;
   bool m_reached_server = false;  ///< request bytes may have reached a server
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -56,6 +56,15 @@
        {"after_ms", std::to_string(ElapsedSince(m_started).count())}});
 }
 
+void Call::LogStall(const Backend& server, Milliseconds silence) {
+  LogEvent(Event::kStreamStalled,
+           {{"request", m_request.id.Text()},
+            {"server", server.entry.id.Text()},
+            {"silent_ms", std::to_string(silence.count())},
+            {"executed", std::to_string(m_executed)},
+            {"left_ms", std::to_string(TimeLeft().count())}});
+}
+
 void Call::RecordAttemptFailure(const Backend& server, const Error& error) {
   const bool ran = error.code != ResultCode::kBackendRefused &&
                    error.code != ResultCode::kConnectFailed;
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "cowslipknot/gateway/stream_stall.h"
 #include "protocol/hop_by_hop_fields.h"
 #include "serve/gateway_call.h"
 
@@ -7,11 +8,8 @@
 namespace cowslipknot::gateway {
 namespace {
 
-/// Stall timeout of a resumable stream, in multiples of the route's allowed gap
-/// between events. After it the server is considered lost and the stream fails
-/// over.
-constexpr int kStallEventGaps = 2;
-constexpr Milliseconds kMinStallTimeout(500);
+/// Time between checks whether a silent server can be left for another.
+constexpr Milliseconds kStallCheckInterval(100);
 /// A response is slow when it takes longer than kSlowFactor times the predicted
 /// time plus kSlowMarginMs.
 constexpr double kSlowFactor = 3;
@@ -82,9 +80,26 @@
   co_return AttemptOutcome::kAnswered;
 }
 
-Milliseconds Call::StallTimeout() const {
-  if (!m_route->resumable) return m_route->timeout;
-  return std::max(kMinStallTimeout, kStallEventGaps * m_route->max_event_gap);
+bool Call::MayResumeElsewhere() const {
+  return m_route->resumable && m_executed + 1 < m_route->max_attempts &&
+         m_worker.Retries().HasRetry() && HasOtherServer();
+}
+
+Awaitable<Result<std::string>> Call::ReadEvents(ResponseStream& stream,
+                                                const Backend& server) {
+  const auto silent_since = SteadyClock::now();
+  Milliseconds timeout = SilenceTimeout(*m_route);
+  while (true) {
+    auto piece = co_await stream.Read(std::min(timeout, TimeLeft()));
+    const bool timed_out =
+        !piece && piece.error().code == ResultCode::kBackendTimeout;
+    if (!timed_out || TimeLeft().count() == 0) co_return piece;
+    const StreamGap gap{ElapsedSince(silent_since), Milliseconds(0)};
+    const auto action = DecideSilence(*m_route, gap, MayResumeElsewhere());
+    if (action == StallAction::kResume) co_return piece;
+    if (timeout != kStallCheckInterval) LogStall(server, gap.silence);
+    timeout = kStallCheckInterval;
+  }
 }
 
 Awaitable<AttemptOutcome> Call::ForwardEvents(const Backend& server,
@@ -94,18 +109,19 @@
   bool first = true;
   bool slow = false;
   std::uint64_t events_seen = m_events.FieldEventCount();
-  auto last_event = SteadyClock::now();
+  std::optional<SteadyClock::time_point> partial_since;
   while (true) {
     const Milliseconds time_left = TimeLeft();
     if (time_left.count() == 0) {
       error = Error{ResultCode::kBackendTimeout, "stream"};
       co_return AttemptOutcome::kFailed;
     }
-    const Milliseconds until_stalled =
-        std::max(Milliseconds(1), StallTimeout() - ElapsedSince(last_event));
-    const Milliseconds read_timeout =
-        first ? time_left : std::min(time_left, until_stalled);
-    auto chunk = co_await stream.Read(read_timeout);
+    Result<std::string> chunk;
+    if (first) {
+      chunk = co_await stream.Read(time_left);
+    } else {
+      chunk = co_await ReadEvents(stream, server);
+    }
     if (!chunk) {
       error = chunk.error();
       if (!m_caller_gone) RecordAttemptFailure(server, error);
@@ -114,7 +130,6 @@
     if (chunk->empty()) break;
     if (first) {
       first = false;
-      last_event = SteadyClock::now();
       guard.OnFirstEvent();
       slow = IsSlow(m_attempt_sent);
       if (!m_start_recorded) RecordRequestStart();
@@ -122,9 +137,13 @@
     const std::string events = m_events.Feed(*chunk);
     if (m_events.FieldEventCount() > events_seen) {
       events_seen = m_events.FieldEventCount();
-      last_event = SteadyClock::now();
+      partial_since.reset();
+    } else if (!partial_since) {
+      partial_since = SteadyClock::now();
     }
-    if (m_events.IsOverlong() || ElapsedSince(last_event) > StallTimeout()) {
+    StreamGap gap;
+    if (partial_since) gap.partial_event = ElapsedSince(*partial_since);
+    if (m_events.IsOverlong() || SendsNoEvent(*m_route, gap)) {
       error = m_events.IsOverlong()
                   ? Error{ResultCode::kBackendMalformed, "event without end"}
                   : Error{ResultCode::kBackendTimeout, "bytes but no event"};
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -80,6 +80,31 @@
       error.message(), execution);
 }
 
+/// Cancels the pending read of a connection after a timeout, without closing
+/// the connection. Ends with the object.
+class ReadTimer {
+ public:
+  ReadTimer(const HttpClient::ConnectionPtr& connection, Milliseconds timeout)
+      : m_timer(connection->stream.get_executor(), timeout) {
+    connection->stream.expires_never();
+    m_timer.async_wait([connection, state = m_state](error_code error) {
+      if (error || *state == State::kEnded) return;
+      *state = State::kExpired;
+      connection->stream.cancel();
+    });
+  }
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+  ~ReadTimer() { *m_state = State::kEnded; }
+
+  bool Expired() const { return *m_state == State::kExpired; }
+
+ private:
+  enum class State : std::uint8_t { kRunning, kExpired, kEnded };
+  asio::steady_timer m_timer;
+  std::shared_ptr<State> m_state = std::make_shared<State>(State::kRunning);
+};
+
 class PooledResponseStream : public ResponseStream {
  public:
   PooledResponseStream(std::weak_ptr<HttpClient> client,
@@ -120,9 +145,10 @@
     while (!m_parser->is_done()) {
       m_parser->get().body().data = piece.data();
       m_parser->get().body().size = piece.size();
-      m_connection->stream.expires_after(timeout);
+      const ReadTimer timer(m_connection, timeout);
       auto [error, size] = co_await http::async_read_some(
           m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
+      if (error && timer.Expired()) error = beast::error::timeout;
       const std::size_t filled = kReadBufferBytes - m_parser->get().body().size;
       if (error && error != http::error::need_buffer) {
         CallProgress progress;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -301,6 +301,7 @@
     "endless_event": such an event as the third of a stream,
     "trickle": a byte of the third event of a stream now and then, "comments": comments
     instead of the third event of a stream, now and then,
+    "silent": sends nothing for `silence_s` before the third event of a stream, and goes on,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id.
     """
@@ -309,6 +310,7 @@
         self.name = name
         self.events = events
         self.event_pause_s = event_pause_s
+        self.silence_s = 1.2
         self.pending_faults = []
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
@@ -440,6 +442,8 @@
                     self.chunk(event[:7])
                     reset_client(self)
                     return
+                if fault == "silent" and number == 3:
+                    time.sleep(backend.silence_s)
                 if fault == "endless_event" and number == 3:
                     self.chunk(event[:-2])
                     self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n", request)
--- a/tests/platform/lost_request_test.py
+++ b/tests/platform/lost_request_test.py
@@ -13,6 +13,8 @@
 from gateway_process import Gateway, eventually
 
 IDLE_TIMEOUT_S = 1.0
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+CALLER_PATIENCE_S = 2.4  # eight allowed gaps of the streams in configuration()
 LIMITS = {"max_header_bytes": 8192, "max_body_bytes": 100000, "header_timeout_ms": 1000}
 
 
@@ -97,6 +99,45 @@
         for connection in connections:
             self.assert_answered(connection)
 
+    def stream(self, gateway, request="r1"):
+        started = time.monotonic()
+        status, _, body = gateway.call("/stream/x", request_id=request,
+                                       Cowslipknot_Token_Count="100,10")
+        self.assertEqual((status, body), (200, EVENTS))
+        return time.monotonic() - started
+
+    # Guards against cutting a stream whose server is silent for a second, where no other
+    # server could go on with it.
+    def test_stream_of_the_only_server_survives_a_silent_second(self):
+        gateway = self.start("model")
+        self.backends[0].pending_faults = ["silent"]
+        self.stream(gateway)
+        self.assertEqual(len(self.backends[0].runs), 1)
+
+    # Guards against cutting streams when the next server declines, or is silent as well.
+    def test_streams_survive_a_silent_second_of_all_servers(self):
+        gateway = self.start("model", count=2)
+        for backend in self.backends:
+            backend.pending_faults = ["silent"]
+        self.stream(gateway)
+
+    def test_stream_survives_a_silent_second_while_the_other_server_is_full(self):
+        gateway = self.start("model", count=2)
+        for number in range(2):
+            self.backends[number].pending_faults = ["silent"]
+            self.backends[1 - number].pending_faults = ["reject"] * 3
+            self.stream(gateway, f"r{number}")
+
+    # Guards against waiting for a silent server for longer than its caller does.
+    def test_stream_of_a_server_that_stays_silent_resumes_before_its_caller_leaves(self):
+        gateway = self.start("model", count=2)
+        for backend in self.backends:
+            backend.silence_s = 10
+        self.backends[0].pending_faults = ["silent"]
+        for number in range(3):
+            self.assertLess(self.stream(gateway, f"r{number}"), CALLER_PATIENCE_S)
+        self.assertFalse(self.backends[0].pending_faults)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/unit/gateway_stream_stall_test.cc
@@ -0,0 +1,59 @@
+#include <rapidcheck.h>
+
+#include "cowslipknot/gateway/stream_stall.h"
+#include "unit_test.h"
+
+using namespace cowslipknot;
+using namespace cowslipknot::gateway;
+
+namespace {
+
+Route ResumableRoute(Milliseconds target, Milliseconds gap) {
+  Route route;
+  route.kind = RouteKind::kStream;
+  route.resumable = true;
+  route.latency_target = target;
+  route.max_event_gap = gap;
+  return route;
+}
+
+const Route kRoute = ResumableRoute(Milliseconds(400), Milliseconds(300));
+
+}  // namespace
+
+Test(stream_stall, a_sound_server_may_be_silent_for_a_second) {
+  const StreamGap gap{Milliseconds(1000), Milliseconds(0)};
+  cr_expect(DecideSilence(kRoute, gap, true) == StallAction::kWait);
+}
+
+Test(stream_stall, a_stream_waits_for_its_server_if_no_other_can_go_on) {
+  const StreamGap gap{Milliseconds(10000), Milliseconds(0)};
+  cr_expect(DecideSilence(kRoute, gap, false) == StallAction::kWait);
+  cr_expect(DecideSilence(kRoute, gap, true) == StallAction::kResume);
+}
+
+Test(stream_stall, a_stream_resumes_elsewhere_before_its_caller_leaves) {
+  rc::check([] {
+    const auto target = *rc::gen::inRange(1, 5000);
+    const auto event_gap = *rc::gen::inRange(1, 2000);
+    const Route route =
+        ResumableRoute(Milliseconds(target), Milliseconds(event_gap));
+    RC_ASSERT(CallerPatience(route) >= std::chrono::seconds(2));
+    RC_ASSERT(SilenceTimeout(route) >= std::chrono::seconds(1));
+    RC_ASSERT(SilenceTimeout(route) < CallerPatience(route));
+    const StreamGap gap{SilenceTimeout(route), Milliseconds(0)};
+    RC_ASSERT(DecideSilence(route, gap, true) == StallAction::kResume);
+  });
+}
+
+Test(stream_stall, bytes_without_an_event_are_no_progress) {
+  cr_expect(!SendsNoEvent(kRoute, {Milliseconds(0), Milliseconds(600)}));
+  cr_expect(SendsNoEvent(kRoute, {Milliseconds(0), Milliseconds(601)}));
+}
+
+Test(stream_stall, a_stream_that_must_not_resume_is_left_with_its_route_only) {
+  Route route = kRoute;
+  route.resumable = false;
+  cr_expect(SilenceTimeout(route) == route.timeout);
+  cr_expect(PartialEventTimeout(route) == route.timeout);
+}
