Offer a stream that has begun to the servers again until its time is over

What callers saw: a stream ends in the middle although servers are there: after its server broke off, each other server declined once, or the retry budget was empty at that moment. Cause: the limits that protect servers from requests that nobody has accepted yet (three rejections, each server once, a retry or none) were applied to a stream that callers were already reading. Change: for a stream that has begun, a round in which no server accepts is followed by another after 200 ms; each offer still spends the retry budget, and attempts that ran are still limited by the route. A call that hasn't begun is refused as before.

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kNoServerRetryDelay(400);
 /// The request is rejected after this many attempts that were not executed.
 constexpr std::uint32_t kMaxRejections = 3;
+/// Time between attempts to resume a stream that no server accepts now.
+constexpr Milliseconds kResumeRetryDelay(200);
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
 
@@ -149,6 +151,11 @@
   return !repeats_request || m_worker.Retries().TrySpend();
 }
 
+Awaitable<void> Call::WaitToResume() {
+  m_excluded_servers.clear();
+  co_await SleepFor(std::min(kResumeRetryDelay, TimeLeft()));
+}
+
 Awaitable<void> Call::RunAttemptLoop() {
   m_worker.Retries().RecordRequest();
   std::uint32_t rejections = 0;
@@ -160,12 +167,18 @@
     }
     const auto server = ChooseServer();
     if (!server && m_tried_servers.empty()) last = server.error();
-    if (!server || !TrySpendRetry()) break;
+    if (!server || !TrySpendRetry()) {
+      if (!m_streaming) break;
+      co_await WaitToResume();
+      continue;
+    }
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
     if (end == AttemptOutcome::kAnswered) co_return;
     if (end == AttemptOutcome::kNotExecuted) {
-      if (++rejections >= kMaxRejections) break;
+      if (++rejections % kMaxRejections != 0) continue;
+      if (!m_streaming) break;
+      co_await WaitToResume();
       continue;
     }
     ++m_executed;
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -48,6 +48,8 @@
   Awaitable<void> RunAttemptLoop();
   /// Whether the chosen server may be sent another attempt by the retry budget.
   bool TrySpendRetry();
+  /// Waits before a stream that has begun is offered to the servers again.
+  Awaitable<void> WaitToResume();
   Awaitable<AttemptOutcome> RunAttempt(const Backend& server, Error& error);
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
--- a/tests/platform/lost_request_test.py
+++ b/tests/platform/lost_request_test.py
@@ -138,6 +138,13 @@
             self.assertLess(self.stream(gateway, f"r{number}"), CALLER_PATIENCE_S)
         self.assertFalse(self.backends[0].pending_faults)
 
+    # Guards against cutting a broken stream when the servers left are full for a moment.
+    def test_broken_stream_resumes_when_a_full_server_accepts_again(self):
+        gateway = self.start("model", count=2)
+        self.backends[0].pending_faults = ["crash", "reject"]
+        self.backends[1].pending_faults = ["reject"]
+        self.stream(gateway)
+
 
 if __name__ == "__main__":
     unittest.main()
