Check in the soak that each accepted request is answered

Change: a check (lost) with its test: a request without a complete answer is a violation unless its gateway, its servers or the world had a fault in the 4 s before, or its time was over. Fault "silent" (a stream pauses for 1.2 s); each configuration changes the idle limit; callers use 0.8 of it now and then.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,11 +6,13 @@
 import threading
 import time
 
-from environment import EVENTS_PER_STREAM, LIMITED_KEY, key_of
+from environment import EVENTS_PER_STREAM, LIMITED_KEY, idle_limit_s, key_of
 
 DEADLINE_MS = 3000
 MEAN_REQUEST_INTERVAL_S = 0.08  # mean time that a caller waits between two requests
 CALLER_COUNT = 10
+LONG_PAUSE_SHARE = 0.03  # share of pauses that use most of the limit on idle connections
+IDLE_LIMIT_FRACTION = 0.8  # callers reuse connections for this much of the limit
 ABANDONED_SHARE = 0.03  # share of streams that the caller abandons
 PROMPT_TOKENS = 300
 OUTPUT_TOKENS = 40
@@ -55,11 +57,16 @@
     def _run(self):
         count = 0
         while not self.stopped.is_set():
-            time.sleep(self.rng.expovariate(1 / MEAN_REQUEST_INTERVAL_S))
+            self.stopped.wait(self._draw_pause_s())
             kind = self.rng.choices(list(KIND_WEIGHTS), weights=KIND_WEIGHTS.values())[0]
             self._call(f"c{self.number}-{count}", kind)
             count += 1
 
+    def _draw_pause_s(self):
+        if self.rng.random() < LONG_PAUSE_SHARE:
+            return IDLE_LIMIT_FRACTION * idle_limit_s(self.environment.current_index())
+        return self.rng.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
+
     def _connect(self):
         instances = list(self.environment.instances.values())
         ready = [instance for instance in instances if instance.in_rotation]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -216,6 +216,22 @@
     return violations
 
 
+def check_lost(record):
+    """A gateway without faults answers each request, unless a server of it is faulty."""
+    violations = []
+    for call in record.calls:
+        timed_out = call.ended - call.sent > ROUTE_TIMEOUT_S - ANSWER_GRACE_S
+        if call.whole or call.abandoned or not call.ended or timed_out:
+            continue
+        runs = record.runs.get(call.request, [])
+        disturbed = {call.gateway} | {slot_of(run["server"]) for run in runs}
+        faulty = any(run["fault"] not in ("", "silent") for run in runs)
+        if not faulty and not record.overlaps_fault(
+                disturbed, call.sent - FAULT_FREE_PERIOD_S, call.ended):
+            violations.append(f"{call} got no complete answer; executed by {runs}")
+    return violations
+
+
 def check_limits(record):
     """A workspace gets no more than its limit, summed over all gateways."""
     span = record.bounds["quota_window_s"]
@@ -278,5 +294,5 @@
 
 CHECKS = {check.__name__.removeprefix("check_"): check for check in (
     check_at_most_once, check_refusals, check_answers, check_attempts,
-    check_configuration, check_keys, check_drains, check_duties, check_stops,
+    check_configuration, check_keys, check_drains, check_duties, check_stops, check_lost,
     check_limits, check_time_limits, check_abandoned, check_own_ends, check_recovery)}
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -34,6 +34,7 @@
 READY_TIMEOUT_S = 5.0  # a started process is ready within about two seconds
 READINESS_PROBE_INTERVAL_S = 0.25  # after two failed probes an instance leaves the rotation
 PROBE_SERVICES = 3
+IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
 
 
@@ -41,11 +42,18 @@
     return f"key-{version}"
 
 
+def idle_limit_s(index):
+    return IDLE_LIMITS_S[index % len(IDLE_LIMITS_S)]
+
+
 def configuration_at(index):
     """The configuration with the given index. Each one revokes a key and points the
     probe route to another service."""
     return configuration(
         version=1 + 3 * index,
+        limits={"max_header_bytes": 8192, "max_body_bytes": 100000,
+                "header_timeout_ms": 1000,
+                "idle_timeout_ms": int(idle_limit_s(index) * 1000)},
         route_list=[
             *routes(),
             route("probe", "/probe/", "safe", f"probe{index % PROBE_SERVICES}",
@@ -280,6 +288,8 @@
             first = int(fault.at_s * 1000)
             self.backends[slot].pending_faults.extend(
                 fault_names[(first + n) % len(fault_names)] for n in range(count))
+        elif kind == "silent":
+            self.backends[slot].pending_faults.extend(["silent"] * (1 + int(fault.for_s)))
         else:
             self._replace_backend(slot, kind)
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -14,7 +14,7 @@
     "store_reset": 1, "callers_reset": 1, "callers_one_way": 1,
 }
 BACKEND_FAULT_WEIGHTS = {
-    "drain": 3, "crash": 2, "reborn": 2, "misbehave": 5, "link_cut": 1,
+    "drain": 3, "crash": 2, "reborn": 2, "misbehave": 5, "silent": 3, "link_cut": 1,
     "link_silent": 2, "link_one_way": 1, "link_delay": 1, "link_reset": 2,
 }
 ENVIRONMENT_FAULT_WEIGHTS = {
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -54,6 +54,16 @@
                     record([call(kind="once")], runs={"r1": [run()]}),
                     record([call(kind="once")], runs={"r1": [run(), run()]}))
 
+    def test_request_is_answered_unless_a_fault_excuses_it(self):
+        cut = call(whole=False)
+        self.expect(checks.check_lost, record([call()]), record([cut]))
+        self.expect(checks.check_lost,
+                    record([cut], runs={"r1": [run(fault="crash")]}),
+                    record([cut], runs={"r1": [run(fault="silent")]}))
+        self.expect(checks.check_lost,
+                    record([cut], fault_periods=[("gw0", "stop", 99.0, 99.5)]),
+                    record([cut], fault_periods=[("gw1", "stop", 99.0, 99.5)]))
+
     def test_refused_request_is_not_executed(self):
         refused = call(status=503, signature="")
         self.expect(checks.check_refusals, record([refused]),
