Take no answer without a request id for that of a later request

What callers saw: "not run, try again" (503) for a request that a server ran, or a request that is not idempotent running at two servers, after a server had sent an earlier refusal once more on a persistent connection. Cause: on a reused connection, a response without an id and without a signature was taken as the waiting request's own; a refusal is such a response. Repeats that bear the earlier request's id were skipped already. Change: IsOwnResponse, a pure function: a response belongs to the request that it names; one without an id, only on a connection that no other request has used. What does not is read and skipped, and the wait goes on: servers name the request in their responses, so the request's own follows. It is logged as response_skipped (515). Weighed and left: fresh connections for requests that must not be repeated. The check needs none, and each costs a round trip.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -43,6 +43,7 @@
   kRequestUnreadable = 510,
   kHandlerFailed = 511,
   kStreamStalled = 512,
+  kResponseSkipped = 515,
   kMoveStep = 600,
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -76,6 +76,8 @@
      "an exception ended the handling of a request"},
     {Event::kStreamStalled, "warn", "stream_stalled",
      "a server sends nothing, and the stream waits for it"},
+    {Event::kResponseSkipped, "warn", "response_skipped",
+     "a server sent a response that does not belong to the waiting request"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include "cowslipknot/events.h"
+#include "cowslipknot/gateway/response_use.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
 
@@ -172,11 +173,7 @@
   options.connect_timeout = kConnectTimeout;
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
-    const auto response = m_worker.GetAdapter().decode_backend_response(header);
-    if (!response.id.Empty()) return response.id == m_request.id;
-    // Without an id, a response of a server that ran a request may be a late
-    // copy of the answer to an earlier request on the connection.
-    return !response.is_signed || !m_progress.reused_connection;
+    return IsOwn(header);
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = started;
@@ -223,6 +220,21 @@
   co_return end;
 }
 
+bool Call::IsOwn(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseId id = ResponseId::kAbsent;
+  if (!response.id.Empty()) {
+    id = response.id == m_request.id ? ResponseId::kOwn : ResponseId::kOther;
+  }
+  if (IsOwnResponse(id, m_progress.reused_connection)) return true;
+  LogEvent(Event::kResponseSkipped,
+           {{"request", m_request.id.Text()},
+            {"server", m_tried_servers.back().Text()},
+            {"status", std::to_string(header.result_int())},
+            {"response_to", response.id.Text()}});
+  return false;
+}
+
 Awaitable<void> Call::FinishWithoutAnswer(bool may_have_run, Error error) {
   if (m_streaming || m_caller_gone) {
     LogFailure(error);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -43,6 +43,9 @@
   HttpRequest BuildAttemptRequest(const Backend& server) const;
   Awaitable<void> RunAttemptLoop();
   Awaitable<AttemptOutcome> RunAttempt(const Backend& server, Error& error);
+  /// Whether a response on the attempt's connection answers this request; logs
+  /// one that does not.
+  bool IsOwn(const http::response_header<>& header) const;
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
   Awaitable<void> Reject(const Error& error);
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -302,7 +302,7 @@
     "trickle": a byte of the third event of a stream now and then, "comments": comments
     instead of the third event of a stream, now and then,
     "late_copy": answers, and sends the answer once more when the next request on the
-    connection has arrived, without an id.
+    connection has arrived, without an id; "late_refusal": sends an earlier refusal then.
     """
 
     def __init__(self, name, events=5, event_pause_s=0.0, port=0):
@@ -322,6 +322,15 @@
         return registration
 
 
+# By fault: what is sent once more on a connection, before the next answer.
+LATE_COPIES = {
+    "late_copy": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                 b"Cowslipknot-Server-Signature: sig\r\n\r\nlate",
+    "late_refusal": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                    b"Cowslipknot-Not-Executed: 1\r\n\r\n",
+}
+
+
 class BackendHandler(Handler):
     def do_GET(self):
         self.serve_request()
@@ -348,6 +357,8 @@
         backend.runs.append({"method": self.command, "path": self.path,
                              "body": body, "headers": dict(self.headers),
                              "time": time.monotonic(), "fault": fault})
+        if self.late_copy:
+            self.send_raw(self.late_copy)
         if fault == "reset":
             reset_client(self)
             return
@@ -366,12 +377,7 @@
         if fault == "endless_body":
             self.send_endless_body(200, signed_headers)
             return
-        if self.late_copy:
-            self.send_raw(self.late_copy)
-            self.late_copy = b""
-        if fault == "late_copy":
-            self.late_copy = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
-                              b"Cowslipknot-Server-Signature: sig\r\n\r\nlate")
+        self.late_copy = LATE_COPIES.get(fault, b"")
         if fault == "foreign":
             self.send(200, b"not yours",
                       dict(signed_headers, **{"Cowslipknot-Request-Id": "other"}))
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -141,6 +141,30 @@
         self.assertNotIn(b"late", body)
         self.assertEqual((status, body), (200, b"echo:two"))
 
+    # Guards against "not run, try again" for a request that the server runs: a refusal of
+    # an earlier request, sent once more without an id, was taken for its answer.
+    def test_late_refusal_is_not_taken_for_the_answer_to_a_request_that_runs(self):
+        for path in ("/once/x", "/safe/x"):
+            with self.subTest(path=path):
+                gateway = self.start("plain", ["late_refusal"], count=1)
+                self.assertEqual(gateway.call(path, request_id="r1")[0], 200)
+                status, _, body = gateway.call(path, request_id="r2", body=b"two")
+                self.assertEqual((status, body), (200, b"echo:two"))
+                self.assertEqual(len(self.backends[-1].runs), 2)
+                self.assertEqual([event["status"] for event in gateway.log_events()
+                                  if event["name"] == "response_skipped"], ["503"])
+
+    # Guards against a request that is not idempotent running at two servers, and against
+    # the promise that it did not run.
+    def test_request_after_a_late_refusal_runs_once(self):
+        gateway = self.start("plain", ["late_refusal", "mute"])
+        for number in range(4):
+            status, _, _ = gateway.call("/once/x", request_id=f"r{number}")
+            runs = [run for backend in self.backends for run in backend.runs
+                    if run["headers"]["Cowslipknot-Request-Id"] == f"r{number}"]
+            self.assertEqual(len(runs), 1)
+            self.assertNotIn(status, (429, 503))
+
 
 if __name__ == "__main__":
     unittest.main()
