Let nothing but events follow in a stream that has begun

What callers saw: in the middle of their stream, the whole head and body of an error that the server chosen to resume it answered, or foreign bytes and then the end of a complete stream. Cause: RunAttempt chose what a response is used for without looking at whether the caller already had a response's head. A signed 4xx was sent as a complete response; a 200 of any content type counted as events. Change: ClassifyResponse, a pure function, decides among refusal, events, whole response and unusable; once a stream has begun only signed 200s that may hold events are used, and what else comes ends the attempt, so that another server or the end without the last chunk follows. Respond() closes the connection if a response has begun, whoever calls it. Ruled out: m_last_answer and Reject; FinishWithoutAnswer looks at m_streaming first.

--- a/include/cowslipknot/gateway/response_use.h
+++ b/include/cowslipknot/gateway/response_use.h
@@ -18,4 +18,28 @@
 /// counts only if no other request has used the connection.
 bool IsOwnResponse(ResponseId id, bool reused_connection);
 
+struct ResponseHead {
+  unsigned status = 0;
+  bool is_signed = false;
+  bool not_executed = false;
+  bool may_hold_events = true;  ///< its content type does not exclude events
+};
+
+/// What the caller of a request is waiting for.
+struct AwaitedResponse {
+  bool is_stream = false;
+  bool stream_begun = false;  ///< the caller has the head of a response
+};
+
+enum class ResponseUse : std::uint8_t {
+  kRefusal,   ///< the request was not executed
+  kEvents,    ///< events are forwarded as they arrive
+  kWhole,     ///< forwarded when its body is complete
+  kUnusable,  ///< the attempt has failed
+};
+
+/// Only further events may follow in a stream that has begun.
+ResponseUse ClassifyResponse(const ResponseHead& response,
+                             const AwaitedResponse& awaited);
+
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include "cowslipknot/events.h"
-#include "cowslipknot/gateway/response_use.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
 
@@ -25,6 +24,14 @@
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
 
+/// Whether a response is a stream of events or does not state what it is.
+bool MayHoldEvents(const http::response_header<>& header) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = header[http::field::content_type];
+  return type.empty() ||
+         beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
+}
+
 /// Counts a request as in flight for the lifetime of the object.
 class InFlightCount {
  public:
@@ -191,26 +198,25 @@
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
   }
-  const auto response =
-      m_worker.GetAdapter().decode_backend_response((*opened)->Header());
-  if (response.not_executed) {
+  const auto& header = (*opened)->Header();
+  const ResponseUse use = Classify(header);
+  if (use == ResponseUse::kRefusal) {
+    error =
+        Error{ResultCode::kBackendRefused, std::to_string(header.result_int())};
     co_await DiscardBody(**opened);
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendRefused,
-                  std::to_string((*opened)->Header().result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kNotExecuted;
   }
-  if (!response.is_signed) {
+  if (use == ResponseUse::kUnusable) {
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendMalformed, "response is not signed"};
+    error = Error{ResultCode::kBackendMalformed,
+                  "unusable response " + std::to_string(header.result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
-  const bool streams = m_route->kind == RouteKind::kStream &&
-                       (*opened)->Header().result() == http::status::ok;
   AttemptOutcome end = AttemptOutcome::kFailed;
-  if (streams) {
+  if (use == ResponseUse::kEvents) {
     end = co_await ForwardEvents(server, **opened, guard, error);
     RecordStreamLoad(server, started);
   } else {
@@ -235,6 +241,19 @@
   return false;
 }
 
+ResponseUse Call::Classify(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseHead head;
+  head.status = header.result_int();
+  head.is_signed = response.is_signed;
+  head.not_executed = response.not_executed;
+  head.may_hold_events = MayHoldEvents(header);
+  AwaitedResponse awaited;
+  awaited.is_stream = m_route->kind == RouteKind::kStream;
+  awaited.stream_begun = m_streaming;
+  return ClassifyResponse(head, awaited);
+}
+
 Awaitable<void> Call::FinishWithoutAnswer(bool may_have_run, Error error) {
   if (m_streaming || m_caller_gone) {
     LogFailure(error);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "cowslipknot/gateway/response_use.h"
 #include "protocol/event_splitter.h"
 #include "serve/gateway_worker.h"
 #include "serve/in_flight_request_guard.h"
@@ -46,6 +47,7 @@
   /// Whether a response on the attempt's connection answers this request; logs
   /// one that does not.
   bool IsOwn(const http::response_header<>& header) const;
+  ResponseUse Classify(const http::response_header<>& header) const;
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
   Awaitable<void> Reject(const Error& error);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -69,6 +69,10 @@
   HttpRequest& Request() override { return m_request; }
 
   Awaitable<bool> Respond(HttpResponse response) override {
+    if (m_answered) {
+      Abort();
+      co_return false;
+    }
     m_answered = true;
     response.version(11);
     response.keep_alive(KeepAlive());
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -27,7 +27,8 @@
  public:
   virtual ~HttpExchange() = default;
   virtual HttpRequest& Request() = 0;
-  /// Sends a complete response. @return false if the peer has disconnected
+  /// Sends a complete response. If a response has begun, closes the connection
+  /// instead. @return false if the peer does not get the response
   virtual Awaitable<bool> Respond(HttpResponse response) = 0;
   /// Sends the header of a chunked response.
   virtual Awaitable<bool> BeginStream(HttpResponse header) = 0;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -302,7 +302,9 @@
     "trickle": a byte of the third event of a stream now and then, "comments": comments
     instead of the third event of a stream, now and then,
     "late_copy": answers, and sends the answer once more when the next request on the
-    connection has arrived, without an id; "late_refusal": sends an earlier refusal then.
+    connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
+    "fail_404", "fail_410": answers with that status, "other_type": with a 200 that is no
+    stream of events, "no_event": with a 200 that holds no complete event.
     """
 
     def __init__(self, name, events=5, event_pause_s=0.0, port=0):
@@ -331,6 +333,16 @@
 }
 
 
+# By fault: status, content type and body.
+WHOLE_ANSWERS = {
+    "fail": (500, "text/plain", b"failed"),
+    "fail_404": (404, "text/plain", b"failed"),
+    "fail_410": (410, "text/plain", b"failed\n\n"),
+    "other_type": (200, "text/html", b"failed\n\n"),
+    "no_event": (200, "text/event-stream", b"failed"),
+}
+
+
 class BackendHandler(Handler):
     def do_GET(self):
         self.serve_request()
@@ -381,8 +393,9 @@
         if fault == "foreign":
             self.send(200, b"not yours",
                       dict(signed_headers, **{"Cowslipknot-Request-Id": "other"}))
-        if fault == "fail":
-            self.send(500, b"failed", signed_headers)
+        if fault in WHOLE_ANSWERS:
+            status, content_type, text = WHOLE_ANSWERS[fault]
+            self.send(status, text, dict(signed_headers, **{"Content-Type": content_type}))
         elif fault == "cut":
             self.send_response(200)
             for name, value in signed_headers.items():
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -1,6 +1,7 @@
 """Tests a gateway against servers that send bytes that are no answer, or no end of one."""
 
 import http.client
+import socket
 import threading
 import time
 import unittest
@@ -165,6 +166,33 @@
             self.assertEqual(len(runs), 1)
             self.assertNotIn(status, (429, 503))
 
+    def read_stream(self, gateway, request_id):
+        """Returns all bytes of a response, and whether its last chunk was among them."""
+        with socket.create_connection(("127.0.0.1", gateway.port), timeout=15) as connection:
+            connection.sendall((f"POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
+                                f"Cowslipknot-Request-Id: {request_id}\r\n"
+                                "Authorization: Token key1\r\nConnection: close\r\n"
+                                "Cowslipknot-Token-Count: 100,10\r\n"
+                                "Content-Length: 0\r\n\r\n").encode())
+            received = b""
+            while piece := connection.recv(65536):
+                received += piece
+        return received, received.endswith(b"0\r\n\r\n")
+
+    # Guards against an error of the server that a stream is resumed at standing in the
+    # caller's stream, with its head, or ending the stream as if it were complete.
+    def test_answer_that_is_no_stream_does_not_get_into_a_stream_that_has_begun(self):
+        for fault in ("fail", "fail_404", "fail_410", "other_type", "no_event"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = ["crash", fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(received.count(b"HTTP/1.1"), 1)
+                self.assertNotIn(b"failed", received)
+                self.assertIn(b"piece 2", received)
+                self.assertFalse(complete)
+
 
 if __name__ == "__main__":
     unittest.main()
