Forward only events that follow the last one

What callers saw: pieces of a stream twice, or none where some were due, after a server did not go on at Last-Event-Id + 1. Cause: EventSplitter noted ids but compared none. Change: an event whose id is not the successor of the last one is not passed on, and the attempt fails; that of a caller's Last-Event-Id counts as the last one on routes that may be resumed. A first event may have any id, and events without id are passed on.

--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -10,27 +10,40 @@
 constexpr std::string_view kEventEndCrLf = "\r\n\r\n";
 constexpr std::string_view kIdField = "id:";
 
-}  // namespace
+struct EventFields {
+  bool any = false;  ///< not only comments
+  std::optional<std::uint64_t> id;
+};
 
-void EventSplitter::RecordEvent(std::string_view event) {
-  ++m_events;
-  bool has_field = false;
+EventFields ParseEvent(std::string_view event) {
+  EventFields fields;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
     event = end == std::string_view::npos ? std::string_view()
                                           : event.substr(end + 1);
-    has_field = has_field ||
-                (!line.empty() && line.front() != ':' && line.front() != '\r');
+    fields.any = fields.any ||
+                 (!line.empty() && line.front() != ':' && line.front() != '\r');
     if (!line.starts_with(kIdField)) continue;
     line.remove_prefix(kIdField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
     std::uint64_t id = 0;
     const auto [rest, error] =
         std::from_chars(line.data(), line.data() + line.size(), id);
-    if (error == std::errc()) m_last_id = id;
+    if (error == std::errc()) fields.id = id;
   }
-  if (has_field) ++m_field_events;
+  return fields;
+}
+
+}  // namespace
+
+bool EventSplitter::RecordEvent(std::string_view event) {
+  const EventFields fields = ParseEvent(event);
+  if (fields.id && m_last_id && *fields.id != *m_last_id + 1) return false;
+  if (fields.id) m_last_id = fields.id;
+  ++m_events;
+  if (fields.any) ++m_field_events;
+  return true;
 }
 
 std::string EventSplitter::Feed(std::string_view bytes) {
@@ -46,7 +59,11 @@
                                 ? crlf_position + kEventEndCrLf.size()
                                 : lf_position + kEventEnd.size();
     const std::string_view buffer = m_buffer;
-    RecordEvent(buffer.substr(consumed, end - consumed));
+    if (!RecordEvent(buffer.substr(consumed, end - consumed))) {
+      m_out_of_order = true;
+      m_buffer.resize(consumed);
+      break;
+    }
     consumed = end;
     m_scanned = consumed;
   }
--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -14,13 +14,19 @@
   /// Largest event. What is larger is not an event; see IsOverlong().
   static constexpr std::size_t kMaxEventBytes = 256 << 10;
 
-  /// @return the bytes of all events completed by `bytes`, unchanged
+  /// @return the bytes of all events completed by `bytes`, unchanged, up to one
+  ///         that is out of order
   std::string Feed(std::string_view bytes);
 
-  /// Discards a partial event that its source will not complete.
+  /// Sets the id of the event after which the stream is to go on.
+  void ResumeAfter(std::uint64_t id) { m_last_id = id; }
+
+  /// Discards a partial event that its source will not complete, and starts to
+  /// read from another source.
   void DiscardPartialEvent() {
     m_buffer.clear();
     m_scanned = 0;
+    m_out_of_order = false;
   }
 
   /// The numeric "id" of the last complete event that has one.
@@ -31,17 +37,22 @@
   /// Whether the partial event is larger than any event may be. Its source is
   /// faulty, and no fragment of it has been passed on.
   bool IsOverlong() const { return m_buffer.size() > kMaxEventBytes; }
+  /// Whether an event's id was not the successor of the id before it. The event
+  /// and what followed it have not been passed on.
+  bool IsOutOfOrder() const { return m_out_of_order; }
   /// The bytes of a partial event.
   const std::string& PartialEvent() const { return m_buffer; }
 
  private:
-  void RecordEvent(std::string_view event);
+  /// @return false if the event is out of order; then nothing is recorded
+  bool RecordEvent(std::string_view event);
 
   std::string m_buffer;
   std::size_t m_scanned = 0;
   std::optional<std::uint64_t> m_last_id;
   std::uint64_t m_events = 0;
   std::uint64_t m_field_events = 0;
+  bool m_out_of_order = false;
 };
 
 }  // namespace cowslipknot
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -60,6 +60,9 @@
     co_await Reject(*admission.rejection);
     co_return;
   }
+  if (m_route->resumable && m_request.last_event_id) {
+    m_events.ResumeAfter(*m_request.last_event_id);
+  }
   m_exchange.OnPeerDisconnect([this] {
     m_caller_gone = true;
     if (m_progress.abort) m_progress.abort();
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -136,6 +136,11 @@
       error = Error{ResultCode::kInternal, "caller closed the connection"};
       co_return AttemptOutcome::kFailed;
     }
+    if (m_events.IsOutOfOrder()) {
+      error = Error{ResultCode::kBackendMalformed, "event out of order"};
+      RecordAttemptFailure(server, error);
+      co_return AttemptOutcome::kFailed;
+    }
   }
   if (!m_events.PartialEvent().empty()) {
     error =
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -303,8 +303,11 @@
     instead of the third event of a stream, now and then,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
-    "fail_404", "fail_410": answers with that status, "other_type": with a 200 that is no
-    stream of events, "no_event": with a 200 that holds no complete event.
+    "fail_404", "fail_410": answers with that status,
+    "other_type": with a 200 that is no stream of events,
+    "no_event": with a 200 that holds no complete event,
+    "from_start": ignores Last-Event-Id, "gap": leaves out the first event that is due,
+    "repeat": sends the second event once more after the third.
     """
 
     def __init__(self, name, events=5, event_pause_s=0.0, port=0):
@@ -452,8 +455,12 @@
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        first = {"from_start": 1, "gap": first + 1}.get(fault, first)
+        numbers = list(range(first, backend.events + 1))
+        if fault == "repeat":
+            numbers[3:3] = [2]
         try:
-            for number in range(first, backend.events + 1):
+            for number in numbers:
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 if fault == "crash" and number == 3:
                     self.chunk(event[:7])
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -1,6 +1,7 @@
 """Tests a gateway against servers that send bytes that are no answer, or no end of one."""
 
 import http.client
+import re
 import socket
 import threading
 import time
@@ -166,14 +167,14 @@
             self.assertEqual(len(runs), 1)
             self.assertNotIn(status, (429, 503))
 
-    def read_stream(self, gateway, request_id):
+    def read_stream(self, gateway, request_id, fields=""):
         """Returns all bytes of a response, and whether its last chunk was among them."""
         with socket.create_connection(("127.0.0.1", gateway.port), timeout=15) as connection:
             connection.sendall((f"POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
                                 f"Cowslipknot-Request-Id: {request_id}\r\n"
                                 "Authorization: Token key1\r\nConnection: close\r\n"
                                 "Cowslipknot-Token-Count: 100,10\r\n"
-                                "Content-Length: 0\r\n\r\n").encode())
+                                f"{fields}Content-Length: 0\r\n\r\n").encode())
             received = b""
             while piece := connection.recv(65536):
                 received += piece
@@ -193,6 +194,39 @@
                 self.assertIn(b"piece 2", received)
                 self.assertFalse(complete)
 
+    def pieces(self, received):
+        return [int(number) for number in re.findall(rb"piece (\d+)", received)]
+
+    # Guards against pieces of a stream that come twice or are missing because a server
+    # does not go on where it was asked to.
+    def test_stream_that_goes_on_at_another_event_is_not_joined(self):
+        for fault in ("from_start", "gap"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = ["crash", fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(self.pieces(received), [1, 2])
+                self.assertFalse(complete)
+
+    def test_stream_that_does_not_start_after_the_callers_event_is_taken_elsewhere(self):
+        for fault in ("from_start", "gap"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = [fault]
+                received, complete = self.read_stream(gateway, "r1", "Last-Event-Id: 2\r\n")
+                self.assertEqual(self.pieces(received), [3, 4, 5])
+                self.assertTrue(complete)
+
+    def test_stream_whose_ids_go_back_goes_on_at_another_server(self):
+        gateway = self.start("model", [])
+        first, second = self.backends
+        first.pending_faults = second.pending_faults = ["repeat"]
+        received, complete = self.read_stream(gateway, "r1")
+        self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+        self.assertTrue(complete)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -343,6 +343,32 @@
   cr_expect_not(splitter.IsOverlong());
 }
 
+// Guards against pieces of a resumed stream that come twice or are missing.
+Test(event_splitter,
+     an_event_that_does_not_follow_the_last_one_is_not_passed_on) {
+  for (const char* id : {"1", "3", "4", "6", "99"}) {
+    EventSplitter splitter;
+    splitter.ResumeAfter(3);
+    const std::string next = std::string("id: ") + id + "\ndata: x\n\n";
+    cr_expect_eq(splitter.Feed("id: 4\ndata: a\n\n" + next + "id: 5\n\n"),
+                 "id: 4\ndata: a\n\n");
+    cr_expect(splitter.IsOutOfOrder());
+    cr_expect_eq(splitter.LastId().value_or(0), 4u);
+    cr_expect(splitter.PartialEvent().empty());
+    splitter.DiscardPartialEvent();
+    cr_expect_eq(splitter.Feed("id: 5\n\n"), "id: 5\n\n");
+    cr_expect_not(splitter.IsOutOfOrder());
+  }
+}
+
+Test(event_splitter,
+     a_stream_may_begin_at_any_event_and_hold_events_without_id) {
+  EventSplitter splitter;
+  const std::string text = "data: a\n\nid: 7\n\n: note\n\nid: 8\n\n";
+  cr_expect_eq(splitter.Feed(text), text);
+  cr_expect_not(splitter.IsOutOfOrder());
+}
+
 Test(event_splitter, events_do_not_depend_on_how_bytes_are_split) {
   cr_assert(rc::check([] {
     const std::string text =
