--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -307,7 +307,9 @@
     "other_type": with a 200 that is no stream of events,
     "no_event": with a 200 that holds no complete event,
     "from_start": ignores Last-Event-Id, "gap": leaves out the first event that is due,
-    "repeat": sends the second event once more after the third.
+    "repeat": sends the second event once more after the third,
+    "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
+    complete, ended inside an event, or reset at the end of one.
     """
 
     def __init__(self, name, events=5, event_pause_s=0.0, port=0):
@@ -407,6 +409,8 @@
             self.end_headers()
             self.wfile.write(b"half")
             self.close_connection = True
+        elif fault.startswith("unframed"):
+            self.send_unframed(signed_headers, fault, body)
         elif self.path.startswith("/stream"):
             self.stream(signed_headers, fault, request)
         else:
@@ -446,6 +450,28 @@
         self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n",
                               headers["Cowslipknot-Request-Id"])
 
+    def send_unframed(self, signed_headers, fault, body):
+        self.send_response(200)
+        for name, value in signed_headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.close_connection = True
+        if self.path.startswith("/stream"):
+            first = int(self.headers.get("Last-Event-Id") or 0) + 1
+            pieces = [f"id: {number}\ndata: piece {number}\n\n".encode()
+                      for number in range(first, self.server.owner.events + 1)]
+        else:
+            pieces = [b"echo:", body]
+        if fault != "unframed":
+            del pieces[-1:]
+        if fault == "unframed_cut":
+            pieces[-1] = pieces[-1][:-2]
+        for piece in pieces:
+            self.send_raw(piece)
+        if fault == "unframed_reset":
+            time.sleep(0.05)  # until the pieces are read
+            reset_client(self)
+
     def stream(self, signed_headers, fault, request):
         backend = self.server.owner
         self.send_response(200)
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -227,6 +227,40 @@
         self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
         self.assertTrue(complete)
 
+    # Guards against an answer whose end cannot be seen being passed on as complete.
+    def test_unframed_answer_that_ends_with_its_connection_is_complete(self):
+        gateway = self.start("plain", ["unframed"], count=1)
+        status, _, body = gateway.call("/once/x", body=b"one")
+        self.assertEqual((status, body), (200, b"echo:one"))
+
+    def test_unframed_answer_that_is_reset_is_not_complete(self):
+        gateway = self.start("plain", ["unframed_reset"], count=1)
+        self.assertEqual(gateway.call("/once/x", body=b"one")[0], 502)
+
+    def test_unframed_stream_that_ends_at_an_event_is_complete(self):
+        gateway = self.start("model", ["unframed"], count=1)
+        received, complete = self.read_stream(gateway, "r1")
+        self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+        self.assertTrue(complete)
+
+    def test_unframed_stream_that_is_cut_or_reset_goes_on_at_another_server(self):
+        for fault in ("unframed_cut", "unframed_reset"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = [fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+                self.assertTrue(complete)
+
+    def test_unframed_stream_that_is_cut_and_not_resumed_does_not_look_complete(self):
+        for fault in ("unframed_cut", "unframed_reset"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [fault], count=1)
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertFalse(complete)
+                self.assertNotIn(5, self.pieces(received))
+
 
 if __name__ == "__main__":
     unittest.main()
