Forward no promise that a server did not make

What callers could see: 429 or 503, "not run, try again", for a request that must not be repeated and that a server ran and answered so. Only a server's own statement says that it did not run. Cause: a signed 429 or 503 without the statement was forwarded like any failure. Change: ClassifyResponse calls such a response unusable unless the request may be repeated; the caller gets 502, outcome unknown, without a signature.

--- a/include/cowslipknot/gateway/response_use.h
+++ b/include/cowslipknot/gateway/response_use.h
@@ -29,6 +29,7 @@
 struct AwaitedResponse {
   bool is_stream = false;
   bool stream_begun = false;  ///< the caller has the head of a response
+  bool is_repeatable = false;
 };
 
 enum class ResponseUse : std::uint8_t {
@@ -38,7 +39,9 @@
   kUnusable,  ///< the attempt has failed
 };
 
-/// Only further events may follow in a stream that has begun.
+/// Only further events may follow in a stream that has begun. A status that
+/// promises a caller that its request did not run is not forwarded unless the
+/// server states this, since the caller would repeat the request.
 ResponseUse ClassifyResponse(const ResponseHead& response,
                              const AwaitedResponse& awaited);
 
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -254,6 +254,7 @@
   AwaitedResponse awaited;
   awaited.is_stream = m_route->kind == RouteKind::kStream;
   awaited.stream_begun = m_streaming;
+  awaited.is_repeatable = m_route->Repeatable();
   return ClassifyResponse(head, awaited);
 }
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -303,7 +303,7 @@
     instead of the third event of a stream, now and then,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
-    "fail_404", "fail_410": answers with that status,
+    "fail_404", "fail_410", "fail_429", "fail_503": answers with that status,
     "other_type": with a 200 that is no stream of events,
     "no_event": with a 200 that holds no complete event,
     "from_start": ignores Last-Event-Id, "gap": leaves out the first event that is due,
@@ -341,6 +341,8 @@
 # By fault: status, content type and body.
 WHOLE_ANSWERS = {
     "fail": (500, "text/plain", b"failed"),
+    "fail_429": (429, "text/plain", b"failed"),
+    "fail_503": (503, "text/plain", b"failed"),
     "fail_404": (404, "text/plain", b"failed"),
     "fail_410": (410, "text/plain", b"failed\n\n"),
     "other_type": (200, "text/html", b"failed\n\n"),
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -261,6 +261,17 @@
                 self.assertFalse(complete)
                 self.assertNotIn(5, self.pieces(received))
 
+    # Guards against "not run, try again" for a request that a server ran and answered with
+    # such a status, without stating that it did not run it.
+    def test_status_that_promises_too_much_is_not_passed_on(self):
+        for fault in ("fail_429", "fail_503"):
+            with self.subTest(fault=fault):
+                gateway = self.start("plain", [fault], count=1)
+                status, headers, _ = gateway.call("/once/x")
+                self.assertEqual(status, 502)
+                self.assertNotIn("Cowslipknot-Server-Signature", headers)
+                self.assertEqual(len(self.backends[-1].runs), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/gateway_response_test.cc
+++ b/tests/unit/gateway_response_test.cc
@@ -53,3 +53,16 @@
     }
   }
 }
+
+// Guards against callers that repeat a request which a server ran.
+Test(response_use, a_promise_that_the_server_did_not_make_is_not_forwarded) {
+  for (const unsigned status : {408U, 421U, 429U, 503U}) {
+    cr_expect(
+        ClassifyResponse({status, true, false, true}, {false, false, false}) ==
+        ResponseUse::kUnusable);
+    cr_expect(ClassifyResponse({status, true, false, true},
+                               {false, false, true}) == ResponseUse::kWhole);
+    cr_expect(ClassifyResponse({status, true, true, true},
+                               {false, false, false}) == ResponseUse::kRefusal);
+  }
+}
