--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -28,6 +28,14 @@
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
 
+/// Whether a response is a stream of events or does not state what it is.
+bool MayHoldEvents(const http::response_header<>& header) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = header[http::field::content_type];
+  return type.empty() ||
+         beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
+}
+
 /// Counts a request as in flight for the lifetime of the object.
 class InFlightCount {
  public:
@@ -56,6 +64,9 @@
     co_await Reject(*admission.rejection);
     co_return;
   }
+  if (m_route->resumable && m_request.last_event_id) {
+    m_events.ResumeAfter(*m_request.last_event_id);
+  }
   m_exchange.OnPeerDisconnect([this] {
     m_caller_gone = true;
     if (m_progress.abort) m_progress.abort();
@@ -207,11 +218,7 @@
   options.connect_timeout = kConnectTimeout;
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
-    const auto response = m_worker.GetAdapter().decode_backend_response(header);
-    if (!response.id.Empty()) return response.id == m_request.id;
-    // Without an id, a response of a server that ran a request may be a late
-    // copy of the answer to an earlier request on the connection.
-    return !response.is_signed || !m_progress.reused_connection;
+    return IsOwn(header);
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = started;
@@ -229,26 +236,25 @@
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
   }
-  const auto response =
-      m_worker.GetAdapter().decode_backend_response((*opened)->Header());
-  if (response.not_executed) {
+  const auto& header = (*opened)->Header();
+  const ResponseUse use = Classify(header);
+  if (use == ResponseUse::kRefusal) {
+    error =
+        Error{ResultCode::kBackendRefused, std::to_string(header.result_int())};
     co_await DiscardBody(**opened);
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendRefused,
-                  std::to_string((*opened)->Header().result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kNotExecuted;
   }
-  if (!response.is_signed) {
+  if (use == ResponseUse::kUnusable) {
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendMalformed, "response is not signed"};
+    error = Error{ResultCode::kBackendMalformed,
+                  "unusable response " + std::to_string(header.result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
-  const bool streams = m_route->kind == RouteKind::kStream &&
-                       (*opened)->Header().result() == http::status::ok;
   AttemptOutcome end = AttemptOutcome::kFailed;
-  if (streams) {
+  if (use == ResponseUse::kEvents) {
     end = co_await ForwardEvents(server, **opened, guard, error);
     RecordStreamLoad(server, started);
   } else {
@@ -258,6 +264,35 @@
   co_return end;
 }
 
+bool Call::IsOwn(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseId id = ResponseId::kAbsent;
+  if (!response.id.Empty()) {
+    id = response.id == m_request.id ? ResponseId::kOwn : ResponseId::kOther;
+  }
+  if (IsOwnResponse(id, m_progress.reused_connection)) return true;
+  LogEvent(Event::kResponseSkipped,
+           {{"request", m_request.id.Text()},
+            {"server", m_tried_servers.back().Text()},
+            {"status", std::to_string(header.result_int())},
+            {"response_to", response.id.Text()}});
+  return false;
+}
+
+ResponseUse Call::Classify(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseHead head;
+  head.status = header.result_int();
+  head.is_signed = response.is_signed;
+  head.not_executed = response.not_executed;
+  head.may_hold_events = MayHoldEvents(header);
+  AwaitedResponse awaited;
+  awaited.is_stream = m_route->kind == RouteKind::kStream;
+  awaited.stream_begun = m_streaming;
+  awaited.is_repeatable = m_route->Repeatable();
+  return ClassifyResponse(head, awaited);
+}
+
 Awaitable<void> Call::FinishWithoutAnswer(bool may_have_run, Error error) {
   if (m_streaming || m_caller_gone) {
     LogFailure(error);
