Let ids of a stream increase in larger steps

Change: if the first two ids of a stream differ by more than one, later ones have to be larger only. A stream that goes on from another source, or after a caller's last id, is still held to successors until then.

--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -37,9 +37,17 @@
 
 }  // namespace
 
+bool EventSplitter::MayFollow(std::uint64_t id) {
+  ++m_ids;
+  if (!m_last_id) return true;
+  const bool is_successor = id == *m_last_id + 1;
+  if (m_ids == 2 && !m_resumed) m_has_gaps = !is_successor;
+  return m_has_gaps ? id > *m_last_id : is_successor;
+}
+
 bool EventSplitter::RecordEvent(std::string_view event) {
   const EventFields fields = ParseEvent(event);
-  if (fields.id && m_last_id && *fields.id != *m_last_id + 1) return false;
+  if (fields.id && !MayFollow(*fields.id)) return false;
   if (fields.id) m_last_id = fields.id;
   ++m_events;
   if (fields.any) ++m_field_events;
--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -19,7 +19,10 @@
   std::string Feed(std::string_view bytes);
 
   /// Sets the id of the event after which the stream is to go on.
-  void ResumeAfter(std::uint64_t id) { m_last_id = id; }
+  void ResumeAfter(std::uint64_t id) {
+    m_last_id = id;
+    m_resumed = true;
+  }
 
   /// Discards a partial event that its source will not complete, and starts to
   /// read from another source.
@@ -27,6 +30,7 @@
     m_buffer.clear();
     m_scanned = 0;
     m_out_of_order = false;
+    m_resumed = m_resumed || m_ids > 0;
   }
 
   /// The numeric "id" of the last complete event that has one.
@@ -37,13 +41,17 @@
   /// Whether the partial event is larger than any event may be. Its source is
   /// faulty, and no fragment of it has been passed on.
   bool IsOverlong() const { return m_buffer.size() > kMaxEventBytes; }
-  /// Whether an event's id was not the successor of the id before it. The event
+  /// Whether an event's id did not follow the id before it. The event
   /// and what followed it have not been passed on.
   bool IsOutOfOrder() const { return m_out_of_order; }
   /// The bytes of a partial event.
   const std::string& PartialEvent() const { return m_buffer; }
 
  private:
+  /// Whether an event with this id may follow the last one. Ids increase;
+  /// unless the first two of the stream differ by more than one, each is the
+  /// successor of the one before, so that a gap shows that an event is missing.
+  bool MayFollow(std::uint64_t id);
   /// @return false if the event is out of order; then nothing is recorded
   bool RecordEvent(std::string_view event);
 
@@ -53,6 +61,9 @@
   std::uint64_t m_events = 0;
   std::uint64_t m_field_events = 0;
   bool m_out_of_order = false;
+  std::uint64_t m_ids = 0;  ///< events with an id
+  bool m_resumed = false;   ///< goes on after an event of another source
+  bool m_has_gaps = false;  ///< ids increase by more than one
 };
 
 }  // namespace cowslipknot
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -369,6 +369,16 @@
   cr_expect_not(splitter.IsOutOfOrder());
 }
 
+// Guards against cutting sound streams whose ids increase by more than one.
+Test(event_splitter, ids_may_increase_in_larger_steps) {
+  EventSplitter splitter;
+  const std::string text = "id: 10\n\nid: 20\n\nid: 25\n\n";
+  cr_expect_eq(splitter.Feed(text), text);
+  cr_expect_not(splitter.IsOutOfOrder());
+  cr_expect_eq(splitter.Feed("id: 25\n\n"), "");
+  cr_expect(splitter.IsOutOfOrder());
+}
+
 Test(event_splitter, events_do_not_depend_on_how_bytes_are_split) {
   cr_assert(rc::check([] {
     const std::string text =
