Compare a new version's pace with the old one's, also while it answers

Callers saw: a new version whose streams were several times slower was introduced (`completed`), and their streams stayed slow.

Cause: a response was slow if its first event took 3 times the predicted time plus 100 ms. The prediction comes from BackendState, which learns rate and lag from the slow server itself; the gaps between events were not looked at; and the verdict was recorded when the answer ended, which a slow version delays, and not at all if the caller had left by then. The class of fault: an alarm whose threshold follows what it is to detect.

VersionEvidence compares each attempt with what is usual at the versions that are not being introduced (median of the route, scaled by the prompt's work): the time to the first event and the gaps after it. An attempt counts as slow once it is overdue. It also counts what was sent to each version.

Ruled out: that the holder decided late or that reports were lost.

--- a/include/cowslipknot/coordination/move_decision.h
+++ b/include/cowslipknot/coordination/move_decision.h
@@ -16,6 +16,9 @@
   RequestCounts new_errors;
   RequestCounts old_slow;
   RequestCounts new_slow;
+  /// Attempts sent, also those without a result.
+  std::uint64_t old_sent = 0;
+  std::uint64_t new_sent = 0;
   RouteEvidence& operator+=(const RouteEvidence& other);
 };
 
--- a/src/coordination/evidence_codec.cc
+++ b/src/coordination/evidence_codec.cc
@@ -7,6 +7,9 @@
 
 namespace json = boost::json;
 
+/// Position of the numbers of attempts sent, after four pairs of counts.
+constexpr std::size_t kSentIndex = 8;
+
 json::array EncodeRoute(const RouteEvidence& seen) {
   json::array counts;
   for (const RequestCounts& requests :
@@ -14,6 +17,8 @@
     counts.emplace_back(requests.total);
     counts.emplace_back(requests.bad);
   }
+  counts.emplace_back(seen.old_sent);
+  counts.emplace_back(seen.new_sent);
   return counts;
 }
 
@@ -31,6 +36,10 @@
   seen.new_errors = DecodeCounts(counts, 1);
   seen.old_slow = DecodeCounts(counts, 2);
   seen.new_slow = DecodeCounts(counts, 3);
+  // Reports of earlier releases end here.
+  if (counts.size() <= kSentIndex) return seen;
+  seen.old_sent = counts.at(kSentIndex).to_number<std::uint64_t>();
+  seen.new_sent = counts.at(kSentIndex + 1).to_number<std::uint64_t>();
   return seen;
 }
 
--- a/src/coordination/move_decision.cc
+++ b/src/coordination/move_decision.cc
@@ -70,6 +70,8 @@
   new_errors += other.new_errors;
   old_slow += other.old_slow;
   new_slow += other.new_slow;
+  old_sent += other.old_sent;
+  new_sent += other.new_sent;
   return *this;
 }
 
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -38,6 +38,20 @@
   Worker& m_worker;
 };
 
+/// Ends the tracking of an attempt that has no result.
+class TrackedAttempt {
+ public:
+  TrackedAttempt(VersionEvidence& evidence, std::uint64_t attempt)
+      : m_evidence(evidence), m_attempt(attempt) {}
+  TrackedAttempt(const TrackedAttempt&) = delete;
+  TrackedAttempt& operator=(const TrackedAttempt&) = delete;
+  ~TrackedAttempt() { m_evidence.Forget(m_attempt, TimeSinceBoot()); }
+
+ private:
+  VersionEvidence& m_evidence;
+  std::uint64_t m_attempt;
+};
+
 }  // namespace
 
 Awaitable<void> Call::Run() {
@@ -179,7 +193,8 @@
     return !response.is_signed || !m_progress.reused_connection;
   };
   const auto started = SteadyClock::now();
-  m_attempt_sent = started;
+  m_tracked_attempt = TrackAttempt(server);
+  const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
   auto opened = co_await m_worker.Http().Open(
       server.entry.address, BuildAttemptRequest(server), options, m_progress);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -73,8 +73,6 @@
   /// @return false if the caller has disconnected
   Awaitable<bool> WriteEvents(ResponseStream& stream,
                               const std::string& events);
-  /// Whether the time since `sent` is several times longer than predicted.
-  bool IsSlow(SteadyClock::time_point sent) const;
 
   // Logs and metrics: gateway_call_metrics.cc.
   void RecordOutcome(const std::string& outcome);
@@ -82,8 +80,9 @@
   void LogDone(const char* outcome);
   void LogFailure(const Error& error);
   void RecordAttemptFailure(const Backend& server, const Error& error);
-  /// Counts the result as evidence for the undecided move of the service.
-  void RecordMoveEvidence(const Backend& server, bool failed, bool slow);
+  /// Starts to compare the attempt with others of its route, as evidence for an
+  /// undecided move of the service.
+  std::uint64_t TrackAttempt(const Backend& server);
   void RecordRequestStart();
   /// Adds the prompt's estimated prefill time to the service's load.
   void RecordPromptLoad(const Backend& server);
@@ -104,7 +103,7 @@
   Placement m_placement;
   MoveId m_move_key;  ///< undecided move of the service; empty if none
   VersionId m_new_version;
-  SteadyClock::time_point m_attempt_sent{};  ///< latest attempt
+  std::uint64_t m_tracked_attempt = 0;  ///< latest, in the evidence
   std::vector<ServerId> m_tried_servers;
   EventSplitter m_events;
   std::optional<HttpResponse> m_last_answer;
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -59,7 +59,7 @@
 void Call::RecordAttemptFailure(const Backend& server, const Error& error) {
   const bool ran = error.code != ResultCode::kBackendRefused &&
                    error.code != ResultCode::kConnectFailed;
-  if (ran) RecordMoveEvidence(server, true, false);
+  if (ran) m_worker.Evidence().OnEnd(m_tracked_attempt, true, TimeSinceBoot());
   server.state->RecordFailure(TimeSinceBoot());
   const bool unreachable = error.code == ResultCode::kConnectFailed ||
                            error.code == ResultCode::kBackendTimeout;
@@ -72,14 +72,14 @@
             {"detail", error.detail}});
 }
 
-void Call::RecordMoveEvidence(const Backend& server, bool failed, bool slow) {
-  if (m_move_key.Empty()) return;
-  RouteEvidence& seen = m_worker.Evidence()[m_move_key][m_route->name];
-  const bool is_new = server.entry.version == m_new_version;
-  RequestCounts& errors = is_new ? seen.new_errors : seen.old_errors;
-  RequestCounts& slows = is_new ? seen.new_slow : seen.old_slow;
-  errors += RequestCounts{1, failed ? 1U : 0U};
-  slows += RequestCounts{1, slow ? 1U : 0U};
+std::uint64_t Call::TrackAttempt(const Backend& server) {
+  SentAttempt attempt;
+  attempt.move = m_move_key;
+  attempt.service = server.entry.service;
+  attempt.route = m_route->name;
+  attempt.is_new = !m_move_key.Empty() && server.entry.version == m_new_version;
+  attempt.work = m_placement.work;
+  return m_worker.Evidence().OnSent(attempt, TimeSinceBoot());
 }
 
 void Call::RecordRequestStart() {
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -144,7 +144,7 @@
   input.demand = worker.Quota().Demand(TimeSinceBoot());
   input.busy = worker.Load().BusyServers(TimeSinceBoot());
   input.usage = std::exchange(worker.Usage(), UsageLedger());
-  input.evidence = worker.Evidence();
+  input.evidence = worker.Evidence().Collect(TimeSinceBoot());
   co_return input;
 }
 
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -12,11 +12,6 @@
 /// over.
 constexpr int kStallEventGaps = 2;
 constexpr Milliseconds kMinStallTimeout(500);
-/// A response is slow when it takes longer than kSlowFactor times the predicted
-/// time plus kSlowMarginMs.
-constexpr double kSlowFactor = 3;
-constexpr double kSlowMarginMs = 100;
-
 /// Limits on the body of a response that declines a request: the caller waits
 /// for another server meanwhile.
 constexpr Milliseconds kDiscardTimeout(50);
@@ -65,7 +60,7 @@
   if (!m_start_recorded) RecordRequestStart();
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
-  RecordMoveEvidence(server, failed, IsSlow(m_attempt_sent));
+  m_worker.Evidence().OnEnd(m_tracked_attempt, failed, TimeSinceBoot());
   if (failed) {
     server.state->RecordFailure(TimeSinceBoot());
   } else {
@@ -92,8 +87,8 @@
                                               InFlightRequestGuard& guard,
                                               Error& error) {
   bool first = true;
-  bool slow = false;
-  std::uint64_t events_seen = m_events.FieldEventCount();
+  const std::uint64_t events_before = m_events.FieldEventCount();
+  std::uint64_t events_seen = events_before;
   auto last_event = SteadyClock::now();
   while (true) {
     const Milliseconds time_left = TimeLeft();
@@ -116,12 +111,13 @@
       first = false;
       last_event = SteadyClock::now();
       guard.OnFirstEvent();
-      slow = IsSlow(m_attempt_sent);
       if (!m_start_recorded) RecordRequestStart();
     }
     const std::string events = m_events.Feed(*chunk);
     if (m_events.FieldEventCount() > events_seen) {
       events_seen = m_events.FieldEventCount();
+      m_worker.Evidence().OnEvents(
+          m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
       last_event = SteadyClock::now();
     }
     if (m_events.IsOverlong() || ElapsedSince(last_event) > StallTimeout()) {
@@ -144,7 +140,7 @@
     co_return AttemptOutcome::kFailed;
   }
   server.state->RecordSuccess();
-  RecordMoveEvidence(server, false, slow);
+  m_worker.Evidence().OnEnd(m_tracked_attempt, false, TimeSinceBoot());
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
@@ -170,9 +166,4 @@
   co_return co_await m_exchange.WriteChunk(events);
 }
 
-bool Call::IsSlow(SteadyClock::time_point sent) const {
-  return ElapsedMsSince(sent) >
-         kSlowFactor * m_placement.first_event_ms + kSlowMarginMs;
-}
-
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -15,6 +15,7 @@
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
+#include "cowslipknot/gateway/version_evidence.h"
 #include "protocol/platform_adapter.h"
 #include "serve/quota_peers.h"
 #include "transport/http_server.h"
@@ -71,7 +72,7 @@
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
   /// Results of the old and new version of each move since the process started.
-  std::map<MoveId, MoveEvidence>& Evidence() { return m_evidence; }
+  VersionEvidence& Evidence() { return m_evidence; }
   IdleConnections& Idle() { return *m_idle; }
   std::shared_ptr<IdleConnections> IdlePtr() { return m_idle; }
 
@@ -120,7 +121,7 @@
   UsageLedger m_usage;
   LoadMeter m_load;
   RetryBudget m_retries;
-  std::map<MoveId, MoveEvidence> m_evidence;
+  VersionEvidence m_evidence;
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
   std::uint64_t m_in_flight = 0;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -303,12 +303,15 @@
     instead of the third event of a stream, now and then,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id.
+
+    `answer_pause_s` is the time until an answer that is no stream.
     """
 
-    def __init__(self, name, events=5, event_pause_s=0.0, port=0):
+    def __init__(self, name, events=5, event_pause_s=0.0, answer_pause_s=0.0, port=0):
         self.name = name
         self.events = events
         self.event_pause_s = event_pause_s
+        self.answer_pause_s = answer_pause_s
         self.pending_faults = []
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
@@ -388,6 +391,7 @@
         elif self.path.startswith("/stream"):
             self.stream(signed_headers, fault, request)
         else:
+            time.sleep(backend.answer_pause_s)
             self.send(200, b"echo:" + body, signed_headers)
 
     def wait_until_disconnected(self, request):
