Bound a new version's share by what was sent; judge each share by itself

Cause: the share was raised by the clock, to 0.3 and to 1, however much had been sent by then, and results at a smaller share covered those at a larger one. The class of fault: a rate is limited where a sum is promised.

The second share is now what the bound leaves for the requests sent so far, less those that the full share takes until harm is known, and no share is raised or kept to the end while the results show an excess. Evidence has one key for each share; the current share's results are also judged alone. `exposure_slack` joins the settings.

--- a/include/cowslipknot/coordination/move_decision.h
+++ b/include/cowslipknot/coordination/move_decision.h
@@ -19,6 +19,9 @@
   /// Attempts sent, also those without a result.
   std::uint64_t old_sent = 0;
   std::uint64_t new_sent = 0;
+  /// The new version's attempts since it got its current share.
+  RequestCounts stage_errors;
+  RequestCounts stage_slow;
   RouteEvidence& operator+=(const RouteEvidence& other);
 };
 
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -40,6 +40,7 @@
   double retry_ratio = 0.2;     ///< retries per request, over all instances
   double retry_slack = 50;      ///< additional retries, over all instances
   double exposure_share = 0.1;  ///< of traffic, to a version not yet verified
+  double exposure_slack = 50;   ///< additional requests to such a version
 };
 
 /// Parses and validates a settings file.
--- a/include/cowslipknot/gateway/version_move.h
+++ b/include/cowslipknot/gateway/version_move.h
@@ -27,32 +27,56 @@
   MoveState state;  ///< times are on the shared clock
 };
 
-/// The key of an order in evidence.
+/// Whether the new version is neither in use nor rolled back.
+bool IsUndecided(const VersionMove& move);
+
+/// How many requests a version may get before it is known to be good.
+struct ExposureBound {
+  double share = 0.1;  ///< of the requests to its service during the order
+  double slack = 50;   ///< additional requests
+};
+
+/// Identifies an order.
 MoveId MoveKey(const MoveOrder& order);
 
+/// The key of the evidence of attempts that are sent while the new version has
+/// its current share. Evidence of each share is kept apart, so that a version
+/// that turns bad later is not covered by its earlier results.
+MoveId EvidenceKey(const VersionMove& move);
+/// Whether evidence belongs to the order.
+bool IsEvidenceOf(const MoveOrder& order, const MoveId& key);
+/// Sums up the evidence of an order over its shares.
+MoveEvidence SumStages(const VersionMove& move,
+                       const std::map<MoveId, MoveEvidence>& evidence);
+
 /// The initial state of a move.
 /// @param exposure  maximum fraction of the service's requests that may reach a
 ///                  version that turns out to be bad
 MoveState InitialState(double exposure, WallTime now);
 
-/// Decides the next step of a move. The new version receives a trial share for
-/// the first third of the duration, then a larger share, and all requests in
-/// the second half if enough requests were answered. The move is done when the
-/// remaining requests at old servers have had time to finish. It is rolled back
-/// when the evidence shows a regression, or when the evidence is still
-/// insufficient at the end of the duration.
+/// Decides the next step of a move. The new version receives a trial share,
+/// then a larger one, then all requests, each only while its results so far
+/// show no harm and, below the full share, as far as the bound allows for what
+/// has been sent. The move is done when the remaining requests at old servers
+/// have had time to finish. It is rolled back when the evidence shows a
+/// regression, or when the evidence is still insufficient at the end of the
+/// duration.
 ///
 /// Performs no I/O and reads no clock.
 /// @param evidence  sum over all instances
 /// @return the new state, or nothing when the state does not change
 std::optional<MoveState> NextState(const VersionMove& move,
-                                   const MoveEvidence& evidence, WallTime now);
+                                   const MoveEvidence& evidence, WallTime now,
+                                   const ExposureBound& bound = {});
 
 /// Describes a regression of the new version, on one route or over all routes.
 /// @return the reason to roll back, or an empty string
 std::string FindRegression(const MoveOrder& order,
                            const MoveEvidence& evidence);
 
+/// The state after a rollback.
+MoveState RolledBack(MoveState state, std::string reason);
+
 /// Whether a request goes to the new version.
 /// @param hash    hash of the request id
 /// @param repeat  the request failed at a server and is retried; it then
--- a/src/coordination/move_decision.cc
+++ b/src/coordination/move_decision.cc
@@ -72,6 +72,8 @@
   new_slow += other.new_slow;
   old_sent += other.old_sent;
   new_sent += other.new_sent;
+  stage_errors += other.stage_errors;
+  stage_slow += other.stage_slow;
   return *this;
 }
 
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -113,7 +113,7 @@
   const auto found = latest.moves.find(service);
   if (found == latest.moves.end()) return servers;
   const MovedService& moved = found->second;
-  if (moved.IsUndecided()) m_move_key = MoveKey(moved.move.order);
+  if (moved.IsUndecided()) m_move_key = EvidenceKey(moved.move);
   m_new_version = moved.move.order.to;
   const bool to_new =
       RoutesToNewVersion(moved.move, hash, !m_tried_servers.empty());
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -117,7 +117,7 @@
   std::erase_if(m_evidence, [this](const auto& item) {
     return std::none_of(
         m_move_orders.begin(), m_move_orders.end(),
-        [&](auto& order) { return MoveKey(order.second) == item.first; });
+        [&](auto& order) { return IsEvidenceOf(order.second, item.first); });
   });
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
   return report;
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -137,7 +137,7 @@
   std::map<DomainId, DomainCapacity> DomainCapacities(
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
   Awaitable<void> AdvanceMoves();
-  MoveEvidence SumEvidence(const MoveId& key) const;
+  MoveEvidence SumEvidence(const VersionMove& move) const;
   Awaitable<bool> SendUsageReport(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
   Awaitable<Result<StoreRows>> CommitTransaction(StoreTransaction transaction);
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -18,29 +18,23 @@
                        stored->second.move.order.revision == order.revision;
     if (!known) continue;  // No traffic to the new version before a decision.
     move = stored->second.move;
-    const auto own = m_evidence.find(MoveKey(order));
-    const bool not_done = move.state.phase != MovePhase::kDone;
-    if (own == m_evidence.end() || !not_done) continue;
-    if (!FindRegression(order, own->second).empty()) move.state.share = 0;
+    if (move.state.phase == MovePhase::kDone) continue;
+    const MoveEvidence own = SumStages(move, m_evidence);
+    if (!FindRegression(order, own).empty()) move.state.share = 0;
   }
   return moves;
 }
 
 bool FleetCoordinator::IsMoving() const {
   const auto moves = Moves();
-  return std::any_of(moves.begin(), moves.end(), [](const auto& item) {
-    const MovePhase phase = item.second.state.phase;
-    return phase == MovePhase::kRunning || phase == MovePhase::kWatching;
-  });
+  return std::any_of(moves.begin(), moves.end(),
+                     [](const auto& item) { return IsUndecided(item.second); });
 }
 
-MoveEvidence FleetCoordinator::SumEvidence(const MoveId& key) const {
+MoveEvidence FleetCoordinator::SumEvidence(const VersionMove& move) const {
   MoveEvidence sum;
-  for (const auto* report : m_instances.Serving(TimeSinceBoot())) {
-    const EvidenceByMove evidence = DecodeEvidence(report->evidence);
-    const auto found = evidence.find(key);
-    if (found != evidence.end()) Accumulate(sum, found->second);
-  }
+  for (const auto* report : m_instances.Serving(TimeSinceBoot()))
+    Accumulate(sum, SumStages(move, DecodeEvidence(report->evidence)));
   return sum;
 }
 
@@ -48,6 +42,8 @@
   const auto now = SharedNowMs();
   if (!now) co_return;
   const auto orders = m_move_orders;
+  const ExposureBound bound{m_settings.exposure_share,
+                            m_settings.exposure_slack};
   for (const auto& [service, order] : orders) {
     const auto stored = m_moves.find(service);
     const bool known = stored != m_moves.end() &&
@@ -56,8 +52,9 @@
     if (stored != m_moves.end()) next.version = stored->second.version;
     next.move.order = order;
     if (known) {
-      const auto state = NextState(stored->second.move,
-                                   SumEvidence(MoveKey(order)), WallTime(*now));
+      const VersionMove& move = stored->second.move;
+      const auto state =
+          NextState(move, SumEvidence(move), WallTime(*now), bound);
       if (!state) continue;
       next.move.state = *state;
     } else {
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -28,10 +28,7 @@
   std::vector<Backend> old_servers;
   std::vector<Backend> new_servers;
 
-  bool IsUndecided() const {
-    return move.state.phase == MovePhase::kRunning ||
-           move.state.phase == MovePhase::kWatching;
-  }
+  bool IsUndecided() const { return gateway::IsUndecided(move); }
 };
 
 /// Immutable routing state of the traffic thread. The control thread publishes
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -76,6 +76,8 @@
         reader.Number("retry_slack", settings.retry_slack, 0, kMaxNumber);
     settings.exposure_share =
         reader.Number("exposure_share", settings.exposure_share, 0, 1);
+    settings.exposure_slack =
+        reader.Number("exposure_slack", settings.exposure_slack, 0, kMaxNumber);
   });
 }
 
