Exchange the evidence of moves directly and halt a bad version at once

Cause: evidence of the other instances came with reports to the store, about 1 s apart, and only the lease holder judged their sum. Between its decision and the next reads of the others, and while the store is slow, they kept sending to the new version.

While a move is undecided, instances send each other their evidence every 200 ms (less often beyond 8 instances). Each judges the sum and halts the move for itself; its frame names the moves halted, and who receives it halts them too. The holder rolls a halted move back. This holds for instances that follow a relay or lack the store, since it does not need either. `move_halted` (604) names the reason; `move_evidence` (605) shows what was sent to, failed and was slow at each version.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -47,6 +47,8 @@
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
   kLeaseLost = 603,
+  kMoveHalted = 604,
+  kMoveEvidence = 605,
   kUsageReported = 610,
   kUsageNotAccepted = 611,
   kCapacityOrdered = 612,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -83,6 +83,11 @@
      "this instance acquired the lease"},
     {Event::kLeaseLost, "warn", "lease_lost",
      "this instance no longer holds the lease"},
+    {Event::kMoveHalted, "warn", "move_halted",
+     "this instance sends no requests to the new version until the move is "
+     "decided"},
+    {Event::kMoveEvidence, "info", "move_evidence",
+     "results of the old and new version so far, over all instances"},
     {Event::kUsageReported, "info", "usage_reported",
      "the usage report of a window was accepted"},
     {Event::kUsageNotAccepted, "warn", "usage_not_accepted",
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -41,6 +41,12 @@
                    [this, frame] { OnServersLeaving(ExtractRecords(frame)); });
         return PeerFrame();
       });
+  m_worker.Links().SetHandler(
+      wire::Kind::MoveEvidence, [this](const PeerFrame& frame) {
+        auto shared = std::make_shared<const PeerFrame>(frame);
+        asio::post(m_context, [this, shared] { OnMoveEvidence(*shared); });
+        return PeerFrame();
+      });
   m_worker.Links().SetAsyncHandler(
       wire::Kind::FollowStore,
       [this](const PeerFrame& frame) -> Awaitable<PeerFrame> {
@@ -52,6 +58,7 @@
   asio::co_spawn(m_context, WatchConfiguration(), asio::detached);
   asio::co_spawn(m_context, WatchServers(), asio::detached);
   asio::co_spawn(m_context, ExchangeReports(), asio::detached);
+  asio::co_spawn(m_context, ExchangeMoveEvidence(), asio::detached);
 }
 
 bool ControlPlane::Ready() const {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -55,6 +55,10 @@
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
   Awaitable<void> ExchangeReports();
   Awaitable<void> WriteReportsOfFollowers();
+  /// Exchanges evidence with the other instances directly while a move is
+  /// undecided, so that a bad version gets no requests until the next reports.
+  Awaitable<void> ExchangeMoveEvidence();
+  void OnMoveEvidence(const PeerFrame& frame);
 
   // Following a relay: gateway_relay_follower.cc.
   /// Follows the domain's relays while there are any and this instance is none.
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -113,12 +113,7 @@
   if (m_reported_window && *m_reported_window > store_rows::kRetainedWindows)
     m_usage.DropBefore(*m_reported_window - store_rows::kRetainedWindows);
   report.usage = m_usage;
-  m_evidence = input.evidence;
-  std::erase_if(m_evidence, [this](const auto& item) {
-    return std::none_of(
-        m_move_orders.begin(), m_move_orders.end(),
-        [&](auto& order) { return IsEvidenceOf(order.second, item.first); });
-  });
+  SetOwnEvidence(input.evidence);
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
   return report;
 }
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -9,6 +9,7 @@
 #include "cowslipknot/gateway/fleet_view.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/settings.h"
+#include "protocol/peer_frame.h"
 #include "protocol/platform_adapter.h"
 
 namespace cowslipknot::gateway {
@@ -94,10 +95,21 @@
     m_move_orders = std::move(orders);
   }
   /// Returns the moves of the active orders with their state as last read. The
-  /// share is 0 if this instance's own evidence shows a regression.
+  /// share is 0 if the move was halted.
   std::map<ServiceId, VersionMove> Moves() const;
   /// Whether any move is undecided.
   bool IsMoving() const;
+  /// Replaces the evidence of this instance, except that of orders that ended.
+  void SetOwnEvidence(std::map<MoveId, MoveEvidence> evidence);
+  /// Halts the moves whose new version shows a regression by all evidence that
+  /// is known here. The lease holder then rolls them back.
+  /// @return whether a move was halted
+  bool HaltRegressions();
+  /// The evidence of this instance and the moves halted here, for the others.
+  PeerFrame BuildEvidenceFrame() const;
+  /// Applies another instance's evidence frame.
+  /// @return whether a move was halted
+  bool ApplyEvidenceFrame(const PeerFrame& frame);
 
   const InstanceTable& Instances() const { return m_instances; }
   const NodeId& Self() const { return m_settings.node; }
@@ -137,7 +149,11 @@
   std::map<DomainId, DomainCapacity> DomainCapacities(
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
   Awaitable<void> AdvanceMoves();
+  /// Sums up the evidence of all instances: from their frames, otherwise from
+  /// their reports.
   MoveEvidence SumEvidence(const VersionMove& move) const;
+  void LogEvidence(const VersionMove& move, const MoveEvidence& evidence) const;
+  bool Halt(const MoveOrder& order, const std::string& reason);
   Awaitable<bool> SendUsageReport(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
   Awaitable<Result<StoreRows>> CommitTransaction(StoreTransaction transaction);
@@ -180,6 +196,8 @@
   std::map<ServiceId, MoveOrder> m_move_orders;
   std::map<ServiceId, StoredMove> m_moves;
   std::map<MoveId, MoveEvidence> m_evidence;  ///< seen by this instance
+  std::map<NodeId, std::map<MoveId, MoveEvidence>> m_peer_evidence;
+  std::map<MoveId, std::string> m_halted;  ///< by MoveKey(), with the reason
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -16,6 +16,9 @@
 /// Interval during an undecided move, so that all instances know of a harmful
 /// version within three reports.
 constexpr Milliseconds kMoveReportInterval(1000);
+/// Interval at which instances exchange evidence directly meanwhile. It grows
+/// with the number of instances beyond kInstancesAtFullRate.
+constexpr Milliseconds kEvidenceInterval(200);
 /// The same where reports pass through a relay, which adds a step.
 constexpr Milliseconds kRelayedMoveReportInterval(500);
 /// Interval at which a relay writes and reads reports while it has followers,
@@ -176,6 +179,33 @@
   }
 }
 
+Awaitable<void> ControlPlane::ExchangeMoveEvidence() {
+  auto collect =
+      [](Worker& worker) -> Awaitable<std::map<MoveId, MoveEvidence>> {
+    co_return worker.Evidence().Collect(TimeSinceBoot());
+  };
+  while (true) {
+    const auto instances = static_cast<Milliseconds::rep>(
+        std::max(m_fleet.serving.size(), kInstancesAtFullRate));
+    co_await SleepFor(kEvidenceInterval * instances /
+                      static_cast<Milliseconds::rep>(kInstancesAtFullRate));
+    if (!m_coordinator.IsMoving()) continue;
+    auto evidence =
+        co_await RunOn(m_worker.Context().get_executor(), collect(m_worker));
+    m_coordinator.SetOwnEvidence(std::move(evidence));
+    if (m_coordinator.HaltRegressions()) Publish();
+    auto frame =
+        std::make_shared<const PeerFrame>(m_coordinator.BuildEvidenceFrame());
+    asio::post(m_worker.Context(), [this, frame] {
+      m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
+    });
+  }
+}
+
+void ControlPlane::OnMoveEvidence(const PeerFrame& frame) {
+  if (m_coordinator.ApplyEvidenceFrame(frame)) Publish();
+}
+
 Awaitable<void> ControlPlane::WriteReportsOfFollowers() {
   auto reports = m_relay.TakeReports();
   if (reports.empty()) co_return;
