--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -50,6 +50,20 @@
   Worker& m_worker;
 };
 
+/// Ends the tracking of an attempt that has no result.
+class TrackedAttempt {
+ public:
+  TrackedAttempt(VersionEvidence& evidence, std::uint64_t attempt)
+      : m_evidence(evidence), m_attempt(attempt) {}
+  TrackedAttempt(const TrackedAttempt&) = delete;
+  TrackedAttempt& operator=(const TrackedAttempt&) = delete;
+  ~TrackedAttempt() { m_evidence.Forget(m_attempt, TimeSinceBoot()); }
+
+ private:
+  VersionEvidence& m_evidence;
+  std::uint64_t m_attempt;
+};
+
 }  // namespace
 
 Awaitable<void> Call::Run() {
@@ -133,7 +147,7 @@
   const auto found = latest.moves.find(service);
   if (found == latest.moves.end()) return servers;
   const MovedService& moved = found->second;
-  if (moved.IsUndecided()) m_move_key = MoveKey(moved.move.order);
+  if (moved.IsUndecided()) m_move_key = EvidenceKey(moved.move);
   m_new_version = moved.move.order.to;
   const bool to_new =
       RoutesToNewVersion(moved.move, hash, !m_tried_servers.empty());
@@ -222,6 +236,8 @@
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = started;
+  m_tracked_attempt = TrackAttempt(server);
+  const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
   auto opened = co_await m_worker.Http().Open(
       server.entry.address, BuildAttemptRequest(server), options, m_progress);
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -10,11 +10,6 @@
 
 /// Time between checks whether a silent server can be left for another.
 constexpr Milliseconds kStallCheckInterval(100);
-/// A response is slow when it takes longer than kSlowFactor times the predicted
-/// time plus kSlowMarginMs.
-constexpr double kSlowFactor = 3;
-constexpr double kSlowMarginMs = 100;
-
 /// Limits on the body of a response that declines a request: the caller waits
 /// for another server meanwhile.
 constexpr Milliseconds kDiscardTimeout(50);
@@ -63,7 +58,7 @@
   if (!m_start_recorded) RecordRequestStart();
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
-  RecordMoveEvidence(server, failed, IsSlow(m_attempt_sent));
+  m_worker.Evidence().OnEnd(m_tracked_attempt, failed, TimeSinceBoot());
   if (failed) {
     server.state->RecordFailure(TimeSinceBoot());
   } else {
@@ -107,8 +102,8 @@
                                               InFlightRequestGuard& guard,
                                               Error& error) {
   bool first = true;
-  bool slow = false;
-  std::uint64_t events_seen = m_events.FieldEventCount();
+  const std::uint64_t events_before = m_events.FieldEventCount();
+  std::uint64_t events_seen = events_before;
   std::optional<SteadyClock::time_point> partial_since;
   while (true) {
     const Milliseconds time_left = TimeLeft();
@@ -131,13 +126,14 @@
     if (first) {
       first = false;
       guard.OnFirstEvent();
-      slow = IsSlow(m_attempt_sent);
       if (!m_start_recorded) RecordRequestStart();
     }
     const std::string events = m_events.Feed(*chunk);
     if (m_events.FieldEventCount() > events_seen) {
       events_seen = m_events.FieldEventCount();
       partial_since.reset();
+      m_worker.Evidence().OnEvents(
+          m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
     } else if (!partial_since) {
       partial_since = SteadyClock::now();
     }
@@ -168,7 +164,7 @@
     co_return AttemptOutcome::kFailed;
   }
   server.state->RecordSuccess();
-  RecordMoveEvidence(server, false, slow);
+  m_worker.Evidence().OnEnd(m_tracked_attempt, false, TimeSinceBoot());
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
@@ -194,9 +190,4 @@
   co_return co_await m_exchange.WriteChunk(events);
 }
 
-bool Call::IsSlow(SteadyClock::time_point sent) const {
-  return ElapsedMsSince(sent) >
-         kSlowFactor * m_placement.first_event_ms + kSlowMarginMs;
-}
-
 }  // namespace cowslipknot::gateway
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -311,13 +311,16 @@
     "repeat": sends the second event once more after the third,
     "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
     complete, ended inside an event, or reset at the end of one.
+
+    `answer_pause_s` is the time until an answer that is no stream.
     """
 
-    def __init__(self, name, events=5, event_pause_s=0.0, port=0):
+    def __init__(self, name, events=5, event_pause_s=0.0, answer_pause_s=0.0, port=0):
         self.name = name
         self.events = events
         self.event_pause_s = event_pause_s
         self.silence_s = 1.2
+        self.answer_pause_s = answer_pause_s
         self.pending_faults = []
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
@@ -418,6 +421,7 @@
         elif self.path.startswith("/stream"):
             self.stream(signed_headers, fault, request)
         else:
+            time.sleep(backend.answer_pause_s)
             self.send(200, b"echo:" + body, signed_headers)
 
     def wait_until_disconnected(self, request):
