Keep test processes on one machine from sharing gateways' ports

Cause: free_port looks whether somebody listens, so two test processes that look at the same moment choose the same port; gateways allow a second listener on their port (SO_REUSEPORT), so both run, and a connection reaches either. Evidence: two gateways started with the same ports by hand both run, answer ready, and a request to the second one was answered by the first one's server in one of two tries. Change: a port is reserved by a lock on a file for the life of the test process.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -1,5 +1,6 @@
 """Runs a gateway process on loopback against fakes of the platform's services."""
 
+import fcntl
 import http.client
 import json
 import os
@@ -20,16 +21,37 @@
           "next": FIRST_PORT + os.getpid() % 900}
 
 
+_reserved = {}  # port: file whose lock keeps other test processes from it
+
+
+def _reserve(port):
+    """Returns whether no other test process uses a port. Gateways could share one, since
+    they allow it for a planned restart, and a test would reach another test's gateway."""
+    if port in _reserved:
+        return True
+    path = pathlib.Path(tempfile.gettempdir()) / f"cowslipknot-test-port-{port}"
+    lock = open(path, "w", encoding="ascii")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    _reserved[port] = lock
+    return True
+
+
 def set_port_range(first, last):
     """Restricts free_port to a range, so that test processes do not share ports."""
     _ports.update(first=first, last=last, next=first)
 
 
 def free_port():
-    """Returns a port that no process listens on."""
+    """Returns a port that no process listens on and no other test process uses."""
     while True:
         port = _ports["next"]
         _ports["next"] = port + 1 if port < _ports["last"] else _ports["first"]
+        if not _reserve(port):
+            continue
         with socket.socket() as probe:
             if probe.connect_ex(("127.0.0.1", port)) != 0:
                 return port
