Read a request under the limits in force when it arrives

What callers saw: beside a configuration that raises a size limit, 413 for a proper request on a connection that was idle when the configuration came. Cause: ServeConnection took the limits before it waited for a request and read the request under them, however long the wait was. Change: the limits are taken again when a request has arrived. The idle limit still follows WaitForRequest. Command: python3 -m unittest discover -s tests/platform -p 'request_reading_test.py'

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -298,6 +298,8 @@
     // A request that crosses the close is not read, which tells the peer that
     // it was not accepted.
     if (!arrived) co_return;
+    // The configuration may have changed while the connection was idle.
+    if (hooks.limits) limits = hooks.limits();
     http::request_parser<http::string_body> parser;
     const error_code error =
         co_await ReadRequest(*stream, buffer, parser, limits);
--- /dev/null
+++ b/tests/platform/request_reading_test.py
@@ -0,0 +1,57 @@
+"""Tests that a request is read under the configuration in force when it arrives."""
+
+import unittest
+
+import fakes
+from configuration_documents import configuration
+from gateway_process import Gateway, eventually
+
+LIMITS = {"max_header_bytes": 8192, "max_body_bytes": 100, "header_timeout_ms": 1000,
+          "idle_timeout_ms": 20000}
+LONG_BODY = b"x" * 5000
+
+
+def fields(request):
+    return {"Host": "h.example", "Cowslipknot-Request-Id": request,
+            "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
+
+
+class RequestReadingTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+
+    def start(self, limits):
+        self.store.put("op", "config", configuration(limits=limits))
+        backend = fakes.Backend("b0")
+        self.addCleanup(backend.server.stop)
+        self.store.put("servers", backend.name, backend.registration("plain"))
+        gateway = Gateway(self.store, self.cloud)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        return gateway
+
+    def assert_status(self, connection, status):
+        answer = connection.getresponse()
+        answer.read()
+        self.assertEqual(answer.status, status)
+
+    # Guards against reading a request under the limits that were in force when its connection
+    # became idle.
+    def test_raised_size_limit_holds_for_connections_that_are_idle_already(self):
+        gateway = self.start(LIMITS)
+        kept = gateway.connect()
+        self.addCleanup(kept.close)
+        kept.request("POST", "/safe/x", body=b"hello", headers=fields("a1"))
+        self.assert_status(kept, 200)
+        self.store.put("op", "config",
+                       configuration(2, limits=dict(LIMITS, max_body_bytes=100000)))
+        eventually(lambda: gateway.call("/safe/x", body=LONG_BODY)[0] == 200)
+        kept.request("POST", "/safe/x", body=LONG_BODY, headers=fields("a2"))
+        self.assert_status(kept, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
