Wait in a planned stop for requests that are being read

What callers saw: around a planned stop, a request that began before idle connections were closed got a closed connection without an answer. Cause: Stop() ended the process when no handler ran and no connection was idle. A connection on which a request was being read was neither, so the process ended under it; a request that was complete during the last report to the store was even passed on to a server first. That a request is passed on in the last report was read, not run. Change: the server counts a request from its first byte to the end of its response, and the stop waits for that count, within its time as before; a caller that never completes a request is bounded by the read timeout. The count replaces the one of the handlers. Ruled out: closing the connection unread; its caller may have sent all of the request. Open: serve has the same gap, and leaves idle connections open until it ends. Command: python3 -m unittest discover -s tests/platform -p 'request_reading_test.py'

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -97,6 +97,7 @@
     callers.no_more_requests = [this] { return m_closing_idle.load(); };
     callers.limits = [this] { return CurrentCallerLimits(); };
     callers.idle = m_worker.IdlePtr();
+    callers.requests_in_progress = m_worker.RequestsInProgress();
     asio::co_spawn(m_worker.Context(),
                    ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
                    asio::detached);
@@ -178,7 +179,8 @@
     // Returns whether requests or idle connections remain.
     auto close_idle = [this]() -> Awaitable<bool> {
       m_worker.Idle().CloseAll();
-      co_return m_worker.InFlight() > 0 || m_worker.Idle().Count() > 0;
+      co_return *m_worker.RequestsInProgress() > 0 ||
+          m_worker.Idle().Count() > 0;
     };
     m_closing_idle = true;
     asio::post(m_worker.Context(),
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -36,20 +36,6 @@
          beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
 }
 
-/// Counts a request as in flight for the lifetime of the object.
-class InFlightCount {
- public:
-  explicit InFlightCount(Worker& worker) : m_worker(worker) {
-    ++m_worker.InFlight();
-  }
-  InFlightCount(const InFlightCount&) = delete;
-  InFlightCount& operator=(const InFlightCount&) = delete;
-  ~InFlightCount() { --m_worker.InFlight(); }
-
- private:
-  Worker& m_worker;
-};
-
 /// Ends the tracking of an attempt that has no result.
 class TrackedAttempt {
  public:
@@ -362,7 +348,6 @@
 }
 
 Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange) {
-  const InFlightCount counted(worker);
   Call call(worker, exchange);
   co_await call.Run();
 }
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -100,7 +100,10 @@
   UnitDraw Draw() {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
   }
-  std::uint64_t& InFlight() { return m_in_flight; }
+  /// Number of requests that are being read or answered.
+  std::shared_ptr<std::size_t> RequestsInProgress() {
+    return m_requests_in_progress;
+  }
 
  private:
   PeerFrame OnPromptSent(const PeerFrame& frame);
@@ -121,7 +124,8 @@
   VersionEvidence m_evidence;
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
-  std::uint64_t m_in_flight = 0;
+  std::shared_ptr<std::size_t> m_requests_in_progress =
+      std::make_shared<std::size_t>(0);
   std::atomic<std::chrono::nanoseconds> m_confirmed_at{
       std::chrono::nanoseconds(0)};
   std::atomic<std::chrono::nanoseconds> m_clock_offset{
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -289,6 +289,23 @@
   co_await exchange.Respond(std::move(response));
 }
 
+/// Counts a request as in progress for the lifetime of the object.
+class InProgressCount {
+ public:
+  explicit InProgressCount(const HttpServerHooks& hooks)
+      : m_count(hooks.requests_in_progress) {
+    if (m_count) ++*m_count;
+  }
+  InProgressCount(const InProgressCount&) = delete;
+  InProgressCount& operator=(const InProgressCount&) = delete;
+  ~InProgressCount() {
+    if (m_count) --*m_count;
+  }
+
+ private:
+  std::shared_ptr<std::size_t> m_count;
+};
+
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
                                 HttpServerHooks hooks) {
   beast::flat_buffer buffer;
@@ -298,6 +315,7 @@
     // A request that crosses the close is not read, which tells the peer that
     // it was not accepted.
     if (!arrived) co_return;
+    const InProgressCount counted(hooks);
     // The configuration may have changed while the connection was idle.
     if (hooks.limits) limits = hooks.limits();
     http::request_parser<http::string_body> parser;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -71,6 +71,9 @@
   /// Returns the limits for the next request; empty if they do not change.
   std::function<HttpServerLimits()> limits;
   std::shared_ptr<IdleConnections> idle;  ///< may be null
+  /// Number of requests between their first byte and the end of the response;
+  /// may be null.
+  std::shared_ptr<std::size_t> requests_in_progress;
 };
 
 /// Accepts connections until the acceptor is closed.
