--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -1,6 +1,8 @@
 """Tests a gateway against servers that send bytes that are no answer, or no end of one."""
 
 import http.client
+import re
+import socket
 import threading
 import time
 import unittest
@@ -141,6 +143,135 @@
         self.assertNotIn(b"late", body)
         self.assertEqual((status, body), (200, b"echo:two"))
 
+    # Guards against "not run, try again" for a request that the server runs: a refusal of
+    # an earlier request, sent once more without an id, was taken for its answer.
+    def test_late_refusal_is_not_taken_for_the_answer_to_a_request_that_runs(self):
+        for path in ("/once/x", "/safe/x"):
+            with self.subTest(path=path):
+                gateway = self.start("plain", ["late_refusal"], count=1)
+                self.assertEqual(gateway.call(path, request_id="r1")[0], 200)
+                status, _, body = gateway.call(path, request_id="r2", body=b"two")
+                self.assertEqual((status, body), (200, b"echo:two"))
+                self.assertEqual(len(self.backends[-1].runs), 2)
+                self.assertEqual([event["status"] for event in gateway.log_events()
+                                  if event["name"] == "response_skipped"], ["503"])
+
+    # Guards against a request that is not idempotent running at two servers, and against
+    # the promise that it did not run.
+    def test_request_after_a_late_refusal_runs_once(self):
+        gateway = self.start("plain", ["late_refusal", "mute"])
+        for number in range(4):
+            status, _, _ = gateway.call("/once/x", request_id=f"r{number}")
+            runs = [run for backend in self.backends for run in backend.runs
+                    if run["headers"]["Cowslipknot-Request-Id"] == f"r{number}"]
+            self.assertEqual(len(runs), 1)
+            self.assertNotIn(status, (429, 503))
+
+    def read_stream(self, gateway, request_id, fields=""):
+        """Returns all bytes of a response, and whether its last chunk was among them."""
+        with socket.create_connection(("127.0.0.1", gateway.port), timeout=15) as connection:
+            connection.sendall((f"POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
+                                f"Cowslipknot-Request-Id: {request_id}\r\n"
+                                "Authorization: Token key1\r\nConnection: close\r\n"
+                                "Cowslipknot-Token-Count: 100,10\r\n"
+                                f"{fields}Content-Length: 0\r\n\r\n").encode())
+            received = b""
+            while piece := connection.recv(65536):
+                received += piece
+        return received, received.endswith(b"0\r\n\r\n")
+
+    # Guards against an error of the server that a stream is resumed at standing in the
+    # caller's stream, with its head, or ending the stream as if it were complete.
+    def test_answer_that_is_no_stream_does_not_get_into_a_stream_that_has_begun(self):
+        for fault in ("fail", "fail_404", "fail_410", "other_type", "no_event"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = ["crash", fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(received.count(b"HTTP/1.1"), 1)
+                self.assertNotIn(b"failed", received)
+                self.assertIn(b"piece 2", received)
+                self.assertFalse(complete)
+
+    def pieces(self, received):
+        return [int(number) for number in re.findall(rb"piece (\d+)", received)]
+
+    # Guards against pieces of a stream that come twice or are missing because a server
+    # does not go on where it was asked to.
+    def test_stream_that_goes_on_at_another_event_is_not_joined(self):
+        for fault in ("from_start", "gap"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = ["crash", fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(self.pieces(received), [1, 2])
+                self.assertFalse(complete)
+
+    def test_stream_that_does_not_start_after_the_callers_event_is_taken_elsewhere(self):
+        for fault in ("from_start", "gap"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = [fault]
+                received, complete = self.read_stream(gateway, "r1", "Last-Event-Id: 2\r\n")
+                self.assertEqual(self.pieces(received), [3, 4, 5])
+                self.assertTrue(complete)
+
+    def test_stream_whose_ids_go_back_goes_on_at_another_server(self):
+        gateway = self.start("model", [])
+        first, second = self.backends
+        first.pending_faults = second.pending_faults = ["repeat"]
+        received, complete = self.read_stream(gateway, "r1")
+        self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+        self.assertTrue(complete)
+
+    # Guards against an answer whose end cannot be seen being passed on as complete.
+    def test_unframed_answer_that_ends_with_its_connection_is_complete(self):
+        gateway = self.start("plain", ["unframed"], count=1)
+        status, _, body = gateway.call("/once/x", body=b"one")
+        self.assertEqual((status, body), (200, b"echo:one"))
+
+    def test_unframed_answer_that_is_reset_is_not_complete(self):
+        gateway = self.start("plain", ["unframed_reset"], count=1)
+        self.assertEqual(gateway.call("/once/x", body=b"one")[0], 502)
+
+    def test_unframed_stream_that_ends_at_an_event_is_complete(self):
+        gateway = self.start("model", ["unframed"], count=1)
+        received, complete = self.read_stream(gateway, "r1")
+        self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+        self.assertTrue(complete)
+
+    def test_unframed_stream_that_is_cut_or_reset_goes_on_at_another_server(self):
+        for fault in ("unframed_cut", "unframed_reset"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [])
+                first, second = self.backends[-2:]
+                first.pending_faults = second.pending_faults = [fault]
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+                self.assertTrue(complete)
+
+    def test_unframed_stream_that_is_cut_and_not_resumed_does_not_look_complete(self):
+        for fault in ("unframed_cut", "unframed_reset"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [fault], count=1)
+                received, complete = self.read_stream(gateway, "r1")
+                self.assertFalse(complete)
+                self.assertNotIn(5, self.pieces(received))
+
+    # Guards against "not run, try again" for a request that a server ran and answered with
+    # such a status, without stating that it did not run it.
+    def test_status_that_promises_too_much_is_not_passed_on(self):
+        for fault in ("fail_429", "fail_503"):
+            with self.subTest(fault=fault):
+                gateway = self.start("plain", [fault], count=1)
+                status, headers, _ = gateway.call("/once/x")
+                self.assertEqual(status, 502)
+                self.assertNotIn("Cowslipknot-Server-Signature", headers)
+                self.assertEqual(len(self.backends[-1].runs), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
