--- a/tests/platform/version_move_test.py
+++ b/tests/platform/version_move_test.py
@@ -96,6 +96,47 @@
             "plain", "/safe/x", {"answer_pause_s": 0.04}, {"answer_pause_s": 0.05})
         self.assertEqual(state, "completed")
 
+    # Guards against: an instance that lacks the store keeps sending to a bad version that
+    # the others have rolled back.
+    def test_instance_without_store_stops_using_a_version_that_is_bad_at_others(self):
+        store_proxy = fakes.Server(fakes.StoreHandler, self.store)
+        self.addCleanup(store_proxy.stop)
+        self.add_backend("old", "plain", "v1")
+        fleet = [Gateway(self.store, self.cloud, name="gw1"),
+                 Gateway(self.store, self.cloud, name="gw2",
+                         store_address=store_proxy.address)]
+        for gateway in fleet:
+            self.addCleanup(gateway.stop)
+        for gateway in fleet:
+            eventually(gateway.ready)
+            eventually(lambda: [event for event in gateway.log_events()
+                                if event["name"] == "instances_known"
+                                and event["instances"] == "2"])
+        new_server = self.add_backend("new", "plain", "v2")
+        self.store.put("op", "rollout/plain", {
+            "service": "plain", "to": "v2", "duration_s": DURATION_S})
+        numbers = iter(range(10**6))
+
+        def uses_new_version():
+            request = f"trial{next(numbers)}"
+            fleet[1].call("/open/x", request_id=request)
+            return any(run["headers"]["Cowslipknot-Request-Id"] == request
+                       for run in new_server.runs)
+
+        eventually(uses_new_version)
+        store_proxy.rejects_calls = True
+        new_server.pending_faults = ["fail"] * 100000
+        deadline = time.monotonic() + DURATION_S
+        while (self.status("plain")["state"] == "in_progress"
+               and time.monotonic() < deadline):
+            fleet[0].call("/open/x", request_id=f"bad{next(numbers)}")
+        self.assertEqual(self.status("plain")["state"], "reverted")
+        for number in range(200):
+            fleet[1].call("/open/x", request_id=f"late{number}")
+        late = [run for run in new_server.runs
+                if run["headers"]["Cowslipknot-Request-Id"].startswith("late")]
+        self.assertEqual(late, [])
+
 
 if __name__ == "__main__":
     unittest.main()
