--- a/tests/unit/move_test.cc
+++ b/tests/unit/move_test.cc
@@ -146,3 +146,19 @@
   cr_expect(DecodeEvidence("{\"m\":{\"r\":[1,2,0,0,0,0,0,0]}}").empty());
   cr_expect(DecodeEvidence("nonsense").empty());
 }
+
+// Guards against: evidence without the numbers sent, as earlier releases write
+// it, is rejected as malformed.
+Test(evidence, reads_evidence_without_the_numbers_sent) {
+  const auto decoded = DecodeEvidence("{\"m\":{\"r\":[9,1,8,2,7,3,6,4]}}");
+  const RouteEvidence& seen = decoded.at(MoveId("m")).at(RouteId("r"));
+  cr_expect_eq(seen.new_slow.bad, 4u);
+  cr_expect_eq(seen.new_sent, 0u);
+  RouteEvidence sent = seen;
+  sent.old_sent = 12;
+  sent.new_sent = 10;
+  const auto again =
+      DecodeEvidence(EncodeEvidence({{MoveId("m"), {{RouteId("r"), sent}}}}));
+  cr_expect_eq(again.at(MoveId("m")).at(RouteId("r")).old_sent, 12u);
+  cr_expect_eq(again.at(MoveId("m")).at(RouteId("r")).new_sent, 10u);
+}
