Judge the evidence of a move once an interval, not at each frame

Each frame of another instance had all evidence judged again: with n instances n times an interval, with the bisections of the sequential test each time. Read, not measured: on a site of 36 instances some 60 verdicts a second. The halts that a frame names still take effect at once. Evidence of other instances and halts are dropped when their order ends.

--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -91,9 +91,7 @@
                                       std::vector<ServerEntry> servers);
 
   /// Replaces the active move orders; orders that are absent have ended.
-  void SetOrders(std::map<ServiceId, MoveOrder> orders) {
-    m_move_orders = std::move(orders);
-  }
+  void SetOrders(std::map<ServiceId, MoveOrder> orders);
   /// Returns the moves of the active orders with their state as last read. The
   /// share is 0 if the move was halted.
   std::map<ServiceId, VersionMove> Moves() const;
@@ -107,7 +105,7 @@
   bool HaltRegressions();
   /// The evidence of this instance and the moves halted here, for the others.
   PeerFrame BuildEvidenceFrame() const;
-  /// Applies another instance's evidence frame.
+  /// Takes over another instance's evidence and the moves that it halted.
   /// @return whether a move was halted
   bool ApplyEvidenceFrame(const PeerFrame& frame);
 
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+void FleetCoordinator::SetOrders(std::map<ServiceId, MoveOrder> orders) {
+  m_move_orders = std::move(orders);
+  m_peer_evidence.clear();
+  std::erase_if(m_halted, [this](const auto& item) {
+    return std::none_of(
+        m_move_orders.begin(), m_move_orders.end(),
+        [&](auto& order) { return MoveKey(order.second) == item.first; });
+  });
+}
+
 std::map<ServiceId, VersionMove> FleetCoordinator::Moves() const {
   std::map<ServiceId, VersionMove> moves;
   for (const auto& [service, order] : m_move_orders) {
@@ -103,7 +113,7 @@
         halted = Halt(order, record.payload) || halted;
     }
   }
-  return HaltRegressions() || halted;
+  return halted;
 }
 
 void FleetCoordinator::LogEvidence(const VersionMove& move,
