--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -14,13 +14,23 @@
   /// Largest event. What is larger is not an event; see IsOverlong().
   static constexpr std::size_t kMaxEventBytes = 256 << 10;
 
-  /// @return the bytes of all events completed by `bytes`, unchanged
+  /// @return the bytes of all events completed by `bytes`, unchanged, up to one
+  ///         that is out of order
   std::string Feed(std::string_view bytes);
 
-  /// Discards a partial event that its source will not complete.
+  /// Sets the id of the event after which the stream is to go on.
+  void ResumeAfter(std::uint64_t id) {
+    m_last_id = id;
+    m_resumed = true;
+  }
+
+  /// Discards a partial event that its source will not complete, and starts to
+  /// read from another source.
   void DiscardPartialEvent() {
     m_buffer.clear();
     m_scanned = 0;
+    m_out_of_order = false;
+    m_resumed = m_resumed || m_ids > 0;
   }
 
   /// The numeric "id" of the last complete event that has one.
@@ -31,17 +41,29 @@
   /// Whether the partial event is larger than any event may be. Its source is
   /// faulty, and no fragment of it has been passed on.
   bool IsOverlong() const { return m_buffer.size() > kMaxEventBytes; }
+  /// Whether an event's id did not follow the id before it. The event
+  /// and what followed it have not been passed on.
+  bool IsOutOfOrder() const { return m_out_of_order; }
   /// The bytes of a partial event.
   const std::string& PartialEvent() const { return m_buffer; }
 
  private:
-  void RecordEvent(std::string_view event);
+  /// Whether an event with this id may follow the last one. Ids increase;
+  /// unless the first two of the stream differ by more than one, each is the
+  /// successor of the one before, so that a gap shows that an event is missing.
+  bool MayFollow(std::uint64_t id);
+  /// @return false if the event is out of order; then nothing is recorded
+  bool RecordEvent(std::string_view event);
 
   std::string m_buffer;
   std::size_t m_scanned = 0;
   std::optional<std::uint64_t> m_last_id;
   std::uint64_t m_events = 0;
   std::uint64_t m_field_events = 0;
+  bool m_out_of_order = false;
+  std::uint64_t m_ids = 0;  ///< events with an id
+  bool m_resumed = false;   ///< goes on after an event of another source
+  bool m_has_gaps = false;  ///< ids increase by more than one
 };
 
 }  // namespace cowslipknot
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -301,8 +301,16 @@
     "endless_event": such an event as the third of a stream,
     "trickle": a byte of the third event of a stream now and then, "comments": comments
     instead of the third event of a stream, now and then,
+    "silent": sends nothing for `silence_s` before the third event of a stream, and goes on,
     "late_copy": answers, and sends the answer once more when the next request on the
-    connection has arrived, without an id.
+    connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
+    "fail_404", "fail_410", "fail_429", "fail_503": answers with that status,
+    "other_type": with a 200 that is no stream of events,
+    "no_event": with a 200 that holds no complete event,
+    "from_start": ignores Last-Event-Id, "gap": leaves out the first event that is due,
+    "repeat": sends the second event once more after the third,
+    "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
+    complete, ended inside an event, or reset at the end of one.
 
     `answer_pause_s` is the time until an answer that is no stream.
     """
@@ -312,6 +320,7 @@
         self.events = events
         self.event_pause_s = event_pause_s
         self.answer_pause_s = answer_pause_s
+        self.silence_s = 1.2
         self.pending_faults = []
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
@@ -325,6 +334,27 @@
         return registration
 
 
+# By fault: what is sent once more on a connection, before the next answer.
+LATE_COPIES = {
+    "late_copy": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                 b"Cowslipknot-Server-Signature: sig\r\n\r\nlate",
+    "late_refusal": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                    b"Cowslipknot-Not-Executed: 1\r\n\r\n",
+}
+
+
+# By fault: status, content type and body.
+WHOLE_ANSWERS = {
+    "fail": (500, "text/plain", b"failed"),
+    "fail_429": (429, "text/plain", b"failed"),
+    "fail_503": (503, "text/plain", b"failed"),
+    "fail_404": (404, "text/plain", b"failed"),
+    "fail_410": (410, "text/plain", b"failed\n\n"),
+    "other_type": (200, "text/html", b"failed\n\n"),
+    "no_event": (200, "text/event-stream", b"failed"),
+}
+
+
 class BackendHandler(Handler):
     def do_GET(self):
         self.serve_request()
@@ -351,6 +381,8 @@
         backend.runs.append({"method": self.command, "path": self.path,
                              "body": body, "headers": dict(self.headers),
                              "time": time.monotonic(), "fault": fault})
+        if self.late_copy:
+            self.send_raw(self.late_copy)
         if fault == "reset":
             reset_client(self)
             return
@@ -369,17 +401,13 @@
         if fault == "endless_body":
             self.send_endless_body(200, signed_headers)
             return
-        if self.late_copy:
-            self.send_raw(self.late_copy)
-            self.late_copy = b""
-        if fault == "late_copy":
-            self.late_copy = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
-                              b"Cowslipknot-Server-Signature: sig\r\n\r\nlate")
+        self.late_copy = LATE_COPIES.get(fault, b"")
         if fault == "foreign":
             self.send(200, b"not yours",
                       dict(signed_headers, **{"Cowslipknot-Request-Id": "other"}))
-        if fault == "fail":
-            self.send(500, b"failed", signed_headers)
+        if fault in WHOLE_ANSWERS:
+            status, content_type, text = WHOLE_ANSWERS[fault]
+            self.send(status, text, dict(signed_headers, **{"Content-Type": content_type}))
         elif fault == "cut":
             self.send_response(200)
             for name, value in signed_headers.items():
@@ -388,6 +416,8 @@
             self.end_headers()
             self.wfile.write(b"half")
             self.close_connection = True
+        elif fault.startswith("unframed"):
+            self.send_unframed(signed_headers, fault, body)
         elif self.path.startswith("/stream"):
             self.stream(signed_headers, fault, request)
         else:
@@ -428,6 +458,28 @@
         self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n",
                               headers["Cowslipknot-Request-Id"])
 
+    def send_unframed(self, signed_headers, fault, body):
+        self.send_response(200)
+        for name, value in signed_headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.close_connection = True
+        if self.path.startswith("/stream"):
+            first = int(self.headers.get("Last-Event-Id") or 0) + 1
+            pieces = [f"id: {number}\ndata: piece {number}\n\n".encode()
+                      for number in range(first, self.server.owner.events + 1)]
+        else:
+            pieces = [b"echo:", body]
+        if fault != "unframed":
+            del pieces[-1:]
+        if fault == "unframed_cut":
+            pieces[-1] = pieces[-1][:-2]
+        for piece in pieces:
+            self.send_raw(piece)
+        if fault == "unframed_reset":
+            time.sleep(0.05)  # until the pieces are read
+            reset_client(self)
+
     def stream(self, signed_headers, fault, request):
         backend = self.server.owner
         self.send_response(200)
@@ -437,13 +489,19 @@
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        first = {"from_start": 1, "gap": first + 1}.get(fault, first)
+        numbers = list(range(first, backend.events + 1))
+        if fault == "repeat":
+            numbers[3:3] = [2]
         try:
-            for number in range(first, backend.events + 1):
+            for number in numbers:
                 event = f"id: {number}\ndata: piece {number}\n\n".encode()
                 if fault == "crash" and number == 3:
                     self.chunk(event[:7])
                     reset_client(self)
                     return
+                if fault == "silent" and number == 3:
+                    time.sleep(backend.silence_s)
                 if fault == "endless_event" and number == 3:
                     self.chunk(event[:-2])
                     self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n", request)
