--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -221,7 +221,6 @@
     return IsOwn(header);
   };
   const auto started = SteadyClock::now();
-  m_attempt_sent = started;
   m_tracked_attempt = TrackAttempt(server);
   const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -121,7 +121,6 @@
   MoveId m_move_key;  ///< undecided move of the service; empty if none
   VersionId m_new_version;
   std::uint64_t m_tracked_attempt = 0;       ///< latest, in the evidence
-  SteadyClock::time_point m_attempt_sent{};  ///< latest attempt
   std::vector<ServerId> m_tried_servers;     ///< in order; may repeat
   std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
   std::uint32_t m_executed = 0;  ///< attempts that may have been executed
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -10,6 +10,7 @@
 
 /// Time between checks whether a silent server can be left for another.
 constexpr Milliseconds kStallCheckInterval(100);
+
 /// Limits on the body of a response that declines a request: the caller waits
 /// for another server meanwhile.
 constexpr Milliseconds kDiscardTimeout(50);
@@ -131,9 +132,9 @@
     const std::string events = m_events.Feed(*chunk);
     if (m_events.FieldEventCount() > events_seen) {
       events_seen = m_events.FieldEventCount();
-      partial_since.reset();
       m_worker.Evidence().OnEvents(
           m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
+      partial_since.reset();
     } else if (!partial_since) {
       partial_since = SteadyClock::now();
     }
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -319,8 +319,8 @@
         self.name = name
         self.events = events
         self.event_pause_s = event_pause_s
-        self.silence_s = 1.2
         self.answer_pause_s = answer_pause_s
+        self.silence_s = 1.2
         self.pending_faults = []
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
