--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include "cowslipknot/events.h"
 #include "serve/gateway_call.h"
 
@@ -9,6 +11,18 @@
 /// a batch.
 constexpr double kPromptTokensPerMs = 50;
 
+/// Parts of a prompt that are logged.
+constexpr std::size_t kMaxLoggedParts = 8;
+
+/// The ids of the parts that other requests may share: all but the last one.
+std::string FormatSharedParts(const std::vector<PromptPart>& parts) {
+  std::ostringstream text;
+  for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i) {
+    text << (i > 0 ? "," : "") << std::hex << parts[i].id;
+  }
+  return text.str();
+}
+
 }  // namespace
 
 void Call::RecordOutcome(const std::string& outcome) {
@@ -69,6 +83,9 @@
             {"server", server.entry.id.Text()},
             {"code", std::to_string(static_cast<int>(error.code))},
             {"reused", m_progress.reused_connection ? "true" : "false"},
+            {"attempt", std::to_string(m_tried_servers.size())},
+            {"answer_begun", m_progress.response_started ? "true" : "false"},
+            {"parts", FormatSharedParts(m_request.prompt_parts)},
             {"detail", error.detail}});
 }
 
