Keep prompts with a part that crashes servers from the servers

An answer whose connection ends early is recorded with the shared parts of its prompt; 50 ms later the server is asked for a connection. If it refuses, it has crashed, and all peers are told at once; evidence is also exchanged with a random peer each second, and every 300 ms after a start. Once three crashes have a part in common, requests with it get 503 (result code 2008, not charged, not run). Before the verdict, a request whose prompt may have crashed two servers is not sent to a third. A response without framing proves nothing when it ends, since a crash may have ended it. Tried again: one instance, chosen by rendezvous hashing, sends one request a minute after the last crash, then after two minutes, four and so on.

Ruled out: resets as evidence by themselves (test_reset_connections_put_no_part_in_quarantine: three broken connections at each server condemn nothing).

--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -27,6 +27,7 @@
   kNoConfiguration = 2005,
   kPlatformUnavailable = 2006,
   kDeadlinePassed = 2007,
+  kPromptQuarantined = 2008,
   kConnectFailed = 3001,
   kBackendFailed = 3002,
   kBackendMalformed = 3003,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -76,6 +76,19 @@
      "an exception ended the handling of a request"},
     {Event::kStreamStalled, "warn", "stream_stalled",
      "a server sends nothing, and the stream waits for it"},
+    {Event::kServerChecked, "info", "server_checked",
+     "a server whose answer broke off was checked for a crash"},
+    {Event::kPromptQuarantined, "warn", "prompt_quarantined",
+     "parts of prompts crashed several servers; requests with all of them are "
+     "rejected"},
+    {Event::kQuarantineTrial, "info", "quarantine_trial",
+     "a request with quarantined parts is sent to learn whether they still "
+     "crash servers"},
+    {Event::kQuarantineEnded, "info", "quarantine_ended",
+     "requests with these parts are no longer rejected"},
+    {Event::kRetryWithheld, "warn", "retry_withheld",
+     "a request is not sent to another server, since its prompt may have "
+     "crashed the last ones"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -36,6 +36,8 @@
      "the platform's table service cannot be reached"},
     {ResultCode::kDeadlinePassed, "deadline_passed", 504,
      "the deadline passed before the request was sent"},
+    {ResultCode::kPromptQuarantined, "prompt_quarantined", 503,
+     "a part of the prompt crashed several backend servers"},
     {ResultCode::kConnectFailed, "connect_failed", 502,
      "could not connect to a backend server"},
     {ResultCode::kBackendFailed, "backend_failed", 502,
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -139,9 +139,11 @@
       if (!is_retry) last = server.error();
       break;
     }
+    if (is_retry && !MayRetryPrompt()) break;
     if (is_retry && m_reached_server && !m_worker.Retries().TrySpend()) break;
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
+    RecordPromptBreakOff(chosen, end, last);
     if (end == AttemptOutcome::kAnswered) co_return;
     if (end == AttemptOutcome::kNotExecuted) {
       if (++rejections >= kMaxRejections) break;
@@ -194,6 +196,7 @@
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
   }
+  OnResponseHeader((*opened)->Header());
   const auto response =
       m_worker.GetAdapter().decode_backend_response((*opened)->Header());
   if (response.not_executed) {
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -76,6 +76,13 @@
   /// Whether the time since `sent` is several times longer than predicted.
   bool IsSlow(SteadyClock::time_point sent) const;
 
+  // Evidence about prompts: gateway_call_prompts.cc.
+  void OnResponseHeader(const http::response_header<>& header);
+  void RecordPromptCompletion();
+  void RecordPromptBreakOff(const Backend& server, AttemptOutcome end,
+                            const Error& error);
+  bool MayRetryPrompt() const;
+
   // Logs and metrics: gateway_call_metrics.cc.
   void RecordOutcome(const std::string& outcome);
   void LogAttempt(const Backend& server) const;
@@ -112,6 +119,9 @@
   bool m_streaming = false;
   bool m_start_recorded = false;
   bool m_caller_gone = false;
+  /// Whether the response shows, once it is complete, that the prompt crashes
+  /// no server.
+  bool m_shows_harmless_prompt = false;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -66,6 +66,7 @@
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
   RecordMoveEvidence(server, failed, IsSlow(m_attempt_sent));
+  RecordPromptCompletion();
   if (failed) {
     server.state->RecordFailure(TimeSinceBoot());
   } else {
@@ -138,13 +139,14 @@
     }
   }
   if (!m_events.PartialEvent().empty()) {
-    error =
-        Error{ResultCode::kBackendMalformed, "ended in the middle of an event"};
+    error = Error{ResultCode::kBackendMalformed,
+                  "ended in the middle of an event", Execution::kUnknown};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
   server.state->RecordSuccess();
   RecordMoveEvidence(server, false, slow);
+  RecordPromptCompletion();
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -39,6 +39,8 @@
       m_quota(settings.quota),
       m_links(m_context.get_executor(), settings),
       m_quota_peers(m_links, settings),
+      m_prompts(m_links, m_context.get_executor(), settings,
+                [this] { return m_snapshot->peers; }),
       m_retries(settings.retry_ratio * kRetryRatioFraction,
                 RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -16,6 +16,7 @@
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
 #include "protocol/platform_adapter.h"
+#include "serve/prompt_guard.h"
 #include "serve/quota_peers.h"
 #include "transport/http_server.h"
 
@@ -67,6 +68,7 @@
   QuotaLimiter& Quota() { return m_quota; }
   PeerLinks& Links() { return m_links; }
   QuotaPeers& GetQuotaPeers() { return m_quota_peers; }
+  PromptGuard& Prompts() { return m_prompts; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
@@ -116,6 +118,7 @@
   QuotaLimiter m_quota;
   PeerLinks m_links;
   QuotaPeers m_quota_peers;
+  PromptGuard m_prompts;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
   UsageLedger m_usage;
   LoadMeter m_load;
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -43,20 +43,35 @@
   co_return worker.Quota().TakeWithDebt(workspace, cost, TimeSinceBoot());
 }
 
-Awaitable<void> Authorize(Worker& worker, const Configuration& configuration,
-                          AdmissionResult& admission) {
-  if (!configuration.HasWorkspaces() || admission.route->is_public) co_return;
+void Authorize(Worker& worker, const Configuration& configuration,
+               AdmissionResult& admission) {
+  if (!configuration.HasWorkspaces() || admission.route->is_public) return;
   if (!worker.KeysAreFresh()) {
     Reject(admission, ResultCode::kNoConfiguration, kNotConfirmedDetail,
            kNoConfigurationRetryDelay);
-    co_return;
+    return;
   }
   const auto key = configuration.api_keys.find(admission.request.api_key);
   if (key == configuration.api_keys.end()) {
     Reject(admission, ResultCode::kUnknownKey);
-    co_return;
+    return;
   }
   admission.workspace = &configuration.workspaces.at(key->second);
+}
+
+/// Rejects a prompt that would crash a server. Its quota is not charged.
+void CheckPrompt(Worker& worker, AdmissionResult& admission) {
+  Milliseconds until_trial{0};
+  const auto admitted = worker.Prompts().Admit(
+      admission.request.id, SharedPartsOf(admission.request.prompt_parts),
+      until_trial);
+  if (admitted) return;
+  Reject(admission, admitted.error().code, admitted.error().detail,
+         until_trial);
+}
+
+Awaitable<void> Charge(Worker& worker, AdmissionResult& admission) {
+  if (admission.workspace == nullptr) co_return;
   const Milliseconds wait =
       co_await ChargeQuota(worker, *admission.workspace, CostOf(admission));
   if (wait.count() == 0) co_return;
@@ -96,7 +111,9 @@
   const Milliseconds timeout = admission.route->timeout;
   const Milliseconds deadline = admission.request.deadline.value_or(timeout);
   admission.response_timeout = std::min(deadline - kAnswerMargin, timeout);
-  co_await Authorize(worker, *snapshot.configuration, admission);
+  Authorize(worker, *snapshot.configuration, admission);
+  if (!admission.rejection) CheckPrompt(worker, admission);
+  if (!admission.rejection) co_await Charge(worker, admission);
   co_return admission;
 }
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -310,6 +310,7 @@
         self.events = events
         self.event_pause_s = event_pause_s
         self.pending_faults = []
+        self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
         self.server = Server(BackendHandler, self, port)
@@ -322,6 +323,12 @@
         return registration
 
 
+def prompt_parts(headers):
+    """The ids of the parts of a request's prompt."""
+    text = headers["Cowslipknot-Prefix-Hash"] or ""
+    return [part.partition(":")[0] for part in text.split(",")]
+
+
 class BackendHandler(Handler):
     def do_GET(self):
         self.serve_request()
@@ -429,6 +436,10 @@
         self.send_response(200)
         for name, value in signed_headers.items():
             self.send_header(name, value)
+        if backend.crashes_on and backend.crashes_on in prompt_parts(self.headers):
+            backend.server.kill()
+            self.close_connection = True
+            return
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
--- /dev/null
+++ b/tests/platform/prompt_quarantine_test.py
@@ -0,0 +1,115 @@
+"""Tests gateways against requests whose prompts crash the servers that answer them."""
+
+import http.client
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration
+from gateway_process import Gateway, eventually
+
+GATEWAYS = 3
+SERVERS = 16
+FIRST_PART = "a1"  # shared by all prompts of the route
+CRASHING_PART = "bad1"
+CRASHING_REQUESTS = 14
+MAX_CRASHES = 5  # the instances know the part by then
+CONTACT_S = 3  # after its start, an instance knows what the others know
+
+
+class PromptQuarantineTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+        self.store.put("op", "config", configuration())
+        self.backends = []
+        for number in range(SERVERS):
+            backend = fakes.Backend(f"b{number}")
+            backend.crashes_on = CRASHING_PART
+            self.addCleanup(backend.server.server_close)
+            self.store.put("servers", backend.name, backend.registration("model"))
+            self.backends.append(backend)
+        self.gateways = [self.start(f"gw{number}") for number in range(GATEWAYS)]
+        eventually(lambda: all(self.peers_known(gateway) for gateway in self.gateways))
+        self.sent = 0
+
+    def start(self, name):
+        gateway = Gateway(self.store, self.cloud, name=name)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        return gateway
+
+    @staticmethod
+    def events(gateway, name):
+        return [event for event in gateway.log_events() if event["name"] == name]
+
+    def peers_known(self, gateway):
+        known = self.events(gateway, "instances_known")
+        return known and int(known[-1]["instances"]) >= GATEWAYS
+
+    def send(self, gateway, *parts):
+        """Sends a request whose prompt has these parts and one of its own.
+
+        Returns the status, or 0 for a connection that ended."""
+        self.sent += 1
+        prefix = ",".join(f"{part}:100" for part in (*parts, f"f{self.sent:04x}"))
+        try:
+            return gateway.call("/stream/x", request_id=f"r{self.sent}",
+                                Cowslipknot_Token_Count="300,10",
+                                Cowslipknot_Prefix_Hash=prefix)[0]
+        except (http.client.HTTPException, OSError):
+            return 0
+
+    def runs_with_part(self):
+        return [run for backend in self.backends for run in backend.runs
+                if CRASHING_PART in run["headers"].get("Cowslipknot-Prefix-Hash", "")]
+
+    def send_crashing_requests(self):
+        for number in range(CRASHING_REQUESTS):
+            gateway = self.gateways[number % len(self.gateways)]
+            self.send(gateway, FIRST_PART, CRASHING_PART)
+            self.send(gateway, FIRST_PART)
+            time.sleep(0.3)
+
+    # Guards against BUDGET of issue 23: requests with one part in common ended one model
+    # server after the other, whichever instance they came to.
+    def test_part_that_crashes_servers_is_kept_from_them(self):
+        self.send_crashing_requests()
+        self.assertLessEqual(len(self.runs_with_part()), MAX_CRASHES)
+        for gateway in self.gateways:
+            self.assertEqual(self.send(gateway, FIRST_PART, CRASHING_PART), 503)
+            self.assertEqual(self.send(gateway, CRASHING_PART), 503)
+            self.assertEqual(self.send(gateway, FIRST_PART), 200)
+
+    # Guards against an instance that forgets with its process what the others know.
+    def test_restarted_instance_learns_of_the_part_before_it_sends_it(self):
+        self.send_crashing_requests()
+        before = len(self.runs_with_part())
+        gateway = self.gateways[0]
+        gateway.child.kill()
+        gateway.child.wait()
+        gateway.start()
+        eventually(gateway.ready)
+        started = time.monotonic()
+        eventually(lambda: len(self.events(gateway, "prompt_quarantined")) > 1)
+        self.assertLess(time.monotonic() - started, CONTACT_S)
+        for _ in range(5):
+            self.send(gateway, FIRST_PART, CRASHING_PART)
+        self.assertEqual(len(self.runs_with_part()), before)
+
+    # Guards against servers that are blamed on prompts although only links broke.
+    def test_reset_connections_put_no_part_in_quarantine(self):
+        for backend in self.backends:
+            backend.crashes_on = None
+            backend.pending_faults = ["crash"] * 3
+        for number in range(CRASHING_REQUESTS):
+            self.send(self.gateways[number % GATEWAYS], FIRST_PART, "c0ffee")
+        for gateway in self.gateways:
+            self.assertFalse(self.events(gateway, "prompt_quarantined"))
+            self.assertTrue(self.events(gateway, "server_checked"))
+
+
+if __name__ == "__main__":
+    unittest.main()
