Keep the evidence about prompts in the lease holder's report

The lease holder's report now carries the evidence while a part is quarantined, and a process takes it from the reports, also those of processes that have ended, in its first ten seconds. One report only: the bytes of all instances' reports would grow with the square of their number.

Ruled out: a row of its own, which needs a writer and an end of its life; reports have both. Before: test_part_is_known_after_all_instances_were_killed fails on ("condition not met within 20 s"). After: passes.

--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -32,6 +32,9 @@
   /// node, not stopping, and with a report within the lifetime.
   std::vector<const InstanceReport*> Serving(Time now) const;
 
+  /// All reports, including those of processes that have ended.
+  std::vector<const InstanceReport*> All() const;
+
   /// The latest process of a node that started before `started`, or nullptr if
   /// the store holds no report of one.
   const InstanceReport* Predecessor(const NodeId& node,
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -55,6 +55,12 @@
   return serving;
 }
 
+std::vector<const InstanceReport*> InstanceTable::All() const {
+  std::vector<const InstanceReport*> all;
+  for (const auto& [key, tracked] : m_reports) all.push_back(&tracked.report);
+  return all;
+}
+
 const InstanceReport* InstanceTable::Predecessor(const NodeId& node,
                                                  std::uint64_t started) const {
   const InstanceReport* latest = nullptr;
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -55,6 +55,9 @@
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
   Awaitable<void> ExchangeReports();
   Awaitable<void> WriteReportsOfFollowers();
+  /// Passes the quarantined prompt parts in the reports on to the traffic
+  /// thread, for a process that no peer could tell of them.
+  void ImportPromptEvidence();
 
   // Following a relay: gateway_relay_follower.cc.
   /// Follows the domain's relays while there are any and this instance is none.
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -120,6 +120,7 @@
         [&](auto& order) { return MoveKey(order.second) == item.first; });
   });
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
+  if (HoldsLease()) report.prompt_evidence = input.prompt_evidence;
   return report;
 }
 
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -54,6 +54,7 @@
     std::uint64_t revision = 0;  ///< of the active configuration
     bool stopping = false;
     std::map<MoveId, MoveEvidence> evidence;
+    std::string prompt_evidence;  ///< empty if no part is quarantined
   };
 
   FleetCoordinator(const Settings& settings, const PlatformAdapter& adapter);
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -42,6 +42,8 @@
 /// Until this age a process has not seen its share of the callers, so its
 /// demand counts as at least the mean demand of the other instances.
 constexpr Milliseconds kDemandWarmupPeriod(4000);
+/// Age until which a process takes prompt evidence from the reports.
+constexpr Milliseconds kPromptEvidenceImportPeriod(10000);
 
 }  // namespace
 
@@ -145,6 +147,7 @@
   input.busy = worker.Load().BusyServers(TimeSinceBoot());
   input.usage = std::exchange(worker.Usage(), UsageLedger());
   input.evidence = worker.Evidence();
+  input.prompt_evidence = worker.Prompts().ExportQuarantined();
   co_return input;
 }
 
@@ -169,6 +172,7 @@
     if (exchanged) {
       RefreshFleet();
       UpdateFromFleet();
+      ImportPromptEvidence();
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
     }
@@ -176,6 +180,21 @@
   }
 }
 
+void ControlPlane::ImportPromptEvidence() {
+  // Later the instances tell each other.
+  if (TimeSinceBoot() - m_started_at > kPromptEvidenceImportPeriod) return;
+  const std::int64_t now = m_coordinator.SharedNowMs().value_or(0);
+  for (const auto* report : m_coordinator.Instances().All()) {
+    if (report->prompt_evidence.empty()) continue;
+    const bool is_dated = now > 0 && report->as_of_ms > 0;
+    const Milliseconds age(
+        is_dated ? std::max<std::int64_t>(0, now - report->as_of_ms) : 0);
+    asio::post(m_worker.Context(), [this, age, text = report->prompt_evidence] {
+      m_worker.Prompts().Import(text, age);
+    });
+  }
+}
+
 Awaitable<void> ControlPlane::WriteReportsOfFollowers() {
   auto reports = m_relay.TakeReports();
   if (reports.empty()) co_return;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -86,6 +86,8 @@
   }
   object["usage"] = std::move(windows);
   if (!report.evidence.empty()) object["evidence"] = report.evidence;
+  if (!report.prompt_evidence.empty())
+    object["prompt_evidence"] = report.prompt_evidence;
   return json::serialize(object);
 }
 
@@ -117,6 +119,10 @@
     if (const auto* evidence = parsed.as_object().if_contains("evidence")) {
       report.evidence = std::string(evidence->as_string());
     }
+    if (const auto* prompts =
+            parsed.as_object().if_contains("prompt_evidence")) {
+      report.prompt_evidence = std::string(prompts->as_string());
+    }
     for (const auto& [window, counts] : parsed.at("usage").as_object()) {
       for (const auto& [workspace, count] :
            CountsFromJson(counts.as_object())) {
--- a/tests/platform/prompt_quarantine_test.py
+++ b/tests/platform/prompt_quarantine_test.py
@@ -15,6 +15,7 @@
 CRASHING_REQUESTS = 14
 MAX_CRASHES = 5  # the instances know the part by then
 CONTACT_S = 3  # after its start, an instance knows what the others know
+MAX_REQUESTS_LATER = 3  # that reach servers with the part
 
 
 class PromptQuarantineTest(unittest.TestCase):
@@ -99,6 +100,23 @@
             self.send(gateway, FIRST_PART, CRASHING_PART)
         self.assertEqual(len(self.runs_with_part()), before)
 
+    # Guards against a quarantine that only the memory of processes holds.
+    def test_part_is_known_after_all_instances_were_killed(self):
+        self.send_crashing_requests()
+        time.sleep(3)  # longer than the interval between reports
+        before = len(self.runs_with_part())
+        for gateway in self.gateways:
+            gateway.child.kill()
+            gateway.child.wait()
+        for gateway in self.gateways:
+            gateway.start()
+        for gateway in self.gateways:
+            eventually(gateway.ready)
+            eventually(lambda gateway=gateway: len(
+                self.events(gateway, "prompt_quarantined")) > 1)
+            self.send(gateway, FIRST_PART, CRASHING_PART)
+        self.assertLessEqual(len(self.runs_with_part()) - before, MAX_REQUESTS_LATER)
+
     # Guards against servers that are blamed on prompts although only links broke.
     def test_reset_connections_put_no_part_in_quarantine(self):
         for backend in self.backends:
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -262,12 +262,14 @@
     report.usage.Record(5, WorkspaceId("w"), count);
     report.demand[WorkspaceId("w")] = 12;
     report.busy[ServiceId("s")] = 1.5;
+    report.prompt_evidence = R"({"crashes":[]})";
     const auto decoded = DecodeReport(EncodeReport(report));
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded->usage.Windows() == report.usage.Windows());
     RC_ASSERT(decoded->stopping == report.stopping);
     RC_ASSERT(decoded->as_of_ms == report.as_of_ms);
     RC_ASSERT(decoded->busy == report.busy);
+    RC_ASSERT(decoded->prompt_evidence == report.prompt_evidence);
   }));
 }
 
