--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -43,6 +43,7 @@
   kRequestUnreadable = 510,
   kHandlerFailed = 511,
   kStreamStalled = 512,
+  kResponseSkipped = 515,
   kServerChecked = 520,
   kPromptQuarantined = 521,
   kQuarantineTrial = 522,
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 #include "cowslipknot/events.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
@@ -21,9 +23,19 @@
 constexpr Milliseconds kNoServerRetryDelay(400);
 /// The request is rejected after this many attempts that were not executed.
 constexpr std::uint32_t kMaxRejections = 3;
+/// Time between attempts to resume a stream that no server accepts now.
+constexpr Milliseconds kResumeRetryDelay(200);
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
 
+/// Whether a response is a stream of events or does not state what it is.
+bool MayHoldEvents(const http::response_header<>& header) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = header[http::field::content_type];
+  return type.empty() ||
+         beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
+}
+
 /// Counts a request as in flight for the lifetime of the object.
 class InFlightCount {
  public:
@@ -52,6 +64,9 @@
     co_await Reject(*admission.rejection);
     co_return;
   }
+  if (m_route->resumable && m_request.last_event_id) {
+    m_events.ResumeAfter(*m_request.last_event_id);
+  }
   m_exchange.OnPeerDisconnect([this] {
     m_caller_gone = true;
     if (m_progress.abort) m_progress.abort();
@@ -65,10 +80,29 @@
   return std::max(left, Milliseconds(0));
 }
 
+std::uint64_t Call::RequestHash() const {
+  return XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
+}
+
+bool Call::HasOtherServer() const {
+  const SnapshotPtr latest = m_worker.GetSnapshot();
+  const auto servers =
+      latest->servers.find(PickService(*m_route, RequestHash()));
+  if (servers == latest->servers.end()) return false;
+  const auto now = TimeSinceBoot();
+  return std::any_of(servers->second.begin(), servers->second.end(),
+                     [this, now](const Backend& server) {
+                       const auto excluded =
+                           std::find(m_excluded_servers.begin(),
+                                     m_excluded_servers.end(), server.entry.id);
+                       return excluded == m_excluded_servers.end() &&
+                              !server.state->IsEjected(now);
+                     });
+}
+
 Result<Backend> Call::ChooseServer() {
   const SnapshotPtr latest = m_worker.GetSnapshot();
-  const std::uint64_t hash =
-      XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
+  const std::uint64_t hash = RequestHash();
   const ServiceId& service = PickService(*m_route, hash);
   const auto servers = latest->servers.find(service);
   if (servers == latest->servers.end()) {
@@ -78,7 +112,7 @@
   request.prompt = m_request.prompt.value_or(TokenCount(0));
   request.parts = m_request.prompt_parts;
   request.latency_target = m_route->latency_target;
-  request.tried = m_tried_servers;
+  request.tried = m_excluded_servers;
   PlacementContext context;
   context.domain = m_worker.GetSettings().domain;
   context.now = TimeSinceBoot();
@@ -123,9 +157,18 @@
   return request;
 }
 
+bool Call::TrySpendRetry() {
+  const bool repeats_request = !m_tried_servers.empty() && m_reached_server;
+  return !repeats_request || m_worker.Retries().TrySpend();
+}
+
+Awaitable<void> Call::WaitToResume() {
+  m_excluded_servers.clear();
+  co_await SleepFor(std::min(kResumeRetryDelay, TimeLeft()));
+}
+
 Awaitable<void> Call::RunAttemptLoop() {
   m_worker.Retries().RecordRequest();
-  std::uint32_t executed = 0;
   std::uint32_t rejections = 0;
   Error last{ResultCode::kNoServer};
   while (!m_caller_gone) {
@@ -133,33 +176,36 @@
       last.code = ResultCode::kDeadlinePassed;
       break;
     }
-    const bool is_retry = !m_tried_servers.empty();
+    if (!m_tried_servers.empty() && !MayRetryPrompt()) break;
     const auto server = ChooseServer();
-    if (!server) {
-      if (!is_retry) last = server.error();
-      break;
+    if (!server && m_tried_servers.empty()) last = server.error();
+    if (!server || !TrySpendRetry()) {
+      if (!m_streaming) break;
+      co_await WaitToResume();
+      continue;
     }
-    if (is_retry && !MayRetryPrompt()) break;
-    if (is_retry && m_reached_server && !m_worker.Retries().TrySpend()) break;
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
     RecordPromptBreakOff(chosen, end, last);
     if (end == AttemptOutcome::kAnswered) co_return;
     if (end == AttemptOutcome::kNotExecuted) {
-      if (++rejections >= kMaxRejections) break;
+      if (++rejections % kMaxRejections != 0) continue;
+      if (!m_streaming) break;
+      co_await WaitToResume();
       continue;
     }
-    ++executed;
+    ++m_executed;
     const bool may_retry =
-        m_route->Repeatable() && executed < m_route->max_attempts;
+        m_route->Repeatable() && m_executed < m_route->max_attempts;
     if (!may_retry) break;
   }
-  co_await FinishWithoutAnswer(executed > 0, last);
+  co_await FinishWithoutAnswer(m_executed > 0, last);
 }
 
 Awaitable<AttemptOutcome> Call::RunAttempt(const Backend& server,
                                            Error& error) {
   m_tried_servers.push_back(server.entry.id);
+  m_excluded_servers.push_back(server.entry.id);
   m_events.DiscardPartialEvent();
   InFlightRequestGuard guard(server.state, m_placement, m_request.prompt_parts);
   RecordPromptLoad(server);
@@ -174,11 +220,7 @@
   options.connect_timeout = kConnectTimeout;
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
-    const auto response = m_worker.GetAdapter().decode_backend_response(header);
-    if (!response.id.Empty()) return response.id == m_request.id;
-    // Without an id, a response of a server that ran a request may be a late
-    // copy of the answer to an earlier request on the connection.
-    return !response.is_signed || !m_progress.reused_connection;
+    return IsOwn(header);
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = started;
@@ -196,27 +238,26 @@
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
   }
-  OnResponseHeader((*opened)->Header());
-  const auto response =
-      m_worker.GetAdapter().decode_backend_response((*opened)->Header());
-  if (response.not_executed) {
+  const auto& header = (*opened)->Header();
+  OnResponseHeader(header);
+  const ResponseUse use = Classify(header);
+  if (use == ResponseUse::kRefusal) {
+    error =
+        Error{ResultCode::kBackendRefused, std::to_string(header.result_int())};
     co_await DiscardBody(**opened);
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendRefused,
-                  std::to_string((*opened)->Header().result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kNotExecuted;
   }
-  if (!response.is_signed) {
+  if (use == ResponseUse::kUnusable) {
     m_progress.abort = nullptr;
-    error = Error{ResultCode::kBackendMalformed, "response is not signed"};
+    error = Error{ResultCode::kBackendMalformed,
+                  "unusable response " + std::to_string(header.result_int())};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
-  const bool streams = m_route->kind == RouteKind::kStream &&
-                       (*opened)->Header().result() == http::status::ok;
   AttemptOutcome end = AttemptOutcome::kFailed;
-  if (streams) {
+  if (use == ResponseUse::kEvents) {
     end = co_await ForwardEvents(server, **opened, guard, error);
     RecordStreamLoad(server, started);
   } else {
@@ -226,6 +267,35 @@
   co_return end;
 }
 
+bool Call::IsOwn(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseId id = ResponseId::kAbsent;
+  if (!response.id.Empty()) {
+    id = response.id == m_request.id ? ResponseId::kOwn : ResponseId::kOther;
+  }
+  if (IsOwnResponse(id, m_progress.reused_connection)) return true;
+  LogEvent(Event::kResponseSkipped,
+           {{"request", m_request.id.Text()},
+            {"server", m_tried_servers.back().Text()},
+            {"status", std::to_string(header.result_int())},
+            {"response_to", response.id.Text()}});
+  return false;
+}
+
+ResponseUse Call::Classify(const http::response_header<>& header) const {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  ResponseHead head;
+  head.status = header.result_int();
+  head.is_signed = response.is_signed;
+  head.not_executed = response.not_executed;
+  head.may_hold_events = MayHoldEvents(header);
+  AwaitedResponse awaited;
+  awaited.is_stream = m_route->kind == RouteKind::kStream;
+  awaited.stream_begun = m_streaming;
+  awaited.is_repeatable = m_route->Repeatable();
+  return ClassifyResponse(head, awaited);
+}
+
 Awaitable<void> Call::FinishWithoutAnswer(bool may_have_run, Error error) {
   if (m_streaming || m_caller_gone) {
     LogFailure(error);
