Send no waiting request with quarantined parts to another server

A stream that has begun is offered to the servers again until its time is over. MayRetry() now refuses what is quarantined as well, not only prompts that may have crashed two servers.

--- a/include/cowslipknot/gateway/prompt_quarantine.h
+++ b/include/cowslipknot/gateway/prompt_quarantine.h
@@ -104,8 +104,8 @@
   Decision Decide(const SharedParts& parts, Time now,
                   const std::function<bool(const Quarantine&)>& runs_trials);
   /// Whether a request whose answer broke off may be sent to another server:
-  /// not if it has a part that was never answered completely and that two
-  /// crashes have in common.
+  /// not if it is quarantined, or has a part that was never answered completely
+  /// and that two crashes have in common.
   bool MayRetry(const SharedParts& parts) const;
 
   /// Evidence of all confirmed crashes and of the parts in them.
--- a/src/coordination/prompt_quarantine.cc
+++ b/src/coordination/prompt_quarantine.cc
@@ -213,6 +213,11 @@
 }
 
 bool PromptQuarantine::MayRetry(const SharedParts& parts) const {
+  const bool quarantined =
+      std::ranges::any_of(m_quarantines, [&parts](const auto& quarantine) {
+        return ContainsAll(parts, quarantine.parts);
+      });
+  if (quarantined) return false;
   return std::ranges::none_of(parts, [this](std::uint64_t part) {
     if (LastCompletion(part).count() > 0) return false;
     const auto crashes = std::ranges::count_if(
--- a/tests/unit/prompt_quarantine_test.cc
+++ b/tests/unit/prompt_quarantine_test.cc
@@ -121,6 +121,15 @@
   cr_expect(quarantine.MayRetry({kCommon, kOther}));
 }
 
+Test(prompt_quarantine, a_waiting_request_is_not_sent_after_the_verdict) {
+  PromptQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon, kBad}, kStart);
+  CrashTimes(quarantine, 5);
+  quarantine.RecordCompletion({kCommon}, kStart + seconds(5));
+  cr_expect_not(quarantine.MayRetry({kCommon, kBad}));
+  cr_expect(quarantine.MayRetry({kCommon, kOther}));
+}
+
 Test(prompt_quarantine, one_trial_follows_each_growing_delay) {
   PromptQuarantine quarantine;
   CrashTimes(quarantine, 3);
