--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -176,6 +176,7 @@
       last.code = ResultCode::kDeadlinePassed;
       break;
     }
+    if (!m_tried_servers.empty() && !MayRetryPrompt()) break;
     const auto server = ChooseServer();
     if (!server && m_tried_servers.empty()) last = server.error();
     if (!server || !TrySpendRetry()) {
@@ -185,6 +186,7 @@
     }
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
+    RecordPromptBreakOff(chosen, end, last);
     if (end == AttemptOutcome::kAnswered) co_return;
     if (end == AttemptOutcome::kNotExecuted) {
       if (++rejections % kMaxRejections != 0) continue;
@@ -221,6 +223,7 @@
     return IsOwn(header);
   };
   const auto started = SteadyClock::now();
+  m_attempt_sent = started;
   m_tracked_attempt = TrackAttempt(server);
   const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
@@ -238,6 +241,7 @@
                                          : AttemptOutcome::kNotExecuted;
   }
   const auto& header = (*opened)->Header();
+  OnResponseHeader(header);
   const ResponseUse use = Classify(header);
   if (use == ResponseUse::kRefusal) {
     error =
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -89,6 +89,13 @@
   Awaitable<bool> WriteEvents(ResponseStream& stream,
                               const std::string& events);
 
+  // Evidence about prompts: gateway_call_prompts.cc.
+  void OnResponseHeader(const http::response_header<>& header);
+  void RecordPromptCompletion();
+  void RecordPromptBreakOff(const Backend& server, AttemptOutcome end,
+                            const Error& error);
+  bool MayRetryPrompt() const;
+
   // Logs and metrics: gateway_call_metrics.cc.
   void RecordOutcome(const std::string& outcome);
   void LogAttempt(const Backend& server) const;
@@ -120,6 +127,7 @@
   Placement m_placement;
   MoveId m_move_key;  ///< undecided move of the service; empty if none
   VersionId m_new_version;
+  SteadyClock::time_point m_attempt_sent{};  ///< latest attempt
   std::uint64_t m_tracked_attempt = 0;       ///< latest, in the evidence
   std::vector<ServerId> m_tried_servers;     ///< in order; may repeat
   std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
@@ -130,6 +138,9 @@
   bool m_streaming = false;
   bool m_start_recorded = false;
   bool m_caller_gone = false;
+  /// Whether the response shows, once it is complete, that the prompt crashes
+  /// no server.
+  bool m_shows_harmless_prompt = false;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -59,6 +59,9 @@
   /// undecided, so that a bad version gets no requests until the next reports.
   Awaitable<void> ExchangeMoveEvidence();
   void OnMoveEvidence(const PeerFrame& frame);
+  /// Passes the quarantined prompt parts in the reports on to the traffic
+  /// thread, for a process that no peer could tell of them.
+  void ImportPromptEvidence();
 
   // Following a relay: gateway_relay_follower.cc.
   /// Follows the domain's relays while there are any and this instance is none.
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -115,6 +115,7 @@
   report.usage = m_usage;
   SetOwnEvidence(input.evidence);
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
+  if (HoldsLease()) report.prompt_evidence = input.prompt_evidence;
   return report;
 }
 
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -60,6 +60,7 @@
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
   m_worker.Evidence().OnEnd(m_tracked_attempt, failed, TimeSinceBoot());
+  RecordPromptCompletion();
   if (failed) {
     server.state->RecordFailure(TimeSinceBoot());
   } else {
@@ -159,13 +160,14 @@
     }
   }
   if (!m_events.PartialEvent().empty()) {
-    error =
-        Error{ResultCode::kBackendMalformed, "ended in the middle of an event"};
+    error = Error{ResultCode::kBackendMalformed,
+                  "ended in the middle of an event", Execution::kUnknown};
     RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
   server.state->RecordSuccess();
   m_worker.Evidence().OnEnd(m_tracked_attempt, false, TimeSinceBoot());
+  RecordPromptCompletion();
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -17,6 +17,7 @@
 #include "cowslipknot/gateway/usage.h"
 #include "cowslipknot/gateway/version_evidence.h"
 #include "protocol/platform_adapter.h"
+#include "serve/prompt_guard.h"
 #include "serve/quota_peers.h"
 #include "transport/http_server.h"
 
@@ -65,6 +66,7 @@
   QuotaLimiter& Quota() { return m_quota; }
   PeerLinks& Links() { return m_links; }
   QuotaPeers& GetQuotaPeers() { return m_quota_peers; }
+  PromptGuard& Prompts() { return m_prompts; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
@@ -117,6 +119,7 @@
   QuotaLimiter m_quota;
   PeerLinks m_links;
   QuotaPeers m_quota_peers;
+  PromptGuard m_prompts;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
   UsageLedger m_usage;
   LoadMeter m_load;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -322,6 +322,7 @@
         self.answer_pause_s = answer_pause_s
         self.silence_s = 1.2
         self.pending_faults = []
+        self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
         self.server = Server(BackendHandler, self, port)
@@ -334,6 +335,12 @@
         return registration
 
 
+def prompt_parts(headers):
+    """The ids of the parts of a request's prompt."""
+    text = headers["Cowslipknot-Prefix-Hash"] or ""
+    return [part.partition(":")[0] for part in text.split(",")]
+
+
 # By fault: what is sent once more on a connection, before the next answer.
 LATE_COPIES = {
     "late_copy": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
@@ -485,6 +492,10 @@
         self.send_response(200)
         for name, value in signed_headers.items():
             self.send_header(name, value)
+        if backend.crashes_on and backend.crashes_on in prompt_parts(self.headers):
+            backend.server.kill()
+            self.close_connection = True
+            return
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
