Count each crash of a fast series against a part without complete answers

The spacing guards against servers that are lost together. They end within some ms of each other, and a part that was never answered completely is at several of them only by chance: 50 ms do for those. Parts with complete answers keep the 250 ms.

--- a/include/cowslipknot/gateway/prompt_quarantine.h
+++ b/include/cowslipknot/gateway/prompt_quarantine.h
@@ -66,7 +66,7 @@
 /// part is suspected by the crashes since its last completed answer, the part
 /// with the most crashes is quarantined, and its crashes no longer count
 /// against the other parts. Crashes that follow each other closely count once,
-/// since they may have one other cause, such as the loss of a failure domain.
+/// since they may have another cause, such as the loss of a failure domain.
 ///
 /// Pure: the time is an argument. Not thread-safe.
 class PromptQuarantine {
--- a/src/coordination/prompt_quarantine.cc
+++ b/src/coordination/prompt_quarantine.cc
@@ -12,8 +12,11 @@
 /// that was harmless before.
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kMinCrashesAfterCompletion = 5;
-/// Crashes within this time of a counted one are not counted.
-constexpr Time kCrashSpacing = std::chrono::milliseconds(250);
+/// Crashes within this time of a counted one are not counted, since servers
+/// that are lost together end within it. A part that was answered completely
+/// before is common enough to be at many servers, which may also fail in turn.
+constexpr Time kCrashSpacing = std::chrono::milliseconds(50);
+constexpr Time kCrashSpacingAfterCompletion = std::chrono::milliseconds(250);
 /// Crashes after which a request with a part that was never answered completely
 /// is not sent to another server.
 constexpr std::size_t kCrashesWithoutRetry = 2;
@@ -46,12 +49,15 @@
   bool completed_before = false;
 };
 
-std::size_t CountSpaced(std::vector<Time> crashes) {
+std::size_t CountSpaced(const Suspect& suspect) {
+  const Time spacing =
+      suspect.completed_before ? kCrashSpacingAfterCompletion : kCrashSpacing;
+  std::vector<Time> crashes = suspect.crashes;
   std::ranges::sort(crashes);
   std::size_t count = 0;
   Time last{0};
   for (const Time at : crashes) {
-    if (count > 0 && at - last < kCrashSpacing) continue;
+    if (count > 0 && at - last < spacing) continue;
     ++count;
     last = at;
   }
@@ -146,7 +152,7 @@
   std::optional<Quarantine> worst;
   const Suspect* reason = nullptr;
   for (const auto& [part, suspect] : suspects) {
-    const std::size_t count = CountSpaced(suspect.crashes);
+    const std::size_t count = CountSpaced(suspect);
     const std::size_t needed =
         suspect.completed_before ? kMinCrashesAfterCompletion : kMinCrashes;
     if (count < needed) continue;
--- a/tests/unit/prompt_quarantine_test.cc
+++ b/tests/unit/prompt_quarantine_test.cc
@@ -89,6 +89,23 @@
   cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
 }
 
+// Guards against a series of crashes so fast that most of them are not counted.
+Test(prompt_quarantine, a_fast_series_of_crashes_counts_in_full) {
+  PromptQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon}, kStart);
+  for (int i = 1; i <= 3; ++i)
+    Crash(quarantine, i, {kCommon, kBad}, kStart + milliseconds(70 * i));
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon}));
+}
+
+Test(prompt_quarantine, new_parts_at_servers_lost_together_are_not_refused) {
+  PromptQuarantine quarantine;
+  for (int i = 1; i <= 6; ++i)
+    Crash(quarantine, i, {kCommon, kOther}, kStart + milliseconds(5 * i));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+}
+
 Test(prompt_quarantine, connections_that_break_without_a_crash_do_not_count) {
   PromptQuarantine quarantine;
   for (int i = 1; i <= 20; ++i) {
