--- a/src/coordination/move_decision.cc
+++ b/src/coordination/move_decision.cc
@@ -70,6 +70,10 @@
   new_errors += other.new_errors;
   old_slow += other.old_slow;
   new_slow += other.new_slow;
+  old_sent += other.old_sent;
+  new_sent += other.new_sent;
+  stage_errors += other.stage_errors;
+  stage_slow += other.stage_slow;
   return *this;
 }
 
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -36,18 +36,18 @@
          beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
 }
 
-/// Counts a request as in flight for the lifetime of the object.
-class InFlightCount {
+/// Ends the tracking of an attempt that has no result.
+class TrackedAttempt {
  public:
-  explicit InFlightCount(Worker& worker) : m_worker(worker) {
-    ++m_worker.InFlight();
-  }
-  InFlightCount(const InFlightCount&) = delete;
-  InFlightCount& operator=(const InFlightCount&) = delete;
-  ~InFlightCount() { --m_worker.InFlight(); }
+  TrackedAttempt(VersionEvidence& evidence, std::uint64_t attempt)
+      : m_evidence(evidence), m_attempt(attempt) {}
+  TrackedAttempt(const TrackedAttempt&) = delete;
+  TrackedAttempt& operator=(const TrackedAttempt&) = delete;
+  ~TrackedAttempt() { m_evidence.Forget(m_attempt, TimeSinceBoot()); }
 
  private:
-  Worker& m_worker;
+  VersionEvidence& m_evidence;
+  std::uint64_t m_attempt;
 };
 
 }  // namespace
@@ -133,7 +133,7 @@
   const auto found = latest.moves.find(service);
   if (found == latest.moves.end()) return servers;
   const MovedService& moved = found->second;
-  if (moved.IsUndecided()) m_move_key = MoveKey(moved.move.order);
+  if (moved.IsUndecided()) m_move_key = EvidenceKey(moved.move);
   m_new_version = moved.move.order.to;
   const bool to_new =
       RoutesToNewVersion(moved.move, hash, !m_tried_servers.empty());
@@ -223,7 +223,8 @@
     return IsOwn(header);
   };
   const auto started = SteadyClock::now();
-  m_attempt_sent = started;
+  m_tracked_attempt = TrackAttempt(server);
+  const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
   auto opened = co_await m_worker.Http().Open(
       server.entry.address, BuildAttemptRequest(server), options, m_progress);
@@ -349,7 +350,6 @@
 }
 
 Awaitable<void> HandleCaller(Worker& worker, HttpExchange& exchange) {
-  const InFlightCount counted(worker);
   Call call(worker, exchange);
   co_await call.Run();
 }
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -58,6 +58,10 @@
   /// Passes the quarantined prompt parts in the reports on to the traffic
   /// thread, for a process that no peer could tell of them.
   void ImportPromptEvidence();
+  /// Exchanges evidence with the other instances directly while a move is
+  /// undecided, so that a bad version gets no requests until the next reports.
+  Awaitable<void> ExchangeMoveEvidence();
+  void OnMoveEvidence(const PeerFrame& frame);
 
   // Following a relay: gateway_relay_follower.cc.
   /// Follows the domain's relays while there are any and this instance is none.
