--- a/src/serve/prompt_guard.cc
+++ b/src/serve/prompt_guard.cc
@@ -123,7 +123,7 @@
     co_await SleepFor(interval);
     const auto peers = m_peers();
     if (peers.empty() || (!starting && !m_quarantine.HasCrashes())) continue;
-    const Endpoint peer = peers[m_random() % peers.size()];
+    const Endpoint& peer = peers[m_random() % peers.size()];
     co_await ExchangeWith(peer);
   }
 }
