--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -183,6 +183,21 @@
   }
 }
 
+void ControlPlane::ImportPromptEvidence() {
+  // Later the instances tell each other.
+  if (TimeSinceBoot() - m_started_at > kPromptEvidenceImportPeriod) return;
+  const std::int64_t now = m_coordinator.SharedNowMs().value_or(0);
+  for (const auto* report : m_coordinator.Instances().All()) {
+    if (report->prompt_evidence.empty()) continue;
+    const bool is_dated = now > 0 && report->as_of_ms > 0;
+    const Milliseconds age(
+        is_dated ? std::max<std::int64_t>(0, now - report->as_of_ms) : 0);
+    asio::post(m_worker.Context(), [this, age, text = report->prompt_evidence] {
+      m_worker.Prompts().Import(text, age);
+    });
+  }
+}
+
 Awaitable<void> ControlPlane::ExchangeMoveEvidence() {
   auto collect =
       [](Worker& worker) -> Awaitable<std::map<MoveId, MoveEvidence>> {
@@ -210,21 +225,6 @@
   if (m_coordinator.ApplyEvidenceFrame(frame)) Publish();
 }
 
-void ControlPlane::ImportPromptEvidence() {
-  // Later the instances tell each other.
-  if (TimeSinceBoot() - m_started_at > kPromptEvidenceImportPeriod) return;
-  const std::int64_t now = m_coordinator.SharedNowMs().value_or(0);
-  for (const auto* report : m_coordinator.Instances().All()) {
-    if (report->prompt_evidence.empty()) continue;
-    const bool is_dated = now > 0 && report->as_of_ms > 0;
-    const Milliseconds age(
-        is_dated ? std::max<std::int64_t>(0, now - report->as_of_ms) : 0);
-    asio::post(m_worker.Context(), [this, age, text = report->prompt_evidence] {
-      m_worker.Prompts().Import(text, age);
-    });
-  }
-}
-
 Awaitable<void> ControlPlane::WriteReportsOfFollowers() {
   auto reports = m_relay.TakeReports();
   if (reports.empty()) co_return;
