--- a/tests/unit/gateway_move_exposure_test.cc
+++ b/tests/unit/gateway_move_exposure_test.cc
@@ -72,7 +72,8 @@
   }
 
   void SendRequests(std::int64_t ms) {
-    const double expected = m_traffic.requests_per_second * kTickMs / 1000.0;
+    const double expected =
+        m_traffic.requests_per_second * static_cast<double>(kTickMs) / 1000.0;
     for (double left = expected; Draw() < left; left -= 1) Send(ms);
   }
 
