Send nothing more to a server that says in an answer that it leaves

Requests went to such servers until the store said the same, and as long as the store was away. Change: the header is decoded in platform/. The control thread keeps the mark in the registry by server id and start time: a delayed registration of the same process doesn't end it, a later start does. It tells followers of its relay, and the other instances by a frame of its own (LeavingResponses, 19), since the notice of what the store said is ended by the store's next row. What one instance hears from another can only add.

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cowslipknot/gateway/server_registry.h"
@@ -77,6 +78,11 @@
   /// Records that the server could not be reached or stopped responding. It is
   /// ejected for a time that doubles with each failure in a row, up to a limit.
   void RecordUnreachable(Time now);
+  /// Records that the server said that it is shutting down.
+  /// @return true the first time
+  bool RecordLeaving() { return !std::exchange(m_leaving, true); }
+  /// Whether the server receives no further request.
+  bool IsLeaving() const { return m_leaving; }
   /// Whether the server is ejected.
   bool IsEjected(Time now) const { return now < m_ejected_until; }
 
@@ -111,6 +117,7 @@
   double m_tokens_per_ms;
   std::uint32_t m_consecutive_unreachable = 0;
   Time m_ejected_until{0};
+  bool m_leaving = false;
 };
 
 /// A server that may receive requests.
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -79,6 +79,11 @@
   bool OnServerLeaving(const ServerId& id, std::int64_t started_ms,
                        std::uint64_t version = 0);
 
+  /// Marks a process of a server as leaving by its own account. Later
+  /// registrations of the same process, which may be delayed, do not end this.
+  /// @return true if the server was ready
+  bool OnLeavingResponse(const ServerId& id, std::int64_t started_ms);
+
   /// Records that the store did not respond.
   void OnStoreUnavailable() { m_store_unavailable = true; }
   /// Records that the store responds.
@@ -104,14 +109,18 @@
   };
 
   bool Remove(const ServerId& id, Time now, std::uint64_t version);
-  bool Put(const ServerEntry& entry);
+  bool Put(const ServerEntry& registered);
   void RememberRemoval(const ServerId& id, std::uint64_t version);
+  void RememberLeaving(const ServerId& id, std::int64_t started_ms);
+  bool IsKnownToLeave(const ServerEntry& entry) const;
   /// Whether an entry is older than what is known of its server.
   bool IsOutdated(const ServerEntry& entry) const;
 
   Milliseconds m_reregistration_grace;
   std::map<ServerId, Registration> m_entries;
   std::map<ServerId, std::uint64_t> m_removed_versions;
+  /// Latest start of each server whose process said that it is leaving.
+  std::map<ServerId, std::int64_t> m_leaving_starts;
   bool m_store_unavailable = false;
   /// End of the last outage of the store.
   std::optional<Time> m_store_recovered_at;
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -44,6 +44,7 @@
   RequestId id;  ///< of the request that it responds to; empty if unstated
   bool is_signed = false;     ///< signed by a server that ran the request
   bool not_executed = false;  ///< the request did not run
+  bool is_leaving = false;    ///< the addressed server is shutting down
 };
 
 /// A row of the platform's store.
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -96,7 +96,8 @@
                            std::find(m_excluded_servers.begin(),
                                      m_excluded_servers.end(), server.entry.id);
                        return excluded == m_excluded_servers.end() &&
-                              !server.state->IsEjected(now);
+                              !server.state->IsEjected(now) &&
+                              !server.state->IsLeaving();
                      });
 }
 
@@ -238,6 +239,7 @@
                                          : AttemptOutcome::kNotExecuted;
   }
   const auto& header = (*opened)->Header();
+  RecordServerNotices(server, header);
   const ResponseUse use = Classify(header);
   if (use == ResponseUse::kRefusal) {
     error =
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -100,6 +100,9 @@
   /// Starts to compare the attempt with others of its route, as evidence for an
   /// undecided move of the service.
   std::uint64_t TrackAttempt(const Backend& server);
+  /// Records what a response says of its server's state.
+  void RecordServerNotices(const Backend& server,
+                           const http::response_header<>& header);
   void RecordRequestStart();
   /// Adds the prompt's estimated prefill time to the service's load.
   void RecordPromptLoad(const Backend& server);
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -111,4 +111,10 @@
                          ElapsedMsSince(begun) / batch_slots, TimeSinceBoot());
 }
 
+void Call::RecordServerNotices(const Backend& server,
+                               const http::response_header<>& header) {
+  const auto response = m_worker.GetAdapter().decode_backend_response(header);
+  if (response.is_leaving) m_worker.OnLeavingResponse(server);
+}
+
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -47,6 +47,19 @@
         asio::post(m_context, [this, shared] { OnMoveEvidence(*shared); });
         return PeerFrame();
       });
+  m_worker.Links().SetHandler(
+      wire::Kind::LeavingResponses, [this](const PeerFrame& frame) {
+        asio::post(m_context, [this, frame] {
+          OnLeavingResponsesOfPeers(ExtractRecords(frame));
+        });
+        return PeerFrame();
+      });
+  m_worker.SetLeavingResponseHook(
+      [this](const ServerId& server, std::int64_t started_ms) {
+        asio::post(m_context, [this, server, started_ms] {
+          OnLeavingResponse(server, started_ms);
+        });
+      });
   m_worker.Links().SetAsyncHandler(
       wire::Kind::FollowStore,
       [this](const PeerFrame& frame) -> Awaitable<PeerFrame> {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -88,6 +88,11 @@
   /// can read registrations less often.
   void AnnounceLeavingServers(const std::vector<ServerEntry>& removed_servers);
   void OnServersLeaving(const std::vector<GossipRecord>& servers);
+  /// Handles a response of a server, to this instance, that says that the
+  /// server is leaving, and tells the other instances.
+  void OnLeavingResponse(const ServerId& server, std::int64_t started_ms);
+  /// Handles the notices of such responses to other instances.
+  void OnLeavingResponsesOfPeers(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
   void Publish();
   /// Passes the usable servers on to followers.
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -35,6 +35,36 @@
   Publish();
 }
 
+void ControlPlane::OnLeavingResponse(const ServerId& server,
+                                     std::int64_t started_ms) {
+  if (!m_registry.OnLeavingResponse(server, started_ms)) return;
+  LogEvent(Event::kServerLeaving, {{"server", server.Text()}});
+  auto frame = std::make_shared<PeerFrame>();
+  frame->kind = wire::Kind::LeavingResponses;
+  AddRecords(*frame, {{server.Text(), static_cast<std::uint64_t>(started_ms),
+                       std::string()}});
+  asio::post(m_worker.Context(), [this, frame] {
+    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
+  });
+  RelayServers();
+  Publish();
+}
+
+void ControlPlane::OnLeavingResponsesOfPeers(
+    const std::vector<GossipRecord>& servers) {
+  bool changed = false;
+  for (const auto& server : servers) {
+    const bool leaves = m_registry.OnLeavingResponse(
+        ServerId(server.key), static_cast<std::int64_t>(server.version));
+    if (!leaves) continue;
+    changed = true;
+    LogEvent(Event::kServerLeaving, {{"server", server.key}});
+  }
+  if (!changed) return;
+  RelayServers();
+  Publish();
+}
+
 void ControlPlane::AnnounceLeavingServers(
     const std::vector<ServerEntry>& removed_servers) {
   if (removed_servers.empty()) return;
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -9,6 +9,8 @@
 /// Removals that are remembered, newest first. Older ones are no longer
 /// contradicted by an instance that lags behind.
 constexpr std::size_t kMaxRememberedRemovals = 1000;
+/// Leaving processes that are remembered, latest start first.
+constexpr std::size_t kMaxRememberedLeaving = 1000;
 
 }  // namespace
 
@@ -43,8 +45,34 @@
                        }));
 }
 
-bool ServerRegistry::Put(const ServerEntry& entry) {
-  if (IsOutdated(entry)) return false;
+void ServerRegistry::RememberLeaving(const ServerId& id,
+                                     std::int64_t started_ms) {
+  std::int64_t& latest = m_leaving_starts[id];
+  latest = std::max(latest, started_ms);
+  if (m_leaving_starts.size() <= kMaxRememberedLeaving) return;
+  m_leaving_starts.erase(
+      std::min_element(m_leaving_starts.begin(), m_leaving_starts.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second < right.second;
+                       }));
+}
+
+bool ServerRegistry::IsKnownToLeave(const ServerEntry& entry) const {
+  const auto leaving = m_leaving_starts.find(entry.id);
+  return leaving != m_leaving_starts.end() &&
+         entry.started_ms <= leaving->second;
+}
+
+bool ServerRegistry::OnLeavingResponse(const ServerId& id,
+                                       std::int64_t started_ms) {
+  RememberLeaving(id, started_ms);
+  return OnServerLeaving(id, started_ms);
+}
+
+bool ServerRegistry::Put(const ServerEntry& registered) {
+  if (IsOutdated(registered)) return false;
+  ServerEntry entry = registered;
+  if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
   m_removed_versions.erase(entry.id);
   const auto known = m_entries.find(entry.id);
   if (known == m_entries.end()) {
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -322,6 +322,8 @@
         self.answer_pause_s = answer_pause_s
         self.silence_s = 1.2
         self.pending_faults = []
+        self.leaving = False  # says so in each answer
+        self.requests = []  # ids of all requests that arrived
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
         self.server = Server(BackendHandler, self, port)
@@ -362,10 +364,16 @@
     def do_POST(self):
         self.serve_request()
 
+    def end_headers(self):
+        if self.server.owner.leaving:
+            self.send_header("Server-Leaving", "1")
+        super().end_headers()
+
     def serve_request(self):
         backend = self.server.owner
         body = self.read_body()
         request = self.headers["Cowslipknot-Request-Id"]
+        backend.requests.append(request)
         if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -46,6 +46,17 @@
 
 }  // namespace
 
+// Guards against requests sent to a server after it said that it is leaving.
+Test(placement, a_leaving_server_is_not_selected_even_if_it_is_the_only_one) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a"),
+                                         MakeBackend("s1", "a")};
+  cr_expect(backends[0].state->RecordLeaving());
+  cr_expect_not(backends[0].state->RecordLeaving());
+  cr_expect_eq(ChosenServer(MakeRequest(100), backends), "s1");
+  backends[1].state->RecordLeaving();
+  cr_expect_eq(ChosenServer(MakeRequest(100), backends), "");
+}
+
 Test(placement, a_server_that_cached_the_prefix_is_preferred) {
   const std::vector<Backend> backends = {
       MakeBackend("s0", "a"), MakeBackend("s1", "a"), MakeBackend("s2", "a")};
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -117,6 +117,41 @@
   cr_expect_not(registry.OnServerLeaving(entry.id, 7));
 }
 
+// Guards against a delayed registration that makes a leaving server usable.
+Test(server_registry, a_leaving_response_holds_until_a_later_start_registers) {
+  ServerRegistry registry(Milliseconds(2000));
+  ServerEntry entry = MakeEntry("a");
+  entry.started_ms = 7;
+  entry.row_version = 10;
+  registry.Replace({entry}, kNow, 10);
+  cr_expect(registry.OnLeavingResponse(entry.id, 7));
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7));
+  entry.row_version = 20;
+  cr_expect_not(registry.Apply({{entry.id, entry}}, kNow));
+  registry.Replace({entry}, kNow, 21);
+  cr_expect(registry.UsableServers().empty());
+  registry.Apply({{entry.id, std::nullopt, 22}}, kNow);
+  entry.row_version = 23;
+  registry.Apply({{entry.id, entry}}, kNow);
+  cr_expect(registry.UsableServers().empty());
+  entry.started_ms = 8;
+  entry.row_version = 24;
+  cr_expect(registry.Apply({{entry.id, entry}}, kNow));
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7),
+                "a late response of the process before");
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+}
+
+Test(server_registry, a_leaving_response_may_come_before_the_registration) {
+  ServerRegistry registry(Milliseconds(2000));
+  ServerEntry entry = MakeEntry("a");
+  entry.started_ms = 7;
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7));
+  registry.Replace({entry}, kNow);
+  cr_expect(registry.UsableServers().empty());
+}
+
 Test(response_time_bound, a_late_response_is_dated_by_the_store_clock) {
   using std::chrono::milliseconds;
   ResponseTimeBound bound;
