Respect the pause that a server asks for when it refuses a request

Nothing read it. Change: the time is decoded in platform/, bounded by a pure function (negative, not a number and dates: no pause; at most 5 minutes; both logged as pause_adjusted, 517) and kept in the server's state on the traffic thread, so that it counts from the answer's head on and for this instance alone; the latest end counts. SelectBackend leaves such servers out. While all servers of a service pause, callers are refused at once, with a time after the first pause's end, spread by half of what is left or 400 ms, whichever is longer. It counts on each 503, also on one that is no refusal. Logged as server_paused (516), counted as cowslipknot_server_pauses_total. Before, on the build of (server_notices_test.py -k pause): two of the three process tests fail (200 instead of 503: a request reaches the only server in its pause; nothing logged); the third passed, since another server is preferred after a refusal. After: 9 of 9 of the file; unit tests 162 of 162. A pause is forgotten when the server's entry lapses and returns, since its state is built anew.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -44,6 +44,8 @@
   kHandlerFailed = 511,
   kStreamStalled = 512,
   kResponseSkipped = 515,
+  kServerPaused = 516,
+  kPauseAdjusted = 517,
   kMoveStep = 600,
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -83,6 +84,13 @@
   bool RecordLeaving() { return !std::exchange(m_leaving, true); }
   /// Whether the server receives no further request.
   bool IsLeaving() const { return m_leaving; }
+  /// Records that the server asked for no requests until a time. A shorter
+  /// pause does not end a longer one.
+  void RecordPause(Time until) {
+    m_paused_until = std::max(m_paused_until, until);
+  }
+  bool IsPaused(Time now) const { return now < m_paused_until; }
+  Time PausedUntil() const { return m_paused_until; }
   /// Whether the server is ejected.
   bool IsEjected(Time now) const { return now < m_ejected_until; }
 
@@ -117,6 +125,7 @@
   double m_tokens_per_ms;
   std::uint32_t m_consecutive_unreachable = 0;
   Time m_ejected_until{0};
+  Time m_paused_until{0};
   bool m_leaving = false;
 };
 
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -204,8 +204,9 @@
     const auto& id = backends[i].entry.id;
     const bool tried = std::find(request.tried.begin(), request.tried.end(),
                                  id) != request.tried.end();
-    if (tried || backends[i].state->IsLeaving()) continue;
-    const bool is_ejected = backends[i].state->IsEjected(context.now);
+    const BackendState& state = *backends[i].state;
+    if (tried || state.IsLeaving() || state.IsPaused(context.now)) continue;
+    const bool is_ejected = state.IsEjected(context.now);
     (is_ejected ? ejected : usable).push_back(i);
   }
   return usable.empty() ? ejected : usable;
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -45,6 +45,9 @@
   bool is_signed = false;     ///< signed by a server that ran the request
   bool not_executed = false;  ///< the request did not run
   bool is_leaving = false;    ///< the addressed server is shutting down
+  /// Time in seconds for which a server that has no capacity wants no request;
+  /// as stated, NaN if it is not a number.
+  std::optional<double> retry_after_s;
 };
 
 /// A row of the platform's store.
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "cowslipknot/events.h"
+#include "cowslipknot/gateway/server_pause.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
 
@@ -97,7 +98,8 @@
                                      m_excluded_servers.end(), server.entry.id);
                        return excluded == m_excluded_servers.end() &&
                               !server.state->IsEjected(now) &&
-                              !server.state->IsLeaving();
+                              !server.state->IsLeaving() &&
+                              !server.state->IsPaused(now);
                      });
 }
 
@@ -282,6 +284,15 @@
   return false;
 }
 
+Milliseconds Call::NoServerRetryDelay() {
+  const SnapshotPtr latest = m_worker.GetSnapshot();
+  const auto servers =
+      latest->servers.find(PickService(*m_route, RequestHash()));
+  if (servers == latest->servers.end()) return kNoServerRetryDelay;
+  return CallerRetryDelay(servers->second, TimeSinceBoot(), kNoServerRetryDelay,
+                          m_worker.Draw());
+}
+
 ResponseUse Call::Classify(const http::response_header<>& header) const {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
   ResponseHead head;
@@ -314,7 +325,7 @@
     if (error.code == ResultCode::kDeadlinePassed) {
       error.code = ResultCode::kNoServer;
     }
-    m_retry_after = kNoServerRetryDelay;
+    m_retry_after = NoServerRetryDelay();
     error.execution = Execution::kNotRun;
     error.code = ResultCode::kNoServer;
     co_await Reject(error);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -55,6 +55,9 @@
   /// Whether a response on the attempt's connection answers this request; logs
   /// one that does not.
   bool IsOwn(const http::response_header<>& header) const;
+  /// Returns after what time the caller should repeat its request when no
+  /// server was usable.
+  Milliseconds NoServerRetryDelay();
   ResponseUse Classify(const http::response_header<>& header) const;
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -1,4 +1,5 @@
 #include "cowslipknot/events.h"
+#include "cowslipknot/gateway/server_pause.h"
 #include "serve/gateway_call.h"
 
 /// Updates logs, metrics, backend states and move evidence for a call.
@@ -115,6 +116,16 @@
                                const http::response_header<>& header) {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
   if (response.is_leaving) m_worker.OnLeavingResponse(server);
+  if (!response.retry_after_s) return;
+  const ServerPause pause = BoundPause(*response.retry_after_s);
+  server.state->RecordPause(TimeSinceBoot() + pause.length);
+  m_worker.Metrics().Add("cowslipknot_server_pauses_total",
+                         FormatLabel("service", server.entry.service.Text()));
+  LogEvent(pause.is_adjusted ? Event::kPauseAdjusted : Event::kServerPaused,
+           {{"server", server.entry.id.Text()},
+            {"request", m_request.id.Text()},
+            {"stated_s", std::to_string(*response.retry_after_s)},
+            {"pause_ms", std::to_string(pause.length.count())}});
 }
 
 }  // namespace cowslipknot::gateway
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -289,7 +289,7 @@
 class Backend:
     """A backend server. `pending_faults` holds the faults of the next requests, in order:
 
-    "reject": answers 503 without executing the request,
+    "reject": answers 503 without executing the request; with `retry_after`, if it is set,
     "crash": resets the connection in the middle of a stream's third event,
     "reset": executes the request and resets the connection,
     "foreign": sends an answer with another request's id before its own,
@@ -323,6 +323,7 @@
         self.silence_s = 1.2
         self.pending_faults = []
         self.leaving = False  # says so in each answer
+        self.retry_after = ""  # of each 503
         self.requests = []  # ids of all requests that arrived
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
@@ -367,8 +368,14 @@
     def end_headers(self):
         if self.server.owner.leaving:
             self.send_header("Server-Leaving", "1")
+        if self.status == 503 and self.server.owner.retry_after:
+            self.send_header("Retry-After", self.server.owner.retry_after)
         super().end_headers()
 
+    def send_response(self, code, message=None):
+        self.status = code
+        super().send_response(code, message)
+
     def serve_request(self):
         backend = self.server.owner
         body = self.read_body()
--- a/tests/platform/server_notices_test.py
+++ b/tests/platform/server_notices_test.py
@@ -128,6 +128,51 @@
                             if event["name"] == "server_leaving"])
         self.assert_no_more_requests(other, leaving)
 
+    # Guards against requests sent to a server during the time for which it wants none.
+    def test_server_that_asks_for_a_pause_gets_no_request_until_its_end(self):
+        pausing, _ = self.start_backends("plain")
+        pausing.pending_faults = ["reject"]
+        pausing.retry_after = "1.5"
+        gateway = self.start_gateway()
+        self.call_until_answered(gateway, pausing)
+        end = time.monotonic() + 1.5 - 0.3  # the pause began before this line
+        while time.monotonic() < end:
+            self.assertEqual(self.call(gateway)[0], 200)
+        self.assertEqual(len(pausing.requests), 1)
+        self.store.delete("servers", "b1")
+        eventually(lambda: self.call(gateway)[0] == 200 and len(pausing.requests) > 1)
+
+    # Guards against callers that wait for their deadline, or return at the same moment.
+    def test_callers_are_refused_at_once_while_all_servers_pause(self):
+        pausing, = self.start_backends("plain", count=1)
+        pausing.pending_faults = ["reject"]
+        pausing.retry_after = "2"
+        gateway = self.start_gateway()
+        self.call(gateway)
+        started = time.monotonic()
+        delays = []
+        for _ in range(10):
+            status, headers, _ = self.call(gateway)
+            self.assertEqual(status, 503)
+            delays.append(time.monotonic() + float(headers["Retry-After"]))
+        self.assertLess(time.monotonic() - started, 1)
+        self.assertEqual(len(pausing.requests), 1)
+        self.assertGreater(min(delays), started + 1.5)
+        self.assertGreater(max(delays) - min(delays), 0.2)
+
+    def test_unusable_pause_is_logged_and_does_not_keep_the_server_unused(self):
+        for value in ("-3", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(value=value):
+                pausing, = self.start_backends("plain", count=1)
+                pausing.pending_faults = ["reject"]
+                pausing.retry_after = value
+                gateway = self.start_gateway()
+                self.call(gateway)
+                self.assertEqual(self.call(gateway)[0], 200)
+                self.assertEqual(["pause_adjusted"],
+                                 [event["name"] for event in gateway.log_events()
+                                  if event["name"].startswith("pause")])
+
 
 if __name__ == "__main__":
     unittest.main()
