--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -44,6 +44,8 @@
   kHandlerFailed = 511,
   kStreamStalled = 512,
   kResponseSkipped = 515,
+  kServerPaused = 516,
+  kPauseAdjusted = 517,
   kServerChecked = 520,
   kPromptQuarantined = 521,
   kQuarantineTrial = 522,
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -55,6 +55,9 @@
   /// Whether a response on the attempt's connection answers this request; logs
   /// one that does not.
   bool IsOwn(const http::response_header<>& header) const;
+  /// Returns after what time the caller should repeat its request when no
+  /// server was usable.
+  Milliseconds NoServerRetryDelay();
   ResponseUse Classify(const http::response_header<>& header) const;
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
@@ -107,6 +110,9 @@
   /// Starts to compare the attempt with others of its route, as evidence for an
   /// undecided move of the service.
   std::uint64_t TrackAttempt(const Backend& server);
+  /// Records what a response says of its server's state.
+  void RecordServerNotices(const Backend& server,
+                           const http::response_header<>& header);
   void RecordRequestStart();
   /// Adds the prompt's estimated prefill time to the service's load.
   void RecordPromptLoad(const Backend& server);
