--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -137,6 +137,7 @@
   bool m_streaming = false;
   bool m_start_recorded = false;
   bool m_caller_gone = false;
+  std::chrono::nanoseconds m_prompt_sent{0};  ///< in TimeSinceBoot(), latest
   /// Whether the response shows, once it is complete, that the prompt crashes
   /// no server.
   bool m_shows_harmless_prompt = false;
--- a/src/serve/gateway_call_prompts.cc
+++ b/src/serve/gateway_call_prompts.cc
@@ -30,9 +30,8 @@
 
 void Call::RecordPromptCompletion() {
   if (!m_shows_harmless_prompt || m_request.prompt_parts.empty()) return;
-  m_worker.Prompts().OnCompleted(
-      SharedPartsOf(m_request.prompt_parts),
-      TimeSinceBoot() - (SteadyClock::now() - m_attempt_sent));
+  m_worker.Prompts().OnCompleted(SharedPartsOf(m_request.prompt_parts),
+                                 m_prompt_sent);
 }
 
 void Call::RecordPromptBreakOff(const Backend& server, AttemptOutcome end,
