--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -226,7 +226,7 @@
     return IsOwn(header);
   };
   const auto started = SteadyClock::now();
-  m_attempt_sent = started;
+  m_prompt_sent = TimeSinceBoot();
   m_tracked_attempt = TrackAttempt(server);
   const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -133,7 +133,6 @@
   Placement m_placement;
   MoveId m_move_key;  ///< undecided move of the service; empty if none
   VersionId m_new_version;
-  SteadyClock::time_point m_attempt_sent{};  ///< latest attempt
   std::uint64_t m_tracked_attempt = 0;       ///< latest, in the evidence
   std::vector<ServerId> m_tried_servers;     ///< in order; may repeat
   std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
