Repeat a request at a server on a connection of its own

What callers could see: a stream's request runs at a server while it is offered once more, after the server had sent its refusal of an earlier attempt twice. Found by the reviewer, by reading. Evidence: test_refusal_that_comes_twice_does_not_answer... failed before (3 runs instead of 2). Change: an attempt at a server that was tried before uses a new connection. After: passes.

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -160,6 +160,11 @@
   return request;
 }
 
+bool Call::WasTried(const ServerId& server) const {
+  return std::find(m_tried_servers.begin(), m_tried_servers.end(), server) !=
+         m_tried_servers.end();
+}
+
 bool Call::TrySpendRetry() {
   const bool repeats_request = !m_tried_servers.empty() && m_reached_server;
   return !repeats_request || m_worker.Retries().TrySpend();
@@ -207,6 +212,7 @@
 
 Awaitable<AttemptOutcome> Call::RunAttempt(const Backend& server,
                                            Error& error) {
+  const bool is_repeat = WasTried(server.entry.id);
   m_tried_servers.push_back(server.entry.id);
   m_excluded_servers.push_back(server.entry.id);
   m_events.DiscardPartialEvent();
@@ -221,6 +227,9 @@
   CallOptions options;
   options.timeout = TimeLeft();
   options.connect_timeout = kConnectTimeout;
+  // On a connection that an earlier attempt has used, a late copy of its
+  // response could not be told from the response to this one.
+  if (is_repeat) options.reuse = Reuse::kNewOnly;
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
     return IsOwn(header);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -49,6 +49,7 @@
   Awaitable<void> RunAttemptLoop();
   /// Whether the chosen server may be sent another attempt by the retry budget.
   bool TrySpendRetry();
+  bool WasTried(const ServerId& server) const;
   /// Waits before a stream that has begun is offered to the servers again.
   Awaitable<void> WaitToResume();
   Awaitable<AttemptOutcome> RunAttempt(const Backend& server, Error& error);
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -304,6 +304,7 @@
     "silent": sends nothing for `silence_s` before the third event of a stream, and goes on,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
+    "reject_twice": refuses, and sends the refusal, with its id, once more then,
     "fail_404", "fail_410", "fail_429", "fail_503": answers with that status,
     "other_type": with a 200 that is no stream of events,
     "no_event": with a 200 that holds no complete event,
@@ -396,7 +397,11 @@
             self.send_endless_body(503, {"Cowslipknot-Request-Id": request,
                                          "Cowslipknot-Not-Executed": "1"})
             return
-        if fault == "reject":
+        if fault in ("reject", "reject_twice"):
+            if fault == "reject_twice":
+                self.late_copy = LATE_COPIES["late_refusal"].replace(
+                    b"\r\n\r\n", b"\r\nCowslipknot-Request-Id: " + request.encode()
+                    + b"\r\n\r\n")
             self.send(503, headers={"Cowslipknot-Request-Id": request,
                                     "Cowslipknot-Not-Executed": "1"})
             return
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -271,6 +271,15 @@
                 self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
                 self.assertTrue(complete)
 
+    # Guards against taking the repeated refusal of an attempt for the answer to a later
+    # attempt of the same request at the same server.
+    def test_refusal_that_comes_twice_does_not_answer_the_next_attempt(self):
+        gateway = self.start("model", ["crash", "reject_twice"], count=1)
+        received, complete = self.read_stream(gateway, "r1")
+        self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+        self.assertTrue(complete)
+        self.assertEqual(len(self.backends[0].runs), 2)  # the broken and the last attempt
+
     # Guards against "not run, try again" for a request that a server ran and answered with
     # such a status, without stating that it did not run it.
     def test_status_that_promises_too_much_is_not_passed_on(self):
