Hold ids of a stream to successors only where another source goes on

A sound stream with ids 1, 2, 5 was cut, and one whose second id repeats or goes back let later gaps at a resumption pass (both found by the reviewer, by reading). Change: ids of one source increase; the first one of another source is the successor of the last, unless the stream has left out numbers itself.

--- a/src/protocol/event_splitter.cc
+++ b/src/protocol/event_splitter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cowslipknot {
 namespace {
@@ -38,11 +39,12 @@
 }  // namespace
 
 bool EventSplitter::MayFollow(std::uint64_t id) {
-  ++m_ids;
+  const bool is_first_of_source = std::exchange(m_source_changed, false);
   if (!m_last_id) return true;
   const bool is_successor = id == *m_last_id + 1;
-  if (m_ids == 2 && !m_resumed) m_has_gaps = !is_successor;
-  return m_has_gaps ? id > *m_last_id : is_successor;
+  if (is_first_of_source && !m_has_gaps) return is_successor;
+  m_has_gaps = m_has_gaps || !is_successor;
+  return id > *m_last_id;
 }
 
 bool EventSplitter::RecordEvent(std::string_view event) {
--- a/src/protocol/event_splitter.h
+++ b/src/protocol/event_splitter.h
@@ -21,7 +21,7 @@
   /// Sets the id of the event after which the stream is to go on.
   void ResumeAfter(std::uint64_t id) {
     m_last_id = id;
-    m_resumed = true;
+    m_source_changed = true;
   }
 
   /// Discards a partial event that its source will not complete, and starts to
@@ -30,7 +30,7 @@
     m_buffer.clear();
     m_scanned = 0;
     m_out_of_order = false;
-    m_resumed = m_resumed || m_ids > 0;
+    m_source_changed = true;
   }
 
   /// The numeric "id" of the last complete event that has one.
@@ -48,9 +48,9 @@
   const std::string& PartialEvent() const { return m_buffer; }
 
  private:
-  /// Whether an event with this id may follow the last one. Ids increase;
-  /// unless the first two of the stream differ by more than one, each is the
-  /// successor of the one before, so that a gap shows that an event is missing.
+  /// Whether an event with this id may follow the last one. Ids increase. The
+  /// first id of another source is the successor of the last one, unless the
+  /// stream has left out numbers before.
   bool MayFollow(std::uint64_t id);
   /// @return false if the event is out of order; then nothing is recorded
   bool RecordEvent(std::string_view event);
@@ -61,9 +61,8 @@
   std::uint64_t m_events = 0;
   std::uint64_t m_field_events = 0;
   bool m_out_of_order = false;
-  std::uint64_t m_ids = 0;  ///< events with an id
-  bool m_resumed = false;   ///< goes on after an event of another source
-  bool m_has_gaps = false;  ///< ids increase by more than one
+  bool m_source_changed = false;  ///< since the last id
+  bool m_has_gaps = false;        ///< ids of one source have left out numbers
 };
 
 }  // namespace cowslipknot
