--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cowslipknot/ids.h"
+#include "cowslipknot/store_position.h"
 
 namespace cowslipknot {
 
@@ -32,14 +33,15 @@
   LeaseView(NodeId self, Milliseconds duration)
       : m_self(std::move(self)), m_duration(duration) {}
 
-  /// Records the row as read from the table, with its version.
+  /// Records the row as read from the table, with its position.
   /// @param row  empty when the table has no such row
-  void Observe(const std::optional<LeaseRow>& row, std::uint64_t version,
-               Time now);
+  void Observe(const std::optional<LeaseRow>& row,
+               const StorePosition& position, Time now);
 
   /// Records that a write of this instance took effect.
   /// @param sent  clock reading taken before the write was sent
-  void RecordOwnWrite(const LeaseRow& row, std::uint64_t version, Time sent);
+  void RecordOwnWrite(const LeaseRow& row, const StorePosition& position,
+                      Time sent);
 
   /// Whether the lease is held with a safety margin, so that an action that
   /// requires it may start now.
@@ -61,7 +63,7 @@
 
   /// The row to write to take or renew the lease.
   LeaseRow NextRow() const;
-  std::uint64_t Version() const { return m_version; }
+  const StorePosition& Position() const { return m_position; }
   Epoch CurrentEpoch() const { return m_row ? m_row->epoch : Epoch(0); }
 
  private:
@@ -70,11 +72,11 @@
   NodeId m_self;
   Milliseconds m_duration;
   std::optional<LeaseRow> m_row;
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
   bool m_observed = false;
-  Time m_version_seen{};        ///< when the current version was first read
+  Time m_row_seen{};            ///< when the current row was first read
   Time m_renewed{};             ///< when the last confirmed own write was sent
-  bool m_written_here = false;  ///< this process wrote the current version
+  bool m_written_here = false;  ///< this process wrote the current row
 };
 
 }  // namespace cowslipknot
--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -71,6 +71,7 @@
   kPlatformBack = 701,
   kHistoryLost = 702,
   kClusterClockSet = 703,
+  kStoreRestored = 704,
   kFrameRejected = 800,
   kLinesDropped = 900,
 };
--- a/include/cowslipknot/gateway/registration_log.h
+++ b/include/cowslipknot/gateway/registration_log.h
@@ -26,17 +26,18 @@
   };
 
   /// Records what is usable now.
-  /// @param version  version of the store that `usable` reflects
+  /// @param position  of the store that `usable` reflects
   /// @return whether any change affects routing
-  bool Update(const std::vector<ServerEntry>& usable, std::uint64_t version);
+  bool Update(const std::vector<ServerEntry>& usable,
+              const StorePosition& position);
 
   /// @param cursor  of the last changes received; 0 for all registrations
   Changes Since(std::uint64_t cursor) const;
 
   /// The cursor of the latest change.
   std::uint64_t Cursor() const { return m_cursor; }
-  /// Version of the store at the last update.
-  std::uint64_t StoreVersion() const { return m_version; }
+  /// Latest position of the store that an update reflected.
+  const StorePosition& Position() const { return m_position; }
 
  private:
   struct Item {
@@ -50,7 +51,7 @@
   std::uint64_t m_cursor = 1;  ///< 0 is the cursor of a new follower
   /// Removals up to this cursor are no longer recorded.
   std::uint64_t m_forgotten_cursor = 0;
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
 };
 
 }  // namespace cowslipknot::gateway
--- a/include/cowslipknot/gateway/response_time_bound.h
+++ b/include/cowslipknot/gateway/response_time_bound.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "cowslipknot/ids.h"
+#include "cowslipknot/store_position.h"
 
 namespace cowslipknot::gateway {
 
@@ -23,12 +24,15 @@
 
   /// @param sent_at     local clock reading when the request was sent
   /// @param store_time  store clock reading in the response
+  /// @param era         era of the store that sent the response
   /// @return local clock reading at or before the creation of the response
-  Time EarliestResponseTime(Time sent_at, Milliseconds store_time) {
+  Time EarliestResponseTime(Time sent_at, Milliseconds store_time,
+                            StoreEra era = {}) {
     const Time offset = sent_at - store_time;
-    // A store clock that runs backwards belongs to a restarted store.
-    // Offsets to the former clock do not apply to it.
-    const bool restarted = m_latest && store_time < *m_latest;
+    // A restarted or restored store may have another clock, to which offsets
+    // of the former one do not apply.
+    const bool restarted = era != m_era || (m_latest && store_time < *m_latest);
+    m_era = era;
     if (!m_offset || restarted || offset > *m_offset) m_offset = offset;
     m_latest = store_time;
     return *m_offset + store_time;
@@ -37,6 +41,7 @@
  private:
   std::optional<Time> m_offset;  ///< largest local reading minus store reading
   std::optional<Milliseconds> m_latest;
+  StoreEra m_era;
 };
 
 }  // namespace cowslipknot::gateway
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cowslipknot/ids.h"
+#include "cowslipknot/store_position.h"
 
 /// Self-registered backend servers.
 namespace cowslipknot::gateway {
@@ -25,9 +26,8 @@
   Milliseconds warmup_left{0};
   bool reclaimable = false;
   std::int64_t started_ms = 0;  ///< Unix time of its start; identifies restarts
-  /// Version of its row in the store; 0 if unknown. Orders what different
-  /// instances have read.
-  std::uint64_t row_version = 0;
+  /// Of its row in the store. Orders what different instances have read.
+  StorePosition position;
 };
 
 /// Whether the difference between two registrations of a server affects
@@ -38,8 +38,7 @@
 struct ServerChange {
   ServerId id;
   std::optional<ServerEntry> entry;
-  /// Version of the store at which it was removed; 0 if unknown.
-  std::uint64_t removed_version = 0;
+  StorePosition removed_at;  ///< position of the removal in the store
 };
 
 /// Tracks the registered backend servers.
@@ -66,18 +65,18 @@
   /// Applies changes in order. @return true if routing is affected
   bool Apply(const std::vector<ServerChange>& changes, Time now);
   /// Applies a complete list; missing entries count as removed.
-  /// @param version  version of the store that the list reflects; 0 if unknown
+  /// @param position  of the store that the list reflects
   /// @return true if routing is affected
   bool Replace(const std::vector<ServerEntry>& entries, Time now,
-               std::uint64_t version = 0);
+               const StorePosition& position = {});
 
   /// Marks a server as draining after a notice from another instance.
   /// @param started_ms  start time of the server, so that a notice about its
   ///                    former process has no effect
-  /// @param version  version of the store in which it was leaving; 0 if unknown
+  /// @param position  of the store in which it was leaving
   /// @return true if the server was ready
   bool OnServerLeaving(const ServerId& id, std::int64_t started_ms,
-                       std::uint64_t version = 0);
+                       const StorePosition& position = {});
 
   /// Marks a process of a server as leaving by its own account. Later
   /// registrations of the same process, which may be delayed, do not end this.
@@ -108,9 +107,9 @@
     std::optional<Time> lapsed_until;
   };
 
-  bool Remove(const ServerId& id, Time now, std::uint64_t version);
+  bool Remove(const ServerId& id, Time now, const StorePosition& position);
   bool Put(const ServerEntry& registered);
-  void RememberRemoval(const ServerId& id, std::uint64_t version);
+  void RememberRemoval(const ServerId& id, const StorePosition& position);
   void RememberLeaving(const ServerId& id, std::int64_t started_ms);
   bool IsKnownToLeave(const ServerEntry& entry) const;
   /// Whether an entry is older than what is known of its server.
@@ -118,7 +117,7 @@
 
   Milliseconds m_reregistration_grace;
   std::map<ServerId, Registration> m_entries;
-  std::map<ServerId, std::uint64_t> m_removed_versions;
+  std::map<ServerId, StorePosition> m_removed_at;
   /// Latest start of each server whose process said that it is leaving.
   std::map<ServerId, std::int64_t> m_leaving_starts;
   bool m_store_unavailable = false;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -136,6 +136,8 @@
      "the store no longer has the requested changes; the full table is read"},
     {Event::kClusterClockSet, "info", "cluster_clock_set",
      "the cluster's shared wall clock was set"},
+    {Event::kStoreRestored, "warn", "store_restored",
+     "the store was restored from a copy; the full table is read"},
     {Event::kFrameRejected, "warn", "frame_rejected",
      "a peer's frame failed verification"},
     {Event::kLinesDropped, "warn", "lines_dropped",
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -45,18 +45,18 @@
 }
 
 void LeaseView::Observe(const std::optional<LeaseRow>& row,
-                        std::uint64_t version, Time now) {
-  if (m_observed && version == m_version) return;
+                        const StorePosition& position, Time now) {
+  if (m_observed && position == m_position) return;
   m_observed = true;
   m_row = row;
-  m_version = version;
-  m_version_seen = now;
+  m_position = position;
+  m_row_seen = now;
   m_written_here = false;
 }
 
-void LeaseView::RecordOwnWrite(const LeaseRow& row, std::uint64_t version,
-                               Time sent) {
-  Observe(row, version, sent);
+void LeaseView::RecordOwnWrite(const LeaseRow& row,
+                               const StorePosition& position, Time sent) {
+  Observe(row, position, sent);
   m_renewed = sent;
   m_written_here = true;
 }
@@ -69,7 +69,7 @@
 bool LeaseView::MayAcquire(Time now) const {
   if (!m_observed) return false;
   if (!m_row) return true;
-  return now >= After(m_version_seen, m_duration, kTakeoverFactor);
+  return now >= After(m_row_seen, m_duration, kTakeoverFactor);
 }
 
 bool LeaseView::ShouldRenew(Time now) const {
--- a/src/coordination/move_controller.cc
+++ b/src/coordination/move_controller.cc
@@ -32,6 +32,11 @@
          state.phase == MovePhase::kWatching;
 }
 
+/// The position of a row of the table service, which is never restored.
+StorePosition PositionOf(const TableRow& row) {
+  return {StoreEra(0), StoreVersion(row.version)};
+}
+
 }  // namespace
 
 std::set<MoveId> MoveController::RolledBackMoves() const {
@@ -132,21 +137,22 @@
     const auto row = co_await m_platform.Read(kLeaseKey);
     if (!row) co_return;
     m_lease.Observe(row->version == 0 ? std::nullopt : DecodeLease(row->value),
-                    row->version, SteadyClock::now());
+                    PositionOf(*row), SteadyClock::now());
     if (!m_lease.MayAcquire(SteadyClock::now())) co_return;
   } else if (!m_lease.ShouldRenew(now)) {
     co_return;
   }
   const LeaseRow next = m_lease.NextRow();
   const auto sent = SteadyClock::now();
-  RowChange change{kLeaseKey, m_lease.Version(), EncodeLease(next)};
+  RowChange change{kLeaseKey, m_lease.Position().version.Count(),
+                   EncodeLease(next)};
   const auto written =
       co_await m_rows.Write(std::move(change), sent + kLeaseWriteTimeout);
   if (!written || !written->applied) {
     if (held) LogEvent(Event::kLeaseLost);
     co_return;
   }
-  m_lease.RecordOwnWrite(next, written->current.version, sent);
+  m_lease.RecordOwnWrite(next, PositionOf(written->current), sent);
   if (held) co_return;
   LogEvent(Event::kLeaseTaken, {{"epoch", std::to_string(next.epoch.Count())}});
   m_gossip.Publish({kHolderKey, next.epoch.Count(), m_settings.node.Text()});
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -11,6 +11,7 @@
 #include "cowslipknot/gateway/server_registry.h"
 #include "cowslipknot/gateway/version_move.h"
 #include "cowslipknot/result.h"
+#include "cowslipknot/store_position.h"
 #include "transport/asio.h"
 
 /// Interface between the gateway and the platform it runs on, in the gateway's
@@ -55,21 +56,21 @@
   std::string table;
   std::string key;
   std::string value;
-  std::uint64_t version = 0;  ///< 0: no such row
+  StorePosition position;  ///< when it was written; unknown: no such row
   bool removed = false;
 };
 
 /// A snapshot of rows, or the rows that changed.
 struct StoreRows {
   std::vector<StoreRow> rows;
-  std::uint64_t version = 0;   ///< newest version of the store
-  Milliseconds store_time{0};  ///< the store's monotonic clock
+  StorePosition position;      ///< newest position of the store
+  Milliseconds store_time{0};  ///< the store's monotonic clock, of this era
   bool truncated = false;      ///< more rows follow
 };
 
 /// A change that is applied atomically.
 struct StoreTransaction {
-  std::vector<StoreRow> conditions;  ///< table, key and expected version
+  std::vector<StoreRow> conditions;  ///< table, key and expected position
   std::vector<StoreRow> writes;      ///< table, key and value
   std::vector<StoreRow> removals;    ///< table and key
 };
@@ -124,10 +125,11 @@
 
   // Calls to the platform, made on the control thread.
   std::function<Awaitable<Result<StoreRows>>(std::string table)> read_table;
-  /// Returns rows changed after `since`; waits for the first one.
+  /// Returns rows changed after `since`; waits for the first one. Rows of an
+  /// answer from another era are not the changes since that position.
   /// @return kHistoryLost if the full table must be read again
   std::function<Awaitable<Result<StoreRows>>(
-      std::string table, std::uint64_t since, Milliseconds wait)>
+      std::string table, StorePosition since, Milliseconds wait)>
       watch_table;
   /// @return kRevisionConflict if a condition failed
   std::function<Awaitable<Result<StoreRows>>(StoreTransaction)>
--- a/src/serve/follow_codec.cc
+++ b/src/serve/follow_codec.cc
@@ -2,11 +2,24 @@
 
 namespace cowslipknot::gateway {
 
+std::unique_ptr<wire::StorePosition> PackPosition(
+    const StorePosition& position) {
+  if (!position.IsKnown()) return nullptr;
+  return std::make_unique<wire::StorePosition>(position.era.Count(),
+                                               position.version.Count());
+}
+
+StorePosition UnpackPosition(
+    const std::unique_ptr<wire::StorePosition>& packed) {
+  if (!packed) return {};
+  return {StoreEra(packed->era()), StoreVersion(packed->version())};
+}
+
 std::unique_ptr<wire::StoreRowT> PackRow(const StoreRow& row) {
   auto packed = std::make_unique<wire::StoreRowT>();
   packed->key = row.key;
   packed->value = row.value;
-  packed->version = row.version;
+  packed->position = PackPosition(row.position);
   packed->removed = row.removed;
   return packed;
 }
@@ -16,7 +29,7 @@
   row.table = table;
   row.key = packed.key;
   row.value = packed.value;
-  row.version = packed.version;
+  row.position = UnpackPosition(packed.position);
   row.removed = packed.removed;
   return row;
 }
@@ -26,11 +39,11 @@
   packed->id = change.id.Text();
   packed->removed = !change.entry;
   if (!change.entry) {
-    packed->row_version = change.removed_version;
+    packed->position = PackPosition(change.removed_at);
     return packed;
   }
   const ServerEntry& entry = *change.entry;
-  packed->row_version = entry.row_version;
+  packed->position = PackPosition(entry.position);
   packed->service = entry.service.Text();
   packed->host = entry.address.host;
   packed->port = entry.address.port;
@@ -47,12 +60,12 @@
   ServerChange change;
   change.id = ServerId(packed.id);
   if (packed.removed) {
-    change.removed_version = packed.row_version;
+    change.removed_at = UnpackPosition(packed.position);
     return change;
   }
   ServerEntry entry;
   entry.id = change.id;
-  entry.row_version = packed.row_version;
+  entry.position = UnpackPosition(packed.position);
   entry.service = ServiceId(packed.service);
   entry.address = Endpoint{packed.host, packed.port};
   entry.domain = DomainId(packed.domain);
--- a/src/serve/follow_codec.h
+++ b/src/serve/follow_codec.h
@@ -10,6 +10,12 @@
 /// Conversion between the gateway's types and the frames of a store relay.
 namespace cowslipknot::gateway {
 
+/// @return nothing if the position is not known
+std::unique_ptr<wire::StorePosition> PackPosition(
+    const StorePosition& position);
+StorePosition UnpackPosition(
+    const std::unique_ptr<wire::StorePosition>& packed);
+
 std::unique_ptr<wire::StoreRowT> PackRow(const StoreRow& row);
 StoreRow UnpackRow(const wire::StoreRowT& packed, const std::string& table);
 
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -114,7 +114,7 @@
                {{"key", row.key}, {"detail", order.error().detail}});
       continue;
     }
-    order->revision = row.version;
+    order->revision = row.position.version.Count();
     order->first_seen = WallTime(m_coordinator.SharedNowMs().value_or(0));
     const auto known = m_move_orders.find(row.key);
     const bool same = known != m_move_orders.end() &&
@@ -168,12 +168,17 @@
         co_await m_adapter.watch_table(cursor.table, *cursor.since, poll_wait);
   }
   cursor.last_call_failed = !rows.has_value();
-  if (rows) {
+  if (rows && ContinuesFrom(cursor, rows->position)) {
     // A relay may have sent later changes while this call was under way.
-    cursor.since = std::max(cursor.since.value_or(0), rows->version);
+    cursor.since =
+        std::max(cursor.since.value_or(StorePosition{}), rows->position);
     co_return std::move(*rows);
   }
-  if (rows.error().code == ResultCode::kHistoryLost) {
+  if (rows) {
+    const bool is_restored = !cursor.since.has_value();
+    SetStoreReachable(is_restored, "response of an earlier era");
+    if (is_restored) co_return std::nullopt;
+  } else if (rows.error().code == ResultCode::kHistoryLost) {
     LogEvent(Event::kHistoryLost, {{"table", cursor.table}});
     cursor.since.reset();
   } else {
@@ -183,6 +188,18 @@
   co_return std::nullopt;
 }
 
+bool ControlPlane::ContinuesFrom(TableCursor& cursor,
+                                 const StorePosition& answered) {
+  if (!cursor.since || answered.era == cursor.since->era) return true;
+  // An answer of an earlier era was sent before the restore.
+  if (answered < *cursor.since) return false;
+  LogEvent(Event::kStoreRestored, {{"table", cursor.table},
+                                   {"known", FormatPosition(*cursor.since)},
+                                   {"restored", FormatPosition(answered)}});
+  cursor.since.reset();
+  return false;
+}
+
 Awaitable<void> ControlPlane::WatchConfiguration() {
   const auto long_wait = std::chrono::duration_cast<Milliseconds>(
       m_settings.revoke_bound * kConfigurationWaitFraction);
@@ -198,8 +215,8 @@
             : long_wait;
     const auto rows = co_await ReadChanges(m_configuration_cursor, wait);
     if (!rows) continue;
-    const auto confirmed =
-        m_response_time_bound.EarliestResponseTime(sent_at, rows->store_time);
+    const auto confirmed = m_response_time_bound.EarliestResponseTime(
+        sent_at, rows->store_time, rows->position.era);
     const bool is_full_read = m_configuration_cursor.is_full_read;
     ApplyConfiguration(*rows, is_full_read);
     OnConfigurationConfirmed(confirmed);
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -39,7 +39,7 @@
   /// Read position in a table of the store.
   struct TableCursor {
     std::string table;
-    std::optional<std::uint64_t> since;  ///< none: read the complete table
+    std::optional<StorePosition> since;  ///< none: read the complete table
     bool is_full_read = false;           ///< the last read covers the table
     bool last_call_failed = false;       ///< of this cursor
   };
@@ -47,9 +47,12 @@
   /// Reads the changes of a table since the last read, or the complete table.
   /// On failure, records it, waits before returning nothing, and leaves the
   /// cursor so that the next call continues from there, or reads the complete
-  /// table if the store no longer has the changes.
+  /// table if the store no longer has the changes or has been restored.
   Awaitable<std::optional<StoreRows>> ReadChanges(TableCursor& cursor,
                                                   Milliseconds wait);
+  /// Whether an answer continues from the cursor's position. One of another
+  /// era does not: its versions have been assigned anew since.
+  bool ContinuesFrom(TableCursor& cursor, const StorePosition& answered);
   Awaitable<void> WatchConfiguration();
   Awaitable<void> WatchServers();
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
@@ -132,7 +135,7 @@
   std::uint64_t m_instances_digest = 0;
   std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
   std::chrono::nanoseconds m_shares_updated_at{0};
-  std::uint64_t m_servers_version = 0;  ///< of the store, as last read
+  StorePosition m_servers_position;  ///< of the store, as last read
   TableCursor m_configuration_cursor;
   bool m_following = false;
   asio::steady_timer m_following_ended;
@@ -140,7 +143,7 @@
   std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
   std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
   std::uint64_t m_relay_started_ms = 0;
-  std::uint64_t m_relay_moves_version = 0;
+  StorePosition m_relay_moves_position;
   std::chrono::nanoseconds m_report_due{0};
   std::size_t m_serving_instances = 0;  ///< as last logged
   const std::chrono::nanoseconds m_started_at = TimeSinceBoot();
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -36,6 +36,21 @@
   return number;
 }
 
+/// Whether conditions require that a row exists.
+bool HasKnownRow(const std::vector<StoreRow>& conditions) {
+  return std::any_of(
+      conditions.begin(), conditions.end(),
+      [](const StoreRow& row) { return row.position.IsKnown(); });
+}
+
+/// Whether all rows that conditions require were read in an era.
+bool HoldsIn(StoreEra era, const std::vector<StoreRow>& conditions) {
+  return std::all_of(
+      conditions.begin(), conditions.end(), [era](const StoreRow& row) {
+        return !row.position.IsKnown() || row.position.era == era;
+      });
+}
+
 }  // namespace
 
 void ClusterClock::AddSample(Milliseconds store_time,
@@ -91,9 +106,24 @@
 
 Awaitable<Result<StoreRows>> FleetCoordinator::CommitTransaction(
     StoreTransaction transaction) {
+  const StoreEra era = m_era;
+  if (!HoldsIn(era, transaction.conditions)) {
+    co_return Fail(ResultCode::kRevisionConflict, "read before a restore");
+  }
+  const bool is_bound_to_era = HasKnownRow(transaction.conditions);
   const auto sent_at = TimeSinceBoot();
   auto changed = co_await m_adapter.commit_transaction(std::move(transaction));
-  if (changed) m_clock.AddSample(changed->store_time, sent_at, TimeSinceBoot());
+  if (!changed) co_return changed;
+  m_clock.AddSample(changed->store_time, sent_at, TimeSinceBoot());
+  m_era = std::max(m_era, changed->position.era);
+  // The condition held by chance: the versions were assigned anew since.
+  if (is_bound_to_era && changed->position.era != era) {
+    LogEvent(Event::kStoreRestored,
+             {{"table", store_rows::kTable},
+              {"known", std::to_string(era.Count())},
+              {"restored", FormatPosition(changed->position)}});
+    co_return Fail(ResultCode::kHistoryLost, "committed after a restore");
+  }
   co_return changed;
 }
 
@@ -138,9 +168,9 @@
   const bool takes = !report.stopping && m_table_read && MayAcquireLease(now);
   const bool releases = report.stopping && m_lease.MayAct(now);
   StoreTransaction transaction;
-  if (condition == ReportCondition::kVersion) {
+  if (condition == ReportCondition::kPosition) {
     transaction.conditions.push_back(
-        store_rows::MakeRow(m_report_key, {}, m_report_version));
+        store_rows::MakeRow(m_report_key, {}, m_report_position));
   }
   transaction.writes.push_back(
       store_rows::MakeRow(m_report_key, EncodeReport(report)));
@@ -149,14 +179,14 @@
     StoreTransaction with_lease = transaction;
     const LeaseRow lease = releases ? m_lease.ReleasedRow() : m_lease.NextRow();
     with_lease.conditions.push_back(
-        store_rows::MakeRow(store_rows::kLeaseKey, {}, m_lease.Version()));
+        store_rows::MakeRow(store_rows::kLeaseKey, {}, m_lease.Position()));
     with_lease.writes.push_back(
         store_rows::MakeRow(store_rows::kLeaseKey, EncodeLease(lease)));
     m_sent_lease = SentLease{lease, now};
     const auto changed = co_await CommitTransaction(std::move(with_lease));
     if (changed) {
-      m_report_version = changed->version;
-      m_lease.RecordOwnWrite(lease, changed->version, now);
+      m_report_position = changed->position;
+      m_lease.RecordOwnWrite(lease, changed->position, now);
       co_return Result<void>();
     }
     // On a conflict another instance took the lease and nothing was written, so
@@ -168,7 +198,7 @@
   }
   const auto changed = co_await CommitTransaction(std::move(transaction));
   if (!changed) co_return tl::make_unexpected(changed.error());
-  m_report_version = changed->version;
+  m_report_position = changed->position;
   co_return Result<void>();
 }
 
@@ -178,18 +208,19 @@
   if (!rows) co_return tl::make_unexpected(rows.error());
   const auto now = TimeSinceBoot();
   m_clock.AddSample(rows->store_time, sent_at, now);
+  m_era = std::max(m_era, rows->position.era);
   std::map<std::string, InstanceReport> reports;
   std::optional<LeaseRow> lease;
-  std::uint64_t lease_version = 0;
-  m_report_version = 0;
-  m_report_version_known = true;
-  m_row_versions.clear();
+  StorePosition lease_position;
+  m_report_position = {};
+  m_report_position_known = true;
+  m_row_positions.clear();
   m_committed_usage.clear();
   std::vector<StoreRow> moves;
   for (const auto& row : rows->rows) {
     if (row.key == store_rows::kLeaseKey) {
       lease = DecodeLease(row.value);
-      lease_version = row.version;
+      lease_position = row.position;
     } else if (row.key == store_rows::kClockKey) {
       const auto offset = ParseUnsigned(row.value);
       if (offset && !m_clock.HasOffset()) {
@@ -198,12 +229,12 @@
       }
     } else if (row.key == store_rows::kUsageDoneKey) {
       m_reported_window = ParseUnsigned(row.value);
-      m_reported_window_version = row.version;
+      m_reported_window_position = row.position;
     } else if (row.key.starts_with(store_rows::kMovePrefix)) {
       moves.push_back(row);
     } else if (row.key.starts_with(store_rows::kReportPrefix)) {
-      if (row.key == m_report_key) m_report_version = row.version;
-      m_row_versions[row.key] = row.version;
+      if (row.key == m_report_key) m_report_position = row.position;
+      m_row_positions[row.key] = row.position;
       auto report = DecodeReport(row.value);
       if (report) reports[row.key] = std::move(*report);
     } else if (row.key.starts_with(store_rows::kUsagePrefix)) {
@@ -220,10 +251,10 @@
   // effect.
   const bool is_own_write =
       lease && m_sent_lease && *lease == m_sent_lease->row;
-  if (is_own_write && lease_version != m_lease.Version()) {
-    m_lease.RecordOwnWrite(*lease, lease_version, m_sent_lease->sent);
+  if (is_own_write && lease_position != m_lease.Position()) {
+    m_lease.RecordOwnWrite(*lease, lease_position, m_sent_lease->sent);
   } else {
-    m_lease.Observe(lease, lease_version, LeaseNow());
+    m_lease.Observe(lease, lease_position, LeaseNow());
   }
   m_table_read = true;
   const bool holds_lease = HoldsLease();
@@ -254,19 +285,19 @@
     auto move = DecodeMove(row.value);
     if (!move) continue;
     const ServiceId service = move->order.service;
-    m_moves[service] = {std::move(*move), row.version};
+    m_moves[service] = {std::move(*move), row.position};
   }
 }
 
 Awaitable<Result<void>> FleetCoordinator::Exchange(ReportInput input) {
   // Built first: it takes over the counts of the input.
   InstanceReport report = BuildReport(input);
-  if (!m_report_version_known) {
+  if (!m_report_position_known) {
     const auto read = co_await ReadTable();
     if (!read) co_return read;
   }
   const auto written =
-      co_await WriteReport(std::move(report), ReportCondition::kVersion);
+      co_await WriteReport(std::move(report), ReportCondition::kPosition);
   // The table shows the result of a write whose condition failed or whose
   // response was lost.
   const auto read = co_await ReadTable();
@@ -276,11 +307,11 @@
 }
 
 Awaitable<void> FleetCoordinator::Leave(ReportInput input) {
-  // A relay may have written the last report, so its version is not known. The
+  // A relay may have written the last report, so its position is not known. The
   // final report replaces it in any case.
   InstanceReport report = BuildReport(input);
-  const auto condition = m_report_version_known ? ReportCondition::kVersion
-                                                : ReportCondition::kNone;
+  const auto condition = m_report_position_known ? ReportCondition::kPosition
+                                                 : ReportCondition::kNone;
   const auto written = co_await WriteReport(std::move(report), condition);
   if (!written) {
     LogEvent(Event::kPlatformLost, {{"detail", written.error().detail}});
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -132,8 +132,8 @@
   /// Whether the lease has expired, was released, or was held by an earlier
   /// process on this machine.
   bool MayAcquireLease(LeaseView::Time now) const;
-  /// Whether a report is written only over the version last seen.
-  enum class ReportCondition : std::uint8_t { kVersion, kNone };
+  /// Whether a report is written only over the row last seen.
+  enum class ReportCondition : std::uint8_t { kPosition, kNone };
   Awaitable<Result<void>> WriteReport(InstanceReport report,
                                       ReportCondition condition);
   void ApplyMoveRows(const std::vector<StoreRow>& rows);
@@ -155,6 +155,11 @@
   bool Halt(const MoveOrder& order, const std::string& reason);
   Awaitable<bool> SendUsageReport(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
+  /// Commits a transaction whose conditions were read in the current era of the
+  /// store.
+  /// @return kRevisionConflict if they were not, or do not hold; kHistoryLost
+  /// if
+  ///         it was committed after a restore, when they meant other rows
   Awaitable<Result<StoreRows>> CommitTransaction(StoreTransaction transaction);
 
   const Settings& m_settings;
@@ -162,10 +167,11 @@
   std::chrono::nanoseconds m_started_at = TimeSinceBoot();
   std::uint64_t m_started_ms;  ///< Unix time; tells processes of a node apart
   std::string m_report_key;
-  std::uint64_t m_report_version = 0;
+  StorePosition m_report_position;  ///< unknown: no such row
   /// Whether the table was read since the last report that a relay wrote.
-  bool m_report_version_known = true;
-  std::map<std::string, std::uint64_t> m_row_versions;  ///< of all reports
+  bool m_report_position_known = true;
+  std::map<std::string, StorePosition> m_row_positions;  ///< of all reports
+  StoreEra m_era;  ///< of the store, the latest one seen here
   std::uint64_t m_sequence = 0;
   UsageLedger m_usage;
   InstanceTable m_instances;
@@ -182,14 +188,14 @@
   std::map<std::uint64_t, WindowCounts> m_committed_usage;  ///< by window
   /// The latest window whose usage report was accepted.
   std::optional<std::uint64_t> m_reported_window;
-  std::uint64_t m_reported_window_version = 0;
+  StorePosition m_reported_window_position;
   bool m_table_read = false;
   std::map<ServiceId, CapacityPlanner> m_planners;
 
-  /// A move with the version of its row in the store.
+  /// A move with the position of its row in the store.
   struct StoredMove {
     VersionMove move;
-    std::uint64_t version = 0;
+    StorePosition position;
   };
   std::vector<StoreRow> m_move_rows;
   std::map<ServiceId, MoveOrder> m_move_orders;
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -143,7 +143,7 @@
     const bool known = stored != m_moves.end() &&
                        stored->second.move.order.revision == order.revision;
     StoredMove next;
-    if (stored != m_moves.end()) next.version = stored->second.version;
+    if (stored != m_moves.end()) next.position = stored->second.position;
     next.move.order = order;
     if (known) {
       const VersionMove& move = stored->second.move;
@@ -169,13 +169,13 @@
         std::string(store_rows::kMovePrefix) + service.Text();
     StoreTransaction transaction;
     transaction.conditions.push_back(
-        store_rows::MakeRow(key, {}, next.version));
+        store_rows::MakeRow(key, {}, next.position));
     transaction.writes.push_back(
         store_rows::MakeRow(key, EncodeMove(next.move)));
     transaction.writes.push_back(m_adapter.encode_move_status(next.move));
     const auto changed = co_await CommitTransaction(std::move(transaction));
     if (!changed) co_return;
-    next.version = changed->version;
+    next.position = changed->position;
     LogEvent(Event::kMoveStep,
              {{"move", MoveKey(order).Text()},
               {"to", order.to.Text()},
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -75,15 +75,15 @@
   PeerFrame frame;
   frame.kind = wire::Kind::FollowStore;
   frame.follow = std::make_unique<wire::FollowRequestT>();
-  frame.follow->configuration_version =
-      m_configuration_cursor.since.value_or(0);
+  frame.follow->configuration =
+      PackPosition(m_configuration_cursor.since.value_or(StorePosition{}));
   const bool is_same_relay =
       m_following && m_relay_started_ms == relay.started_ms;
   if (is_same_relay) {
     frame.follow->relay_started_ms = m_relay_started_ms;
     frame.follow->registrations_cursor = m_relay_cursor;
     frame.follow->instances_digest = m_instances_digest;
-    frame.follow->moves_version = m_relay_moves_version;
+    frame.follow->moves = PackPosition(m_relay_moves_position);
   }
   frame.follow->hold_ms =
       static_cast<std::uint32_t>(StoreRelay::MaxHold(m_settings).count());
@@ -104,7 +104,8 @@
   const auto answer = co_await RunOn(
       m_worker.Context().get_executor(),
       m_worker.Links().Call(*relay.peers, std::move(frame), timeout));
-  if (!answer || !answer->update) co_return false;
+  if (!answer || !answer->update || !answer->update->configuration)
+    co_return false;
   if (!m_following) {
     // What a relay has read counts as the store's response.
     SetStoreReachable(true, m_adapter.names.server_table);
@@ -121,24 +122,25 @@
                                const InstanceSummary& relay,
                                std::chrono::nanoseconds sent_at) {
   StoreRows rows;
-  rows.version = update.configuration_version;
+  rows.position = UnpackPosition(update.configuration);
   for (const auto& packed : update.configuration_rows) {
     if (packed) {
       rows.rows.push_back(
           UnpackRow(*packed, m_adapter.names.configuration_table));
     }
   }
-  auto& known_version = m_configuration_cursor.since;
+  auto& since = m_configuration_cursor.since;
+  const StorePosition known = since.value_or(StorePosition{});
   // A complete list from a relay that lags behind may lack newer rows.
-  const bool is_full_read = update.configuration_complete &&
-                            rows.version >= known_version.value_or(0);
+  const bool is_full_read =
+      update.configuration_complete && rows.position >= known;
   ApplyConfiguration(rows, is_full_read);
   // The relay answered after `sent_at`, so its age counts from then at the
   // latest.
   const auto confirmed = sent_at - Milliseconds(update.configuration_age_ms);
   OnConfigurationConfirmed(confirmed);
   m_relay.OnConfiguration(rows, is_full_read, confirmed);
-  known_version = std::max(known_version.value_or(0), rows.version);
+  since = std::max(known, rows.position);
   m_relay_started_ms = relay.started_ms;
   ApplyUpdatedServers(update);
   ApplyUpdatedFleet(update);
@@ -154,12 +156,12 @@
   }
   m_relay_cursor = update.registrations_cursor;
   m_registry.EndGrace();
-  m_servers_version = std::max(m_servers_version, update.registrations_version);
+  const StorePosition position = UnpackPosition(update.registrations_position);
+  m_servers_position = std::max(m_servers_position, position);
   const auto now = TimeSinceBoot();
-  bool changed =
-      update.registrations_complete
-          ? m_registry.Replace(entries, now, update.registrations_version)
-          : m_registry.Apply(changes, now);
+  bool changed = update.registrations_complete
+                     ? m_registry.Replace(entries, now, position)
+                     : m_registry.Apply(changes, now);
   changed = m_registry.Expire(now) || changed;
   if (changed) Publish();
 }
@@ -178,13 +180,14 @@
   }
   m_fleet = std::move(fleet);
   std::optional<std::vector<StoreRow>> moves;
-  if (update.moves_version != m_relay_moves_version) {
+  const StorePosition moves_position = UnpackPosition(update.moves_position);
+  if (moves_position != m_relay_moves_position) {
     moves.emplace();
     for (const auto& packed : update.moves) {
       if (packed) moves->push_back(UnpackRow(*packed, std::string()));
     }
   }
-  m_relay_moves_version = update.moves_version;
+  m_relay_moves_position = moves_position;
   const bool moved = moves.has_value();
   m_coordinator.ApplyRelayed(std::move(moves), update.reported_window);
   if (moved) Publish();
--- a/src/serve/gateway_relayed_reports.cc
+++ b/src/serve/gateway_relayed_reports.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 StoreRow FleetCoordinator::PrepareReport(const ReportInput& input) {
-  m_report_version_known = false;
+  m_report_position_known = false;
   const InstanceReport report = BuildReport(input);
   return store_rows::MakeRow(m_report_key, EncodeReport(report));
 }
@@ -40,9 +40,10 @@
            bytes < kMaxTransactionBytes) {
       auto item = reports.extract(reports.begin());
       const StoreRow& row = item.mapped();
-      const auto version = m_row_versions.find(row.key);
+      const auto known = m_row_positions.find(row.key);
       transaction.conditions.push_back(store_rows::MakeRow(
-          row.key, {}, version == m_row_versions.end() ? 0 : version->second));
+          row.key, {},
+          known == m_row_positions.end() ? StorePosition{} : known->second));
       transaction.writes.push_back(store_rows::MakeRow(row.key, row.value));
       bytes += row.value.size();
       batch.insert(std::move(item));
@@ -50,10 +51,10 @@
     const auto changed = co_await CommitTransaction(std::move(transaction));
     if (changed) {
       for (const auto& [key, row] : batch)
-        m_row_versions[key] = changed->version;
+        m_row_positions[key] = changed->position;
       continue;
     }
-    // After a conflict, the next read of the table shows the versions.
+    // After a conflict, the next read of the table shows the positions.
     LogEvent(Event::kReportsNotRelayed,
              {{"reports", std::to_string(batch.size())},
               {"detail", changed.error().detail}});
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 #include "base/endpoint_text.h"
@@ -20,12 +19,11 @@
 void ControlPlane::OnServersLeaving(const std::vector<GossipRecord>& servers) {
   bool changed = false;
   for (const auto& server : servers) {
-    std::uint64_t row_version = 0;
-    std::from_chars(server.payload.data(),
-                    server.payload.data() + server.payload.size(), row_version);
+    const StorePosition position =
+        ParsePosition(server.payload).value_or(StorePosition{});
     const bool leaves = m_registry.OnServerLeaving(
         ServerId(server.key), static_cast<std::int64_t>(server.version),
-        row_version);
+        position);
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
@@ -73,7 +71,7 @@
     LogEvent(Event::kServerLeaving, {{"server", server.id.Text()}});
     records.push_back({server.id.Text(),
                        static_cast<std::uint64_t>(server.started_ms),
-                       std::to_string(m_servers_version)});
+                       FormatPosition(m_servers_position)});
   }
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::ServersLeaving;
@@ -100,11 +98,11 @@
   for (const auto& row : rows.rows) {
     ServerChange change;
     change.id = ServerId(row.key);
-    change.removed_version = row.version;
+    change.removed_at = row.position;
     if (!row.removed) {
       auto entry = m_adapter.decode_server(row.key, row.value);
       if (entry) {
-        entry->row_version = row.version;
+        entry->position = row.position;
         change.entry = *entry;
         entries.push_back(std::move(*entry));
       } else {
@@ -115,9 +113,9 @@
     }
     changes.push_back(std::move(change));
   }
-  m_servers_version = rows.version;
+  m_servers_position = rows.position;
   if (is_full_read)
-    return m_registry.Replace(entries, TimeSinceBoot(), rows.version);
+    return m_registry.Replace(entries, TimeSinceBoot(), rows.position);
   return m_registry.Apply(changes, TimeSinceBoot());
 }
 
@@ -147,7 +145,7 @@
 }
 
 void ControlPlane::RelayServers() {
-  m_relay.OnRegistrations(m_registry.UsableServers(), m_servers_version);
+  m_relay.OnRegistrations(m_registry.UsableServers(), m_servers_position);
 }
 
 std::map<ServiceId, std::vector<Backend>> ControlPlane::BuildBackends() {
--- a/src/serve/gateway_store_relay.cc
+++ b/src/serve/gateway_store_relay.cc
@@ -49,24 +49,24 @@
                                  Time confirmed) {
   if (complete) {
     // Rows that are missing have been removed; followers learn of it by their
-    // version.
+    // position.
     for (auto& [key, row] : m_configuration) {
       if (row.removed) continue;
       row.removed = true;
       row.value.clear();
-      row.version = rows.version;
+      row.position = rows.position;
     }
   }
   for (const auto& row : rows.rows) m_configuration[row.key] = row;
   const bool changed = complete || !rows.rows.empty();
-  m_configuration_version = std::max(m_configuration_version, rows.version);
+  m_configuration_position = std::max(m_configuration_position, rows.position);
   m_configuration_confirmed = std::max(m_configuration_confirmed, confirmed);
   if (changed) NotifyFollowers();
 }
 
 void StoreRelay::OnRegistrations(const std::vector<ServerEntry>& usable,
-                                 std::uint64_t version) {
-  if (m_registrations.Update(usable, version)) NotifyFollowers();
+                                 const StorePosition& position) {
+  if (m_registrations.Update(usable, position)) NotifyFollowers();
 }
 
 void StoreRelay::OnFleet(FleetView fleet, std::vector<StoreRow> moves,
@@ -75,14 +75,14 @@
   m_fleet_read_at = TimeSinceBoot();
   m_reported_window = reported_window;
   const std::uint64_t digest = DigestInstances(m_fleet.serving);
-  std::uint64_t moves_version = 0;
+  StorePosition moves_position;
   for (const auto& row : moves)
-    moves_version = std::max(moves_version, row.version);
+    moves_position = std::max(moves_position, row.position);
   const bool changed =
-      digest != m_instances_digest || moves_version != m_moves_version;
+      digest != m_instances_digest || moves_position != m_moves_position;
   m_instances_digest = digest;
   m_moves = std::move(moves);
-  m_moves_version = moves_version;
+  m_moves_position = moves_position;
   if (changed) NotifyFollowers();
 }
 
@@ -125,12 +125,11 @@
   if (request.relay_started_ms != m_started_ms) return true;
   if (request.registrations_cursor != m_registrations.Cursor()) return true;
   if (request.instances_digest != m_instances_digest) return true;
-  if (request.moves_version != m_moves_version) return true;
-  return std::any_of(m_configuration.begin(), m_configuration.end(),
-                     [&request](const auto& item) {
-                       return item.second.version >
-                              request.configuration_version;
-                     });
+  if (UnpackPosition(request.moves) != m_moves_position) return true;
+  const StorePosition known = UnpackPosition(request.configuration);
+  return std::any_of(
+      m_configuration.begin(), m_configuration.end(),
+      [&known](const auto& item) { return item.second.position > known; });
 }
 
 Awaitable<void> StoreRelay::WaitForNews(Milliseconds hold) {
@@ -165,10 +164,11 @@
 std::unique_ptr<wire::FollowUpdateT> StoreRelay::BuildUpdate(
     const wire::FollowRequestT& request, Time now) const {
   auto update = std::make_unique<wire::FollowUpdateT>();
-  update->configuration_version = m_configuration_version;
-  update->configuration_complete = request.configuration_version == 0;
+  const StorePosition known = UnpackPosition(request.configuration);
+  update->configuration = PackPosition(m_configuration_position);
+  update->configuration_complete = !known.IsKnown();
   for (const auto& [key, row] : m_configuration) {
-    if (row.version <= request.configuration_version) continue;
+    if (row.position <= known) continue;
     if (update->configuration_complete && row.removed) continue;
     update->configuration_rows.push_back(PackRow(row));
   }
@@ -181,7 +181,7 @@
       m_registrations.Since(is_own_cursor ? request.registrations_cursor : 0);
   update->registrations_cursor = registrations.cursor;
   update->registrations_complete = registrations.complete;
-  update->registrations_version = m_registrations.StoreVersion();
+  update->registrations_position = PackPosition(m_registrations.Position());
   for (const auto& change : registrations.changes)
     update->registrations.push_back(PackServer(change));
   update->instances_digest = m_instances_digest;
@@ -195,8 +195,8 @@
     packed->per_s = rate;
     update->demand.push_back(std::move(packed));
   }
-  update->moves_version = m_moves_version;
-  if (!is_own_cursor || request.moves_version != m_moves_version) {
+  update->moves_position = PackPosition(m_moves_position);
+  if (!is_own_cursor || UnpackPosition(request.moves) != m_moves_position) {
     for (const auto& row : m_moves) update->moves.push_back(PackRow(row));
   }
   update->reported_window = m_reported_window;
--- a/src/serve/gateway_store_relay.h
+++ b/src/serve/gateway_store_relay.h
@@ -41,9 +41,9 @@
   /// @param confirmed  when the store confirmed them, in TimeSinceBoot()
   void OnConfiguration(const StoreRows& rows, bool complete, Time confirmed);
   /// Records the usable registrations.
-  /// @param version  version of the store that they reflect
+  /// @param position  of the store that they reflect
   void OnRegistrations(const std::vector<ServerEntry>& usable,
-                       std::uint64_t version);
+                       const StorePosition& position);
   /// Records that the store was asked for registrations at `sent_at`.
   void OnRegistrationsRead(Time sent_at) { m_registrations_read_at = sent_at; }
   /// Records the instances, the moves and the window last reported.
@@ -80,7 +80,7 @@
   std::uint64_t m_started_ms;
   bool m_reads_store = true;
   std::map<std::string, StoreRow> m_configuration;  ///< rows by key
-  std::uint64_t m_configuration_version = 0;
+  StorePosition m_configuration_position;
   Time m_configuration_confirmed{0};
   RegistrationLog m_registrations;
   Time m_registrations_read_at{0};
@@ -88,7 +88,7 @@
   Time m_fleet_read_at{0};
   std::uint64_t m_instances_digest = 0;
   std::vector<StoreRow> m_moves;
-  std::uint64_t m_moves_version = 0;
+  StorePosition m_moves_position;
   std::uint64_t m_reported_window = 0;
   Time m_last_request{0};
   std::map<std::string, StoreRow> m_reports;
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -68,11 +68,11 @@
   m_reported_window = window;
   StoreTransaction transaction;
   transaction.conditions.push_back(store_rows::MakeRow(
-      store_rows::kUsageDoneKey, {}, m_reported_window_version));
+      store_rows::kUsageDoneKey, {}, m_reported_window_position));
   transaction.writes.push_back(
       store_rows::MakeRow(store_rows::kUsageDoneKey, std::to_string(window)));
   const auto changed = co_await CommitTransaction(std::move(transaction));
-  if (changed) m_reported_window_version = changed->version;
+  if (changed) m_reported_window_position = changed->position;
   co_return true;
 }
 
--- a/src/serve/store_rows.h
+++ b/src/serve/store_rows.h
@@ -21,12 +21,12 @@
 
 /// Makes a row of the gateway's table.
 inline StoreRow MakeRow(std::string key, std::string value = {},
-                        std::uint64_t version = 0) {
+                        const StorePosition& position = {}) {
   StoreRow row;
   row.table = kTable;
   row.key = std::move(key);
   row.value = std::move(value);
-  row.version = version;
+  row.position = position;
   return row;
 }
 
--- a/src/state/registration_log.cc
+++ b/src/state/registration_log.cc
@@ -13,8 +13,8 @@
 }  // namespace
 
 bool RegistrationLog::Update(const std::vector<ServerEntry>& usable,
-                             std::uint64_t version) {
-  m_version = std::max(m_version, version);
+                             const StorePosition& position) {
+  m_position = std::max(m_position, position);
   const std::uint64_t next = m_cursor + 1;
   bool changed = false;
   std::set<ServerId> listed;
@@ -25,14 +25,14 @@
     const bool affects_routing =
         !item.change.entry || AffectsRouting(*item.change.entry, entry);
     if (!added && !item.change.entry) --m_removed;
-    item.change = ServerChange{entry.id, entry, 0};
+    item.change = ServerChange{entry.id, entry, {}};
     if (!affects_routing) continue;
     item.cursor = next;
     changed = true;
   }
   for (auto& [id, item] : m_items) {
     if (!item.change.entry || listed.contains(id)) continue;
-    item.change = ServerChange{id, std::nullopt, m_version};
+    item.change = ServerChange{id, std::nullopt, m_position};
     item.cursor = next;
     ++m_removed;
     changed = true;
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -24,25 +24,23 @@
 }
 
 bool ServerRegistry::IsOutdated(const ServerEntry& entry) const {
-  if (entry.row_version == 0) return false;
+  if (!entry.position.IsKnown()) return false;
   const auto known = m_entries.find(entry.id);
   if (known != m_entries.end())
-    return entry.row_version < known->second.entry.row_version;
-  const auto removed = m_removed_versions.find(entry.id);
-  return removed != m_removed_versions.end() &&
-         entry.row_version <= removed->second;
+    return entry.position < known->second.entry.position;
+  const auto removed = m_removed_at.find(entry.id);
+  return removed != m_removed_at.end() && entry.position <= removed->second;
 }
 
 void ServerRegistry::RememberRemoval(const ServerId& id,
-                                     std::uint64_t version) {
-  if (version == 0) return;
-  m_removed_versions[id] = version;
-  if (m_removed_versions.size() <= kMaxRememberedRemovals) return;
-  m_removed_versions.erase(
-      std::min_element(m_removed_versions.begin(), m_removed_versions.end(),
-                       [](const auto& left, const auto& right) {
-                         return left.second < right.second;
-                       }));
+                                     const StorePosition& position) {
+  if (!position.IsKnown()) return;
+  m_removed_at[id] = position;
+  if (m_removed_at.size() <= kMaxRememberedRemovals) return;
+  m_removed_at.erase(std::min_element(m_removed_at.begin(), m_removed_at.end(),
+                                      [](const auto& left, const auto& right) {
+                                        return left.second < right.second;
+                                      }));
 }
 
 void ServerRegistry::RememberLeaving(const ServerId& id,
@@ -73,7 +71,7 @@
   if (IsOutdated(registered)) return false;
   ServerEntry entry = registered;
   if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
-  m_removed_versions.erase(entry.id);
+  m_removed_at.erase(entry.id);
   const auto known = m_entries.find(entry.id);
   if (known == m_entries.end()) {
     m_entries.emplace(entry.id, Registration{entry, std::nullopt});
@@ -85,7 +83,7 @@
 }
 
 bool ServerRegistry::Remove(const ServerId& id, Time now,
-                            std::uint64_t version) {
+                            const StorePosition& position) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
   const bool within_grace =
@@ -97,37 +95,37 @@
     return false;
   }
   m_entries.erase(known);
-  RememberRemoval(id, version);
+  RememberRemoval(id, position);
   return true;
 }
 
 bool ServerRegistry::OnServerLeaving(const ServerId& id,
                                      std::int64_t started_ms,
-                                     std::uint64_t version) {
+                                     const StorePosition& position) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
   ServerEntry& entry = known->second.entry;
   const bool ready = entry.state == ServerState::kReady;
   if (!ready || entry.started_ms != started_ms) return false;
-  if (version > 0 && version < entry.row_version) return false;
+  if (position.IsKnown() && position < entry.position) return false;
   entry.state = ServerState::kDraining;
-  entry.row_version = std::max(entry.row_version, version);
+  entry.position = std::max(entry.position, position);
   return true;
 }
 
 bool ServerRegistry::Apply(const std::vector<ServerChange>& changes, Time now) {
   bool changed = false;
   for (const auto& change : changes) {
-    const bool entry_changed =
-        change.entry ? Put(*change.entry)
-                     : Remove(change.id, now, change.removed_version);
+    const bool entry_changed = change.entry
+                                   ? Put(*change.entry)
+                                   : Remove(change.id, now, change.removed_at);
     changed = entry_changed || changed;
   }
   return changed;
 }
 
 bool ServerRegistry::Replace(const std::vector<ServerEntry>& entries, Time now,
-                             std::uint64_t version) {
+                             const StorePosition& position) {
   std::set<ServerId> listed;
   bool changed = false;
   for (const auto& entry : entries) {
@@ -138,7 +136,7 @@
   for (const auto& [id, known] : m_entries) {
     if (!listed.contains(id) && !known.lapsed_until) missing.push_back(id);
   }
-  for (const auto& id : missing) changed = Remove(id, now, version) || changed;
+  for (const auto& id : missing) changed = Remove(id, now, position) || changed;
   return changed;
 }
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -93,6 +93,7 @@
         self.changed = threading.Condition()
         self.rows = {}
         self.version = 0
+        self.era = 1  # rises with each restore
         self.compacted_version = 0  # changes up to this version are no longer in the feed
         self.down = False
         self.silent = False  # calls are never answered, even after it is cleared
@@ -121,6 +122,20 @@
             row = self.rows.get((table, key))
         return None if row is None or row["value"] is None else json.loads(row["value"])
 
+    def copy(self):
+        """Returns a copy from which the store can be restored."""
+        with self.changed:
+            return {"rows": dict(self.rows), "version": self.version}
+
+    def restore(self, copy):
+        """Loses what was written after the copy; its versions are given out again."""
+        with self.changed:
+            self.rows = dict(copy["rows"])
+            self.version = copy["version"]
+            self.compacted_version = min(self.compacted_version, self.version)
+            self.era += 1
+            self.changed.notify_all()
+
     def compact_history(self):
         with self.changed:
             self.compacted_version = self.version
@@ -176,7 +191,7 @@
         deadline = time.monotonic() + wait_s
         with self.changed:
             while True:
-                if since < self.compacted_version:
+                if since < self.compacted_version or since > self.version:
                     return None
                 rows = [encode_row(table, key, row)
                         for (name, key), row in self.rows.items()
@@ -197,6 +212,10 @@
 
 
 class StoreHandler(Handler):
+    def send(self, status, body=b"", headers=None):
+        era = str(self.server.owner.era)
+        super().send(status, body, {"Store-Era": era, **(headers or {})})
+
     def hold_if_silent(self):
         """Holds the call without an answer if the store is silent; returns whether it did."""
         time.sleep(self.server.owner.delay_s)
--- /dev/null
+++ b/tests/platform/store_restore_test.py
@@ -0,0 +1,97 @@
+"""Tests gateways on a store that is restored from a copy and loses its latest rows."""
+
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration, tenant
+from gateway_process import Gateway, eventually
+
+INSTANCES = 6
+APPLY_BOUND_S = 2.0
+ROWS_LOST = 40  # more than are written during a test's waits
+
+
+class StoreRestoreTest(unittest.TestCase):
+    def setUp(self):
+        self.store = fakes.Store()
+        self.cloud = fakes.Cloud()
+        self.addCleanup(self.store.server.stop)
+        self.addCleanup(self.cloud.server.stop)
+        self.store.put("op", "config", configuration())
+        self.backend = fakes.Backend("p1")
+        self.addCleanup(self.backend.server.stop)
+        self.store.put("servers", "p1", self.backend.registration("plain"))
+        self.gateways = []
+
+    def start(self, name, **options):
+        gateway = Gateway(self.store, self.cloud, name=name, **options)
+        self.addCleanup(gateway.stop)
+        eventually(gateway.ready)
+        self.gateways.append(gateway)
+        return gateway
+
+    def start_with_relays(self):
+        for number in range(INSTANCES):
+            self.start(f"gw{number}")
+        eventually(lambda: sum(self.follows(gateway) for gateway in self.gateways)
+                   >= INSTANCES - 3)
+
+    @staticmethod
+    def follows(gateway):
+        return any(event["name"] == "relay_followed" for event in gateway.log_events())
+
+    def lose_rows(self):
+        """Restores the store from a copy that lacks its latest versions."""
+        copy = self.store.copy()
+        for number in range(ROWS_LOST):
+            self.store.put("test", "row", number)
+        time.sleep(1.5)  # until each instance has read a later position
+        self.store.restore(copy)
+
+    def assert_key_replaced(self, old, new, gateways, version):
+        """The operator replaces an API key; each gateway follows within the bound."""
+        self.store.put("op", "config", configuration(
+            version=version, tenants=[tenant("tenant1", new)]))
+        confirmed = time.monotonic()
+        for gateway in gateways:
+            eventually(lambda g=gateway: g.call(
+                "/safe/x", Authorization=f"Token {old}")[0] == 401)
+            self.assertLess(time.monotonic() - confirmed, APPLY_BOUND_S, gateway.name)
+            self.assertEqual(
+                gateway.call("/safe/x", Authorization=f"Token {new}")[0], 200)
+
+    # Guards against followers that wait for versions which the store assigns again.
+    def test_followers_apply_changes_after_a_restore(self):
+        self.start_with_relays()
+        self.lose_rows()
+        self.assert_key_replaced("key1", "key2", self.gateways, version=2)
+        self.lose_rows()
+        self.assert_key_replaced("key2", "key3", self.gateways, version=3)
+
+    # Guards against a reader that does not notice a restore, since the versions have
+    # passed its own again when it asks next.
+    def test_instance_cut_off_during_a_restore_reads_what_it_missed(self):
+        link = fakes.Server(fakes.StoreHandler, self.store)
+        self.addCleanup(link.stop)
+        gateway = self.start("gw1", store_address=link.address,
+                             bounds={"revoke_ms": 30000})
+        copy = self.store.copy()
+        for number in range(ROWS_LOST):
+            self.store.put("test", "row", number)
+        time.sleep(1.5)
+        link.rejects_calls = True
+        eventually(lambda: any(event["name"] == "platform_lost"
+                               for event in gateway.log_events()))
+        time.sleep(0.5)
+        self.store.restore(copy)
+        self.store.put("op", "config", configuration(
+            version=2, tenants=[tenant("tenant1", "key2")]))
+        for number in range(2 * ROWS_LOST):
+            self.store.put("test", "row", number)
+        link.rejects_calls = False
+        eventually(lambda: gateway.call("/safe/x")[0] == 401)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/coordination_test.cc
+++ b/tests/unit/coordination_test.cc
@@ -198,15 +198,16 @@
   LeaseView old_holder(NodeId("a"), duration);
   LeaseView challenger(NodeId("b"), duration);
   const Time start{};
-  old_holder.Observe(std::nullopt, 0, start);
+  old_holder.Observe(std::nullopt, {}, start);
   const LeaseRow row = old_holder.NextRow();
-  old_holder.RecordOwnWrite(row, 1, start);
+  const StorePosition position{StoreEra(1), StoreVersion(1)};
+  old_holder.RecordOwnWrite(row, position, start);
   // The challenger may read the row early or late; it measures the lease from
   // the time of its own read.
   for (int read_ms = 0; read_ms <= 3000; read_ms += 100) {
     LeaseView reader(NodeId("b"), duration);
     const Time read_at = start + Milliseconds(read_ms);
-    reader.Observe(row, 1, read_at);
+    reader.Observe(row, position, read_at);
     for (int at_ms = read_ms; at_ms <= 6000; at_ms += 50) {
       const Time at = start + Milliseconds(at_ms);
       cr_expect_not(old_holder.MayAct(at) && reader.MayAcquire(at));
@@ -216,7 +217,8 @@
 
 Test(lease, a_restarted_holder_does_not_act_on_its_predecessors_row) {
   LeaseView view(NodeId("a"), Milliseconds(1000));
-  view.Observe(LeaseRow{NodeId("a"), Epoch(4), 9}, 17, LeaseView::Time{});
+  view.Observe(LeaseRow{NodeId("a"), Epoch(4), 9},
+               {StoreEra(1), StoreVersion(17)}, LeaseView::Time{});
   cr_expect_not(view.MayAct(LeaseView::Time{}));
   cr_expect_eq(view.NextRow().epoch.Count(), 5u);
 }
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -13,11 +13,16 @@
 
 constexpr std::chrono::nanoseconds kNow = std::chrono::seconds(50);
 
-ServerEntry MakeServer(const std::string& id, std::uint64_t row_version) {
+/// A position of a store that has been restored once.
+StorePosition At(std::uint64_t version) {
+  return {StoreEra(1), StoreVersion(version)};
+}
+
+ServerEntry MakeServer(const std::string& id, std::uint64_t version) {
   ServerEntry entry;
   entry.id = ServerId(id);
   entry.service = ServiceId("s");
-  entry.row_version = row_version;
+  entry.position = At(version);
   return entry;
 }
 
@@ -50,7 +55,7 @@
       if (change.entry) entries.push_back(*change.entry);
     }
     if (changes.complete) {
-      m_registry.Replace(entries, kNow, log.StoreVersion());
+      m_registry.Replace(entries, kNow, log.Position());
     } else {
       m_registry.Apply(changes.changes, kNow);
     }
@@ -82,7 +87,7 @@
     for (std::uint64_t i = 0; i < 251; ++i) {
       servers.push_back(MakeServer("s" + std::to_string(i), round * 1000 + i));
     }
-    log.Update(servers, round * 1000 + 999);
+    log.Update(servers, At(round * 1000 + 999));
     follower.Update(log);
   }
   cr_expect_eq(follower.Received(), 251u);
@@ -103,7 +108,7 @@
         servers.push_back(MakeServer("s" + std::to_string(i), round));
         usable.push_back(servers.back().id);
       }
-      log.Update(servers, round);
+      log.Update(servers, At(round));
       // Followers skip updates at random.
       for (auto& follower : followers) {
         if (*rc::gen::arbitrary<bool>()) follower.Update(log);
@@ -119,25 +124,25 @@
 Test(registration_log, a_follower_far_behind_receives_the_complete_list) {
   RegistrationLog log;
   Follower follower;
-  log.Update({MakeServer("kept", 1), MakeServer("first", 1)}, 1);
+  log.Update({MakeServer("kept", 1), MakeServer("first", 1)}, At(1));
   follower.Update(log);
   for (std::uint64_t round = 2; round < 1002; ++round) {
     log.Update({MakeServer("kept", round),
                 MakeServer("s" + std::to_string(round), round)},
-               round);
+               At(round));
   }
-  log.Update({MakeServer("kept", 2000)}, 2000);
+  log.Update({MakeServer("kept", 2000)}, At(2000));
   follower.Update(log);
   cr_expect_eq(follower.Servers().size(), 1u);
 }
 
 Test(server_registry, a_relay_that_lags_behind_brings_no_leaving_server_back) {
   ServerRegistry registry(Milliseconds(2000));
-  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, 12);
-  cr_expect(registry.OnServerLeaving(ServerId("a"), 0, 20));
-  registry.Apply({{ServerId("b"), std::nullopt, 21}}, kNow);
+  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, At(12));
+  cr_expect(registry.OnServerLeaving(ServerId("a"), 0, At(20)));
+  registry.Apply({{ServerId("b"), std::nullopt, At(21)}}, kNow);
   cr_expect(registry.UsableServers().empty());
-  registry.Replace({MakeServer("a", 15), MakeServer("b", 16)}, kNow, 18);
+  registry.Replace({MakeServer("a", 15), MakeServer("b", 16)}, kNow, At(18));
   cr_expect(registry.UsableServers().empty(),
             "both entries are older than what is known");
   registry.Apply({{ServerId("a"), MakeServer("a", 15)}}, kNow);
@@ -152,10 +157,10 @@
 // A follower that read the store in between must still remove it.
 Test(server_registry, a_removal_takes_effect_although_it_lags_behind) {
   ServerRegistry registry(Milliseconds(2000));
-  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, 12);
-  registry.Apply({{ServerId("a"), std::nullopt, 9}}, kNow);
+  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, At(12));
+  registry.Apply({{ServerId("a"), std::nullopt, At(9)}}, kNow);
   cr_expect_eq(registry.UsableServers().size(), 1u);
-  registry.Replace({}, kNow, 9);
+  registry.Replace({}, kNow, At(9));
   cr_expect(registry.UsableServers().empty());
   registry.Apply({{ServerId("a"), MakeServer("a", 10)}}, kNow);
   cr_expect_eq(registry.UsableServers().size(), 1u,
@@ -166,15 +171,15 @@
 // the store: the grace periods of both must not add up.
 Test(server_registry, a_removal_by_a_relay_has_no_second_grace_period) {
   ServerRegistry registry(Milliseconds(2000));
-  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, 12);
+  registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, At(12));
   registry.OnStoreUnavailable();
   registry.OnStoreAvailable(kNow);
-  registry.Replace({MakeServer("b", 11)}, kNow, 13);
+  registry.Replace({MakeServer("b", 11)}, kNow, At(13));
   cr_expect_eq(registry.UsableServers().size(), 2u, "a may register again");
   registry.EndGrace();
-  registry.Replace({MakeServer("b", 11)}, kNow, 14);
+  registry.Replace({MakeServer("b", 11)}, kNow, At(14));
   cr_expect_eq(registry.UsableServers().size(), 1u);
-  registry.Apply({{ServerId("b"), std::nullopt, 15}}, kNow);
+  registry.Apply({{ServerId("b"), std::nullopt, At(15)}}, kNow);
   cr_expect(registry.UsableServers().empty());
 }
 
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -36,6 +36,11 @@
   return route == nullptr ? "" : route->name.Text();
 }
 
+/// A position of a store that has been restored once.
+StorePosition At(std::uint64_t version) {
+  return {StoreEra(1), StoreVersion(version)};
+}
+
 ServerEntry MakeEntry(const std::string& id) {
   ServerEntry entry;
   entry.id = ServerId(id);
@@ -121,20 +126,20 @@
   ServerRegistry registry(Milliseconds(2000));
   ServerEntry entry = MakeEntry("a");
   entry.started_ms = 7;
-  entry.row_version = 10;
-  registry.Replace({entry}, kNow, 10);
+  entry.position = At(10);
+  registry.Replace({entry}, kNow, At(10));
   cr_expect(registry.OnLeavingResponse(entry.id, 7));
   cr_expect_not(registry.OnLeavingResponse(entry.id, 7));
-  entry.row_version = 20;
+  entry.position = At(20);
   cr_expect_not(registry.Apply({{entry.id, entry}}, kNow));
-  registry.Replace({entry}, kNow, 21);
+  registry.Replace({entry}, kNow, At(21));
   cr_expect(registry.UsableServers().empty());
-  registry.Apply({{entry.id, std::nullopt, 22}}, kNow);
-  entry.row_version = 23;
+  registry.Apply({{entry.id, std::nullopt, At(22)}}, kNow);
+  entry.position = At(23);
   registry.Apply({{entry.id, entry}}, kNow);
   cr_expect(registry.UsableServers().empty());
   entry.started_ms = 8;
-  entry.row_version = 24;
+  entry.position = At(24);
   cr_expect(registry.Apply({{entry.id, entry}}, kNow));
   cr_expect_eq(registry.UsableServers().size(), 1u);
   cr_expect_not(registry.OnLeavingResponse(entry.id, 7),
