Keep a server out that was leaving before the store was restored

With positions alone, the registration that the copy brings back replaces what is known: a process that was draining, or whose registration had ended, became usable again, until its server or the store said so anew.

Change: a process that was seen draining stays so until a later start of the server registers. A registration whose end is known and that returns in a later era is not used before its row is written anew, or has outlived the silence after which the store removes it (bounds.heartbeat_ms, four intervals). A notice of a peer from before the restore counts too. A noticed restore begins the time in which servers may register again.

--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -52,15 +52,24 @@
 /// has no effect. A removal always has: a server that is left too early returns
 /// once the other instance has caught up.
 ///
+/// A store that is restored from a copy brings registrations back that had
+/// ended. A process that was leaving stays so; one whose registration was gone
+/// is not used until its row is written anew, or has outlived the time after
+/// which the store removes the registration of a silent server.
+///
 /// Reads no clock: readings of a monotonic clock are arguments.
 /// Single-threaded.
 class ServerRegistry {
  public:
   using Time = std::chrono::nanoseconds;
 
-  /// @param return_grace  time that servers have to register again
-  explicit ServerRegistry(Milliseconds reregistration_grace)
-      : m_reregistration_grace(reregistration_grace) {}
+  /// @param reregistration_grace  time that servers have to register again
+  /// @param silence_limit  time after which the store removes the registration
+  ///                       of a silent server, with a margin
+  explicit ServerRegistry(Milliseconds reregistration_grace,
+                          Milliseconds silence_limit = Milliseconds(5000))
+      : m_reregistration_grace(reregistration_grace),
+        m_silence_limit(silence_limit) {}
 
   /// Applies changes in order. @return true if routing is affected
   bool Apply(const std::vector<ServerChange>& changes, Time now);
@@ -75,15 +84,15 @@
   ///                    former process has no effect
   /// @param position  of the store in which it was leaving
   /// @return true if the server was ready
-  bool OnServerLeaving(const ServerId& id, std::int64_t started_ms,
+  bool OnServerLeaving(const ServerId& id, std::int64_t started_ms, Time now,
                        const StorePosition& position = {});
 
   /// Marks a process of a server as leaving by its own account. Later
   /// registrations of the same process, which may be delayed, do not end this.
   /// @return true if the server was ready
-  bool OnLeavingResponse(const ServerId& id, std::int64_t started_ms);
+  bool OnLeavingResponse(const ServerId& id, std::int64_t started_ms, Time now);
 
-  /// Records that the store did not respond.
+  /// Records that the store did not respond, or was restored from a copy.
   void OnStoreUnavailable() { m_store_unavailable = true; }
   /// Records that the store responds.
   void OnStoreAvailable(Time now);
@@ -93,9 +102,11 @@
   /// entries that it does not list are removed by the next Replace().
   void EndGrace();
 
-  /// Removes lapsed entries whose grace period has passed.
-  /// @return true if any was removed
-  bool Expire(Time now);
+  /// Removes lapsed entries whose grace period has passed, and uses entries
+  /// that a restore brought back and that are still registered.
+  /// @param position  of the store as last read
+  /// @return true if routing is affected
+  bool Expire(Time now, const StorePosition& position = {});
 
   /// Ready servers, including lapsed ones, ordered by id.
   std::vector<ServerEntry> UsableServers() const;
@@ -105,19 +116,31 @@
   struct Registration {
     ServerEntry entry;
     std::optional<Time> lapsed_until;
+    std::optional<Time> unused_until;  ///< brought back by a restore
+    bool IsUsable() const {
+      return entry.state == ServerState::kReady && !unused_until;
+    }
+  };
+  /// The end of a registration, as read or as another instance said.
+  struct Ending {
+    StorePosition position;
+    std::int64_t started_ms = 0;  ///< of the server's process
   };
 
   bool Remove(const ServerId& id, Time now, const StorePosition& position);
-  bool Put(const ServerEntry& registered);
-  void RememberRemoval(const ServerId& id, const StorePosition& position);
+  bool Put(const ServerEntry& registered, Time now);
+  void RememberEnding(const ServerId& id, const Ending& ending);
   void RememberLeaving(const ServerId& id, std::int64_t started_ms);
   bool IsKnownToLeave(const ServerEntry& entry) const;
+  /// Whether a restore of the store has brought back an entry that had ended.
+  bool IsBroughtBack(const ServerEntry& entry) const;
   /// Whether an entry is older than what is known of its server.
   bool IsOutdated(const ServerEntry& entry) const;
 
   Milliseconds m_reregistration_grace;
+  Milliseconds m_silence_limit;
   std::map<ServerId, Registration> m_entries;
-  std::map<ServerId, StorePosition> m_removed_at;
+  std::map<ServerId, Ending> m_endings;
   /// Latest start of each server whose process said that it is leaving.
   std::map<ServerId, std::int64_t> m_leaving_starts;
   bool m_store_unavailable = false;
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -31,6 +31,8 @@
   Milliseconds apply_bound{2000};   ///< new configuration until it is in force
   Milliseconds revoke_bound{5000};  ///< removed API key until it is rejected
   Milliseconds drain_bound{2000};  ///< leaving server until it gets no requests
+  /// Interval at which a backend server renews its registration.
+  Milliseconds server_heartbeat{1200};
   Milliseconds stop_timeout{8000};   ///< SIGTERM until the process is killed
   Milliseconds lease_timeout{3000};  ///< time without renewal that ends a lease
   Milliseconds usage_window{5000};
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -17,6 +17,9 @@
 /// Time for servers whose registrations expired during a store outage to
 /// register again.
 constexpr Milliseconds kReregistrationGrace(2000);
+/// Heartbeats after whose absence a registration is surely removed: the store
+/// waits for three.
+constexpr int kSilenceHeartbeats = 4;
 /// Number of instances assumed until their reports have been read.
 constexpr double kAssumedInstances = 8;
 }  // namespace
@@ -28,7 +31,8 @@
       m_adapter(adapter),
       m_worker(worker),
       m_context(context),
-      m_registry(kReregistrationGrace),
+      m_registry(kReregistrationGrace,
+                 settings.server_heartbeat * kSilenceHeartbeats),
       m_configuration_cursor{adapter.names.configuration_table},
       m_following_ended(context, SteadyClock::time_point::max()),
       m_coordinator(settings, adapter),
@@ -196,6 +200,8 @@
   LogEvent(Event::kStoreRestored, {{"table", cursor.table},
                                    {"known", FormatPosition(*cursor.since)},
                                    {"restored", FormatPosition(answered)}});
+  // The copy may lack servers that have registered since.
+  m_registry.OnStoreUnavailable();
   cursor.since.reset();
   return false;
 }
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -162,7 +162,7 @@
   bool changed = update.registrations_complete
                      ? m_registry.Replace(entries, now, position)
                      : m_registry.Apply(changes, now);
-  changed = m_registry.Expire(now) || changed;
+  changed = m_registry.Expire(now, m_servers_position) || changed;
   if (changed) Publish();
 }
 
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -23,7 +23,7 @@
         ParsePosition(server.payload).value_or(StorePosition{});
     const bool leaves = m_registry.OnServerLeaving(
         ServerId(server.key), static_cast<std::int64_t>(server.version),
-        position);
+        TimeSinceBoot(), position);
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
@@ -35,7 +35,8 @@
 
 void ControlPlane::OnLeavingResponse(const ServerId& server,
                                      std::int64_t started_ms) {
-  if (!m_registry.OnLeavingResponse(server, started_ms)) return;
+  if (!m_registry.OnLeavingResponse(server, started_ms, TimeSinceBoot()))
+    return;
   LogEvent(Event::kServerLeaving, {{"server", server.Text()}});
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::LeavingResponses;
@@ -53,7 +54,8 @@
   bool changed = false;
   for (const auto& server : servers) {
     const bool leaves = m_registry.OnLeavingResponse(
-        ServerId(server.key), static_cast<std::int64_t>(server.version));
+        ServerId(server.key), static_cast<std::int64_t>(server.version),
+        TimeSinceBoot());
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
@@ -134,7 +136,7 @@
     bool changed = ApplyServers(*rows, cursor.is_full_read);
     if (changed && m_servers_known)
       AnnounceLeavingServers(FindRemovedServers(before));
-    changed = m_registry.Expire(TimeSinceBoot()) || changed;
+    changed = m_registry.Expire(TimeSinceBoot(), m_servers_position) || changed;
     RelayServers();
     if (changed || !m_servers_known) {
       m_servers_known = true;
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -56,6 +56,8 @@
     settings.apply_bound = reader.Duration("apply_ms", settings.apply_bound);
     settings.revoke_bound = reader.Duration("revoke_ms", settings.revoke_bound);
     settings.drain_bound = reader.Duration("drain_ms", settings.drain_bound);
+    settings.server_heartbeat =
+        reader.Duration("heartbeat_ms", settings.server_heartbeat);
     settings.stop_timeout =
         ReadSeconds(reader, "stop_s", settings.stop_timeout);
     settings.lease_timeout =
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -6,9 +6,9 @@
 namespace cowslipknot::gateway {
 namespace {
 
-/// Removals that are remembered, newest first. Older ones are no longer
-/// contradicted by an instance that lags behind.
-constexpr std::size_t kMaxRememberedRemovals = 1000;
+/// Ends of registrations that are remembered, newest first. Older ones are no
+/// longer contradicted by an instance that lags behind.
+constexpr std::size_t kMaxRememberedEndings = 1000;
 /// Leaving processes that are remembered, latest start first.
 constexpr std::size_t kMaxRememberedLeaving = 1000;
 
@@ -28,19 +28,26 @@
   const auto known = m_entries.find(entry.id);
   if (known != m_entries.end())
     return entry.position < known->second.entry.position;
-  const auto removed = m_removed_at.find(entry.id);
-  return removed != m_removed_at.end() && entry.position <= removed->second;
+  const auto ending = m_endings.find(entry.id);
+  return ending != m_endings.end() && entry.position < ending->second.position;
 }
 
-void ServerRegistry::RememberRemoval(const ServerId& id,
-                                     const StorePosition& position) {
-  if (!position.IsKnown()) return;
-  m_removed_at[id] = position;
-  if (m_removed_at.size() <= kMaxRememberedRemovals) return;
-  m_removed_at.erase(std::min_element(m_removed_at.begin(), m_removed_at.end(),
-                                      [](const auto& left, const auto& right) {
-                                        return left.second < right.second;
-                                      }));
+bool ServerRegistry::IsBroughtBack(const ServerEntry& entry) const {
+  const auto ending = m_endings.find(entry.id);
+  return ending != m_endings.end() &&
+         ending->second.started_ms == entry.started_ms &&
+         ending->second.position.era < entry.position.era;
+}
+
+void ServerRegistry::RememberEnding(const ServerId& id, const Ending& ending) {
+  if (!ending.position.IsKnown()) return;
+  m_endings[id] = ending;
+  if (m_endings.size() <= kMaxRememberedEndings) return;
+  m_endings.erase(std::min_element(m_endings.begin(), m_endings.end(),
+                                   [](const auto& left, const auto& right) {
+                                     return left.second.position <
+                                            right.second.position;
+                                   }));
 }
 
 void ServerRegistry::RememberLeaving(const ServerId& id,
@@ -62,23 +69,40 @@
 }
 
 bool ServerRegistry::OnLeavingResponse(const ServerId& id,
-                                       std::int64_t started_ms) {
+                                       std::int64_t started_ms, Time now) {
   RememberLeaving(id, started_ms);
-  return OnServerLeaving(id, started_ms);
+  return OnServerLeaving(id, started_ms, now);
 }
 
-bool ServerRegistry::Put(const ServerEntry& registered) {
+bool ServerRegistry::Put(const ServerEntry& registered, Time now) {
   if (IsOutdated(registered)) return false;
-  ServerEntry entry = registered;
+  Registration registration{registered, std::nullopt, std::nullopt};
+  ServerEntry& entry = registration.entry;
   if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
-  m_removed_at.erase(entry.id);
+  // Without a start time, a later process could not be told apart.
+  const bool leaves =
+      entry.state == ServerState::kDraining && entry.started_ms > 0;
+  if (leaves) RememberLeaving(entry.id, entry.started_ms);
   const auto known = m_entries.find(entry.id);
+  if (IsBroughtBack(entry)) {
+    const bool waits =
+        known != m_entries.end() && known->second.unused_until.has_value();
+    const bool is_rewritten =
+        waits && known->second.entry.position < entry.position &&
+        known->second.entry.position.era == entry.position.era;
+    if (!is_rewritten) {
+      registration.unused_until =
+          waits ? known->second.unused_until : now + m_silence_limit;
+    }
+  }
+  if (!registration.unused_until) m_endings.erase(entry.id);
   if (known == m_entries.end()) {
-    m_entries.emplace(entry.id, Registration{entry, std::nullopt});
+    m_entries.emplace(entry.id, registration);
     return true;
   }
-  const bool changed = AffectsRouting(known->second.entry, entry);
-  known->second = Registration{entry, std::nullopt};
+  const bool changed = AffectsRouting(known->second.entry, entry) ||
+                       known->second.IsUsable() != registration.IsUsable();
+  known->second = registration;
   return changed;
 }
 
@@ -94,22 +118,30 @@
     known->second.lapsed_until = *m_store_recovered_at + m_reregistration_grace;
     return false;
   }
+  const Ending ending{position, known->second.entry.started_ms};
   m_entries.erase(known);
-  RememberRemoval(id, position);
+  RememberEnding(id, ending);
   return true;
 }
 
 bool ServerRegistry::OnServerLeaving(const ServerId& id,
-                                     std::int64_t started_ms,
+                                     std::int64_t started_ms, Time now,
                                      const StorePosition& position) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
   ServerEntry& entry = known->second.entry;
   const bool ready = entry.state == ServerState::kReady;
   if (!ready || entry.started_ms != started_ms) return false;
-  if (position.IsKnown() && position < entry.position) return false;
+  if (position.IsKnown() && position < entry.position) {
+    if (position.era == entry.position.era) return false;
+    // Sent before a restore, which may have brought the entry back since.
+    RememberEnding(id, {position, started_ms});
+    known->second.unused_until = now + m_silence_limit;
+    return true;
+  }
   entry.state = ServerState::kDraining;
   entry.position = std::max(entry.position, position);
+  RememberEnding(id, {entry.position, started_ms});
   return true;
 }
 
@@ -117,7 +149,7 @@
   bool changed = false;
   for (const auto& change : changes) {
     const bool entry_changed = change.entry
-                                   ? Put(*change.entry)
+                                   ? Put(*change.entry, now)
                                    : Remove(change.id, now, change.removed_at);
     changed = entry_changed || changed;
   }
@@ -130,7 +162,7 @@
   bool changed = false;
   for (const auto& entry : entries) {
     listed.insert(entry.id);
-    changed = Put(entry) || changed;
+    changed = Put(entry, now) || changed;
   }
   std::vector<ServerId> missing;
   for (const auto& [id, known] : m_entries) {
@@ -151,17 +183,26 @@
   for (auto& [id, known] : m_entries) known.lapsed_until.reset();
 }
 
-bool ServerRegistry::Expire(Time now) {
+bool ServerRegistry::Expire(Time now, const StorePosition& position) {
   const auto removed = std::erase_if(m_entries, [now](const auto& item) {
     return item.second.lapsed_until && now >= *item.second.lapsed_until;
   });
-  return removed > 0;
+  bool changed = removed > 0;
+  for (auto& [id, known] : m_entries) {
+    if (!known.unused_until || now < *known.unused_until) continue;
+    known.unused_until.reset();
+    // Others may know the end of the registration at a later position.
+    known.entry.position = std::max(known.entry.position, position);
+    m_endings.erase(id);
+    changed = changed || known.IsUsable();
+  }
+  return changed;
 }
 
 std::vector<ServerEntry> ServerRegistry::UsableServers() const {
   std::vector<ServerEntry> usable;
   for (const auto& [id, known] : m_entries) {
-    if (known.entry.state == ServerState::kReady) usable.push_back(known.entry);
+    if (known.IsUsable()) usable.push_back(known.entry);
   }
   return usable;
 }
--- a/tests/platform/store_restore_test.py
+++ b/tests/platform/store_restore_test.py
@@ -9,6 +9,7 @@
 
 INSTANCES = 6
 APPLY_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
 ROWS_LOST = 40  # more than are written during a test's waits
 
 
@@ -19,11 +20,16 @@
         self.addCleanup(self.store.server.stop)
         self.addCleanup(self.cloud.server.stop)
         self.store.put("op", "config", configuration())
-        self.backend = fakes.Backend("p1")
-        self.addCleanup(self.backend.server.stop)
-        self.store.put("servers", "p1", self.backend.registration("plain"))
+        self.backends = {}
+        for name in ("p1", "p2"):
+            self.backends[name] = fakes.Backend(name)
+            self.addCleanup(self.backends[name].server.stop)
+            self.register(name)
         self.gateways = []
 
+    def register(self, name, **fields):
+        self.store.put("servers", name, self.backends[name].registration("plain", **fields))
+
     def start(self, name, **options):
         gateway = Gateway(self.store, self.cloud, name=name, **options)
         self.addCleanup(gateway.stop)
@@ -92,6 +98,38 @@
         link.rejects_calls = False
         eventually(lambda: gateway.call("/safe/x")[0] == 401)
 
+    def assert_no_request_reaches(self, name):
+        before = len(self.backends[name].runs)
+        for gateway in self.gateways:
+            for number in range(8):
+                gateway.call("/safe/x", request_id=f"{gateway.name}.{number}")
+        self.assertEqual(len(self.backends[name].runs), before)
+
+    def restore_after_registration(self, name, **fields):
+        """Restores the store, in which a server has written at a later version."""
+        copy = self.store.copy()
+        for number in range(ROWS_LOST):
+            self.store.put("test", "row", number)
+        self.register(name, **fields)
+        time.sleep(DRAIN_BOUND_S)
+        self.store.restore(copy)
+
+    # Guards against a drain that is dropped since its version is below a known one.
+    def test_server_that_leaves_after_a_restore_gets_no_request(self):
+        self.start_with_relays()
+        self.restore_after_registration("p1", warmup_left_ms=10)
+        self.register("p1", state="draining")
+        time.sleep(DRAIN_BOUND_S)
+        self.assert_no_request_reaches("p1")
+
+    # Guards against a leaving server that the copy shows as ready.
+    def test_server_that_left_before_a_restore_gets_no_request(self):
+        self.start_with_relays()
+        self.restore_after_registration("p1", state="draining")
+        for _ in range(3):
+            self.assert_no_request_reaches("p1")
+            time.sleep(0.7)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -139,7 +139,7 @@
 Test(server_registry, a_relay_that_lags_behind_brings_no_leaving_server_back) {
   ServerRegistry registry(Milliseconds(2000));
   registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, At(12));
-  cr_expect(registry.OnServerLeaving(ServerId("a"), 0, At(20)));
+  cr_expect(registry.OnServerLeaving(ServerId("a"), 0, kNow, At(20)));
   registry.Apply({{ServerId("b"), std::nullopt, At(21)}}, kNow);
   cr_expect(registry.UsableServers().empty());
   registry.Replace({MakeServer("a", 15), MakeServer("b", 16)}, kNow, At(18));
--- /dev/null
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -0,0 +1,171 @@
+#include <rapidcheck.h>
+
+#include "cowslipknot/gateway/registration_log.h"
+#include "cowslipknot/gateway/server_registry.h"
+#include "unit_test.h"
+
+/// The server registry across restores of the store from a copy.
+using namespace cowslipknot;
+using namespace cowslipknot::gateway;
+
+namespace {
+
+using Time = std::chrono::nanoseconds;
+constexpr Time kNow = std::chrono::seconds(50);
+constexpr Milliseconds kGrace(2000);
+constexpr Milliseconds kSilenceLimit(4800);
+
+StorePosition In(std::uint64_t era, std::uint64_t version) {
+  return {StoreEra(era), StoreVersion(version)};
+}
+
+ServerEntry MakeServer(const std::string& id, const StorePosition& position,
+                       ServerState state = ServerState::kReady,
+                       std::int64_t started_ms = 7) {
+  ServerEntry entry;
+  entry.id = ServerId(id);
+  entry.service = ServiceId("s");
+  entry.state = state;
+  entry.started_ms = started_ms;
+  entry.position = position;
+  return entry;
+}
+
+ServerRegistry MakeRegistry() { return ServerRegistry(kGrace, kSilenceLimit); }
+
+}  // namespace
+
+// Guards against registrations and drains that are dropped since their versions
+// are below those of the era before.
+Test(restored_registry, a_later_era_replaces_what_was_known_whatever_versions) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 90)), MakeServer("b", In(1, 95))},
+                   kNow, In(1, 99));
+  registry.Replace({MakeServer("a", In(2, 70), ServerState::kDraining),
+                    MakeServer("b", In(2, 60))},
+                   kNow, In(2, 71));
+  const auto usable = registry.UsableServers();
+  cr_assert_eq(usable.size(), 1u);
+  cr_expect_eq(usable.front().id.Text(), "b");
+}
+
+// Guards against requests to a server that was leaving before the restore.
+Test(restored_registry, a_leaving_process_stays_so_although_the_copy_has_it) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Apply(
+      {{ServerId("a"), MakeServer("a", In(1, 95), ServerState::kDraining)}},
+      kNow);
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  cr_expect(registry.UsableServers().empty());
+  registry.Expire(kNow + kSilenceLimit, In(2, 120));
+  cr_expect(registry.UsableServers().empty());
+  registry.Apply(
+      {{ServerId("a"), MakeServer("a", In(2, 130), ServerState::kReady, 8)}},
+      kNow);
+  cr_expect_eq(registry.UsableServers().size(), 1u, "a new process");
+}
+
+// Guards against requests to a server whose end only a peer had told of.
+Test(restored_registry, a_notice_before_the_restore_holds_after_it) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  cr_expect(registry.OnServerLeaving(ServerId("a"), 7, kNow, In(1, 95)));
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  cr_expect(registry.UsableServers().empty());
+}
+
+// Guards against a notice that arrives after the restore has been read.
+Test(restored_registry, a_notice_of_the_era_before_takes_a_server_out) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(2, 120))}, kNow, In(2, 121));
+  cr_expect(registry.OnServerLeaving(ServerId("a"), 7, kNow, In(1, 95)));
+  cr_expect(registry.UsableServers().empty());
+  registry.Apply({{ServerId("a"), MakeServer("a", In(2, 130))}}, kNow);
+  cr_expect_eq(registry.UsableServers().size(), 1u, "it has written since");
+}
+
+// Guards against a server that is gone and comes back with the copy, and
+// against one that is alive and never used again.
+Test(restored_registry, a_removed_server_returns_once_it_is_known_to_live) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace(
+      {MakeServer("gone", In(1, 80)), MakeServer("lives", In(1, 81)),
+       MakeServer("writes", In(1, 82))},
+      kNow, In(1, 82));
+  registry.Replace({}, kNow, In(1, 95));
+  const std::vector<ServerEntry> copy = {MakeServer("gone", In(2, 80)),
+                                         MakeServer("lives", In(2, 81)),
+                                         MakeServer("writes", In(2, 82))};
+  registry.Replace(copy, kNow, In(2, 90));
+  cr_expect(registry.UsableServers().empty());
+  cr_expect(registry.Apply(
+      {{ServerId("writes"), MakeServer("writes", In(2, 93))}}, kNow));
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+  registry.Apply({{ServerId("gone"), std::nullopt, In(2, 99)}}, kNow);
+  cr_expect(registry.Expire(kNow + kSilenceLimit, In(2, 120)));
+  const auto usable = registry.UsableServers();
+  cr_assert_eq(usable.size(), 2u);
+  cr_expect_eq(usable.front().id.Text(), "lives");
+  cr_expect(usable.front().position == In(2, 120));
+}
+
+// Guards against a second restore that ends the wait of the first one.
+Test(restored_registry, a_second_restore_is_no_sign_of_life) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Replace({}, kNow, In(1, 95));
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  registry.Replace({MakeServer("a", In(3, 80))}, kNow, In(3, 85));
+  cr_expect(registry.UsableServers().empty());
+}
+
+// Guards against followers that differ from their relay after restores: the
+// relay's removals and returns have positions of several eras.
+Test(restored_registry, a_follower_ends_with_the_servers_of_its_relay) {
+  cr_assert(rc::check([] {
+    ServerRegistry relay = MakeRegistry();
+    RegistrationLog log;
+    ServerRegistry follower = MakeRegistry();
+    std::uint64_t cursor = 0;
+    std::uint64_t era = 1;
+    std::uint64_t version = 100;
+    std::map<std::string, StorePosition> rows;
+    Time now = kNow;
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      now += std::chrono::seconds(1);
+      const std::string id = "s" + std::to_string(*rc::gen::inRange(0, 4));
+      const int action = *rc::gen::inRange(0, 4);
+      if (action == 0) rows[id] = In(era, ++version);
+      if (action == 1 && rows.erase(id) > 0) ++version;
+      if (action == 2) {
+        // Restored from a copy that is some versions old.
+        version -= *rc::gen::inRange<std::uint64_t>(0, 5);
+        ++era;
+        for (auto& [key, position] : rows)
+          position = In(era, std::min(position.version.Count(), version));
+      }
+      std::vector<ServerEntry> entries;
+      for (const auto& [key, position] : rows)
+        entries.push_back(MakeServer(key, position));
+      relay.Replace(entries, now, In(era, version));
+      relay.Expire(now, In(era, version));
+      log.Update(relay.UsableServers(), In(era, version));
+      if (*rc::gen::arbitrary<bool>()) continue;
+      const auto changes = log.Since(cursor);
+      follower.Apply(changes.changes, now);
+      follower.Expire(now, log.Position());
+      cursor = changes.cursor;
+    }
+    // The servers live on, so that each one is used in the end.
+    now += kSilenceLimit + kGrace;
+    relay.Expire(now, In(era, ++version));
+    log.Update(relay.UsableServers(), In(era, version));
+    follower.Apply(log.Since(cursor).changes, now);
+    now += kSilenceLimit;
+    follower.Expire(now, In(era, ++version));
+    RC_ASSERT(relay.UsableServers().size() == rows.size());
+    RC_ASSERT(follower.UsableServers().size() == rows.size());
+  }));
+}
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -113,12 +113,12 @@
   ServerEntry entry = MakeEntry("a");
   entry.started_ms = 7;
   registry.Replace({entry}, kNow);
-  cr_expect_not(registry.OnServerLeaving(ServerId("other"), 7));
-  cr_expect_not(registry.OnServerLeaving(entry.id, 6),
+  cr_expect_not(registry.OnServerLeaving(ServerId("other"), 7, kNow));
+  cr_expect_not(registry.OnServerLeaving(entry.id, 6, kNow),
                 "the notice names an earlier start");
-  cr_expect(registry.OnServerLeaving(entry.id, 7));
+  cr_expect(registry.OnServerLeaving(entry.id, 7, kNow));
   cr_expect(registry.UsableServers().empty());
-  cr_expect_not(registry.OnServerLeaving(entry.id, 7));
+  cr_expect_not(registry.OnServerLeaving(entry.id, 7, kNow));
 }
 
 // Guards against a delayed registration that makes a leaving server usable.
@@ -128,8 +128,8 @@
   entry.started_ms = 7;
   entry.position = At(10);
   registry.Replace({entry}, kNow, At(10));
-  cr_expect(registry.OnLeavingResponse(entry.id, 7));
-  cr_expect_not(registry.OnLeavingResponse(entry.id, 7));
+  cr_expect(registry.OnLeavingResponse(entry.id, 7, kNow));
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7, kNow));
   entry.position = At(20);
   cr_expect_not(registry.Apply({{entry.id, entry}}, kNow));
   registry.Replace({entry}, kNow, At(21));
@@ -142,7 +142,7 @@
   entry.position = At(24);
   cr_expect(registry.Apply({{entry.id, entry}}, kNow));
   cr_expect_eq(registry.UsableServers().size(), 1u);
-  cr_expect_not(registry.OnLeavingResponse(entry.id, 7),
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7, kNow),
                 "a late response of the process before");
   cr_expect_eq(registry.UsableServers().size(), 1u);
 }
@@ -151,7 +151,7 @@
   ServerRegistry registry(Milliseconds(2000));
   ServerEntry entry = MakeEntry("a");
   entry.started_ms = 7;
-  cr_expect_not(registry.OnLeavingResponse(entry.id, 7));
+  cr_expect_not(registry.OnLeavingResponse(entry.id, 7, kNow));
   registry.Replace({entry}, kNow);
   cr_expect(registry.UsableServers().empty());
 }
