Notice a restore also when the history is lost with it

A table that is read anew after a 410 forgot the position that was known before, so that a restore that shows itself by a 410 was not logged and gave servers that the copy lacks no time to register again. The cursor now keeps its position beside the need for a full read.

--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -160,7 +160,7 @@
 Awaitable<std::optional<StoreRows>> ControlPlane::ReadChanges(
     TableCursor& cursor, Milliseconds wait) {
   Result<StoreRows> rows = Fail(ResultCode::kInternal);
-  cursor.is_full_read = !cursor.since.has_value();
+  cursor.is_full_read = cursor.needs_full_read;
   if (cursor.is_full_read) {
     rows = co_await m_adapter.read_table(cursor.table);
   } else {
@@ -169,22 +169,17 @@
     const Milliseconds poll_wait =
         cursor.last_call_failed ? Milliseconds(0) : wait;
     rows =
-        co_await m_adapter.watch_table(cursor.table, *cursor.since, poll_wait);
+        co_await m_adapter.watch_table(cursor.table, cursor.since, poll_wait);
   }
   cursor.last_call_failed = !rows.has_value();
-  if (rows && ContinuesFrom(cursor, rows->position)) {
-    // A relay may have sent later changes while this call was under way.
-    cursor.since =
-        std::max(cursor.since.value_or(StorePosition{}), rows->position);
-    co_return std::move(*rows);
-  }
   if (rows) {
-    const bool is_restored = !cursor.since.has_value();
-    SetStoreReachable(is_restored, "response of an earlier era");
-    if (is_restored) co_return std::nullopt;
+    if (MoveCursor(cursor, rows->position)) co_return std::move(*rows);
+    if (cursor.needs_full_read) co_return std::nullopt;
+    // Otherwise the relay that this instance follows has read a later era.
+    if (!m_following) SetStoreReachable(false, "response of an earlier era");
   } else if (rows.error().code == ResultCode::kHistoryLost) {
     LogEvent(Event::kHistoryLost, {{"table", cursor.table}});
-    cursor.since.reset();
+    cursor.needs_full_read = true;
   } else {
     SetStoreReachable(false, rows.error().detail);
   }
@@ -192,18 +187,24 @@
   co_return std::nullopt;
 }
 
-bool ControlPlane::ContinuesFrom(TableCursor& cursor,
-                                 const StorePosition& answered) {
-  if (!cursor.since || answered.era == cursor.since->era) return true;
-  // An answer of an earlier era was sent before the restore.
-  if (answered < *cursor.since) return false;
+bool ControlPlane::MoveCursor(TableCursor& cursor,
+                              const StorePosition& answered) {
+  if (!cursor.since.IsKnown() || answered.era == cursor.since.era) {
+    // A relay may have sent later changes while the call was under way.
+    cursor.since = std::max(cursor.since, answered);
+    cursor.needs_full_read = false;
+    return true;
+  }
+  if (answered < cursor.since) return false;
   LogEvent(Event::kStoreRestored, {{"table", cursor.table},
-                                   {"known", FormatPosition(*cursor.since)},
+                                   {"known", FormatPosition(cursor.since)},
                                    {"restored", FormatPosition(answered)}});
   // The copy may lack servers that have registered since.
   m_registry.OnStoreUnavailable();
-  cursor.since.reset();
-  return false;
+  SetStoreReachable(true, cursor.table);
+  cursor.needs_full_read = !cursor.is_full_read;
+  if (cursor.is_full_read) cursor.since = answered;
+  return cursor.is_full_read;
 }
 
 Awaitable<void> ControlPlane::WatchConfiguration() {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -39,9 +39,10 @@
   /// Read position in a table of the store.
   struct TableCursor {
     std::string table;
-    std::optional<StorePosition> since;  ///< none: read the complete table
-    bool is_full_read = false;           ///< the last read covers the table
-    bool last_call_failed = false;       ///< of this cursor
+    StorePosition since;            ///< up to which changes are known
+    bool needs_full_read = true;    ///< the changes since then can't be read
+    bool is_full_read = false;      ///< the last read covers the table
+    bool last_call_failed = false;  ///< of this cursor
   };
 
   /// Reads the changes of a table since the last read, or the complete table.
@@ -50,9 +51,11 @@
   /// table if the store no longer has the changes or has been restored.
   Awaitable<std::optional<StoreRows>> ReadChanges(TableCursor& cursor,
                                                   Milliseconds wait);
-  /// Whether an answer continues from the cursor's position. One of another
-  /// era does not: its versions have been assigned anew since.
-  bool ContinuesFrom(TableCursor& cursor, const StorePosition& answered);
+  /// Moves a cursor to the position of an answer. Changes in an answer of
+  /// another era are not those since the cursor's position: versions have been
+  /// assigned anew, so that the complete table is to be read.
+  /// @return whether the rows of the answer may be applied
+  bool MoveCursor(TableCursor& cursor, const StorePosition& answered);
   Awaitable<void> WatchConfiguration();
   Awaitable<void> WatchServers();
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -75,8 +75,9 @@
   PeerFrame frame;
   frame.kind = wire::Kind::FollowStore;
   frame.follow = std::make_unique<wire::FollowRequestT>();
-  frame.follow->configuration =
-      PackPosition(m_configuration_cursor.since.value_or(StorePosition{}));
+  const TableCursor& cursor = m_configuration_cursor;
+  if (!cursor.needs_full_read)
+    frame.follow->configuration = PackPosition(cursor.since);
   const bool is_same_relay =
       m_following && m_relay_started_ms == relay.started_ms;
   if (is_same_relay) {
@@ -129,18 +130,18 @@
           UnpackRow(*packed, m_adapter.names.configuration_table));
     }
   }
-  auto& since = m_configuration_cursor.since;
-  const StorePosition known = since.value_or(StorePosition{});
+  TableCursor& cursor = m_configuration_cursor;
   // A complete list from a relay that lags behind may lack newer rows.
   const bool is_full_read =
-      update.configuration_complete && rows.position >= known;
+      update.configuration_complete && rows.position >= cursor.since;
   ApplyConfiguration(rows, is_full_read);
   // The relay answered after `sent_at`, so its age counts from then at the
   // latest.
   const auto confirmed = sent_at - Milliseconds(update.configuration_age_ms);
   OnConfigurationConfirmed(confirmed);
   m_relay.OnConfiguration(rows, is_full_read, confirmed);
-  since = std::max(known, rows.position);
+  cursor.since = std::max(cursor.since, rows.position);
+  if (is_full_read) cursor.needs_full_read = false;
   m_relay_started_ms = relay.started_ms;
   ApplyUpdatedServers(update);
   ApplyUpdatedFleet(update);
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -125,7 +125,7 @@
   TableCursor cursor{m_adapter.names.server_table};
   while (true) {
     // A relay's changes have no position in the store's.
-    if (m_following) cursor.since.reset();
+    if (m_following) cursor.needs_full_read = true;
     co_await WhileFollowing();
     const auto sent_at = TimeSinceBoot();
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
