Derive the epoch of a lease from the position of its acquisition

After a restore of the store two instances acted as lease holder, and the platform got one epoch from two of them.

Cause: the lease row came back older or was gone. An absent row could be taken at once, an older one by its released, expired or same-machine path, beside a holder that still acted; and the next epoch was counted up from the row, so that one that had been used was given out again, even 1.

Ruled out: keeping the highest epoch in memory, since every process that knew it may be dead.

Now the epoch is the era and version of the store at which the lease was acquired; a renewal keeps it. The row states the era in which it was written. A row of another era, or none, is a leftover: nobody takes it by any path before the take-over time has passed since it was first read, except the holder while it may act, who takes it again at once. In era 0 (a store that states none) an absent row is taken at once as before. A write is an own one only if its row was written in the era it names, and counts from when it was first sent; the row names its process, so that a late write of an earlier process of the node is not taken for it.

--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -28,6 +28,8 @@
   encoded["holder"] = row.holder.Text();
   encoded["epoch"] = row.epoch.Count();
   encoded["renewal"] = row.renewal;
+  encoded["era"] = row.era.Count();
+  encoded["process"] = row.process;
   return json::serialize(encoded);
 }
 
@@ -38,46 +40,84 @@
     row.holder = NodeId(std::string(parsed.at("holder").as_string()));
     row.epoch = Epoch(parsed.at("epoch").to_number<std::uint64_t>());
     row.renewal = parsed.at("renewal").to_number<std::uint64_t>();
+    if (const auto* era = parsed.as_object().if_contains("era")) {
+      row.era = StoreEra(era->to_number<std::uint64_t>());
+    }
+    if (const auto* process = parsed.as_object().if_contains("process")) {
+      row.process = process->to_number<std::uint64_t>();
+    }
   } catch (const std::exception&) {
     return std::nullopt;
   }
   return row;
 }
 
+std::optional<Epoch> EpochOf(const LeaseRow& row,
+                             const StorePosition& position) {
+  if (row.epoch.Count() > 0) return row.epoch;
+  if (!IsCurrent(row, position)) return std::nullopt;
+  return EpochAt(position);
+}
+
 void LeaseView::Observe(const std::optional<LeaseRow>& row,
                         const StorePosition& position, Time now) {
   if (m_observed && position == m_position) return;
+  if (m_observed && position.era < m_position.era) return;
+  if (row && m_sent && *row == m_sent->row && IsCurrent(*row, position)) {
+    RecordOwnWrite(*row, position, m_sent->sent);
+    return;
+  }
   m_observed = true;
   m_row = row;
   m_position = position;
   m_row_seen = now;
   m_written_here = false;
+  if (!HasCurrentRow()) return;
+  m_renewed.reset();
+  m_epoch = EpochOf(*m_row, m_position).value_or(Epoch(0));
+}
+
+void LeaseView::RecordSent(const LeaseRow& row, Time sent) {
+  // Either of two equal writes may be the one that takes effect.
+  if (m_sent && m_sent->row == row) return;
+  m_sent = SentRow{row, sent};
+}
+
+void LeaseView::RecordRefused(Time sent) {
+  if (m_sent && m_sent->sent == sent) m_sent.reset();
 }
 
 void LeaseView::RecordOwnWrite(const LeaseRow& row,
                                const StorePosition& position, Time sent) {
-  Observe(row, position, sent);
-  m_renewed = sent;
+  if (!IsCurrent(row, position)) return;
+  m_observed = true;
+  m_row = row;
+  m_position = position;
+  m_row_seen = sent;
   m_written_here = true;
+  m_epoch = EpochOf(row, position).value_or(Epoch(0));
+  m_renewed.reset();
+  if (row.holder == m_self) m_renewed = sent;
 }
 
 bool LeaseView::MayAct(Time now) const {
-  if (!IsNamedHolder() || !m_written_here) return false;
-  return now < After(m_renewed, m_duration, kHolderFraction);
+  return m_renewed && now < After(*m_renewed, m_duration, kHolderFraction);
 }
 
 bool LeaseView::MayAcquire(Time now) const {
   if (!m_observed) return false;
-  if (!m_row) return true;
+  // In the first era no row was lost.
+  if (!m_position.IsKnown() && m_position.era == StoreEra(0)) return true;
   return now >= After(m_row_seen, m_duration, kTakeoverFactor);
 }
 
 bool LeaseView::ShouldRenew(Time now) const {
-  return MayAct(now) && now >= After(m_renewed, m_duration, kRenewFraction);
+  if (!MayAct(now)) return false;
+  return !m_written_here ||
+         now >= After(*m_renewed, m_duration, kRenewFraction);
 }
 
 LeaseRow LeaseView::ReleasedRow() const {
-  // Keep the epoch, so that the next holder's epoch is higher.
   LeaseRow row = NextRow();
   row.holder = NodeId();
   return row;
@@ -86,12 +126,11 @@
 LeaseRow LeaseView::NextRow() const {
   LeaseRow next;
   next.holder = m_self;
-  if (!m_row) {
-    next.epoch = Epoch(1);
-    return next;
-  }
-  next.renewal = m_row->renewal + 1;
-  next.epoch = m_written_here ? m_row->epoch : Epoch(m_row->epoch.Count() + 1);
+  next.era = m_position.era;
+  next.process = m_process;
+  if (m_row) next.renewal = m_row->renewal + 1;
+  const bool renews = m_written_here && m_row->holder == m_self;
+  if (renews) next.epoch = m_epoch;
   return next;
 }
 
--- a/src/coordination/move_controller.cc
+++ b/src/coordination/move_controller.cc
@@ -154,8 +154,9 @@
   }
   m_lease.RecordOwnWrite(next, PositionOf(written->current), sent);
   if (held) co_return;
-  LogEvent(Event::kLeaseTaken, {{"epoch", std::to_string(next.epoch.Count())}});
-  m_gossip.Publish({kHolderKey, next.epoch.Count(), m_settings.node.Text()});
+  const std::uint64_t epoch = m_lease.CurrentEpoch().Count();
+  LogEvent(Event::kLeaseTaken, {{"epoch", std::to_string(epoch)}});
+  m_gossip.Publish({kHolderKey, epoch, m_settings.node.Text()});
 }
 
 Awaitable<void> MoveController::Step() {
--- a/src/serve/fleet_status.cc
+++ b/src/serve/fleet_status.cc
@@ -59,9 +59,12 @@
     const auto lease = DecodeLease(row.value);
     found.unreadable += lease ? 0 : 1;
     if (!lease) return;
-    found.lease = json::object({{"holder", lease->holder.Text()},
-                                {"epoch", lease->epoch.Count()},
-                                {"renewal", lease->renewal}});
+    json::object description({{"holder", lease->holder.Text()},
+                              {"renewal", lease->renewal},
+                              {"current", IsCurrent(*lease, row.position)}});
+    const auto epoch = EpochOf(*lease, row.position);
+    if (epoch) description["epoch"] = epoch->Count();
+    found.lease = std::move(description);
   } else if (row.key == store_rows::kUsageDoneKey) {
     found.usage_done = row.value;
   }
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -85,9 +85,11 @@
       m_report_key(std::string(store_rows::kReportPrefix) +
                    settings.node.Text() + "/" + std::to_string(m_started_ms)),
       m_instances(settings.revoke_bound + kLifetimeMargin),
-      m_lease(settings.node, std::max(settings.lease_timeout * kLeaseNumerator /
-                                          kLeaseDenominator,
-                                      kMinLeaseDuration)) {}
+      m_lease(
+          settings.node,
+          std::max(settings.lease_timeout * kLeaseNumerator / kLeaseDenominator,
+                   kMinLeaseDuration),
+          m_started_ms) {}
 
 std::optional<std::int64_t> FleetCoordinator::SharedNowMs() const {
   const auto offset = m_clock.OffsetFromBoot();
@@ -174,7 +176,6 @@
   }
   transaction.writes.push_back(
       store_rows::MakeRow(m_report_key, EncodeReport(report)));
-  m_sent_lease.reset();
   if (renews || takes || releases) {
     StoreTransaction with_lease = transaction;
     const LeaseRow lease = releases ? m_lease.ReleasedRow() : m_lease.NextRow();
@@ -182,7 +183,8 @@
         store_rows::MakeRow(store_rows::kLeaseKey, {}, m_lease.Position()));
     with_lease.writes.push_back(
         store_rows::MakeRow(store_rows::kLeaseKey, EncodeLease(lease)));
-    m_sent_lease = SentLease{lease, now};
+    m_lease.RecordSent(lease, now);
+    if (releases) m_lease.StopActing();
     const auto changed = co_await CommitTransaction(std::move(with_lease));
     if (changed) {
       m_report_position = changed->position;
@@ -195,6 +197,7 @@
     if (changed.error().code != ResultCode::kRevisionConflict) {
       co_return tl::make_unexpected(changed.error());
     }
+    m_lease.RecordRefused(now);
   }
   const auto changed = co_await CommitTransaction(std::move(transaction));
   if (!changed) co_return tl::make_unexpected(changed.error());
@@ -211,7 +214,7 @@
   m_era = std::max(m_era, rows->position.era);
   std::map<std::string, InstanceReport> reports;
   std::optional<LeaseRow> lease;
-  StorePosition lease_position;
+  StorePosition lease_position{rows->position.era, StoreVersion(0)};
   m_report_position = {};
   m_report_position_known = true;
   m_row_positions.clear();
@@ -247,15 +250,7 @@
   }
   m_instances.Observe(std::move(reports), now);
   ApplyMoveRows(moves);
-  // If the row equals the one sent, a write whose response was lost took
-  // effect.
-  const bool is_own_write =
-      lease && m_sent_lease && *lease == m_sent_lease->row;
-  if (is_own_write && lease_position != m_lease.Position()) {
-    m_lease.RecordOwnWrite(*lease, lease_position, m_sent_lease->sent);
-  } else {
-    m_lease.Observe(lease, lease_position, LeaseNow());
-  }
+  m_lease.Observe(lease, lease_position, LeaseNow());
   m_table_read = true;
   const bool holds_lease = HoldsLease();
   if (holds_lease != m_logged_lease_held) {
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -176,14 +176,7 @@
   UsageLedger m_usage;
   InstanceTable m_instances;
   ClusterClock m_clock;
-  /// The lease row that the last report tried to write.
-  struct SentLease {
-    LeaseRow row;
-    LeaseView::Time sent{};
-  };
-
   LeaseView m_lease;
-  std::optional<SentLease> m_sent_lease;
   bool m_logged_lease_held = false;                         ///< as last logged
   std::map<std::uint64_t, WindowCounts> m_committed_usage;  ///< by window
   /// The latest window whose usage report was accepted.
