--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -37,6 +37,21 @@
  "tenants":[{"name":"t","api_keys":["k1","k2"],"unit":"tokens",
              "uncached_tokens":200,"rate_per_s":1000,"burst":500}]})";
 
+const char kServer[] =
+    R"({"service":"m","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":17})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  const std::size_t found = text.find(from);
+  cr_assert_neq(found, std::string::npos);
+  return text.replace(found, from.size(), to);
+}
+
+const std::vector<std::string> kNumbersOutOfRange = {
+    "1e308", "-1e308", "1e999", "-5",  "18446744073709551616",
+    "[1]",   "null",   "\"1\"", "true"};
+
 }  // namespace
 
 Test(platform_headers, the_headers_of_a_callers_request_are_decoded) {
@@ -147,6 +162,125 @@
   }
 }
 
+// Guards against entries of other writers that end the process or mark a server
+// as leaving for good: their numbers were converted to narrower types without a
+// check.
+Test(platform_documents, a_server_row_with_a_number_out_of_range_is_rejected) {
+  cr_assert(platform::DecodeServer("i-1", kServer).has_value());
+  for (const std::string& number : kNumbersOutOfRange) {
+    for (const std::string field : {"\"slots\":4", "\"born\":17"}) {
+      const std::string name = field.substr(0, field.find(':') + 1);
+      cr_expect_not(
+          platform::DecodeServer("i-1", Replaced(kServer, field, name + number))
+              .has_value(),
+          "%s%s", name.c_str(), number.c_str());
+    }
+  }
+  for (const std::string number : {"1e308", "-1e308", "9223372036854775807"}) {
+    cr_expect_not(
+        platform::DecodeServer("i-1", Replaced(kServer, "\"warmup_left_ms\":0",
+                                               "\"warmup_left_ms\":" + number))
+            .has_value());
+  }
+  for (const std::string born : {"9223372036854775807", "253402300800000"}) {
+    cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"born\":17",
+                                                         "\"born\":" + born))
+                      .has_value());
+  }
+  cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"slots\":4",
+                                                       "\"slots\":4294967296"))
+                    .has_value());
+}
+
+// Guards against an address that no server can have, which requests would be
+// sent to.
+Test(platform_documents, a_server_row_with_an_odd_address_is_rejected) {
+  for (const std::string address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:1e3",
+        "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:", ":80", "10.0.0.1", "",
+        "10.0.0.1:99999999999999999999", "0.0.0.0:80", "224.0.0.1:80",
+        "10.0.0.999:80", "host:80"}) {
+    cr_expect_not(
+        platform::DecodeServer("i-1", Replaced(kServer, "10.0.0.1:80", address))
+            .has_value(),
+        "%s", address.c_str());
+  }
+}
+
+Test(platform_documents, a_deeply_nested_row_is_rejected) {
+  constexpr std::size_t kDepth = 100'000;
+  for (const std::string open : {"[", "{\"a\":"}) {
+    std::string nested;
+    for (std::size_t i = 0; i < kDepth; ++i) nested += open;
+    cr_expect_not(platform::DecodeServer("i-1", nested).has_value());
+    cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"seq\":1",
+                                                         "\"seq\":" + nested))
+                      .has_value());
+    cr_expect_not(platform::DecodeConfiguration(nested).has_value());
+    cr_expect_not(platform::DecodeMoveOrder(nested).has_value());
+  }
+}
+
+Test(platform_documents,
+     a_configuration_with_a_number_out_of_range_is_rejected) {
+  for (const std::string field :
+       {"\"version\":7", "\"timeout_ms\":15000", "\"priority\":1",
+        "\"max_attempts\":2", "\"weight\":90", "\"max_conns\":230",
+        "\"kv_capacity\":1000", "\"min\":1", "\"boot_s\":4.0",
+        "\"max_body_bytes\":200", "\"rate_per_s\":1000"}) {
+    const std::string name = field.substr(0, field.find(':') + 1);
+    for (const std::string number : {"1e308", "-1e308", "1e999"}) {
+      cr_expect_not(platform::DecodeConfiguration(
+                        Replaced(kConfiguration, field, name + number))
+                        .has_value(),
+                    "%s%s", name.c_str(), number.c_str());
+    }
+  }
+}
+
+Test(platform_documents, a_move_order_with_a_number_out_of_range_is_rejected) {
+  const std::string good = R"({"service":"m","to":"v2","duration_s":2.5})";
+  cr_assert_eq(platform::DecodeMoveOrder(good)->duration.count(), 2500);
+  for (const std::string& number : kNumbersOutOfRange) {
+    cr_expect_not(
+        platform::DecodeMoveOrder(Replaced(good, "2.5", number)).has_value());
+  }
+}
+
+// Guards against a write past the buffer of a value whose base64 lacks its
+// padding.
+// Guards against the row of another part that has a server's key being taken
+// for the server's: the feed has the rows of all parts.
+// Guards against a response without the store's contents being taken for an
+// empty table.
+// Guards against a document of another writer that ends the process.
+Test(platform_documents, mutated_documents_never_crash_the_decoders) {
+  const std::vector<std::string> pieces = {
+      "1e308", "-1e308", "1e999",   "-1",   "18446744073709551615",
+      "9e18",  "null",   "true",    "[]",   "{}",
+      "\"\"",  "[[[[[[", "\\u0000", "\xff", "-0.0"};
+  cr_assert(rc::check([&pieces](std::size_t at, std::size_t length,
+                                std::size_t piece, bool is_number) {
+    for (const std::string document :
+         {kServer, kConfiguration,
+          R"({"service":"m","to":"v2","duration_s":2.5})"}) {
+      std::string mutated = document;
+      std::size_t from = at % document.size();
+      std::size_t count = length % 20;
+      if (is_number) {
+        from = document.find_first_of("0123456789", from);
+        if (from == std::string::npos) from = document.size();
+        const std::size_t end = document.find_first_not_of("0123456789", from);
+        count = end == std::string::npos ? 0 : end - from;
+      }
+      mutated.replace(from, count, pieces[piece % pieces.size()]);
+      platform::DecodeServer("k", mutated);
+      platform::DecodeConfiguration(mutated);
+      platform::DecodeMoveOrder(mutated);
+    }
+  }));
+}
+
 Test(platform_documents, arbitrary_bytes_never_crash_the_decoders) {
   cr_assert(rc::check([](const std::string& noise) {
     platform::DecodeConfiguration(noise);
