Stop using a server whose entry becomes unreadable

Callers would see: after another writer has overwritten a server's entry with bytes that can't be read, instances that follow the changes go on to send it requests, instances that read the whole list don't. PROTOCOL.md says that such an entry names no server to use.

Cause: ApplyServers() skipped an unreadable row. In a full read the row was then missing, which removes the server; in a read of changes the former entry stayed usable. Followers got what their relay had.

Now an unreadable row counts as a removal at the row's position in both reads; the next readable row brings the server back. An unreadable row is logged at most once in ten seconds per key and for at most 100 keys in that time, since another writer may change it, or full reads may return it, at any rate.

Command: cd tests/platform && python3 -m unittest odd_entries_test.OddEntriesTest.test_server_whose_entry_becomes_unreadable_gets_no_request odd_entries_test.OddEntriesTest.test_unreadable_entry_is_logged_seldom

--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -10,6 +10,7 @@
 #include "serve/gateway_fleet_coordinator.h"
 #include "serve/gateway_store_relay.h"
 #include "serve/gateway_worker.h"
+#include "serve/row_log_filter.h"
 
 namespace cowslipknot::gateway {
 
@@ -135,6 +136,7 @@
   std::uint64_t m_instances_digest = 0;
   std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
   std::chrono::nanoseconds m_shares_updated_at{0};
+  RowLogFilter m_unreadable_rows;    ///< of the table of servers
   StorePosition m_servers_position;  ///< of the store, as last read
   TableCursor m_configuration_cursor;
   bool m_following = false;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -105,10 +105,10 @@
         entry->position = row.position;
         change.entry = *entry;
         entries.push_back(std::move(*entry));
-      } else {
+      } else if (m_unreadable_rows.ShouldLog(row.key, TimeSinceBoot())) {
+        // Without an entry, the row names no server, as in a full read.
         LogEvent(Event::kRegistrationUnreadable,
                  {{"key", row.key}, {"detail", entry.error().detail}});
-        continue;
       }
     }
     changes.push_back(std::move(change));
--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -120,6 +120,20 @@
                           if event["name"] == "server_registered"
                           and event["server"].startswith("odd")])
 
+    # Guards against a server that is used on although its entry has become unreadable, by
+    # the gateways that read the change but not by those that read the whole list.
+    def test_server_whose_entry_becomes_unreadable_gets_no_request(self):
+        self.start_with_relays()
+        backend = self.backends["p1"]
+        for value in (b"{", b'{"state":"ready"}'):
+            with self.subTest(value=value):
+                eventually(lambda: self.count_requests(backend))
+                self.store.put_raw("servers", "p1", value)
+                time.sleep(DRAIN_BOUND_S)
+                self.assertEqual(self.count_requests(backend), 0)
+                self.store.put("servers", "p1", backend.registration("plain"))
+        eventually(lambda: self.count_requests(backend))
+
     # Guards against an entry whose start lies past any time, which makes a later notice
     # that its server leaves hold for all processes of that server to come.
     def test_server_is_used_after_an_odd_entry_said_that_it_started_last(self):
@@ -134,6 +148,20 @@
         self.store.put("servers", "p1", backend.registration("plain", born=2))
         eventually(lambda: self.count_requests(backend))
 
+    # Guards against a log that grows with each read or each write of such an entry.
+    def test_unreadable_entry_is_logged_seldom(self):
+        self.start()
+        for number in range(100):
+            self.store.put_raw("servers", "odd", b"{" + str(number).encode())
+            if number % 5 == 0:
+                self.store.compact_history()  # the whole list is read again
+            time.sleep(0.05)
+        self.assert_follow_and_serve("new")
+        lines = [event for event in self.gateways[0].log_events()
+                 if event["name"] == "registration_unreadable"]
+        self.assertEqual([event["key"] for event in lines[:1]], ["odd"])
+        self.assertLessEqual(len(lines), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
