Check the fields of the store's responses about rows

Would be seen: a value whose base64 lacks its padding makes a process write up to two bytes past a buffer; a 200 without `rows` and `ver` counts as a table without rows, which removes all servers; `ver` or `now_ms` out of range is undefined behaviour; a row of another part with a server's key, which the feed returns too, replaces the server's entry; a key with a space at the end of a page of a long table makes each further read fail.

Cause: the decoder took defaults for whatever it couldn't read, and sized the buffer of a value by the whole groups of four characters only.

A response that lacks `ver`, or is cut, is malformed and changes nothing. A row with malformed fields keeps its key and has no value, so that the decoder of its table finds it unreadable and the other rows hold. Rows of other parts are left out. Keys are escaped in queries.

Before: the old DecodeBase64(), copied into a trial program with -fsanitize=address, wrote past its buffer (a trial; the fake store pads its base64). On, test_answer_of_the_store_without_rows_removes_no_server failed: 503 for a request, since all servers were removed. The unit tests of platform_rows call functions that didn't exist. After: all pass.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -6,6 +6,7 @@
 
 import base64
 import http.server
+import io
 import json
 import socket
 import struct
@@ -99,6 +100,7 @@
         self.silent = False  # calls are never answered, even after it is cleared
         self.delay_s = 0.0  # before each answer
         self.lose_answers = 0  # number of transactions to commit without an answer
+        self.cut_reads = None  # turns the bytes of an answer to a read into those sent
         self.lease_contended = False  # another instance always writes the lease row first
         self.calls = []
         self.lease_holders = []  # in the order written; empty for a released lease
@@ -213,8 +215,16 @@
 
 class StoreHandler(Handler):
     def send(self, status, body=b"", headers=None):
-        era = str(self.server.owner.era)
-        super().send(status, body, {"Store-Era": era, **(headers or {})})
+        store = self.server.owner
+        fields = {"Store-Era": str(store.era), **(headers or {})}
+        if self.command != "GET" or not store.cut_reads:
+            super().send(status, body, fields)
+            return
+        connection, self.wfile = self.wfile, io.BytesIO()
+        super().send(status, body, fields)
+        whole, self.wfile = self.wfile.getvalue(), connection
+        self.wfile.write(store.cut_reads(whole))
+        self.close_connection = True
 
     def hold_if_silent(self):
         """Holds the call without an answer if the store is silent; returns whether it did."""
--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -1,6 +1,8 @@
-"""Tests gateways beside rows of another writer that are no registrations."""
+"""Tests gateways beside rows of another writer that are no registrations, and beside
+answers of the store that are cut."""
 
 import json
+import re
 import time
 import unittest
 
@@ -162,6 +164,61 @@
         self.assertEqual([event["key"] for event in lines[:1]], ["odd"])
         self.assertLessEqual(len(lines), 2)
 
+    # Guards against a part of the store's answer being taken for a list without servers.
+    def test_cut_answer_of_the_store_removes_no_server(self):
+        self.start()
+
+        def unframed(answer):
+            return re.sub(rb"Content-Length: \d+\r\n", b"", answer)
+
+        def body_of(answer):
+            return answer.index(b"\r\n\r\n") + 4
+
+        cuts = {
+            "nothing": lambda answer: b"",
+            "in the status line": lambda answer: answer[:10],
+            "after the status line": lambda answer: answer[:17],
+            "in the head": lambda answer: answer[:body_of(answer) - 2],
+            "after the head": lambda answer: answer[:body_of(answer)],
+            "in the body": lambda answer: answer[:body_of(answer) + 40],
+            "no length, no body": lambda answer: unframed(answer)[
+                :body_of(unframed(answer))],
+            "no length, in the body": lambda answer: unframed(answer)[:-20],
+            "no length, at the end": lambda answer: unframed(answer)[:-1],
+        }
+        for number, (name, cut) in enumerate(cuts.items()):
+            with self.subTest(cut=name):
+                self.store.cut_reads = cut
+                self.store.put("servers", "other", {})
+                self.store.compact_history()
+                deadline = time.monotonic() + 1
+                while time.monotonic() < deadline:
+                    self.assertEqual(self.gateways[0].call("/once/x")[0], 200)
+                    time.sleep(0.05)
+                self.store.cut_reads = None
+                self.assert_follow_and_serve(f"new{number}")
+        self.assert_no_server_removed()
+
+    def assert_no_server_removed(self):
+        self.assertFalse([event for event in self.gateways[0].log_events()
+                          if event["name"] in ("server_gone", "server_leaving")])
+
+    # Guards against a 200 without the fields of a table being taken for an empty one.
+    def test_answer_of_the_store_without_rows_removes_no_server(self):
+        self.start()
+        self.store.cut_reads = lambda answer: (
+            answer[:12] + b" OK\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n{}")
+        self.store.put("servers", "other", {})
+        self.store.compact_history()  # the whole list is read again
+        # Within the bound on the age of the configuration, whose reads are cut too.
+        deadline = time.monotonic() + 1.5
+        while time.monotonic() < deadline:
+            self.assertEqual(self.gateways[0].call("/once/x")[0], 200)
+            time.sleep(0.05)
+        self.store.cut_reads = None
+        self.assert_follow_and_serve("new")
+        self.assert_no_server_removed()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/documents.h"
 #include "platform/headers.h"
+#include "platform/row_response.h"
 #include "unit_test.h"
 
 using namespace cowslipknot;
@@ -52,6 +53,19 @@
     "1e308", "-1e308", "1e999", "-5",  "18446744073709551616",
     "[1]",   "null",   "\"1\"", "true"};
 
+HttpResponse MakeRowsResponse(const std::string& body) {
+  HttpResponse response(http::status::ok, 11);
+  response.body() = body;
+  return response;
+}
+
+/// A response with one row of the table of servers.
+HttpResponse MakeRowResponse(const std::string& fields) {
+  return MakeRowsResponse(R"({"ver":9,"now_ms":5,"truncated":false,"rows":[)"
+                          R"({"table":"servers",)" +
+                          fields + "}]}");
+}
+
 }  // namespace
 
 Test(platform_headers, the_headers_of_a_callers_request_are_decoded) {
@@ -249,10 +263,74 @@
 
 // Guards against a write past the buffer of a value whose base64 lacks its
 // padding.
+Test(platform_rows, base64_of_any_length_is_decoded_or_rejected) {
+  cr_assert(rc::check([](const std::string& value) {
+    std::string text = platform::EncodeBase64(value);
+    RC_ASSERT(platform::DecodeBase64(text) == value);
+    while (text.ends_with('=')) text.pop_back();
+    RC_ASSERT(platform::DecodeBase64(text) == value);
+  }));
+  for (std::size_t length = 0; length < 200; ++length)
+    platform::DecodeBase64(std::string(length, 'A'));
+  cr_expect_not(platform::DecodeBase64("AAAA!AAA").has_value());
+  cr_expect_not(platform::DecodeBase64("AA==AA==").has_value());
+}
+
+Test(platform_rows, a_row_with_odd_fields_has_no_value_and_hides_no_other_row) {
+  for (const std::string row :
+       {R"("key":"i-1","ver":1e308,"value":"e30=")",
+        R"("key":"i-1","ver":-1,"value":"e30=")",
+        R"("key":"i-1","ver":"1","value":"e30=")",
+        R"("key":"i-1","ver":3,"value":"e!30")",
+        R"("key":"i-1","ver":3,"value":7)", R"("key":"i-1","ver":3)",
+        R"("key":["i-1"],"ver":3,"value":"")"}) {
+    const auto rows = platform::DecodeRows(MakeRowResponse(
+        row + R"(},{"table":"servers","key":"i-2","ver":4,"value":"e30=")"));
+    cr_assert(rows.has_value(), "%s", row.c_str());
+    cr_assert_eq(rows->rows.size(), 2u);
+    cr_expect(rows->rows[0].value.empty());
+    cr_expect_eq(rows->rows[1].key, "i-2");
+    cr_expect_eq(rows->rows[1].value, "{}");
+  }
+}
+
 // Guards against the row of another part that has a server's key being taken
 // for the server's: the feed has the rows of all parts.
+Test(platform_rows, rows_of_other_parts_are_left_out) {
+  const auto rows = platform::DecodeRows(MakeRowResponse(
+      R"("part":"p","key":"i-1","ver":3,"value":"e30="},)"
+      R"({"table":"servers","part":"","key":"i-1","ver":4,"value":"e30=")"));
+  cr_assert(rows.has_value());
+  cr_assert_eq(rows->rows.size(), 1u);
+  cr_expect_eq(rows->rows[0].position.version.Count(), 4u);
+}
+
 // Guards against a response without the store's contents being taken for an
 // empty table.
+Test(platform_rows, an_incomplete_response_is_no_table) {
+  const std::string whole =
+      R"({"rows":[{"table":"servers","part":"","key":"i-1","ver":3,)"
+      R"("value":"e30="}],"truncated":false,"ver":9,"now_ms":5})";
+  cr_assert(platform::DecodeRows(MakeRowsResponse(whole)).has_value());
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    cr_expect_not(platform::DecodeRows(MakeRowsResponse(whole.substr(0, size)))
+                      .has_value());
+  }
+  for (const std::string body :
+       {"{}", R"({"rows":[]})", R"({"ver":1e308,"rows":[]})",
+        R"({"ver":9,"now_ms":1e308,"rows":[]})", R"({"ver":9,"rows":{}})",
+        R"({"ver":9,"rows":["x"]})", "[]", "null"}) {
+    cr_expect_not(platform::DecodeRows(MakeRowsResponse(body)).has_value(),
+                  "%s", body.c_str());
+  }
+}
+
+Test(platform_rows, a_key_is_escaped_in_a_query) {
+  cr_expect_eq(platform::EscapeQueryText("i-1"), "i-1");
+  cr_expect_eq(platform::EscapeQueryText("a b&\xc3\xa9\n%"),
+               "a%20b%26%C3%A9%0A%25");
+}
+
 // Guards against a document of another writer that ends the process.
 Test(platform_documents, mutated_documents_never_crash_the_decoders) {
   const std::vector<std::string> pieces = {
@@ -277,6 +355,7 @@
       platform::DecodeServer("k", mutated);
       platform::DecodeConfiguration(mutated);
       platform::DecodeMoveOrder(mutated);
+      platform::DecodeRows(MakeRowsResponse(mutated));
     }
   }));
 }
