Check the ranges of numbers in the rows that instances share

Would be seen: a row of the system's own table that another writer, or a faulty instance, has written with extreme numbers makes each reader compute with them: `busy` of 1e308 is converted to a number of servers to order, a move's share of 1e308 to an integer, ages and times overflow as nanoseconds.

Cause: DecodeReport(), DecodeMove() and DecodePromptEvidence() took any number of the right type; the window of a count was read by std::stoull(), which takes "-1" and "6x".

They use the checked conversions of base/json_number.h now. A report's own extreme demand is written as the largest value that readers accept, so that an instance doesn't vanish for the others. An address with port 0 names no peer.

Ruled out: wrong types, nesting and arbitrary bytes ended no process before (mutated_rows_never_crash_the_decoders passes on the former code). Leases and evidence about moves hold only integers, which to_number() checks.

Before: with the former three files, a_report_with_a_number_out_of_range, a_move_with_a_number_out_of_range and ages_of_prompt_evidence_stay_in_range failed. After: all pass.

--- a/src/coordination/prompt_evidence_codec.cc
+++ b/src/coordination/prompt_evidence_codec.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "base/json_number.h"
 #include "cowslipknot/gateway/prompt_quarantine.h"
 
 namespace cowslipknot::gateway {
@@ -15,6 +16,8 @@
 /// Bounds on what is accepted from others.
 constexpr std::size_t kMaxTextBytes = 512 << 10;
 constexpr std::size_t kMaxServerIdBytes = 200;
+/// Longer than any process runs; in range as nanoseconds.
+constexpr Milliseconds kMaxAge = std::chrono::days(36500);
 
 std::string FormatPart(std::uint64_t part) {
   std::array<char, 2 * sizeof(part)> digits{};
@@ -37,8 +40,9 @@
 }
 
 Time FromAge(const json::value& age, Time now) {
-  const Milliseconds elapsed(
-      std::max<std::int64_t>(0, age.to_number<std::int64_t>()));
+  const auto ms = ToInteger<std::int64_t>(age);
+  if (!ms) throw std::invalid_argument("age");
+  const Milliseconds elapsed(std::clamp<std::int64_t>(*ms, 0, kMaxAge.count()));
   // The start of the clock marks an unknown time.
   return std::max(Time(1), now - std::min<Time>(elapsed, now));
 }
--- a/src/coordination/version_move_codec.cc
+++ b/src/coordination/version_move_codec.cc
@@ -1,5 +1,6 @@
 #include <boost/json.hpp>
 
+#include "base/json_number.h"
 #include "cowslipknot/gateway/version_move.h"
 
 namespace cowslipknot::gateway {
@@ -7,6 +8,15 @@
 
 namespace json = boost::json;
 
+/// Longest duration of a move. Sums with times stay in range.
+constexpr Milliseconds kMaxMoveDuration = std::chrono::days(365);
+
+std::int64_t RequireMs(const json::value& value, std::int64_t max) {
+  const auto ms = ToInteger<std::int64_t>(value, 0, max);
+  if (!ms) throw std::invalid_argument("time");
+  return *ms;
+}
+
 }  // namespace
 
 std::string EncodeMove(const VersionMove& move) {
@@ -30,19 +40,21 @@
     move.order.service =
         ServiceId(std::string(parsed.at("service").as_string()));
     move.order.to = VersionId(std::string(parsed.at("to").as_string()));
-    move.order.duration =
-        Milliseconds(parsed.at("duration_ms").to_number<std::int64_t>());
+    move.order.duration = Milliseconds(
+        RequireMs(parsed.at("duration_ms"), kMaxMoveDuration.count()));
     move.order.revision = parsed.at("revision").to_number<std::uint64_t>();
     const auto phase = parsed.at("phase").to_number<int>();
     if (phase < 0 || phase > static_cast<int>(MovePhase::kRolledBack)) {
       return std::nullopt;
     }
     move.state.phase = static_cast<MovePhase>(phase);
-    move.state.share = parsed.at("share").to_number<double>();
+    const auto share = ToDouble(parsed.at("share"), 0, 1);
+    if (!share) return std::nullopt;
+    move.state.share = *share;
     move.state.started =
-        WallTime(parsed.at("started_ms").to_number<std::int64_t>());
+        WallTime(RequireMs(parsed.at("started_ms"), kMaxUnixMs));
     move.state.full_since =
-        WallTime(parsed.at("full_since_ms").to_number<std::int64_t>());
+        WallTime(RequireMs(parsed.at("full_since_ms"), kMaxUnixMs));
     move.state.reason = std::string(parsed.at("reason").as_string());
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -1,14 +1,37 @@
 #include "cowslipknot/gateway/usage.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 
 #include "base/endpoint_text.h"
+#include "base/json_number.h"
 
 namespace cowslipknot::gateway {
 namespace {
 
 namespace json = boost::json;
 
+/// Largest rate of a report; it fits into an integer.
+constexpr double kMaxRate = 1e18;
+/// Largest number of servers of a report.
+constexpr double kMaxServers = 1e6;
+
+double RequireAmount(const json::value& value, double max) {
+  const auto amount = ToDouble(value, 0, max);
+  if (!amount) throw std::invalid_argument("amount");
+  return *amount;
+}
+
+std::uint64_t RequireWindow(std::string_view text) {
+  std::uint64_t window = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), window);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw std::invalid_argument("window");
+  return window;
+}
+
 json::object CountsToJson(const WindowCounts& counts) {
   json::object object;
   for (const auto& [workspace, count] : counts) {
@@ -72,12 +95,13 @@
   object["stopping"] = report.stopping;
   json::object demand;
   for (const auto& [workspace, value] : report.demand) {
-    demand[workspace.Text()] = static_cast<std::int64_t>(value);
+    demand[workspace.Text()] =
+        static_cast<std::int64_t>(std::min(value, kMaxRate));
   }
   object["demand"] = std::move(demand);
   json::object busy;
   for (const auto& [service, servers] : report.busy) {
-    busy[service.Text()] = servers;
+    busy[service.Text()] = std::min(servers, kMaxServers);
   }
   object["busy"] = std::move(busy);
   json::object windows;
@@ -99,22 +123,25 @@
     report.domain = DomainId(std::string(parsed.at("domain").as_string()));
     if (const auto* peers = parsed.as_object().if_contains("peers")) {
       const auto address = ParseEndpointText(peers->as_string());
-      if (address) report.peers = *address;
+      if (address && address->port != 0) report.peers = *address;
     }
     report.started_ms = parsed.at("started").to_number<std::uint64_t>();
     report.sequence = parsed.at("sequence").to_number<std::uint64_t>();
-    report.as_of_ms = parsed.at("as_of_ms").to_number<std::int64_t>();
+    const auto as_of =
+        ToInteger<std::int64_t>(parsed.at("as_of_ms"), 0, kMaxUnixMs);
+    if (!as_of) return std::nullopt;
+    report.as_of_ms = *as_of;
     if (const auto* revision = parsed.as_object().if_contains("revision")) {
       report.revision = revision->to_number<std::uint64_t>();
     }
     report.stopping = parsed.at("stopping").as_bool();
     for (const auto& [workspace, value] : parsed.at("demand").as_object()) {
       report.demand[WorkspaceId(std::string(workspace))] =
-          value.to_number<double>();
+          RequireAmount(value, kMaxRate);
     }
     for (const auto& [service, servers] : parsed.at("busy").as_object()) {
       report.busy[ServiceId(std::string(service))] =
-          servers.to_number<double>();
+          RequireAmount(servers, kMaxServers);
     }
     if (const auto* evidence = parsed.as_object().if_contains("evidence")) {
       report.evidence = std::string(evidence->as_string());
@@ -126,7 +153,7 @@
     for (const auto& [window, counts] : parsed.at("usage").as_object()) {
       for (const auto& [workspace, count] :
            CountsFromJson(counts.as_object())) {
-        report.usage.Record(std::stoull(std::string(window)), workspace, count);
+        report.usage.Record(RequireWindow(window), workspace, count);
       }
     }
   } catch (const std::exception&) {
