--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/documents.h"
 #include "platform/headers.h"
+#include "platform/row_response.h"
 #include "unit_test.h"
 
 using namespace cowslipknot;
@@ -37,6 +38,34 @@
  "tenants":[{"name":"t","api_keys":["k1","k2"],"unit":"tokens",
              "uncached_tokens":200,"rate_per_s":1000,"burst":500}]})";
 
+const char kServer[] =
+    R"({"service":"m","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":17})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  const std::size_t found = text.find(from);
+  cr_assert_neq(found, std::string::npos);
+  return text.replace(found, from.size(), to);
+}
+
+const std::vector<std::string> kNumbersOutOfRange = {
+    "1e308", "-1e308", "1e999", "-5",  "18446744073709551616",
+    "[1]",   "null",   "\"1\"", "true"};
+
+HttpResponse MakeRowsResponse(const std::string& body) {
+  HttpResponse response(http::status::ok, 11);
+  response.body() = body;
+  return response;
+}
+
+/// A response with one row of the table of servers.
+HttpResponse MakeRowResponse(const std::string& fields) {
+  return MakeRowsResponse(R"({"ver":9,"now_ms":5,"truncated":false,"rows":[)"
+                          R"({"table":"servers",)" +
+                          fields + "}]}");
+}
+
 }  // namespace
 
 Test(platform_headers, the_headers_of_a_callers_request_are_decoded) {
@@ -147,6 +176,190 @@
   }
 }
 
+// Guards against entries of other writers that end the process or mark a server
+// as leaving for good: their numbers were converted to narrower types without a
+// check.
+Test(platform_documents, a_server_row_with_a_number_out_of_range_is_rejected) {
+  cr_assert(platform::DecodeServer("i-1", kServer).has_value());
+  for (const std::string& number : kNumbersOutOfRange) {
+    for (const std::string field : {"\"slots\":4", "\"born\":17"}) {
+      const std::string name = field.substr(0, field.find(':') + 1);
+      cr_expect_not(
+          platform::DecodeServer("i-1", Replaced(kServer, field, name + number))
+              .has_value(),
+          "%s%s", name.c_str(), number.c_str());
+    }
+  }
+  for (const std::string number : {"1e308", "-1e308", "9223372036854775807"}) {
+    cr_expect_not(
+        platform::DecodeServer("i-1", Replaced(kServer, "\"warmup_left_ms\":0",
+                                               "\"warmup_left_ms\":" + number))
+            .has_value());
+  }
+  for (const std::string born : {"9223372036854775807", "253402300800000"}) {
+    cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"born\":17",
+                                                         "\"born\":" + born))
+                      .has_value());
+  }
+  cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"slots\":4",
+                                                       "\"slots\":4294967296"))
+                    .has_value());
+}
+
+// Guards against an address that no server can have, which requests would be
+// sent to.
+Test(platform_documents, a_server_row_with_an_odd_address_is_rejected) {
+  for (const std::string address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:1e3",
+        "10.0.0.1:+80", "10.0.0.1: 80", "10.0.0.1:", ":80", "10.0.0.1", "",
+        "10.0.0.1:99999999999999999999", "0.0.0.0:80", "224.0.0.1:80",
+        "10.0.0.999:80", "host:80"}) {
+    cr_expect_not(
+        platform::DecodeServer("i-1", Replaced(kServer, "10.0.0.1:80", address))
+            .has_value(),
+        "%s", address.c_str());
+  }
+}
+
+Test(platform_documents, a_deeply_nested_row_is_rejected) {
+  constexpr std::size_t kDepth = 100'000;
+  for (const std::string open : {"[", "{\"a\":"}) {
+    std::string nested;
+    for (std::size_t i = 0; i < kDepth; ++i) nested += open;
+    cr_expect_not(platform::DecodeServer("i-1", nested).has_value());
+    cr_expect_not(platform::DecodeServer("i-1", Replaced(kServer, "\"seq\":1",
+                                                         "\"seq\":" + nested))
+                      .has_value());
+    cr_expect_not(platform::DecodeConfiguration(nested).has_value());
+    cr_expect_not(platform::DecodeMoveOrder(nested).has_value());
+  }
+}
+
+Test(platform_documents,
+     a_configuration_with_a_number_out_of_range_is_rejected) {
+  for (const std::string field :
+       {"\"version\":7", "\"timeout_ms\":15000", "\"priority\":1",
+        "\"max_attempts\":2", "\"weight\":90", "\"max_conns\":230",
+        "\"kv_capacity\":1000", "\"min\":1", "\"boot_s\":4.0",
+        "\"max_body_bytes\":200", "\"rate_per_s\":1000"}) {
+    const std::string name = field.substr(0, field.find(':') + 1);
+    for (const std::string number : {"1e308", "-1e308", "1e999"}) {
+      cr_expect_not(platform::DecodeConfiguration(
+                        Replaced(kConfiguration, field, name + number))
+                        .has_value(),
+                    "%s%s", name.c_str(), number.c_str());
+    }
+  }
+}
+
+Test(platform_documents, a_move_order_with_a_number_out_of_range_is_rejected) {
+  const std::string good = R"({"service":"m","to":"v2","duration_s":2.5})";
+  cr_assert_eq(platform::DecodeMoveOrder(good)->duration.count(), 2500);
+  for (const std::string& number : kNumbersOutOfRange) {
+    cr_expect_not(
+        platform::DecodeMoveOrder(Replaced(good, "2.5", number)).has_value());
+  }
+}
+
+// Guards against a write past the buffer of a value whose base64 lacks its
+// padding.
+Test(platform_rows, base64_of_any_length_is_decoded_or_rejected) {
+  cr_assert(rc::check([](const std::string& value) {
+    std::string text = platform::EncodeBase64(value);
+    RC_ASSERT(platform::DecodeBase64(text) == value);
+    while (text.ends_with('=')) text.pop_back();
+    RC_ASSERT(platform::DecodeBase64(text) == value);
+  }));
+  for (std::size_t length = 0; length < 200; ++length)
+    platform::DecodeBase64(std::string(length, 'A'));
+  cr_expect_not(platform::DecodeBase64("AAAA!AAA").has_value());
+  cr_expect_not(platform::DecodeBase64("AA==AA==").has_value());
+}
+
+Test(platform_rows, a_row_with_odd_fields_has_no_value_and_hides_no_other_row) {
+  for (const std::string row :
+       {R"("key":"i-1","ver":1e308,"value":"e30=")",
+        R"("key":"i-1","ver":-1,"value":"e30=")",
+        R"("key":"i-1","ver":"1","value":"e30=")",
+        R"("key":"i-1","ver":3,"value":"e!30")",
+        R"("key":"i-1","ver":3,"value":7)", R"("key":"i-1","ver":3)",
+        R"("key":["i-1"],"ver":3,"value":"")"}) {
+    const auto rows = platform::DecodeRows(MakeRowResponse(
+        row + R"(},{"table":"servers","key":"i-2","ver":4,"value":"e30=")"));
+    cr_assert(rows.has_value(), "%s", row.c_str());
+    cr_assert_eq(rows->rows.size(), 2u);
+    cr_expect(rows->rows[0].value.empty());
+    cr_expect_eq(rows->rows[1].key, "i-2");
+    cr_expect_eq(rows->rows[1].value, "{}");
+  }
+}
+
+// Guards against the row of another part that has a server's key being taken
+// for the server's: the feed has the rows of all parts.
+Test(platform_rows, rows_of_other_parts_are_left_out) {
+  const auto rows = platform::DecodeRows(MakeRowResponse(
+      R"("part":"p","key":"i-1","ver":3,"value":"e30="},)"
+      R"({"table":"servers","part":"","key":"i-1","ver":4,"value":"e30=")"));
+  cr_assert(rows.has_value());
+  cr_assert_eq(rows->rows.size(), 1u);
+  cr_expect_eq(rows->rows[0].position.version.Count(), 4u);
+}
+
+// Guards against a response without the store's contents being taken for an
+// empty table.
+Test(platform_rows, an_incomplete_response_is_no_table) {
+  const std::string whole =
+      R"({"rows":[{"table":"servers","part":"","key":"i-1","ver":3,)"
+      R"("value":"e30="}],"truncated":false,"ver":9,"now_ms":5})";
+  cr_assert(platform::DecodeRows(MakeRowsResponse(whole)).has_value());
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    cr_expect_not(platform::DecodeRows(MakeRowsResponse(whole.substr(0, size)))
+                      .has_value());
+  }
+  for (const std::string body :
+       {"{}", R"({"rows":[]})", R"({"ver":1e308,"rows":[]})",
+        R"({"ver":9,"now_ms":1e308,"rows":[]})", R"({"ver":9,"rows":{}})",
+        R"({"ver":9,"rows":["x"]})", "[]", "null"}) {
+    cr_expect_not(platform::DecodeRows(MakeRowsResponse(body)).has_value(),
+                  "%s", body.c_str());
+  }
+}
+
+Test(platform_rows, a_key_is_escaped_in_a_query) {
+  cr_expect_eq(platform::EscapeQueryText("i-1"), "i-1");
+  cr_expect_eq(platform::EscapeQueryText("a b&\xc3\xa9\n%"),
+               "a%20b%26%C3%A9%0A%25");
+}
+
+// Guards against a document of another writer that ends the process.
+Test(platform_documents, mutated_documents_never_crash_the_decoders) {
+  const std::vector<std::string> pieces = {
+      "1e308", "-1e308", "1e999",   "-1",   "18446744073709551615",
+      "9e18",  "null",   "true",    "[]",   "{}",
+      "\"\"",  "[[[[[[", "\\u0000", "\xff", "-0.0"};
+  cr_assert(rc::check([&pieces](std::size_t at, std::size_t length,
+                                std::size_t piece, bool is_number) {
+    for (const std::string document :
+         {kServer, kConfiguration,
+          R"({"service":"m","to":"v2","duration_s":2.5})"}) {
+      std::string mutated = document;
+      std::size_t from = at % document.size();
+      std::size_t count = length % 20;
+      if (is_number) {
+        from = document.find_first_of("0123456789", from);
+        if (from == std::string::npos) from = document.size();
+        const std::size_t end = document.find_first_not_of("0123456789", from);
+        count = end == std::string::npos ? 0 : end - from;
+      }
+      mutated.replace(from, count, pieces[piece % pieces.size()]);
+      platform::DecodeServer("k", mutated);
+      platform::DecodeConfiguration(mutated);
+      platform::DecodeMoveOrder(mutated);
+      platform::DecodeRows(MakeRowsResponse(mutated));
+    }
+  }));
+}
+
 Test(platform_documents, arbitrary_bytes_never_crash_the_decoders) {
   cr_assert(rc::check([](const std::string& noise) {
     platform::DecodeConfiguration(noise);
