Log why an instance stops following its relay, and print it when a test fails

What callers saw: nothing. An instance that stops following a relay logged nothing, and one that goes on with another relay neither, so the relay test took an instance for a follower that had taken the lease, or had become a relay, and rightly read the store. After: relay_left, relay_followed for each new relay, relay_lost with after_ms and detail; the relay test counts no instance as a follower after relay_left, lists the calls with their times, and both tests print the logs on failure. test_leaving_server_gets_no_request counts all requests that arrive, not only the executed ones. Command: python3 -m unittest relay_test.RelayTest.test_followers_do_not_call_the_store

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -64,6 +64,7 @@
   kReportsNotRelayed = 614,
   kRelayFollowed = 615,
   kRelayLost = 616,
+  kRelayLeft = 617,
   kInstancesKnown = 619,
   kQuotaLenderUnresponsive = 620,
   kQuotaLendersChanged = 621,
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -28,6 +28,13 @@
          std::chrono::nanoseconds(now.tv_nsec);
 }
 
+/// Milliseconds since a time of TimeSinceBoot(), truncated, as text for logs.
+inline std::string FormatAgeMs(std::chrono::nanoseconds moment) {
+  return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(TimeSinceBoot() - moment)
+          .count());
+}
+
 /// Milliseconds elapsed since `start`, including the fraction.
 inline double ElapsedMsSince(SteadyClock::time_point start) {
   const std::chrono::duration<double, std::milli> elapsed =
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -122,6 +122,8 @@
     {Event::kRelayLost, "warn", "relay_lost",
      "an instance that relays the store's contents does not respond or has "
      "lost the store"},
+    {Event::kRelayLeft, "info", "relay_left",
+     "this instance reads the store itself again"},
     {Event::kInstancesKnown, "info", "instances_known",
      "the number of instances that may be serving changed"},
     {Event::kQuotaLenderUnresponsive, "warn", "quota_home_silent",
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -145,6 +145,7 @@
   std::uint64_t m_relay_started_ms = 0;
   StorePosition m_relay_moves_position;
   std::chrono::nanoseconds m_report_due{0};
+  NodeId m_relay_node;  ///< of the last update
   std::size_t m_serving_instances = 0;  ///< as last logged
   const std::chrono::nanoseconds m_started_at = TimeSinceBoot();
   bool m_servers_known = false;
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -27,6 +27,7 @@
   if (following == m_following) return;
   m_following = following;
   m_relay.SetReadsStore(!following);
+  if (!following) LogEvent(Event::kRelayLeft);
   // Wakes the loops that read the store.
   if (!following) m_following_ended.cancel();
 }
@@ -63,7 +64,6 @@
       continue;
     }
     if (co_await FollowOnce(*relay)) continue;
-    LogEvent(Event::kRelayLost, {{"relay", relay->node.Text()}});
     m_relay_retry_at[relay->node] = TimeSinceBoot() + kRelayRetryDelay;
     // The next relay, or the store, receives the report.
     m_report_due = std::chrono::nanoseconds(0);
@@ -104,15 +104,22 @@
   const auto answer = co_await RunOn(
       m_worker.Context().get_executor(),
       m_worker.Links().Call(*relay.peers, std::move(frame), timeout));
-  if (!answer || !answer->update || !answer->update->configuration)
+  if (!answer || !answer->update || !answer->update->configuration) {
+    LogEvent(Event::kRelayLost,
+             {{"relay", relay.node.Text()},
+              {"after_ms", FormatAgeMs(sent_at)},
+              {"detail", answer ? "the relay has lost the store"
+                                : answer.error().detail}});
     co_return false;
-  if (!m_following) {
-    // What a relay has read counts as the store's response.
-    SetStoreReachable(true, m_adapter.names.server_table);
+  }
+  // What a relay has read counts as the store's response.
+  if (!m_following) SetStoreReachable(true, m_adapter.names.server_table);
+  if (!m_following || m_relay_node != relay.node) {
     LogEvent(Event::kRelayFollowed,
              {{"relay", relay.node.Text()},
               {"address", FormatEndpoint(*relay.peers)}});
   }
+  m_relay_node = relay.node;
   SetFollowing(true);
   ApplyUpdate(*answer->update, relay, sent_at);
   co_return true;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -23,11 +23,11 @@
     daemon_threads = True
     request_queue_size = 128  # a full queue drops connections, which stalls clients for seconds
     rejects_calls = False  # answers 503 to the store calls at this address
-    store_calls = 0  # at this address
     allow_reuse_address = True
 
     def __init__(self, handler, owner, port=0):
         self.open_connections = set()
+        self.store_calls = []  # at this address: (wall clock time in ms, path)
         super().__init__(("127.0.0.1", port), handler)
         self.owner = owner
         self.thread = threading.Thread(
@@ -232,7 +232,7 @@
     def do_GET(self):
         store = self.server.owner
         store.calls.append(self.path)
-        self.server.store_calls += 1
+        self.server.store_calls.append((time.time() * 1000, self.path))
         if self.hold_if_silent():
             return
         url = urllib.parse.urlsplit(self.path)
@@ -251,7 +251,7 @@
     def do_POST(self):
         store = self.server.owner
         store.calls.append(self.path)
-        self.server.store_calls += 1
+        self.server.store_calls.append((time.time() * 1000, self.path))
         change = json.loads(self.read_body())
         if self.hold_if_silent():
             return
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -154,6 +154,17 @@
         """Sends one request; returns status, headers and body."""
         connection = self.connect()
         fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
+    def known_instances(self):
+        """How many instances the gateway last said that it knows."""
+        counts = [int(event["instances"]) for event in self.log_events()
+                  if event["name"] == "instances_known"]
+        return counts[-1] if counts else 0
+
+    def history(self, *names):
+        """The log's events whose names begin so, one a line, for failure messages."""
+        return "".join(f"\n{event}" for event in self.log_events()
+                       if event["name"].startswith(names or ""))
+
                   "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
         fields.update({name.replace("_", "-"): value
                        for name, value in headers.items()})
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -503,7 +503,7 @@
         gateway.child.send_signal(signal.SIGHUP)
         eventually(lambda: any(event["name"] == "settings_rejected"
                                for event in gateway.log_events()))
-        self.assertEqual(gateway.call("/safe/x")[0], 200)
+        self.assertEqual(gateway.call("/safe/x")[0], 200, gateway.history())
 
     def run_fleet(self, gateway, *options):
         return subprocess.run([BINARY, "fleet", "--config", gateway.settings, *options],
--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -49,6 +49,8 @@
         for event in gateway.log_events():
             if event["name"] == "relay_followed":
                 relay = event["relay"]
+            elif event["name"] == "relay_left":
+                relay = None
         return relay
 
     def followers(self):
@@ -67,12 +69,16 @@
     def test_followers_do_not_call_the_store(self):
         time.sleep(1.5)  # calls under way when an instance began to follow have ended
         followers = self.followers()
-        before = {name: link.store_calls for name, link in self.links.items()}
+        before = {name: len(link.store_calls) for name, link in self.links.items()}
         time.sleep(4)
-        calls = {name: link.store_calls - before[name]
+        calls = {name: link.store_calls[before[name]:]
                  for name, link in self.links.items()}
         for gateway in followers:
-            self.assertEqual(calls[gateway.name], 0, calls)
+            self.assertEqual(calls[gateway.name], [], self.history())
+
+    def history(self):
+        return "".join(gateway.history("relay_", "platform_", "lease_", "instances_")
+                       for gateway in self.gateways)
 
     def test_configuration_change_applies_everywhere(self):
         self.store.put("op", "config", configuration(
@@ -87,13 +93,13 @@
                        self.backends[name].registration("plain", state="draining"))
 
     def assert_no_request_reaches(self, name):
-        before = len(self.backends[name].runs)
+        before = len(self.backends[name].requests)
         for gateway in self.gateways:
             if gateway.child.poll() is not None or gateway.paused:
                 continue
             for number in range(6):
                 gateway.call("/safe/x", request_id=f"{gateway.name}.{number}")
-        self.assertEqual(len(self.backends[name].runs), before)
+        self.assertEqual(len(self.backends[name].requests), before, self.history())
 
     def test_leaving_server_gets_no_request(self):
         self.drain("p1")
