Test that followers of a relay leave a server that told one instance that it leaves

Would be seen: a server that says Server-Leaving to one instance goes on to get requests from instances that follow a relay, at once or after the relay's next update, which still has the server as ready in the store. Command: python3 -m unittest relay_test.RelayTest.test_server_that_tells_one_instance_that_it_leaves_gets_no_request_of_followers

--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -106,6 +106,26 @@
         time.sleep(DRAIN_BOUND_S)
         self.assert_no_request_reaches("p1")
 
+    # Guards against followers that take a leaving server back from their relay's update.
+    def test_server_that_tells_one_instance_that_it_leaves_gets_no_request_of_followers(self):
+        eventually(lambda: all(gateway.known_instances() == INSTANCES
+                               for gateway in self.gateways))
+        leaving = self.backends["p1"]
+        leaving.leaving = True
+        told = self.followers()[0]
+        eventually(lambda: told.call("/safe/x")[0] == 200 and leaving.requests)
+        time.sleep(DRAIN_BOUND_S)
+        self.assert_no_request_reaches("p1")
+        # A late registration of the same process and a new server cause updates.
+        self.store.put("servers", "p1", leaving.registration("plain", seq=2))
+        added = fakes.Backend("p3")
+        self.addCleanup(added.server.stop)
+        self.store.put("servers", "p3", added.registration("plain"))
+        eventually(lambda: all(
+            any(event["name"] == "server_registered" and event["server"] == "p3"
+                for event in gateway.log_events()) for gateway in self.gateways))
+        self.assert_no_request_reaches("p1")
+
     def pause(self, gateway):
         gateway.child.send_signal(signal.SIGSTOP)
         gateway.paused = True
