Log the age of an answer that says that its server leaves or wants none, and count leavings

Would be seen: requests that reach a server after such an answer can't be told from an answer that was read late, since server_leaving and server_paused don't say when it was read. After: both have age_ms, from reading the header until the notice applied at this instance; cowslipknot_server_leavings_total counts processes that said so. Before: the test fails on (KeyError: age_ms); after: passes. Command: python3 -m unittest server_notices_test.ServerNoticesTest.test_age_of_the_answer_is_logged_and_notices_are_counted

--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -132,7 +132,9 @@
 void Call::RecordServerNotices(const Backend& server,
                                const http::response_header<>& header) {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
-  if (response.is_leaving) m_worker.OnLeavingResponse(server);
+  if (response.is_leaving) {
+    m_worker.OnLeavingResponse(server, m_progress.header_read_at);
+  }
   if (!response.retry_after_s) return;
   const ServerPause pause = BoundPause(*response.retry_after_s);
   server.state->RecordPause(TimeSinceBoot() + pause.length);
@@ -142,7 +144,8 @@
            {{"server", server.entry.id.Text()},
             {"request", m_request.id.Text()},
             {"stated_s", std::to_string(*response.retry_after_s)},
-            {"pause_ms", std::to_string(pause.length.count())}});
+            {"pause_ms", std::to_string(pause.length.count())},
+            {"age_ms", FormatAgeMs(m_progress.header_read_at)}});
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -54,12 +54,13 @@
         });
         return PeerFrame();
       });
-  m_worker.SetLeavingResponseHook(
-      [this](const ServerId& server, std::int64_t started_ms) {
-        asio::post(m_context, [this, server, started_ms] {
-          OnLeavingResponse(server, started_ms);
-        });
-      });
+  m_worker.SetLeavingResponseHook([this](const ServerId& server,
+                                         std::int64_t started_ms,
+                                         std::chrono::nanoseconds read_at) {
+    asio::post(m_context, [this, server, started_ms, read_at] {
+      OnLeavingResponse(server, started_ms, read_at);
+    });
+  });
   m_worker.Links().SetAsyncHandler(
       wire::Kind::FollowStore,
       [this](const PeerFrame& frame) -> Awaitable<PeerFrame> {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -96,7 +96,9 @@
   void OnServersLeaving(const std::vector<GossipRecord>& servers);
   /// Handles a response of a server, to this instance, that says that the
   /// server is leaving, and tells the other instances.
-  void OnLeavingResponse(const ServerId& server, std::int64_t started_ms);
+  /// @param read_at  when the response's header was read, in TimeSinceBoot()
+  void OnLeavingResponse(const ServerId& server, std::int64_t started_ms,
+                         std::chrono::nanoseconds read_at);
   /// Handles the notices of such responses to other instances.
   void OnLeavingResponsesOfPeers(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
@@ -143,9 +145,9 @@
   std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
   std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
   std::uint64_t m_relay_started_ms = 0;
+  NodeId m_relay_node;  ///< of the last update
   StorePosition m_relay_moves_position;
   std::chrono::nanoseconds m_report_due{0};
-  NodeId m_relay_node;  ///< of the last update
   std::size_t m_serving_instances = 0;  ///< as last logged
   const std::chrono::nanoseconds m_started_at = TimeSinceBoot();
   bool m_servers_known = false;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -34,9 +34,11 @@
 }
 
 void ControlPlane::OnLeavingResponse(const ServerId& server,
-                                     std::int64_t started_ms) {
+                                     std::int64_t started_ms,
+                                     std::chrono::nanoseconds read_at) {
   if (!m_registry.OnLeavingResponse(server, started_ms)) return;
-  LogEvent(Event::kServerLeaving, {{"server", server.Text()}});
+  LogEvent(Event::kServerLeaving,
+           {{"server", server.Text()}, {"age_ms", FormatAgeMs(read_at)}});
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::LeavingResponses;
   AddRecords(*frame, {{server.Text(), static_cast<std::uint64_t>(started_ms),
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -86,6 +86,16 @@
   return PeerFrame();
 }
 
+void Worker::OnLeavingResponse(const Backend& server,
+                               std::chrono::nanoseconds read_at) {
+  if (!server.state->RecordLeaving()) return;
+  m_metrics.Add("cowslipknot_server_leavings_total",
+                FormatLabel("service", server.entry.service.Text()));
+  if (m_on_leaving_response) {
+    m_on_leaving_response(server.entry.id, server.entry.started_ms, read_at);
+  }
+}
+
 bool Worker::KeysAreFresh() const {
   const auto confirmed = m_confirmed_at.load();
   if (confirmed.count() == 0) return false;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -82,18 +82,18 @@
   /// enough to keep the server busy.
   void AnnouncePrompt(const ServerId& server, TokenCount uncached);
 
-  /// Sets what is called with a server and its start time when the server says
-  /// in a response that it is shutting down. Call it before requests are
-  /// served.
-  void SetLeavingResponseHook(
-      std::function<void(const ServerId&, std::int64_t)> hook) {
+  /// Called with a server, its start time, and when the header of its response
+  /// was read, in TimeSinceBoot().
+  using LeavingResponseHook = std::function<void(const ServerId&, std::int64_t,
+                                                 std::chrono::nanoseconds)>;
+  /// Sets what is called when a server says in a response that it is shutting
+  /// down. Call it before requests are served.
+  void SetLeavingResponseHook(LeavingResponseHook hook) {
     m_on_leaving_response = std::move(hook);
   }
   /// Keeps further requests from a server that says that it is shutting down.
-  void OnLeavingResponse(const Backend& server) {
-    if (!server.state->RecordLeaving() || !m_on_leaving_response) return;
-    m_on_leaving_response(server.entry.id, server.entry.started_ms);
-  }
+  void OnLeavingResponse(const Backend& server,
+                         std::chrono::nanoseconds read_at);
 
   /// Whether the configuration was confirmed recently enough that no API key
   /// has been removed for longer than Settings::revoke_bound.
@@ -138,7 +138,7 @@
   LoadMeter m_load;
   RetryBudget m_retries;
   VersionEvidence m_evidence;
-  std::function<void(const ServerId&, std::int64_t)> m_on_leaving_response;
+  LeavingResponseHook m_on_leaving_response;
   std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
   std::mt19937_64 m_random;
   std::shared_ptr<std::size_t> m_requests_in_progress =
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -4,6 +4,7 @@
 
 #include <charconv>
 
+#include "base/clock.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot {
@@ -286,6 +287,7 @@
   const error_code error = co_await stream->ReadHeader(options);
   if (error) co_return MakeCallError(error, progress);
   progress.response_started = true;
+  progress.header_read_at = TimeSinceBoot();
   co_return std::unique_ptr<ResponseStream>(std::move(stream));
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -23,6 +23,8 @@
   bool first_byte_sent = false;    ///< request bytes may have been sent
   bool reused_connection = false;  ///< the connection came from the pool
   bool response_started = false;
+  /// When the response header was read, in TimeSinceBoot().
+  std::chrono::nanoseconds header_read_at{0};
 };
 
 /// Whether a call may use a pooled connection.
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -137,6 +137,13 @@
         self.log.close()
         self.folder.cleanup()
 
+    def metrics(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics_port, timeout=5)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        connection.close()
+        return text
+
     def peak_memory_mb(self):
         status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii")
         peak_kb = next(line for line in status.splitlines() if line.startswith("VmHWM"))
@@ -147,13 +154,6 @@
                 for line in self.log_path.read_text(encoding="utf-8").splitlines()
                 if line.startswith("{")]
 
-    def connect(self):
-        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
-
-    def call(self, path, request_id="r1", method="POST", body=b"hello", **headers):
-        """Sends one request; returns status, headers and body."""
-        connection = self.connect()
-        fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
     def known_instances(self):
         """How many instances the gateway last said that it knows."""
         counts = [int(event["instances"]) for event in self.log_events()
@@ -165,6 +165,13 @@
         return "".join(f"\n{event}" for event in self.log_events()
                        if event["name"].startswith(names or ""))
 
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
+
+    def call(self, path, request_id="r1", method="POST", body=b"hello", **headers):
+        """Sends one request; returns status, headers and body."""
+        connection = self.connect()
+        fields = {"Host": "h.example", "Cowslipknot-Request-Id": request_id,
                   "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
         fields.update({name.replace("_", "-"): value
                        for name, value in headers.items()})
--- a/tests/platform/server_notices_test.py
+++ b/tests/platform/server_notices_test.py
@@ -160,6 +160,26 @@
         self.assertGreater(min(delays), started + 1.5)
         self.assertGreater(max(delays) - min(delays), 0.2)
 
+    # Guards against notices in the log that do not say how old the answer was.
+    def test_age_of_the_answer_is_logged_and_notices_are_counted(self):
+        server, = self.start_backends("model", count=1)
+        server.pending_faults = ["reject"]
+        server.retry_after = "0.2"
+        server.event_pause_s = 0.3  # its answer ends after 1.5 s
+        gateway = self.start_gateway()
+        self.call(gateway, "/stream/x", Cowslipknot_Token_Count="9,9")
+        time.sleep(0.3)
+        server.leaving = True
+        self.call(gateway, "/stream/x", Cowslipknot_Token_Count="9,9")
+        ages = {event["name"]: int(event["age_ms"]) for event in gateway.log_events()
+                if event["name"] in ("server_paused", "server_leaving")}
+        self.assertEqual(set(ages), {"server_paused", "server_leaving"})
+        for age_ms in ages.values():
+            self.assertTrue(0 <= age_ms < 1000, ages)
+        metrics = gateway.metrics()
+        for notice in ("pauses", "leavings"):
+            self.assertIn(f'cowslipknot_server_{notice}_total{{service="model"}} 1', metrics)
+
     def test_unusable_pause_is_logged_and_does_not_keep_the_server_unused(self):
         for value in ("-3", "nan", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"):
             with self.subTest(value=value):
