Soak servers that say in their answers that they leave or want no requests

Not covered before: the soak's servers announced a leaving only in the store, and refused without Retry-After.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -349,7 +349,10 @@
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
+        self.wants_none_until = 0.0  # answers 503 with the rest of this time until then
         self.requests = []  # ids of all requests that arrived
+        self.arrivals = []  # (request id, time) of those that were meant for it
+        self.pauses = []  # (request id, time of the 503, end of the time that it states)
         self.runs = []  # requests that were executed, with their headers
         self.disconnects = {}  # request id: time at which the caller's disconnect was noticed
         self.server = Server(BackendHandler, self, port)
@@ -415,6 +418,14 @@
         if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
+        now = time.monotonic()
+        backend.arrivals.append((request, now))
+        if now < backend.wants_none_until:
+            backend.pauses.append((request, now, backend.wants_none_until))
+            self.send(503, headers={"Cowslipknot-Request-Id": request,
+                                    "Cowslipknot-Not-Executed": "1",
+                                    "Retry-After": f"{backend.wants_none_until - now:.3f}"})
+            return
         fault = backend.pending_faults.pop(0) if backend.pending_faults else ""
         if fault == "endless_refusal":
             self.send_endless_body(503, {"Cowslipknot-Request-Id": request,
@@ -430,7 +441,8 @@
             return
         backend.runs.append({"method": self.command, "path": self.path,
                              "body": body, "headers": dict(self.headers),
-                             "time": time.monotonic(), "fault": fault})
+                             "time": time.monotonic(), "fault": fault,
+                             "leaving": backend.leaving})
         if self.late_copy:
             self.send_raw(self.late_copy)
         if fault == "reset":
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -37,6 +37,7 @@
     correct: bool = False
     signature: str = ""
     execution: str = ""
+    answered: float = 0.0  # when the response header was received
     abandoned: float = 0.0  # when the caller closed the connection early; or 0
 
 
@@ -115,6 +116,7 @@
         try:
             self.connection.request("POST", f"/{kind}/x", body=body, headers=headers)
             answer = self.connection.getresponse()
+            call.answered = time.monotonic()
             call.status = answer.status
             call.signature = answer.headers["Cowslipknot-Server-Signature"] or ""
             call.execution = answer.headers["X-Execution"] or ""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,10 @@
 ROUTE_TIMEOUT_S = 3.0  # timeout_ms of the routes
 ANSWER_GRACE_S = 0.5  # tolerated delay of an answer beyond the timeout
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+PAUSE_GRACE_S = 0.5  # after a 503 with Retry-After, requests may still be under way
+MAX_REQUESTS_IN_PAUSE = 2  # from one gateway
+INTERRUPTIONS = {"stop", "kill", "pause", "kill_all", "stop_half"}  # of a gateway process
+LINK_FAULTS = {"link_cut", "link_silent", "link_one_way", "link_delay", "link_reset"}
 AT_MOST_ONCE_KINDS = ("once", "stream1")
 
 
@@ -29,6 +33,8 @@
     runs: dict  # request id: [{"server", "time", "fault"}]
     fault_periods: list  # (target, kind, start, end)
     drains: list  # (server, time)
+    arrivals: dict  # server: [(request id, time)]
+    pauses: dict  # server: [(request id, time of a 503 with Retry-After, end of that time)]
     changes: list  # (index, time begun, time acknowledged)
     usage: list  # usage reports to the cloud in order of arrival
     scale: list  # capacity orders to the cloud in order of arrival
@@ -44,11 +50,12 @@
     def __post_init__(self):
         self.by_id = {call.request: call for call in self.calls}
 
-    def overlaps_fault(self, targets, start, end):
-        """Whether a fault on any of the targets or on "world" overlaps the time span."""
+    def overlaps_fault(self, targets, start, end, kinds=None):
+        """Whether a fault, of these kinds if they are given, on any of the targets or on
+        "world" overlaps the time span."""
         return any((target in targets or target == "world")
-                   and begun <= end and over >= start
-                   for target, _, begun, over in self.fault_periods)
+                   and begun <= end and over >= start and (kinds is None or kind in kinds)
+                   for target, kind, begun, over in self.fault_periods)
 
     def was_fault_free(self, gateway, moment):
         return not self.overlaps_fault({gateway}, moment - FAULT_FREE_PERIOD_S, moment)
@@ -159,6 +166,47 @@
     return violations
 
 
+def check_leaving_answers(record):
+    """A gateway that has passed on an answer that says that its server leaves sends this
+    server nothing after the bound, whatever the store says and whether it responds."""
+    passed_on = {}  # (gateway, boot, server): time
+    for call in record.calls:
+        for run in record.runs.get(call.request, []):
+            if run["leaving"] and call.answered and call.signature == f"sig-{run['server']}":
+                key = (call.gateway, call.boot, run["server"])
+                passed_on[key] = min(passed_on.get(key, call.answered), call.answered)
+    violations = []
+    for server, arrivals in record.arrivals.items():
+        for request, arrived in arrivals:
+            call = record.by_id[request]
+            told = passed_on.get((call.gateway, call.boot, server))
+            if told is None or call.sent <= told + record.bounds["drain_ms"] / 1000:
+                continue
+            if not record.overlaps_fault({call.gateway}, told, arrived, INTERRUPTIONS):
+                violations.append(f"{call} reached {server} {arrived - told:.2f} s after its "
+                                  f"gateway passed on that it leaves")
+    return violations
+
+
+def check_pauses(record):
+    """A server that asks a gateway for a pause gets at most two requests from it meanwhile."""
+    violations = []
+    for server, pauses in record.pauses.items():
+        for request, answered, end in pauses:
+            gateway = record.by_id[request].gateway
+            if (record.overlaps_fault({gateway}, answered, end, INTERRUPTIONS)
+                    or record.overlaps_fault({slot_of(server)}, answered - PAUSE_GRACE_S, end,
+                                             LINK_FAULTS)):
+                continue
+            late = [other for other, arrived in record.arrivals[server]
+                    if answered + PAUSE_GRACE_S < arrived < end
+                    and record.by_id[other].gateway == gateway]
+            if len(late) > MAX_REQUESTS_IN_PAUSE:
+                violations.append(f"{late} of {gateway} reached {server}, which wanted none "
+                                  f"from {answered:.2f} to {end:.2f}")
+    return violations
+
+
 def check_duties(record):
     """Each usage window has one count, each epoch one lease holder, and epochs never decrease."""
     violations = []
@@ -294,5 +342,6 @@
 
 CHECKS = {check.__name__.removeprefix("check_"): check for check in (
     check_at_most_once, check_refusals, check_answers, check_attempts,
-    check_configuration, check_keys, check_drains, check_duties, check_stops, check_lost,
+    check_configuration, check_keys, check_drains, check_leaving_answers,
+    check_pauses, check_duties, check_stops, check_lost,
     check_limits, check_time_limits, check_abandoned, check_own_ends, check_recovery)}
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -191,12 +191,15 @@
         backend.server.kill() if crash else backend.server.stop()
         return backend
 
+    def all_backends(self):
+        """Returns the fake servers that run or have stopped."""
+        with self.lock:
+            return list(dict.fromkeys(self.ended_backends + list(self.backends.values())))
+
     def runs(self):
         """Returns the executions of each request at the backend servers, by request id."""
         executions = {}
-        with self.lock:
-            all_backends = self.ended_backends + list(self.backends.values())
-        for backend in dict.fromkeys(all_backends):
+        for backend in self.all_backends():
             for run in list(backend.runs):
                 request = run["headers"]["Cowslipknot-Request-Id"]
                 executions.setdefault(request, []).append(dict(run, server=backend.name))
@@ -288,6 +291,9 @@
             first = int(fault.at_s * 1000)
             self.backends[slot].pending_faults.extend(
                 fault_names[(first + n) % len(fault_names)] for n in range(count))
+        elif kind == "wants_none":
+            self.backends[slot].wants_none_until = time.monotonic() + fault.for_s
+            time.sleep(fault.for_s)
         elif kind == "silent":
             self.backends[slot].pending_faults.extend(["silent"] * (1 + int(fault.for_s)))
         else:
@@ -305,6 +311,11 @@
             time.sleep(BOUNDS["drain_ms"] / 1000 + 0.5)
             self.store.delete("servers", name)
             self._stop_backend(slot, crash=False)
+        elif kind == "says_leaving":  # the store still lists it as ready
+            self.backends[slot].leaving = True
+            time.sleep(BOUNDS["drain_ms"] / 1000 + 1.5)
+            self.store.delete("servers", name)
+            self._stop_backend(slot, crash=False)
         elif kind == "crash":
             self._stop_backend(slot, crash=True)
             time.sleep(REGISTRATION_EXPIRY_S)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -21,6 +21,10 @@
     "store_down": 2, "store_stalled": 1, "store_slow": 1, "store_forgets": 2,
     "store_loses_answers": 2, "cloud_down": 1, "kill_all": 0.5, "stop_half": 0.5,
 }
+# What servers say of themselves in their answers. Drawn apart from the other faults, which
+# a seed determines as before.
+NOTICE_FAULT_WEIGHTS = {"says_leaving": 1, "wants_none": 1}
+MEAN_NOTICE_INTERVAL_S = 4.0
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
 
@@ -57,6 +61,18 @@
         faults.append(Fault(at_s, _draw_weighted(rng, kinds), target, for_s))
 
 
+def draw_notices(rng, seconds, backends):
+    """Returns the notices that servers begin to give in their answers."""
+    notices = []
+    at_s = rng.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
+    while at_s < seconds - 0.5:
+        for_s = min(rng.uniform(*FAULT_DURATION_S), seconds - at_s)
+        notices.append(Fault(at_s, _draw_weighted(rng, NOTICE_FAULT_WEIGHTS),
+                             rng.choice(backends), for_s))
+        at_s += rng.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
+    return notices
+
+
 def draw_changes(rng, seconds):
     """Returns the times at which the operator writes a new configuration."""
     times = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,7 @@
 from environment import (
     BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
-from schedule import draw_changes, draw_faults
+from schedule import draw_changes, draw_faults, draw_notices
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
@@ -88,14 +88,17 @@
 
 def build_record(environment, callers, recovered):
     calls = [call for caller in callers for call in caller.calls]
-    backends = environment.ended_backends + list(environment.backends.values())
     disconnects = {}
-    for backend in backends:
+    for backend in environment.all_backends():
         disconnects.update(backend.disconnects)
     return Record(
         calls=calls, runs=environment.runs(),
         fault_periods=[tuple(entry) for entry in environment.fault_periods],
         drains=environment.drains, changes=environment.changes,
+        arrivals={backend.name: list(backend.arrivals)
+                  for backend in environment.all_backends()},
+        pauses={backend.name: list(backend.pauses)
+                for backend in environment.all_backends()},
         usage=list(environment.cloud.usage),
         scale=list(environment.cloud.scale),
         own_ends=[(instance.name, code) for instance in environment.instances.values()
@@ -122,6 +125,9 @@
                                for instance in environment.instances.values()))
         faults = [] if quiet else draw_faults(rng, seconds, environment.names,
                                               sorted(environment.slots))
+        if not quiet:
+            faults += draw_notices(random.Random(f"{seed}/notices"), seconds,
+                                   sorted(environment.slots))
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -26,12 +26,13 @@
     return Call(request=request, kind=kind, sent=sent, **values)
 
 
-def run(server="plain0-1", time=100.05, fault=""):
-    return {"server": server, "time": time, "fault": fault}
+def run(server="plain0-1", time=100.05, fault="", leaving=False):
+    return {"server": server, "time": time, "fault": fault, "leaving": leaving}
 
 
 def record(calls=(), **fields):
-    values = {"runs": {}, "fault_periods": [], "drains": [], "changes": [], "usage": [],
+    values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
+              "pauses": {}, "changes": [], "usage": [],
               "scale": [], "own_ends": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
@@ -114,6 +115,35 @@
                     record([call()], drains=[("plain0-1", 98.0)], **fields),
                     record([call()], drains=[("plain0-1", 96.0)], **fields))
 
+    def test_server_that_says_it_leaves_gets_no_request_after_the_bound(self):
+        told = call("r1", answered=100.1)
+
+        def then(late, *faults):
+            return record([told, late], runs={"r1": [run(leaving=True)], "r2": [run()]},
+                          arrivals={"plain0-1": [("r1", 100.05), ("r2", late.sent + 0.1)]},
+                          fault_periods=faults)
+        late = call("r2", sent=103.2)
+        cut = ("gw0", "store_cut", 99.0, 105.0)
+        check = checks.check_leaving_answers
+        self.expect(check, then(call("r2", sent=103.0)), then(late))
+        self.expect(check, then(call("r2", sent=103.2, gateway="gw1")), then(late, cut))
+        self.expect(check, then(call("r2", sent=103.2, boot=1)), then(late))
+        self.expect(check, then(late, ("gw0", "pause", 101.0, 102.0)), then(late))
+
+    def test_server_that_asks_for_a_pause_gets_at_most_two_requests(self):
+        def after(*times, faults=(), gateway="gw0"):
+            late = [(f"r{number}", time) for number, time in enumerate(times)]
+            calls = [call(request, sent=time - 0.1, gateway=gateway) for request, time in late]
+            return record([call("told"), *calls], fault_periods=faults,
+                          arrivals={"plain0-1": [("told", 100.05), *late]},
+                          pauses={"plain0-1": [("told", 100.05, 102.0)]})
+        check = checks.check_pauses
+        violating = after(100.7, 101.0, 101.9)
+        self.expect(check, after(100.5, 100.7, 101.0, 102.1), violating)
+        self.expect(check, after(100.7, 101.0, 101.9, gateway="gw1"), violating)
+        self.expect(check, after(100.7, 101.0, 101.9, faults=[("plain0", "link_cut", 99, 101)]),
+                    after(100.7, 101.0, 101.9, faults=[("gw0", "store_cut", 99, 101)]))
+
     def test_window_has_one_count_and_epoch_one_holder(self):
         self.expect(checks.check_duties, record(usage=[usage_report(a=1), usage_report(a=1)]),
                     record(usage=[usage_report(a=1), usage_report(a=2)]))
@@ -188,7 +218,9 @@
                                         ["plain0"])
         self.assertEqual(draw(1), draw(1))
         self.assertNotEqual(draw(1), draw(2))
-        for fault in draw(1):
+        notices = schedule.draw_notices(random.Random(1), 30, ["plain0"])
+        self.assertEqual({notice.kind for notice in notices}, {"says_leaving", "wants_none"})
+        for fault in draw(1) + notices:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
