--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -137,6 +137,13 @@
         self.log.close()
         self.folder.cleanup()
 
+    def metrics(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics_port, timeout=5)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        connection.close()
+        return text
+
     def peak_memory_mb(self):
         status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii")
         peak_kb = next(line for line in status.splitlines() if line.startswith("VmHWM"))
@@ -147,6 +154,17 @@
                 for line in self.log_path.read_text(encoding="utf-8").splitlines()
                 if line.startswith("{")]
 
+    def known_instances(self):
+        """How many instances the gateway last said that it knows."""
+        counts = [int(event["instances"]) for event in self.log_events()
+                  if event["name"] == "instances_known"]
+        return counts[-1] if counts else 0
+
+    def history(self, *names):
+        """The log's events whose names begin so, one a line, for failure messages."""
+        return "".join(f"\n{event}" for event in self.log_events()
+                       if event["name"].startswith(names or ""))
+
     def connect(self):
         return http.client.HTTPConnection("127.0.0.1", self.port, timeout=15)
 
--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -49,6 +49,8 @@
         for event in gateway.log_events():
             if event["name"] == "relay_followed":
                 relay = event["relay"]
+            elif event["name"] == "relay_left":
+                relay = None
         return relay
 
     def followers(self):
@@ -67,12 +69,16 @@
     def test_followers_do_not_call_the_store(self):
         time.sleep(1.5)  # calls under way when an instance began to follow have ended
         followers = self.followers()
-        before = {name: link.store_calls for name, link in self.links.items()}
+        before = {name: len(link.store_calls) for name, link in self.links.items()}
         time.sleep(4)
-        calls = {name: link.store_calls - before[name]
+        calls = {name: link.store_calls[before[name]:]
                  for name, link in self.links.items()}
         for gateway in followers:
-            self.assertEqual(calls[gateway.name], 0, calls)
+            self.assertEqual(calls[gateway.name], [], self.history())
+
+    def history(self):
+        return "".join(gateway.history("relay_", "platform_", "lease_", "instances_")
+                       for gateway in self.gateways)
 
     def test_configuration_change_applies_everywhere(self):
         self.store.put("op", "config", configuration(
@@ -87,19 +93,39 @@
                        self.backends[name].registration("plain", state="draining"))
 
     def assert_no_request_reaches(self, name):
-        before = len(self.backends[name].runs)
+        before = len(self.backends[name].requests)
         for gateway in self.gateways:
             if gateway.child.poll() is not None or gateway.paused:
                 continue
             for number in range(6):
                 gateway.call("/safe/x", request_id=f"{gateway.name}.{number}")
-        self.assertEqual(len(self.backends[name].runs), before)
+        self.assertEqual(len(self.backends[name].requests), before, self.history())
 
     def test_leaving_server_gets_no_request(self):
         self.drain("p1")
         time.sleep(DRAIN_BOUND_S)
         self.assert_no_request_reaches("p1")
 
+    # Guards against followers that take a leaving server back from their relay's update.
+    def test_server_that_tells_one_instance_that_it_leaves_gets_no_request_of_followers(self):
+        eventually(lambda: all(gateway.known_instances() == INSTANCES
+                               for gateway in self.gateways))
+        leaving = self.backends["p1"]
+        leaving.leaving = True
+        told = self.followers()[0]
+        eventually(lambda: told.call("/safe/x")[0] == 200 and leaving.requests)
+        time.sleep(DRAIN_BOUND_S)
+        self.assert_no_request_reaches("p1")
+        # A late registration of the same process and a new server cause updates.
+        self.store.put("servers", "p1", leaving.registration("plain", seq=2))
+        added = fakes.Backend("p3")
+        self.addCleanup(added.server.stop)
+        self.store.put("servers", "p3", added.registration("plain"))
+        eventually(lambda: all(
+            any(event["name"] == "server_registered" and event["server"] == "p3"
+                for event in gateway.log_events()) for gateway in self.gateways))
+        self.assert_no_request_reaches("p1")
+
     def pause(self, gateway):
         gateway.child.send_signal(signal.SIGSTOP)
         gateway.paused = True
