Report no usage window with two counts across a restore of the store

The platform could accept two reports of one window with different counts after the store was restored from a copy.

Cause: usage_done came back older and was believed; the committed counts of later windows were lost and summed up again, without the reports of processes that were gone from the copy.

Ruled out: trusting the counts that the restored store holds. A write of the era before may take effect late, after other counts were reported.

Now UsageProgress decides which windows may be reported. The last window never goes back within a process. Counts that this process knows as committed are committed again and repeated. Other windows that may have been reported in an earlier era are skipped, except by an instance that has held the lease since before the restore, and so made all reports itself. usage_done and the rows of counts state their era; usage_done is written again in the new era once no later window can have been reported before. InstanceTable keeps the reports that a restore lost until their windows are too old to be reported. Skipped windows are logged as usage_skipped (612). Rows without an era are still read. A fleet that starts on a store without usage_done skips the windows that ended before its first reading.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -59,6 +59,7 @@
   kMoveEvidence = 605,
   kUsageReported = 610,
   kUsageNotAccepted = 611,
+  kUsageSkipped = 612,
   kCapacityOrdered = 612,
   kCapacityNotAccepted = 613,
   kReportsNotRelayed = 614,
--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cowslipknot/gateway/usage.h"
+#include "cowslipknot/store_position.h"
 
 /// The gateway instances, as known from their reports in the store.
 namespace cowslipknot::gateway {
@@ -24,9 +25,15 @@
   explicit InstanceTable(Milliseconds lifetime) : m_lifetime(lifetime) {}
 
   /// Records the reports that the store holds, by key; reports that are missing
-  /// have been removed. A long gap since the last call is taken for an outage
-  /// of the store and does not count towards the age of any report.
-  void Observe(std::map<std::string, InstanceReport> reports, Time now);
+  /// have been removed, or lost by a restore if the era has changed. A long gap
+  /// since the last call is taken for an outage of the store and does not count
+  /// towards the age of any report.
+  void Observe(std::map<std::string, InstanceReport> reports, Time now,
+               StoreEra era = {});
+
+  /// Forgets the reports that a restore lost, if the process no longer serves
+  /// and all its counts are of windows before `window`.
+  void ForgetLost(std::uint64_t window, Time now);
 
   /// Processes that may be serving: not replaced by a later process of the same
   /// node, not stopping, and with a report within the lifetime.
@@ -61,6 +68,7 @@
   struct TrackedReport {
     InstanceReport report;
     Time last_change{0};
+    bool lost = false;  ///< by a restore of the store
   };
   /// Whether a process has ended: a later process of the same node has started,
   /// or its last report announced that it is stopping.
@@ -68,7 +76,11 @@
   bool IsServing(const TrackedReport& tracked, Time now) const;
 
   Milliseconds m_lifetime;
+  bool IsObsolete(const TrackedReport& tracked, std::uint64_t window,
+                  Time now) const;
+
   Time m_last_observed{0};  ///< last call of Observe()
+  StoreEra m_era;           ///< at that time
   std::map<std::string, TrackedReport> m_reports;
   /// Start time of the latest process of each node.
   std::map<NodeId, std::uint64_t> m_latest_start;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -111,6 +111,9 @@
      "the usage report of a window was accepted"},
     {Event::kUsageNotAccepted, "warn", "usage_not_accepted",
      "the usage report of a window was not accepted and will be retried"},
+    {Event::kUsageSkipped, "warn", "usage_skipped",
+     "a window may have been reported before the store was restored, with "
+     "counts that are lost, so it is not reported"},
     {Event::kCapacityOrdered, "info", "capacity_ordered",
      "a number of backend servers was ordered"},
     {Event::kCapacityNotAccepted, "warn", "capacity_not_accepted",
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -12,14 +12,19 @@
 }  // namespace
 
 void InstanceTable::Observe(std::map<std::string, InstanceReport> reports,
-                            Time now) {
+                            Time now, StoreEra era) {
   const Time gap = now - m_last_observed;
   if (m_last_observed.count() > 0 && gap > kMaxReadInterval) {
     for (auto& [key, tracked] : m_reports) tracked.last_change += gap;
   }
   m_last_observed = now;
+  const bool restored = era > m_era;
+  m_era = era;
+  for (auto& [key, tracked] : m_reports) {
+    tracked.lost = !reports.contains(key) && (restored || tracked.lost);
+  }
   std::erase_if(m_reports, [&reports](const auto& item) {
-    return !reports.contains(item.first);
+    return !item.second.lost && !reports.contains(item.first);
   });
   for (auto& [key, report] : reports) {
     const auto known = m_reports.find(key);
@@ -110,11 +115,23 @@
                                                      Time now) const {
   std::vector<std::string> obsolete;
   for (const auto& [key, tracked] : m_reports) {
-    const auto& windows = tracked.report.usage.Windows();
-    const bool counted = !windows.empty() && windows.rbegin()->first >= window;
-    if (!counted && !IsServing(tracked, now)) obsolete.push_back(key);
+    if (!tracked.lost && IsObsolete(tracked, window, now))
+      obsolete.push_back(key);
   }
   return obsolete;
 }
 
+bool InstanceTable::IsObsolete(const TrackedReport& tracked,
+                               std::uint64_t window, Time now) const {
+  const auto& windows = tracked.report.usage.Windows();
+  const bool counted = !windows.empty() && windows.rbegin()->first >= window;
+  return !counted && !IsServing(tracked, now);
+}
+
+void InstanceTable::ForgetLost(std::uint64_t window, Time now) {
+  std::erase_if(m_reports, [&](const auto& item) {
+    return item.second.lost && IsObsolete(item.second, window, now);
+  });
+}
+
 }  // namespace cowslipknot::gateway
--- a/src/serve/fleet_status.cc
+++ b/src/serve/fleet_status.cc
@@ -3,6 +3,7 @@
 #include "base/endpoint_text.h"
 #include "cowslipknot/coordination/lease.h"
 #include "cowslipknot/gateway/usage.h"
+#include "cowslipknot/gateway/usage_progress.h"
 #include "cowslipknot/state/configuration.h"
 #include "serve/store_rows.h"
 
@@ -66,7 +67,9 @@
     if (epoch) description["epoch"] = epoch->Count();
     found.lease = std::move(description);
   } else if (row.key == store_rows::kUsageDoneKey) {
-    found.usage_done = row.value;
+    const auto done = DecodeUsageDone(row.value);
+    found.unreadable += done ? 0 : 1;
+    if (done) found.usage_done = std::to_string(done->window);
   }
 }
 
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -142,8 +142,8 @@
   report.demand = input.demand;
   report.busy = input.busy;
   m_usage.Merge(input.usage);
-  if (m_reported_window && *m_reported_window > store_rows::kRetainedWindows)
-    m_usage.DropBefore(*m_reported_window - store_rows::kRetainedWindows);
+  if (ReportedWindow() > store_rows::kRetainedWindows)
+    m_usage.DropBefore(ReportedWindow() - store_rows::kRetainedWindows);
   report.usage = m_usage;
   SetOwnEvidence(input.evidence);
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
@@ -218,7 +218,6 @@
   m_report_position = {};
   m_report_position_known = true;
   m_row_positions.clear();
-  m_committed_usage.clear();
   std::vector<StoreRow> moves;
   for (const auto& row : rows->rows) {
     if (row.key == store_rows::kLeaseKey) {
@@ -230,9 +229,6 @@
         m_clock.SetOffset(Milliseconds(*offset));
         LogEvent(Event::kClusterClockSet, {{"offset_ms", row.value}});
       }
-    } else if (row.key == store_rows::kUsageDoneKey) {
-      m_reported_window = ParseUnsigned(row.value);
-      m_reported_window_position = row.position;
     } else if (row.key.starts_with(store_rows::kMovePrefix)) {
       moves.push_back(row);
     } else if (row.key.starts_with(store_rows::kReportPrefix)) {
@@ -240,17 +236,12 @@
       m_row_positions[row.key] = row.position;
       auto report = DecodeReport(row.value);
       if (report) reports[row.key] = std::move(*report);
-    } else if (row.key.starts_with(store_rows::kUsagePrefix)) {
-      const std::string_view key = row.key;
-      const auto window =
-          ParseUnsigned(key.substr(store_rows::kUsagePrefix.size()));
-      auto counts = DecodeCounts(row.value);
-      if (window && counts) m_committed_usage[*window] = std::move(*counts);
     }
   }
-  m_instances.Observe(std::move(reports), now);
+  m_instances.Observe(std::move(reports), now, rows->position.era);
   ApplyMoveRows(moves);
   m_lease.Observe(lease, lease_position, LeaseNow());
+  ObserveUsage(*rows);
   m_table_read = true;
   const bool holds_lease = HoldsLease();
   if (holds_lease != m_logged_lease_held) {
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -9,6 +9,7 @@
 #include "cowslipknot/gateway/fleet_view.h"
 #include "cowslipknot/gateway/instance_table.h"
 #include "cowslipknot/gateway/settings.h"
+#include "cowslipknot/gateway/usage_progress.h"
 #include "protocol/peer_frame.h"
 #include "protocol/platform_adapter.h"
 
@@ -80,8 +81,10 @@
                     std::uint64_t reported_window);
   /// The rows of the moves, as last read.
   std::vector<StoreRow> MoveRows() const;
-  /// The window whose report was accepted last; 0 if none is known.
-  std::uint64_t ReportedWindow() const { return m_reported_window.value_or(0); }
+  /// The window that was reported last; 0 if none is known.
+  std::uint64_t ReportedWindow() const {
+    return m_usage_progress.LastDone().value_or(0);
+  }
   /// Summary of the reports, as last read.
   FleetView Summarize() const {
     return SummarizeReports(m_instances.Serving(TimeSinceBoot()));
@@ -154,7 +157,12 @@
   void LogEvidence(const VersionMove& move, const MoveEvidence& evidence) const;
   bool Halt(const MoveOrder& order, const std::string& reason);
   Awaitable<bool> SendUsageReport(std::uint64_t window);
+  /// Observes the rows about usage as they are in the table.
+  void ObserveUsage(const StoreRows& rows);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
+  Awaitable<void> WriteUsageDone();
+  /// The latest window whose counts may be committed by now.
+  std::optional<std::uint64_t> LastCommittableWindow() const;
   /// Commits a transaction whose conditions were read in the current era of the
   /// store.
   /// @return kRevisionConflict if they were not, or do not hold; kHistoryLost
@@ -177,11 +185,10 @@
   InstanceTable m_instances;
   ClusterClock m_clock;
   LeaseView m_lease;
-  bool m_logged_lease_held = false;                         ///< as last logged
-  std::map<std::uint64_t, WindowCounts> m_committed_usage;  ///< by window
-  /// The latest window whose usage report was accepted.
-  std::optional<std::uint64_t> m_reported_window;
-  StorePosition m_reported_window_position;
+  bool m_logged_lease_held = false;  ///< as last logged
+  UsageProgress m_usage_progress;
+  std::map<std::uint64_t, StorePosition> m_usage_positions;  ///< by window
+  StorePosition m_usage_done_position;
   bool m_table_read = false;
   std::map<ServiceId, CapacityPlanner> m_planners;
 
--- a/src/serve/gateway_relayed_reports.cc
+++ b/src/serve/gateway_relayed_reports.cc
@@ -24,7 +24,7 @@
 void FleetCoordinator::ApplyRelayed(std::optional<std::vector<StoreRow>> moves,
                                     std::uint64_t reported_window) {
   if (moves) ApplyMoveRows(*moves);
-  if (reported_window > 0) m_reported_window = reported_window;
+  if (reported_window > 0) m_usage_progress.RecordDone(reported_window);
 }
 
 std::vector<StoreRow> FleetCoordinator::MoveRows() const { return m_move_rows; }
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <charconv>
 
 #include "cowslipknot/events.h"
 #include "serve/gateway_fleet_coordinator.h"
@@ -19,21 +20,75 @@
 /// Older windows are skipped.
 constexpr std::uint64_t kMaxWindowsBehind = 6;
 
+/// Maximum difference between the shared times of two instances, which a
+/// restore of the store may increase.
+constexpr Milliseconds kClockTolerance(500);
+
 std::string UsageKey(std::uint64_t window) {
   return std::string(store_rows::kUsagePrefix) + std::to_string(window);
 }
 
+/// The window of a row with its counts.
+std::optional<std::uint64_t> WindowOf(std::string_view key) {
+  if (!key.starts_with(store_rows::kUsagePrefix)) return std::nullopt;
+  key.remove_prefix(store_rows::kUsagePrefix.size());
+  std::uint64_t window = 0;
+  const auto parsed =
+      std::from_chars(key.data(), key.data() + key.size(), window);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return window;
+}
+
 }  // namespace
 
+void FleetCoordinator::ObserveUsage(const StoreRows& rows) {
+  m_usage_positions.clear();
+  m_usage_done_position = {};
+  UsageProgress::Reading reading;
+  reading.era = rows.position.era;
+  if (HoldsLease()) reading.held = m_lease.CurrentEpoch();
+  reading.last_fixed = LastCommittableWindow();
+  for (const auto& row : rows.rows) {
+    if (row.key == store_rows::kUsageDoneKey) {
+      m_usage_done_position = row.position;
+      reading.done = DecodeUsageDone(row.value);
+    }
+    const auto window = WindowOf(row.key);
+    if (!window) continue;
+    m_usage_positions[*window] = row.position;
+    auto counts = DecodeUsageCounts(row.value);
+    if (counts) reading.counts[*window] = std::move(*counts);
+  }
+  m_usage_progress.Observe(reading);
+  const std::uint64_t current = reading.last_fixed.value_or(0);
+  if (current > kMaxWindowsBehind)
+    m_instances.ForgetLost(current - kMaxWindowsBehind, TimeSinceBoot());
+}
+
+std::optional<std::uint64_t> FleetCoordinator::LastCommittableWindow() const {
+  const auto now = SharedNowMs();
+  if (!now) return std::nullopt;
+  const std::int64_t latest_end =
+      *now + kClockTolerance.count() - kCountsWrittenDelay.count();
+  const std::int64_t unfinished = latest_end / m_settings.usage_window.count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(1, unfinished)) - 1;
+}
+
 Awaitable<Result<WindowCounts>> FleetCoordinator::CommitUsage(
     std::uint64_t window) {
-  const auto known = m_committed_usage.find(window);
-  if (known != m_committed_usage.end()) co_return known->second;
-  const WindowCounts counts = m_instances.SumWindow(window);
+  const auto known = m_usage_progress.FixedCounts(window);
+  if (known && m_usage_progress.IsFixedInEra(window)) co_return *known;
+  UsageCountsRow fixed;
+  fixed.counts = known ? *known : m_instances.SumWindow(window);
+  fixed.era = m_era;
   StoreTransaction transaction;
-  transaction.conditions.push_back(store_rows::MakeRow(UsageKey(window)));
+  const auto position = m_usage_positions.find(window);
+  transaction.conditions.push_back(store_rows::MakeRow(
+      UsageKey(window), {},
+      position == m_usage_positions.end() ? StorePosition{}
+                                          : position->second));
   transaction.writes.push_back(
-      store_rows::MakeRow(UsageKey(window), EncodeCounts(counts)));
+      store_rows::MakeRow(UsageKey(window), EncodeUsageCounts(fixed)));
   if (window >= store_rows::kRetainedWindows) {
     const std::uint64_t old = window - store_rows::kRetainedWindows;
     transaction.removals.push_back(store_rows::MakeRow(UsageKey(old)));
@@ -45,8 +100,22 @@
   }
   const auto changed = co_await CommitTransaction(std::move(transaction));
   if (!changed) co_return tl::make_unexpected(changed.error());
-  m_committed_usage[window] = counts;
-  co_return counts;
+  if (changed->position.era != fixed.era) {
+    co_return Fail(ResultCode::kHistoryLost, "committed after a restore");
+  }
+  m_usage_positions[window] = changed->position;
+  m_usage_progress.RecordFixed(window, fixed.counts);
+  co_return fixed.counts;
+}
+
+Awaitable<void> FleetCoordinator::WriteUsageDone() {
+  StoreTransaction transaction;
+  transaction.conditions.push_back(store_rows::MakeRow(
+      store_rows::kUsageDoneKey, {}, m_usage_done_position));
+  transaction.writes.push_back(store_rows::MakeRow(
+      store_rows::kUsageDoneKey, EncodeUsageDone(m_usage_progress.DoneRow())));
+  const auto changed = co_await CommitTransaction(std::move(transaction));
+  if (changed) m_usage_done_position = changed->position;
 }
 
 Awaitable<bool> FleetCoordinator::SendUsageReport(std::uint64_t window) {
@@ -65,20 +134,14 @@
     co_return false;
   }
   LogEvent(Event::kUsageReported, {{"window", std::to_string(window)}});
-  m_reported_window = window;
-  StoreTransaction transaction;
-  transaction.conditions.push_back(store_rows::MakeRow(
-      store_rows::kUsageDoneKey, {}, m_reported_window_position));
-  transaction.writes.push_back(
-      store_rows::MakeRow(store_rows::kUsageDoneKey, std::to_string(window)));
-  const auto changed = co_await CommitTransaction(std::move(transaction));
-  if (changed) m_reported_window_position = changed->position;
+  m_usage_progress.RecordDone(window);
+  co_await WriteUsageDone();
   co_return true;
 }
 
 Awaitable<void> FleetCoordinator::ReportUsage() {
   const auto now = SharedNowMs();
-  if (!now) co_return;
+  if (!now || !m_usage_progress.IsReady()) co_return;
   const std::int64_t window_ms = m_settings.usage_window.count();
   const auto current = static_cast<std::uint64_t>(*now / window_ms);
   // The first report covers the first window in which a request began, but no
@@ -87,13 +150,19 @@
       (*now - kCountsWrittenDelay.count()) / window_ms);
   const std::uint64_t first =
       m_instances.FirstWindow().value_or(first_unwritten - 1);
-  std::uint64_t window = m_reported_window
-                             ? *m_reported_window + 1
-                             : std::min(first, first_unwritten - 1);
+  const auto done = m_usage_progress.LastDone();
+  std::uint64_t window =
+      done ? *done + 1 : std::min(first, first_unwritten - 1);
   if (current > kMaxWindowsBehind) {
     window = std::max(window, current - kMaxWindowsBehind);
   }
   for (; window < current; ++window) {
+    if (m_usage_progress.NeedsDoneRow()) co_await WriteUsageDone();
+    if (m_usage_progress.MustSkip(window)) {
+      LogEvent(Event::kUsageSkipped, {{"window", std::to_string(window)}});
+      m_usage_progress.RecordDone(window);
+      continue;
+    }
     const std::int64_t end = static_cast<std::int64_t>(window + 1) * window_ms;
     const auto incomplete_wait = static_cast<std::int64_t>(
         static_cast<double>(m_settings.usage_report_timeout.count()) *
--- a/tests/platform/restored_lease_test.py
+++ b/tests/platform/restored_lease_test.py
@@ -1,5 +1,6 @@
 """Tests that the duties of the lease holder survive a store that is restored from a copy."""
 
+import threading
 import time
 import unittest
 
@@ -43,6 +44,37 @@
             return calls[-1]["holder"] if calls else None
         return eventually(holder)
 
+    def start_traffic(self):
+        """Sends requests until the test ends, so that each window has other counts."""
+        stopped = threading.Event()
+
+        def send():
+            number = 0
+            while not stopped.wait(0.05):
+                number += 1
+                for gateway in self.gateways.values():
+                    try:
+                        gateway.call("/safe/x", f"r{number}")
+                    except OSError:
+                        pass  # the gateway is killed
+        thread = threading.Thread(target=send)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(stopped.set)
+
+    def wait_for_reports(self, count, counted=False):
+        """Waits for reports of further windows."""
+        known = {call["window"] for call in self.cloud.usage}
+        eventually(lambda: len({call["window"] for call in self.cloud.usage
+                                if call["window"] not in known
+                                and (call["counts"] or not counted)}) >= count)
+
+    def assert_one_count_per_window(self):
+        counts = {}
+        for call in self.cloud.usage:
+            self.assertEqual(counts.setdefault(call["window"], call["counts"]),
+                             call["counts"], f"two counts of window {call['window']}")
+
     def assert_one_holder_per_epoch(self):
         calls = sorted(self.cloud.usage + self.cloud.scale, key=lambda call: call["time"])
         holders = {}
@@ -96,6 +128,35 @@
         self.assertEqual(after, {holder})
         self.assert_one_holder_per_epoch()
 
+    # Guards against a window that is counted again, without the processes that are gone, when
+    # the store loses the row that says it was reported.
+    def test_no_window_is_reported_with_two_counts(self):
+        self.start_traffic()
+        self.wait_for_reports(1, counted=True)
+        for _ in range(2):
+            copy = self.store.copy()
+            self.wait_for_reports(3, counted=True)
+            for name in self.gateways:
+                self.kill(name)
+            self.store.restore(copy)
+            for gateway in self.gateways.values():
+                gateway.start()
+            self.wait_for_reports(2, counted=True)
+        self.assert_one_count_per_window()
+
+    # Guards against windows that are missed, or counted again, beside a live holder.
+    def test_holder_reports_each_window_once_across_restores(self):
+        self.start_traffic()
+        self.wait_for_reports(1, counted=True)
+        copy = self.store.copy()
+        self.wait_for_reports(3, counted=True)
+        for _ in range(2):
+            self.store.restore(copy)
+            self.wait_for_reports(2, counted=True)
+        self.assert_one_count_per_window()
+        windows = [call["window"] for call in self.cloud.usage]
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
 
 if __name__ == "__main__":
     unittest.main()
