Pass on a configuration that a restored store has lost

Callers would see: a process that starts after the store was restored from a copy, and before the operator writes again, runs requests by the copy's configuration, also those with a key that was taken away since.

Cause: a process knows only what the store has. The others keep the later configuration, but nobody told.

Ruled out: relays alone; the fault also shows with two instances that read the store themselves.

Mending: a new frame AskConfiguration, answered with the row in force if it is later than the asker's. A process asks up to three others after each exchange of reports, for ten seconds after its start, and later those whose reports show a later configuration. A relay's update names the version in force there, and a follower that has an older one asks for the row. The row is decoded as the store's is; it can only raise the version, and doesn't confirm it: fresh keys still come from the store alone. The store's row of the same version replaces a peer's, or one of an earlier era.

Open: a process that is alone goes by the store. It may become ready and run requests for the moment until its first peer has answered. A row that a peer sent and that can't be decoded has no test.

Command: cd tests/platform && python3 -m unittest -v restored_configuration_test

--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -67,6 +67,13 @@
         co_return co_await RunOn(m_context.get_executor(),
                                  m_relay.Answer(std::move(request)));
       });
+  m_worker.Links().SetAsyncHandler(
+      wire::Kind::AskConfiguration,
+      [this](const PeerFrame& frame) -> Awaitable<PeerFrame> {
+        const std::uint64_t known_version = frame.digest;
+        co_return co_await RunOn(m_context.get_executor(),
+                                 AnswerConfiguration(known_version));
+      });
   asio::co_spawn(m_context, FollowRelays(), asio::detached);
   asio::co_spawn(m_context, WatchConfiguration(), asio::detached);
   asio::co_spawn(m_context, WatchServers(), asio::detached);
@@ -140,16 +147,7 @@
                {{"detail", decoded.error().detail}});
       continue;
     }
-    if (m_configuration && decoded->version <= m_configuration->version) {
-      continue;
-    }
-    m_configuration =
-        std::make_shared<const Configuration>(std::move(*decoded));
-    m_routes = std::make_shared<const RouteTable>(*m_configuration);
-    LogEvent(Event::kRevisionInForce,
-             {{"revision", std::to_string(m_configuration->version)},
-              {"routes", std::to_string(m_configuration->routes.size())}});
-    Publish();
+    InstallConfiguration(std::move(*decoded), row);
   }
 }
 
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -87,6 +87,21 @@
   void ApplyMoveOrders(const StoreRows& rows, bool is_full_read);
   void ApplyConfiguration(const StoreRows& rows, bool is_full_read);
   void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed);
+
+  // A configuration that the store lost: gateway_lost_configuration.cc.
+  /// Puts a decoded row into force, unless a later version is.
+  /// @param row  its position is unknown if a peer sent it
+  void InstallConfiguration(Configuration decoded, const StoreRow& row);
+  std::uint64_t ConfigurationInForce() const {
+    return m_configuration ? m_configuration->version : 0;
+  }
+  /// Asks the instances that may have a later configuration in force than the
+  /// store has: some others after the start, later those that reported one.
+  void AskPeersForConfiguration();
+  Awaitable<void> AskForConfiguration(InstanceSummary peer);
+  /// Applies the row that a peer sent. Only the store confirms a configuration.
+  void ApplyPeerConfiguration(const PeerFrame& answer);
+  Awaitable<PeerFrame> AnswerConfiguration(std::uint64_t known_version);
   bool ApplyServers(const StoreRows& rows, bool is_full_read);
   std::vector<ServerEntry> FindRemovedServers(
       const std::vector<ServerEntry>& before) const;
@@ -124,6 +139,8 @@
   asio::io_context& m_context;
   ConfigurationPtr m_configuration;
   std::shared_ptr<const RouteTable> m_routes;
+  StoreRow m_configuration_row;  ///< the one in force
+  std::size_t m_next_peer_to_ask = 0;
   ServerRegistry m_registry;
   std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
       m_backend_states;  ///< by id, with the server's start time
--- /dev/null
+++ b/src/serve/gateway_lost_configuration.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+
+#include "cowslipknot/events.h"
+#include "serve/gateway_control_plane.h"
+
+/// A configuration that the store lost when it was restored from a copy:
+/// instances that have it in force pass it on to those that read an older one.
+namespace cowslipknot::gateway {
+namespace {
+
+/// Age until which a process asks instances whose reports show no later
+/// configuration. Later their reports have come back.
+constexpr Milliseconds kAskAfterStart(10000);
+/// Instances that are asked after each exchange of reports.
+constexpr std::size_t kPeersAsked = 3;
+constexpr Milliseconds kAnswerTimeout(300);
+
+/// Whether a row of the store replaces one of the same configuration version:
+/// a peer sent that, or the store lost it and has the version anew.
+bool ReplacesSameVersion(const StoreRow& row, const StoreRow& in_force) {
+  return row.position.era > in_force.position.era ||
+         (row.position.IsKnown() && !in_force.position.IsKnown());
+}
+
+}  // namespace
+
+void ControlPlane::InstallConfiguration(Configuration decoded,
+                                        const StoreRow& row) {
+  const std::uint64_t in_force = ConfigurationInForce();
+  if (decoded.version < in_force) return;
+  if (m_configuration && decoded.version == in_force) {
+    if (!ReplacesSameVersion(row, m_configuration_row)) return;
+    m_configuration_row.position = row.position;
+    if (row.value == m_configuration_row.value) return;
+  }
+  m_configuration_row = row;
+  m_configuration = std::make_shared<const Configuration>(std::move(decoded));
+  m_routes = std::make_shared<const RouteTable>(*m_configuration);
+  m_relay.OnConfigurationInForce(m_configuration->version);
+  LogEvent(Event::kRevisionInForce,
+           {{"revision", std::to_string(m_configuration->version)},
+            {"routes", std::to_string(m_configuration->routes.size())}});
+  Publish();
+}
+
+Awaitable<PeerFrame> ControlPlane::AnswerConfiguration(
+    std::uint64_t known_version) {
+  PeerFrame answer;
+  if (ConfigurationInForce() > known_version)
+    answer.text = m_configuration_row.value;
+  co_return answer;
+}
+
+void ControlPlane::AskPeersForConfiguration() {
+  const bool is_fresh = TimeSinceBoot() - m_started_at < kAskAfterStart;
+  std::vector<InstanceSummary> later;
+  std::vector<InstanceSummary> others;
+  for (const auto* report :
+       m_coordinator.Instances().Serving(TimeSinceBoot())) {
+    if (!report->peers || report->peers == m_settings.peers) continue;
+    auto& peers = report->revision > ConfigurationInForce() ? later : others;
+    peers.push_back(
+        {report->node, report->domain, report->peers, report->started_ms});
+  }
+  // In turn, since some may be gone.
+  if (is_fresh && !others.empty()) {
+    const std::size_t first = m_next_peer_to_ask % others.size();
+    std::rotate(others.begin(),
+                others.begin() + static_cast<std::ptrdiff_t>(first),
+                others.end());
+    m_next_peer_to_ask += kPeersAsked;
+    later.insert(later.end(), others.begin(), others.end());
+  }
+  later.resize(std::min(later.size(), kPeersAsked));
+  for (auto& peer : later)
+    asio::co_spawn(m_context, AskForConfiguration(peer), asio::detached);
+}
+
+Awaitable<void> ControlPlane::AskForConfiguration(InstanceSummary peer) {
+  PeerFrame frame;
+  frame.kind = wire::Kind::AskConfiguration;
+  frame.digest = ConfigurationInForce();
+  const auto answer = co_await RunOn(
+      m_worker.Context().get_executor(),
+      m_worker.Links().Call(*peer.peers, std::move(frame), kAnswerTimeout));
+  // A peer that gives no answer is asked again while its report shows a later
+  // configuration.
+  if (answer && !answer->text.empty()) ApplyPeerConfiguration(*answer);
+}
+
+void ControlPlane::ApplyPeerConfiguration(const PeerFrame& answer) {
+  auto decoded = m_adapter.decode_configuration(answer.text);
+  if (!decoded) {
+    LogEvent(Event::kConfigurationUnreadable,
+             {{"sender", answer.sender}, {"detail", decoded.error().detail}});
+    return;
+  }
+  StoreRow row;
+  row.table = m_adapter.names.configuration_table;
+  row.key = m_adapter.names.configuration_key;
+  row.value = answer.text;
+  if (decoded->version > ConfigurationInForce())
+    InstallConfiguration(std::move(*decoded), row);
+}
+
+}  // namespace cowslipknot::gateway
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -115,6 +115,8 @@
   }
   SetFollowing(true);
   ApplyUpdate(*answer->update, relay, sent_at);
+  if (answer->update->configuration_in_force > ConfigurationInForce())
+    co_await AskForConfiguration(relay);
   co_return true;
 }
 
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -176,6 +176,7 @@
       RefreshFleet();
       UpdateFromFleet();
       ImportPromptEvidence();
+      AskPeersForConfiguration();
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
     }
--- a/src/serve/gateway_store_relay.cc
+++ b/src/serve/gateway_store_relay.cc
@@ -166,6 +166,7 @@
   auto update = std::make_unique<wire::FollowUpdateT>();
   const StorePosition known = UnpackPosition(request.configuration);
   update->configuration = PackPosition(m_configuration_position);
+  update->configuration_in_force = m_configuration_in_force;
   update->configuration_complete = !known.IsKnown();
   for (const auto& [key, row] : m_configuration) {
     if (row.position <= known) continue;
--- a/src/serve/gateway_store_relay.h
+++ b/src/serve/gateway_store_relay.h
@@ -40,6 +40,10 @@
   /// @param complete   the rows are all rows of the table
   /// @param confirmed  when the store confirmed them, in TimeSinceBoot()
   void OnConfiguration(const StoreRows& rows, bool complete, Time confirmed);
+  /// Records the version of the configuration in force here.
+  void OnConfigurationInForce(std::uint64_t version) {
+    m_configuration_in_force = version;
+  }
   /// Records the usable registrations.
   /// @param position  of the store that they reflect
   void OnRegistrations(const std::vector<ServerEntry>& usable,
@@ -81,6 +85,7 @@
   bool m_reads_store = true;
   std::map<std::string, StoreRow> m_configuration;  ///< rows by key
   StorePosition m_configuration_position;
+  std::uint64_t m_configuration_in_force = 0;
   Time m_configuration_confirmed{0};
   RegistrationLog m_registrations;
   Time m_registrations_read_at{0};
