Keep the results of moves across a restore of the store

Callers would see: after a restore to a copy from before a move's decision, a completed move is reported as reverted or in progress and traffic returns to the old version; a bad version that was reverted is tried again. While the order's row is missing, requests go to the servers of both versions.

Cause: an order was identified by the bare version of its row, which the operator writes again at another one; what an instance knew of a move was replaced by the store's older row; an order that is missing in the store counted as removed.

Mending: an order's revision is a StorePosition. IsSameOrder tells orders apart: in one era by position, across eras by content. A move keeps the position at which it began (origin), which its evidence and halts are keyed by; the lease holder writes move and status again, at the order's position, when the position or the state differs from the store's, thus once in each era. IsFurther decides whether what is known here is kept: final states stay, otherwise the further one. Instances send what the store lost along with the frames of evidence until it is written again, and in answer to a fresh process (AskConfiguration). Rows in the old format are decoded, and older processes read the new ones.

A conditional write that met another era was not believed before and is not now.

Changed tests: the orders of gateway_version_move_test and gateway_move_exposure_test have a position instead of a number; as strict.

Open: a lost order whose older order, of another content, is in the copy is replaced by that until the operator writes again. Two equal orders in a row, with the later one lost, are taken for one until then, and the later one then begins anew. While processes of both builds run, they don't share evidence.

--- a/include/cowslipknot/gateway/version_move.h
+++ b/include/cowslipknot/gateway/version_move.h
@@ -7,6 +7,7 @@
 
 #include "cowslipknot/coordination/move_decision.h"
 #include "cowslipknot/ids.h"
+#include "cowslipknot/store_position.h"
 
 /// Moves: the gradual shift of a service's traffic to a new version on a
 /// managed platform.
@@ -17,16 +18,30 @@
   ServiceId service;
   VersionId to;  ///< target version
   Milliseconds duration{0};
-  std::uint64_t revision = 0;  ///< of the order's row; identifies the order
-  WallTime first_seen;         ///< when first read here, on the shared clock
+  StorePosition revision;  ///< of the order's row
+  WallTime first_seen;     ///< when first read here, on the shared clock
 };
 
+/// Whether two orders are the same one. In one era of the store, another row is
+/// another order. Across a restore from a copy, the operator writes a lost
+/// order again at another position, so that its content identifies it.
+bool IsSameOrder(const MoveOrder& known, const MoveOrder& order);
+
 /// An order and its state as decided by the lease holder.
 struct VersionMove {
   MoveOrder order;
-  MoveState state;  ///< times are on the shared clock
+  StorePosition origin;  ///< of the order's row when the move began
+  MoveState state;       ///< times are on the shared clock
 };
 
+/// The move of an order before the first decision.
+VersionMove MoveOf(const MoveOrder& order);
+
+/// Whether `known` is the same order as `stored` in a further advanced state,
+/// so that the store has lost a decision. Of two final states, and of equal
+/// ones, that of the earlier origin was decided first.
+bool IsFurther(const VersionMove& known, const VersionMove& stored);
+
 /// Whether the new version is neither in use nor rolled back.
 bool IsUndecided(const VersionMove& move);
 
@@ -36,16 +51,16 @@
   double slack = 50;   ///< additional requests
 };
 
-/// Identifies an order.
-MoveId MoveKey(const MoveOrder& order);
+/// Identifies a move, also after a restore of the store.
+MoveId MoveKey(const VersionMove& move);
 
 /// The key of the evidence of attempts that are sent while the new version has
 /// its current share. Evidence of each share is kept apart, so that a version
 /// that turns bad later is not covered by its earlier results.
 MoveId EvidenceKey(const VersionMove& move);
-/// Whether evidence belongs to the order.
-bool IsEvidenceOf(const MoveOrder& order, const MoveId& key);
-/// Sums up the evidence of an order over its shares.
+/// Whether evidence belongs to the move.
+bool IsEvidenceOf(const VersionMove& move, const MoveId& key);
+/// Sums up the evidence of a move over its shares.
 MoveEvidence SumStages(const VersionMove& move,
                        const std::map<MoveId, MoveEvidence>& evidence);
 
--- a/src/coordination/version_move.cc
+++ b/src/coordination/version_move.cc
@@ -1,6 +1,7 @@
 #include "cowslipknot/gateway/version_move.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cowslipknot::gateway {
 namespace {
@@ -35,6 +36,9 @@
 constexpr double kErrorExcessShare = 0.08;
 constexpr double kSlowExcessShare = 0.25;
 
+/// Shares that differ by less are equal.
+constexpr double kShareResolution = 0.001;
+
 /// Separates an order from a stage in the keys of evidence.
 constexpr char kStageSeparator = '#';
 
@@ -132,8 +136,40 @@
 
 }  // namespace
 
-MoveId MoveKey(const MoveOrder& order) {
-  return MoveId(order.service.Text() + "@" + std::to_string(order.revision));
+bool IsSameOrder(const MoveOrder& known, const MoveOrder& order) {
+  const bool same_content = known.service == order.service &&
+                            known.to == order.to &&
+                            known.duration == order.duration;
+  if (!same_content) return false;
+  const bool same_version = known.revision.version == order.revision.version;
+  // A move that was stored without its era is compared as before.
+  if (known.revision.era == StoreEra(0)) return same_version;
+  return same_version || known.revision.era != order.revision.era;
+}
+
+VersionMove MoveOf(const MoveOrder& order) {
+  VersionMove move;
+  move.order = order;
+  move.origin = order.revision;
+  return move;
+}
+
+bool IsFurther(const VersionMove& known, const VersionMove& stored) {
+  if (!IsSameOrder(known.order, stored.order)) return false;
+  const bool is_known_final = IsFinished(known.state.phase);
+  const bool is_stored_final = IsFinished(stored.state.phase);
+  if (is_known_final != is_stored_final) return is_known_final;
+  if (!is_known_final) {
+    if (known.state.phase != stored.state.phase)
+      return known.state.phase > stored.state.phase;
+    const double raised = known.state.share - stored.state.share;
+    if (std::abs(raised) >= kShareResolution) return raised > 0;
+  }
+  return known.origin < stored.origin;
+}
+
+MoveId MoveKey(const VersionMove& move) {
+  return MoveId(move.order.service.Text() + "@" + FormatPosition(move.origin));
 }
 
 MoveState InitialState(double exposure, WallTime now) {
@@ -157,19 +193,18 @@
 
 MoveId EvidenceKey(const VersionMove& move) {
   const auto share = static_cast<int>(move.state.share * 1000);
-  return MoveId(MoveKey(move.order).Text() + kStageSeparator +
-                std::to_string(share));
+  return MoveId(MoveKey(move).Text() + kStageSeparator + std::to_string(share));
 }
 
-bool IsEvidenceOf(const MoveOrder& order, const MoveId& key) {
-  return key.Text().starts_with(MoveKey(order).Text() + kStageSeparator);
+bool IsEvidenceOf(const VersionMove& move, const MoveId& key) {
+  return key.Text().starts_with(MoveKey(move).Text() + kStageSeparator);
 }
 
 MoveEvidence SumStages(const VersionMove& move,
                        const std::map<MoveId, MoveEvidence>& evidence) {
   MoveEvidence sum;
   for (const auto& [key, routes] : evidence) {
-    if (!IsEvidenceOf(move.order, key)) continue;
+    if (!IsEvidenceOf(move, key)) continue;
     const bool is_current = key == EvidenceKey(move);
     for (const auto& [route, seen] : routes) {
       sum[route] += seen;
--- a/src/coordination/version_move_codec.cc
+++ b/src/coordination/version_move_codec.cc
@@ -7,6 +7,18 @@
 
 namespace json = boost::json;
 
+/// Reads a position from two fields. The one of the era is absent in moves that
+/// were stored without it.
+StorePosition DecodePosition(const json::value& parsed, std::string_view era,
+                             std::string_view version) {
+  StorePosition position;
+  position.version =
+      StoreVersion(parsed.at(version).to_number<std::uint64_t>());
+  if (const auto* field = parsed.as_object().if_contains(era))
+    position.era = StoreEra(field->to_number<std::uint64_t>());
+  return position;
+}
+
 }  // namespace
 
 std::string EncodeMove(const VersionMove& move) {
@@ -14,7 +26,10 @@
   object["service"] = move.order.service.Text();
   object["to"] = move.order.to.Text();
   object["duration_ms"] = move.order.duration.count();
-  object["revision"] = move.order.revision;
+  object["revision"] = move.order.revision.version.Count();
+  object["era"] = move.order.revision.era.Count();
+  object["origin"] = move.origin.version.Count();
+  object["origin_era"] = move.origin.era.Count();
   object["phase"] = static_cast<int>(move.state.phase);
   object["share"] = move.state.share;
   object["started_ms"] = move.state.started.Count();
@@ -32,7 +47,10 @@
     move.order.to = VersionId(std::string(parsed.at("to").as_string()));
     move.order.duration =
         Milliseconds(parsed.at("duration_ms").to_number<std::int64_t>());
-    move.order.revision = parsed.at("revision").to_number<std::uint64_t>();
+    move.order.revision = DecodePosition(parsed, "era", "revision");
+    move.origin = parsed.as_object().contains("origin")
+                      ? DecodePosition(parsed, "origin_era", "origin")
+                      : move.order.revision;
     const auto phase = parsed.at("phase").to_number<int>();
     if (phase < 0 || phase > static_cast<int>(MovePhase::kRolledBack)) {
       return std::nullopt;
--- a/src/serve/gateway_capacity.cc
+++ b/src/serve/gateway_capacity.cc
@@ -38,11 +38,10 @@
     if (!service.scaling) continue;
     // No orders during an undecided move: servers of both versions run side by
     // side until it is decided.
-    const auto move = m_moves.find(name);
-    const bool moving = m_move_orders.contains(name) && move != m_moves.end() &&
-                        move->second.move.state.phase != MovePhase::kDone &&
-                        move->second.move.state.phase != MovePhase::kRolledBack;
-    if (moving) continue;
+    const auto order = m_move_orders.find(name);
+    const VersionMove* move =
+        order == m_move_orders.end() ? nullptr : FindMove(order->second);
+    if (move != nullptr && IsUndecided(*move)) continue;
     auto planner = m_planners.try_emplace(name, name, *service.scaling).first;
     auto domains = DomainCapacities(name, servers);
     auto orders = planner->second.Plan(domains, TimeSinceBoot());
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -100,19 +100,18 @@
 }
 
 void ControlPlane::ApplyMoveOrders(const StoreRows& rows, bool is_full_read) {
-  bool changed = false;
+  const auto now = TimeSinceBoot();
+  bool changed = m_move_orders.Expire(now);
   if (is_full_read) {
     std::set<std::string> listed;
     for (const auto& row : rows.rows) listed.insert(row.key);
-    changed = std::erase_if(m_move_orders, [&listed](const auto& item) {
-                return !listed.contains(item.first);
-              }) > 0;
+    changed =
+        m_move_orders.RemoveUnlisted(listed, rows.position, now) || changed;
   }
   for (const auto& row : rows.rows) {
     if (!m_adapter.is_move_order_key(row.key)) continue;
-    changed = true;
     if (row.removed) {
-      m_move_orders.erase(row.key);
+      changed = m_move_orders.Remove(row.key, row.position, now) || changed;
       continue;
     }
     auto order = m_adapter.decode_move_order(row.value);
@@ -121,17 +120,12 @@
                {{"key", row.key}, {"detail", order.error().detail}});
       continue;
     }
-    order->revision = row.position.version.Count();
+    order->revision = row.position;
     order->first_seen = WallTime(m_coordinator.SharedNowMs().value_or(0));
-    const auto known = m_move_orders.find(row.key);
-    const bool same = known != m_move_orders.end() &&
-                      known->second.revision == order->revision;
-    if (!same) m_move_orders[row.key] = std::move(*order);
+    changed = m_move_orders.Put(row.key, std::move(*order)) || changed;
   }
   if (!changed) return;
-  std::map<ServiceId, MoveOrder> orders;
-  for (const auto& [key, order] : m_move_orders) orders[order.service] = order;
-  m_coordinator.SetOrders(std::move(orders));
+  m_coordinator.SetOrders(m_move_orders.ByService());
   Publish();
 }
 
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/move_orders.h"
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/response_time_bound.h"
 #include "cowslipknot/gateway/server_registry.h"
@@ -101,6 +102,8 @@
   Awaitable<void> AskForConfiguration(InstanceSummary peer);
   /// Applies the row that a peer sent. Only the store confirms a configuration.
   void ApplyPeerConfiguration(const PeerFrame& answer);
+  /// Takes over decisions and orders of moves that the store has lost.
+  void ApplyPeerMoves(const std::vector<GossipRecord>& moves);
   Awaitable<PeerFrame> AnswerConfiguration(std::uint64_t known_version);
   bool ApplyServers(const StoreRows& rows, bool is_full_read);
   std::vector<ServerEntry> FindRemovedServers(
@@ -147,7 +150,7 @@
   std::map<WorkspaceId, DelayedShare> m_quota_shares;
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
-  std::map<std::string, MoveOrder> m_move_orders;  ///< by row key
+  MoveOrders m_move_orders;
   FleetView m_fleet;
   std::uint64_t m_instances_digest = 0;
   std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -278,17 +278,6 @@
   co_await CommitTransaction(std::move(transaction));
 }
 
-void FleetCoordinator::ApplyMoveRows(const std::vector<StoreRow>& rows) {
-  m_moves.clear();
-  m_move_rows = rows;
-  for (const auto& row : rows) {
-    auto move = DecodeMove(row.value);
-    if (!move) continue;
-    const ServiceId service = move->order.service;
-    m_moves[service] = {std::move(*move), row.position};
-  }
-}
-
 Awaitable<Result<void>> FleetCoordinator::Exchange(ReportInput input) {
   // Built first: it takes over the counts of the input.
   InstanceReport report = BuildReport(input);
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -78,8 +78,14 @@
   /// @param moves  none if they have not changed
   void ApplyRelayed(std::optional<std::vector<StoreRow>> moves,
                     std::uint64_t reported_window);
-  /// The rows of the moves, as last read.
+  /// The rows of the moves, as last read, with their state as known here.
   std::vector<StoreRow> MoveRows() const;
+  /// The moves known here, for an instance that reads an older state; their
+  /// version is 1 if the order is active.
+  std::vector<GossipRecord> ExportMoves() const;
+  /// Takes over the moves that a peer knows in a further advanced state.
+  /// @return whether there were any
+  bool ImportMoves(const std::vector<GossipRecord>& records);
   /// The window whose report was accepted last; 0 if none is known.
   std::uint64_t ReportedWindow() const { return m_reported_window.value_or(0); }
   /// Summary of the reports, as last read.
@@ -96,6 +102,8 @@
   /// Returns the moves of the active orders with their state as last read. The
   /// share is 0 if the move was halted.
   std::map<ServiceId, VersionMove> Moves() const;
+  /// Whether the store has lost the state of a move that is known here.
+  bool HasLostMoves() const;
   /// Whether any move is undecided.
   bool IsMoving() const;
   /// Replaces the evidence of this instance, except that of orders that ended.
@@ -104,10 +112,12 @@
   /// is known here. The lease holder then rolls them back.
   /// @return whether a move was halted
   bool HaltRegressions();
-  /// The evidence of this instance and the moves halted here, for the others.
+  /// The evidence of this instance, the moves halted here and those that the
+  /// store has lost, for the others.
   PeerFrame BuildEvidenceFrame() const;
-  /// Takes over another instance's evidence and the moves that it halted.
-  /// @return whether a move was halted
+  /// Takes over another instance's evidence, the moves that it halted and those
+  /// that it knows in a further advanced state.
+  /// @return whether a move changed
   bool ApplyEvidenceFrame(const PeerFrame& frame);
 
   const InstanceTable& Instances() const { return m_instances; }
@@ -136,6 +146,7 @@
   enum class ReportCondition : std::uint8_t { kPosition, kNone };
   Awaitable<Result<void>> WriteReport(InstanceReport report,
                                       ReportCondition condition);
+  /// Applies the rows of the moves. A decision that the store lost is kept.
   void ApplyMoveRows(const std::vector<StoreRow>& rows);
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClockOffset();
@@ -152,7 +163,7 @@
   /// their reports.
   MoveEvidence SumEvidence(const VersionMove& move) const;
   void LogEvidence(const VersionMove& move, const MoveEvidence& evidence) const;
-  bool Halt(const MoveOrder& order, const std::string& reason);
+  bool Halt(const VersionMove& move, const std::string& reason);
   Awaitable<bool> SendUsageReport(std::uint64_t window);
   Awaitable<Result<WindowCounts>> CommitUsage(std::uint64_t window);
   /// Commits a transaction whose conditions were read in the current era of the
@@ -195,9 +206,12 @@
   /// A move with the position of its row in the store.
   struct StoredMove {
     VersionMove move;
-    StorePosition position;
+    StorePosition position;  ///< unknown: the store has no such row
+    bool is_stored = true;   ///< the row has this state
   };
-  std::vector<StoreRow> m_move_rows;
+  bool IsLost(const StoredMove& stored) const;
+  /// Returns the known move of an active order.
+  const VersionMove* FindMove(const MoveOrder& order) const;
   std::map<ServiceId, MoveOrder> m_move_orders;
   std::map<ServiceId, StoredMove> m_moves;
   std::map<MoveId, MoveEvidence> m_evidence;  ///< seen by this instance
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -48,6 +48,7 @@
   PeerFrame answer;
   if (ConfigurationInForce() > known_version)
     answer.text = m_configuration_row.value;
+  AddRecords(answer, m_coordinator.ExportMoves());
   co_return answer;
 }
 
@@ -85,7 +86,25 @@
       m_worker.Links().Call(*peer.peers, std::move(frame), kAnswerTimeout));
   // A peer that gives no answer is asked again while its report shows a later
   // configuration.
-  if (answer && !answer->text.empty()) ApplyPeerConfiguration(*answer);
+  if (!answer) co_return;
+  if (!answer->text.empty()) ApplyPeerConfiguration(*answer);
+  ApplyPeerMoves(ExtractRecords(*answer));
+}
+
+void ControlPlane::ApplyPeerMoves(const std::vector<GossipRecord>& moves) {
+  const bool moved = m_coordinator.ImportMoves(moves);
+  const StorePosition position =
+      m_configuration_cursor.since.value_or(StorePosition{});
+  bool ordered = false;
+  for (const auto& record : moves) {
+    auto move = DecodeMove(record.payload);
+    if (!move || record.version == 0) continue;
+    ordered = m_move_orders.PutLost(std::move(move->order), position,
+                                    TimeSinceBoot()) ||
+              ordered;
+  }
+  if (ordered) m_coordinator.SetOrders(m_move_orders.ByService());
+  if (moved || ordered) Publish();
 }
 
 void ControlPlane::ApplyPeerConfiguration(const PeerFrame& answer) {
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -9,6 +9,10 @@
 namespace cowslipknot::gateway {
 namespace {
 
+/// Versions of the records in a frame of evidence.
+constexpr std::uint64_t kHaltRecord = 0;
+constexpr std::uint64_t kMoveRecord = 1;
+
 std::string DescribeCounts(const RequestCounts& counts) {
   return std::to_string(counts.bad) + "/" + std::to_string(counts.total);
 }
@@ -18,29 +22,89 @@
 void FleetCoordinator::SetOrders(std::map<ServiceId, MoveOrder> orders) {
   m_move_orders = std::move(orders);
   m_peer_evidence.clear();
-  std::erase_if(m_halted, [this](const auto& item) {
-    return std::none_of(
-        m_move_orders.begin(), m_move_orders.end(),
-        [&](auto& order) { return MoveKey(order.second) == item.first; });
+  const auto moves = Moves();
+  std::erase_if(m_halted, [&moves](const auto& item) {
+    return std::none_of(moves.begin(), moves.end(), [&](auto& move) {
+      return MoveKey(move.second) == item.first;
+    });
   });
 }
 
+void FleetCoordinator::ApplyMoveRows(const std::vector<StoreRow>& rows) {
+  std::map<ServiceId, StoredMove> known_moves = std::exchange(m_moves, {});
+  for (const auto& row : rows) {
+    auto move = DecodeMove(row.value);
+    if (!move) continue;
+    const ServiceId service = move->order.service;
+    m_moves[service] = {std::move(*move), row.position};
+  }
+  // Rows are replaced but never removed, so a missing one was lost.
+  for (auto& [service, known] : known_moves) {
+    const auto stored = m_moves.find(service);
+    if (stored == m_moves.end()) {
+      m_moves[service] = {std::move(known.move), {}, false};
+    } else if (IsFurther(known.move, stored->second.move)) {
+      stored->second.move = std::move(known.move);
+      stored->second.is_stored = false;
+    }
+  }
+}
+
+std::vector<GossipRecord> FleetCoordinator::ExportMoves() const {
+  std::vector<GossipRecord> records;
+  for (const auto& [service, stored] : m_moves) {
+    const bool is_active = m_move_orders.contains(service);
+    records.push_back(
+        {service.Text(), is_active ? 1U : 0U, EncodeMove(stored.move)});
+  }
+  return records;
+}
+
+bool FleetCoordinator::ImportMoves(const std::vector<GossipRecord>& records) {
+  bool changed = false;
+  for (const auto& record : records) {
+    auto move = DecodeMove(record.payload);
+    if (!move) continue;
+    const auto [known, is_new] = m_moves.try_emplace(move->order.service);
+    if (!is_new && !IsFurther(*move, known->second.move)) continue;
+    known->second.move = std::move(*move);
+    known->second.is_stored = false;
+    changed = true;
+  }
+  return changed;
+}
+
+const VersionMove* FleetCoordinator::FindMove(const MoveOrder& order) const {
+  const auto known = m_moves.find(order.service);
+  const bool is_same =
+      known != m_moves.end() && IsSameOrder(known->second.move.order, order);
+  return is_same ? &known->second.move : nullptr;
+}
+
 std::map<ServiceId, VersionMove> FleetCoordinator::Moves() const {
   std::map<ServiceId, VersionMove> moves;
   for (const auto& [service, order] : m_move_orders) {
     VersionMove& move = moves[service];
-    move.order = order;
-    const auto stored = m_moves.find(service);
-    const bool known = stored != m_moves.end() &&
-                       stored->second.move.order.revision == order.revision;
-    if (!known) continue;  // No traffic to the new version before a decision.
-    move = stored->second.move;
+    move = MoveOf(order);
+    const VersionMove* known = FindMove(order);
+    // No traffic to the new version before a decision.
+    if (known == nullptr) continue;
+    move = *known;
     const bool is_done = move.state.phase == MovePhase::kDone;
-    if (!is_done && m_halted.contains(MoveKey(order))) move.state.share = 0;
+    if (!is_done && m_halted.contains(MoveKey(move))) move.state.share = 0;
   }
   return moves;
 }
 
+bool FleetCoordinator::IsLost(const StoredMove& stored) const {
+  return !stored.is_stored && m_move_orders.contains(stored.move.order.service);
+}
+
+bool FleetCoordinator::HasLostMoves() const {
+  return std::any_of(m_moves.begin(), m_moves.end(),
+                     [this](const auto& item) { return IsLost(item.second); });
+}
+
 bool FleetCoordinator::IsMoving() const {
   const auto moves = Moves();
   return std::any_of(moves.begin(), moves.end(),
@@ -49,10 +113,11 @@
 
 void FleetCoordinator::SetOwnEvidence(EvidenceByMove evidence) {
   m_evidence = std::move(evidence);
-  std::erase_if(m_evidence, [this](const auto& item) {
-    return std::none_of(
-        m_move_orders.begin(), m_move_orders.end(),
-        [&](auto& order) { return IsEvidenceOf(order.second, item.first); });
+  const auto moves = Moves();
+  std::erase_if(m_evidence, [&moves](const auto& item) {
+    return std::none_of(moves.begin(), moves.end(), [&](auto& move) {
+      return IsEvidenceOf(move.second, item.first);
+    });
   });
 }
 
@@ -69,25 +134,22 @@
   return sum;
 }
 
-bool FleetCoordinator::Halt(const MoveOrder& order, const std::string& reason) {
-  if (!m_halted.emplace(MoveKey(order), reason).second) return false;
+bool FleetCoordinator::Halt(const VersionMove& move,
+                            const std::string& reason) {
+  if (!m_halted.emplace(MoveKey(move), reason).second) return false;
   LogEvent(Event::kMoveHalted,
-           {{"move", MoveKey(order).Text()}, {"reason", reason}});
+           {{"move", MoveKey(move).Text()}, {"reason", reason}});
   return true;
 }
 
 bool FleetCoordinator::HaltRegressions() {
   bool halted = false;
-  for (const auto& [service, stored] : m_moves) {
-    const auto order = m_move_orders.find(service);
-    const VersionMove& move = stored.move;
-    const bool active = order != m_move_orders.end() &&
-                        order->second.revision == move.order.revision &&
-                        IsUndecided(move);
-    if (!active) continue;
+  for (const auto& [service, order] : m_move_orders) {
+    const VersionMove* move = FindMove(order);
+    if (move == nullptr || !IsUndecided(*move)) continue;
     const std::string regression =
-        FindRegression(move.order, SumEvidence(move));
-    if (!regression.empty()) halted = Halt(move.order, regression) || halted;
+        FindRegression(move->order, SumEvidence(*move));
+    if (!regression.empty()) halted = Halt(*move, regression) || halted;
   }
   return halted;
 }
@@ -97,30 +159,39 @@
   frame.kind = wire::Kind::MoveEvidence;
   frame.sender = m_settings.node.Text();
   frame.text = EncodeEvidence(m_evidence);
-  std::vector<GossipRecord> halted;
+  std::vector<GossipRecord> records;
   for (const auto& [key, reason] : m_halted)
-    halted.push_back({key.Text(), 0, reason});
-  AddRecords(frame, halted);
+    records.push_back({key.Text(), kHaltRecord, reason});
+  for (const auto& [service, stored] : m_moves) {
+    if (IsLost(stored))
+      records.push_back({service.Text(), kMoveRecord, EncodeMove(stored.move)});
+  }
+  AddRecords(frame, records);
   return frame;
 }
 
 bool FleetCoordinator::ApplyEvidenceFrame(const PeerFrame& frame) {
   m_peer_evidence[NodeId(frame.sender)] = DecodeEvidence(frame.text);
-  bool halted = false;
-  for (const auto& record : ExtractRecords(frame)) {
-    for (const auto& [service, order] : m_move_orders) {
-      if (MoveKey(order).Text() == record.key)
-        halted = Halt(order, record.payload) || halted;
+  std::vector<GossipRecord> lost;
+  std::vector<GossipRecord> halted;
+  for (auto& record : ExtractRecords(frame))
+    (record.version == kHaltRecord ? halted : lost).push_back(record);
+  bool changed = ImportMoves(lost);
+  const auto moves = Moves();
+  for (const auto& record : halted) {
+    for (const auto& [service, move] : moves) {
+      if (MoveKey(move).Text() == record.key)
+        changed = Halt(move, record.payload) || changed;
     }
   }
-  return halted;
+  return changed;
 }
 
 void FleetCoordinator::LogEvidence(const VersionMove& move,
                                    const MoveEvidence& evidence) const {
   for (const auto& [route, seen] : evidence) {
     LogEvent(Event::kMoveEvidence,
-             {{"move", MoveKey(move.order).Text()},
+             {{"move", MoveKey(move).Text()},
               {"route", route.Text()},
               {"share", std::to_string(move.state.share)},
               {"old_sent", std::to_string(seen.old_sent)},
@@ -140,22 +211,25 @@
                             m_settings.exposure_slack};
   for (const auto& [service, order] : orders) {
     const auto stored = m_moves.find(service);
-    const bool known = stored != m_moves.end() &&
-                       stored->second.move.order.revision == order.revision;
     StoredMove next;
     if (stored != m_moves.end()) next.position = stored->second.position;
-    next.move.order = order;
-    if (known) {
-      const VersionMove& move = stored->second.move;
+    next.move = MoveOf(order);
+    if (const VersionMove* known = FindMove(order)) {
+      const VersionMove move = *known;
+      next.move.origin = move.origin;
+      next.move.state = move.state;
       const MoveEvidence evidence = SumEvidence(move);
       if (IsUndecided(move)) LogEvidence(move, evidence);
       const auto state = NextState(move, evidence, WallTime(*now), bound);
-      const auto halted = m_halted.find(MoveKey(order));
+      const auto halted = m_halted.find(MoveKey(move));
+      // Written anew also for another era, whose store may lack the status.
+      const bool is_written =
+          stored->second.is_stored && move.order.revision == order.revision;
       if (halted != m_halted.end() && IsUndecided(move)) {
         next.move.state = RolledBack(move.state, halted->second);
       } else if (state) {
         next.move.state = *state;
-      } else {
+      } else if (is_written) {
         continue;
       }
     } else {
@@ -177,7 +251,7 @@
     if (!changed) co_return;
     next.position = changed->position;
     LogEvent(Event::kMoveStep,
-             {{"move", MoveKey(order).Text()},
+             {{"move", MoveKey(next.move).Text()},
               {"to", order.to.Text()},
               {"phase", std::string(MovePhaseName(next.move.state.phase))},
               {"share", std::to_string(next.move.state.share)},
--- a/src/serve/gateway_relayed_reports.cc
+++ b/src/serve/gateway_relayed_reports.cc
@@ -27,7 +27,16 @@
   if (reported_window > 0) m_reported_window = reported_window;
 }
 
-std::vector<StoreRow> FleetCoordinator::MoveRows() const { return m_move_rows; }
+std::vector<StoreRow> FleetCoordinator::MoveRows() const {
+  std::vector<StoreRow> rows;
+  for (const auto& [service, stored] : m_moves) {
+    if (!stored.position.IsKnown()) continue;
+    rows.push_back(store_rows::MakeRow(
+        std::string(store_rows::kMovePrefix) + service.Text(),
+        EncodeMove(stored.move), stored.position));
+  }
+  return rows;
+}
 
 Awaitable<std::map<std::string, StoreRow>>
 FleetCoordinator::WriteRelayedReports(std::map<std::string, StoreRow> reports) {
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -209,7 +209,7 @@
         std::max(m_fleet.serving.size(), kInstancesAtFullRate));
     co_await SleepFor(kEvidenceInterval * instances /
                       static_cast<Milliseconds::rep>(kInstancesAtFullRate));
-    if (!m_coordinator.IsMoving()) continue;
+    if (!m_coordinator.IsMoving() && !m_coordinator.HasLostMoves()) continue;
     auto evidence =
         co_await RunOn(m_worker.Context().get_executor(), collect(m_worker));
     m_coordinator.SetOwnEvidence(std::move(evidence));
--- a/tests/unit/gateway_move_exposure_test.cc
+++ b/tests/unit/gateway_move_exposure_test.cc
@@ -40,8 +40,10 @@
  public:
   FleetSimulation(const Traffic& traffic, std::uint32_t seed)
       : m_traffic(traffic), m_random(seed) {
-    m_move.order = {ServiceId("s"), VersionId("v2"),
-                    Milliseconds(traffic.duration_ms), 7};
+    m_move.order = {ServiceId("s"),
+                    VersionId("v2"),
+                    Milliseconds(traffic.duration_ms),
+                    {StoreEra(1), StoreVersion(7)}};
   }
 
   void Run() {
--- a/tests/unit/gateway_version_move_test.cc
+++ b/tests/unit/gateway_version_move_test.cc
@@ -16,7 +16,11 @@
 
 VersionMove MakeMove() {
   VersionMove move;
-  move.order = {ServiceId("s"), VersionId("v2"), Milliseconds(kDurationMs), 7};
+  move.order = {ServiceId("s"),
+                VersionId("v2"),
+                Milliseconds(kDurationMs),
+                {StoreEra(1), StoreVersion(7)}};
+  move.origin = move.order.revision;
   move.state = InitialState(kMaxExposureShare, WallTime(kStartMs));
   return move;
 }
@@ -130,9 +134,106 @@
   const auto decoded = DecodeMove(EncodeMove(move));
   cr_assert(decoded.has_value());
   cr_expect_eq(decoded->order.to.Text(), "v2");
-  cr_expect_eq(decoded->order.revision, 7u);
+  cr_expect(decoded->order.revision == move.order.revision);
+  cr_expect(decoded->origin == move.origin);
   cr_expect_eq(decoded->state.started.Count(), kStartMs);
   cr_expect_eq(decoded->state.reason, "why");
   cr_expect_not(DecodeMove("{}").has_value());
   cr_expect_not(DecodeMove("[").has_value());
 }
+
+namespace {
+
+StorePosition At(std::uint64_t era, std::uint64_t version) {
+  return {StoreEra(era), StoreVersion(version)};
+}
+
+MoveOrder MakeOrder(const StorePosition& revision) {
+  MoveOrder order = MakeMove().order;
+  order.revision = revision;
+  return order;
+}
+
+VersionMove MakeMove(const StorePosition& origin, MovePhase phase,
+                     double share) {
+  VersionMove move = MoveOf(MakeOrder(origin));
+  move.state.phase = phase;
+  move.state.share = share;
+  return move;
+}
+
+}  // namespace
+
+Test(version_move, an_order_that_is_written_again_in_a_later_era_is_the_same) {
+  const MoveOrder order = MakeOrder(At(1, 7));
+  cr_expect(IsSameOrder(order, MakeOrder(At(1, 7))));
+  cr_expect(IsSameOrder(order, MakeOrder(At(2, 7))));
+  cr_expect(IsSameOrder(order, MakeOrder(At(2, 5))));
+  cr_expect_not(IsSameOrder(order, MakeOrder(At(1, 8))));
+}
+
+Test(version_move, an_order_with_another_content_is_another_one) {
+  const MoveOrder order = MakeOrder(At(1, 7));
+  MoveOrder other = MakeOrder(At(2, 7));
+  other.to = VersionId("v3");
+  cr_expect_not(IsSameOrder(order, other));
+  other = MakeOrder(At(2, 7));
+  other.duration = Milliseconds(1);
+  cr_expect_not(IsSameOrder(order, other));
+  other = MakeOrder(At(2, 7));
+  other.service = ServiceId("t");
+  cr_expect_not(IsSameOrder(order, other));
+}
+
+Test(version_move, a_decision_is_kept_when_the_store_has_an_earlier_state) {
+  const auto done = MakeMove(At(1, 7), MovePhase::kDone, 1);
+  const auto reverted = MakeMove(At(1, 7), MovePhase::kRolledBack, 0);
+  const auto full = MakeMove(At(2, 5), MovePhase::kWatching, 1);
+  const auto trial = MakeMove(At(2, 5), MovePhase::kRunning, 0.08);
+  for (const auto& decided : {done, reverted}) {
+    for (const auto& stored : {full, trial}) {
+      cr_expect(IsFurther(decided, stored));
+      cr_expect_not(IsFurther(stored, decided));
+    }
+  }
+  cr_expect(IsFurther(full, trial));
+  cr_expect(IsFurther(MakeMove(At(1, 7), MovePhase::kRunning, 0.2), trial));
+  cr_expect_not(IsFurther(done, done));
+  auto other = trial;
+  other.order.to = VersionId("v3");
+  cr_expect_not(IsFurther(done, other));
+  other = trial;
+  other.order.revision = At(1, 8);
+  cr_expect_not(IsFurther(done, other));
+}
+
+Test(version_move, of_equal_states_that_of_the_earlier_origin_is_kept) {
+  const auto earlier = MakeMove(At(1, 7), MovePhase::kRunning, 0.08);
+  const auto later = MakeMove(At(2, 5), MovePhase::kRunning, 0.08);
+  cr_expect(IsFurther(earlier, later));
+  cr_expect_not(IsFurther(later, earlier));
+  const auto done = MakeMove(At(1, 7), MovePhase::kDone, 1);
+  const auto reverted = MakeMove(At(2, 5), MovePhase::kRolledBack, 0);
+  cr_expect(IsFurther(done, reverted));
+  cr_expect_not(IsFurther(reverted, done));
+}
+
+Test(version_move, evidence_belongs_to_a_move_also_at_another_order_position) {
+  VersionMove move = MakeMove(At(1, 7), MovePhase::kRunning, 0.08);
+  const MoveId key = EvidenceKey(move);
+  move.order.revision = At(2, 5);
+  cr_expect(EvidenceKey(move) == key);
+  cr_expect(IsEvidenceOf(move, key));
+  cr_expect_not(IsEvidenceOf(MoveOf(MakeOrder(At(2, 5))), key));
+}
+
+Test(version_move, decodes_a_move_that_was_stored_without_its_era) {
+  const auto move = DecodeMove(
+      R"({"service":"s","to":"v2","duration_ms":15000,"revision":7,"phase":2,)"
+      R"("share":1.0,"started_ms":5,"full_since_ms":6,"reason":"why"})");
+  cr_assert(move.has_value());
+  cr_expect(move->order.revision == At(0, 7));
+  cr_expect(move->origin == At(0, 7));
+  cr_expect(IsSameOrder(move->order, MakeOrder(At(3, 7))));
+  cr_expect_not(IsSameOrder(move->order, MakeOrder(At(3, 8))));
+}
