--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "cowslipknot/coordination/lease.h"
+#include "cowslipknot/gateway/move_orders.h"
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/response_time_bound.h"
 #include "cowslipknot/gateway/server_registry.h"
@@ -91,6 +92,23 @@
   void ApplyMoveOrders(const StoreRows& rows, bool is_full_read);
   void ApplyConfiguration(const StoreRows& rows, bool is_full_read);
   void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed);
+
+  // A configuration that the store lost: gateway_lost_configuration.cc.
+  /// Puts a decoded row into force, unless a later version is.
+  /// @param row  its position is unknown if a peer sent it
+  void InstallConfiguration(Configuration decoded, const StoreRow& row);
+  std::uint64_t ConfigurationInForce() const {
+    return m_configuration ? m_configuration->version : 0;
+  }
+  /// Asks the instances that may have a later configuration in force than the
+  /// store has: some others after the start, later those that reported one.
+  void AskPeersForConfiguration();
+  Awaitable<void> AskForConfiguration(InstanceSummary peer);
+  /// Applies the row that a peer sent. Only the store confirms a configuration.
+  void ApplyPeerConfiguration(const PeerFrame& answer);
+  /// Takes over decisions and orders of moves that the store has lost.
+  void ApplyPeerMoves(const std::vector<GossipRecord>& moves);
+  Awaitable<PeerFrame> AnswerConfiguration(std::uint64_t known_version);
   bool ApplyServers(const StoreRows& rows, bool is_full_read);
   std::vector<ServerEntry> FindRemovedServers(
       const std::vector<ServerEntry>& before) const;
@@ -130,13 +148,15 @@
   asio::io_context& m_context;
   ConfigurationPtr m_configuration;
   std::shared_ptr<const RouteTable> m_routes;
+  StoreRow m_configuration_row;  ///< the one in force
+  std::size_t m_next_peer_to_ask = 0;
   ServerRegistry m_registry;
   std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
       m_backend_states;  ///< by id, with the server's start time
   std::map<WorkspaceId, DelayedShare> m_quota_shares;
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
-  std::map<std::string, MoveOrder> m_move_orders;  ///< by row key
+  MoveOrders m_move_orders;
   FleetView m_fleet;
   std::uint64_t m_instances_digest = 0;
   std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -123,6 +123,8 @@
   m_relay_node = relay.node;
   SetFollowing(true);
   ApplyUpdate(*answer->update, relay, sent_at);
+  if (answer->update->configuration_in_force > ConfigurationInForce())
+    co_await AskForConfiguration(relay);
   co_return true;
 }
 
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -176,6 +176,7 @@
       RefreshFleet();
       UpdateFromFleet();
       ImportPromptEvidence();
+      AskPeersForConfiguration();
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
     }
@@ -208,7 +209,7 @@
         std::max(m_fleet.serving.size(), kInstancesAtFullRate));
     co_await SleepFor(kEvidenceInterval * instances /
                       static_cast<Milliseconds::rep>(kInstancesAtFullRate));
-    if (!m_coordinator.IsMoving()) continue;
+    if (!m_coordinator.IsMoving() && !m_coordinator.HasLostMoves()) continue;
     auto evidence =
         co_await RunOn(m_worker.Context().get_executor(), collect(m_worker));
     m_coordinator.SetOwnEvidence(std::move(evidence));
