Turn away requests that cannot end before a planned stop does

What callers saw: requests that came late in a planned stop, on kept or new connections, were sent to a server and cut without an answer when the process ended, among them requests that may not be repeated; so were requests that ran or were being read then. Cause: Gateway::Stop bounds the time of all requests, but nothing compared a request's expected end with it, and the process ended without telling the requests in progress. Change: planned_stop.h decides, before each first send and before the quota is charged. A request is served if its deadline or its route's timeout fits, or if at most two in a hundred recent requests of its route took longer than is left; a route's latency target stands for requests that are not known, except for streams. Others get a 503 "not run" with Retry-After 0.05 s and Connection: close. At the end, what is being read or was not sent gets the same, what may have run a 504 "outcome unknown", a stream that has begun ends after a whole event. A response announces the close if the stop began before the response did, not only before its request was read. The process waits for the close that follows an answer, so that the answer is not lost to a reset. Ruled out: refusing by the timeout alone. Open: a stream that has begun and runs at the end is cut; nothing can go on with it here. Command: cd tests/platform && python3 -m unittest planned_stop_test

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -10,6 +10,7 @@
 #include "cowslipknot/events.h"
 #include "serve/error_response.h"
 #include "serve/gateway_control_plane.h"
+#include "serve/request_admission.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot::gateway {
@@ -22,6 +23,8 @@
 constexpr Milliseconds kDrainPollInterval(50);
 /// Part of the stop timeout that is reserved for the final report to the store.
 constexpr Milliseconds kFinalReportReserve(1000);
+/// Part of that reserve in which the requests that were ended are answered.
+constexpr Milliseconds kLastAnswerTimeout(200);
 constexpr Milliseconds kReadTimeoutMargin(2000);
 
 class Instance {
@@ -91,12 +94,15 @@
       return HandleCaller(m_worker, exchange);
     };
     callers.make_error_response = [](const Error& error) {
-      return MakeErrorResponse(error, Milliseconds(0));
+      const bool stops = error.code == ResultCode::kDraining;
+      return MakeErrorResponse(error,
+                               stops ? kStopRetryDelay : Milliseconds(0));
     };
     callers.close_after_response = [this] { return m_stopping.load(); };
     callers.no_more_requests = [this] { return m_closing_idle.load(); };
     callers.limits = [this] { return CurrentCallerLimits(); };
     callers.idle = m_worker.IdlePtr();
+    callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
     asio::co_spawn(m_worker.Context(),
                    ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
@@ -175,19 +181,29 @@
     LogEvent(Event::kDraining);
     const Milliseconds drain_timeout =
         m_settings.stop_timeout - kFinalReportReserve;
+    asio::post(m_worker.Context(), [this, end = started + drain_timeout] {
+      m_worker.Stop().Begin(end);
+    });
     co_await SleepFor(std::min(kLoadBalancerDrainDelay, drain_timeout));
     // Returns whether requests or idle connections remain.
     auto close_idle = [this]() -> Awaitable<bool> {
-      m_worker.Idle().CloseAll();
+      m_worker.Idle().CancelAll();
       co_return *m_worker.RequestsInProgress() > 0 ||
           m_worker.Idle().Count() > 0;
     };
     m_closing_idle = true;
     asio::post(m_worker.Context(),
                [acceptor = m_caller_acceptor] { acceptor->close(); });
-    while (ElapsedSince(started) < drain_timeout) {
-      if (!co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
-        break;
+    bool ended_requests = false;
+    while (co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
+      const Milliseconds elapsed = ElapsedSince(started);
+      if (elapsed >= drain_timeout + kLastAnswerTimeout) break;
+      if (elapsed >= drain_timeout && !ended_requests) {
+        asio::post(m_worker.Context(), [this] {
+          m_worker.Stop().EndRequests();
+          m_worker.Reading()->CancelAll();
+        });
+        ended_requests = true;
       }
       co_await SleepFor(kDrainPollInterval);
     }
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -54,6 +54,10 @@
 }  // namespace
 
 Awaitable<void> Call::Run() {
+  const StopSchedule::Subscription stop(m_worker.Stop(), [this] {
+    m_stopped = true;
+    AbortAttempt();
+  });
   AdmissionResult admission =
       co_await AdmitRequest(m_worker, *m_snapshot, m_exchange.Request());
   m_request = std::move(admission.request);
@@ -70,11 +74,15 @@
   }
   m_exchange.OnPeerDisconnect([this] {
     m_caller_gone = true;
-    if (m_progress.abort) m_progress.abort();
+    AbortAttempt();
   });
   co_await RunAttemptLoop();
 }
 
+void Call::AbortAttempt() {
+  if (m_progress.abort) m_progress.abort();
+}
+
 Milliseconds Call::TimeLeft() const {
   const auto left =
       std::chrono::duration_cast<Milliseconds>(m_deadline - SteadyClock::now());
@@ -179,11 +187,15 @@
   m_worker.Retries().RecordRequest();
   std::uint32_t rejections = 0;
   Error last{ResultCode::kNoServer};
-  while (!m_caller_gone) {
+  while (!IsAborted()) {
     if (TimeLeft().count() == 0) {
       last.code = ResultCode::kDeadlinePassed;
       break;
     }
+    if (m_executed == 0 && !m_worker.MayEndBeforeStop(*m_route, TimeLeft())) {
+      co_await RejectForStop();
+      co_return;
+    }
     if (!m_tried_servers.empty() && !MayRetryPrompt()) break;
     const auto server = ChooseServer();
     if (!server && m_tried_servers.empty()) last = server.error();
@@ -248,7 +260,7 @@
       m_worker.Http().CloseIdle(server.entry.address);
     }
     error = opened.error();
-    if (!m_caller_gone) RecordAttemptFailure(server, error);
+    if (!IsAborted()) RecordAttemptFailure(server, error);
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
   }
@@ -322,6 +334,7 @@
 
 Awaitable<void> Call::FinishWithoutAnswer(bool may_have_run, Error error) {
   if (m_streaming || m_caller_gone) {
+    if (TimeLeft().count() == 0) RecordDuration();
     LogFailure(error);
     RecordOutcome(m_caller_gone ? "caller_gone" : "cut");
     m_exchange.Abort();
@@ -334,6 +347,10 @@
     co_await SendResponse(*m_last_answer);
     co_return;
   }
+  if (!may_have_run && m_stopped) {
+    co_await RejectForStop();
+    co_return;
+  }
   if (!may_have_run) {
     if (error.code == ResultCode::kDeadlinePassed) {
       error.code = ResultCode::kNoServer;
@@ -345,13 +362,22 @@
     co_return;
   }
   error.execution = Execution::kUnknown;
-  if (TimeLeft().count() == 0) error.code = ResultCode::kOutcomeUnknown;
+  if (TimeLeft().count() == 0 || m_stopped) {
+    error.code = ResultCode::kOutcomeUnknown;
+  }
+  RecordDuration();
   LogFailure(error);
   RecordOutcome(std::string(Describe(error.code).name));
   HttpResponse response = MakeErrorResponse(error, Milliseconds(0));
   co_await SendResponse(response);
 }
 
+Awaitable<void> Call::RejectForStop() {
+  m_retry_after = kStopRetryDelay;
+  const Error error{ResultCode::kDraining};
+  co_await Reject(error);
+}
+
 Awaitable<void> Call::Reject(const Error& error) {
   LogEvent(Event::kRequestRefused,
            {{"request", m_request.id.Text()},
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -60,6 +60,13 @@
   /// server was usable.
   Milliseconds NoServerRetryDelay();
   ResponseUse Classify(const http::response_header<>& header) const;
+  /// Ends the attempt in progress because the caller has disconnected or the
+  /// instance stops.
+  void AbortAttempt();
+  /// Whether the attempt was not ended by its server.
+  bool IsAborted() const { return m_caller_gone || m_stopped; }
+  /// Rejects a request that was not sent, since the instance stops.
+  Awaitable<void> RejectForStop();
   /// Finishes a request that did not get a complete response from any server.
   Awaitable<void> FinishWithoutAnswer(bool may_have_run, Error error);
   Awaitable<void> Reject(const Error& error);
@@ -103,6 +110,7 @@
   // Logs and metrics: gateway_call_metrics.cc.
   void RecordOutcome(const std::string& outcome);
   void LogAttempt(const Backend& server) const;
+  void RecordDuration();
   void LogDone(const char* outcome);
   void LogFailure(const Error& error);
   /// Logs that a stream waits for a silent server.
@@ -144,6 +152,7 @@
   bool m_streaming = false;
   bool m_start_recorded = false;
   bool m_caller_gone = false;
+  bool m_stopped = false;  ///< the instance ends its requests
   std::chrono::nanoseconds m_prompt_sent{0};  ///< in TimeSinceBoot(), latest
   /// Whether the response shows, once it is complete, that the prompt crashes
   /// no server.
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -49,8 +49,14 @@
        {"left_ms", std::to_string(TimeLeft().count())}});
 }
 
+void Call::RecordDuration() {
+  m_worker.Durations().Record(m_route->name, ElapsedSince(m_started),
+                              TimeSinceBoot());
+}
+
 void Call::LogDone(const char* outcome) {
   RecordOutcome(outcome);
+  RecordDuration();
   LogEvent(Event::kRequestDone,
            {{"request", m_request.id.Text()},
             {"server", m_tried_servers.back().Text()},
--- a/src/serve/gateway_call_prompts.cc
+++ b/src/serve/gateway_call_prompts.cc
@@ -36,7 +36,7 @@
 
 void Call::RecordPromptBreakOff(const Backend& server, AttemptOutcome end,
                                 const Error& error) {
-  const bool broke_off = end == AttemptOutcome::kFailed && !m_caller_gone &&
+  const bool broke_off = end == AttemptOutcome::kFailed && !IsAborted() &&
                          m_progress.first_byte_sent && IsBreakOff(error);
   if (!broke_off) return;
   m_worker.Prompts().OnBreakOff(server.entry,
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -53,7 +53,7 @@
   auto body = co_await ReadBody(stream);
   if (!body) {
     error = body.error();
-    if (!m_caller_gone) RecordAttemptFailure(server, error);
+    if (!IsAborted()) RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
   if (!m_start_recorded) RecordRequestStart();
@@ -121,7 +121,7 @@
     }
     if (!chunk) {
       error = chunk.error();
-      if (!m_caller_gone) RecordAttemptFailure(server, error);
+      if (!IsAborted()) RecordAttemptFailure(server, error);
       co_return AttemptOutcome::kFailed;
     }
     if (chunk->empty()) break;
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -86,6 +86,16 @@
   return PeerFrame();
 }
 
+bool Worker::MayEndBeforeStop(const Route& route, Milliseconds until_limit) {
+  const auto until_end = m_stop.TimeLeft();
+  if (!until_end) return true;
+  StopForecast forecast;
+  forecast.until_end = *until_end;
+  forecast.until_limit = until_limit;
+  forecast.recent = m_durations.Count(route.name, *until_end, TimeSinceBoot());
+  return gateway::MayEndBeforeStop(route, forecast);
+}
+
 bool Worker::KeysAreFresh() const {
   const auto confirmed = m_confirmed_at.load();
   if (confirmed.count() == 0) return false;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -12,6 +12,7 @@
 #include "base/metrics.h"
 #include "cowslipknot/coordination/retry_budget.h"
 #include "cowslipknot/gateway/load_meter.h"
+#include "cowslipknot/gateway/planned_stop.h"
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/settings.h"
 #include "cowslipknot/gateway/usage.h"
@@ -19,6 +20,7 @@
 #include "protocol/platform_adapter.h"
 #include "serve/prompt_guard.h"
 #include "serve/quota_peers.h"
+#include "serve/stop_schedule.h"
 #include "transport/http_server.h"
 
 namespace cowslipknot::gateway {
@@ -72,8 +74,16 @@
   RetryBudget& Retries() { return m_retries; }
   /// Results of the old and new version of each move since the process started.
   VersionEvidence& Evidence() { return m_evidence; }
-  IdleConnections& Idle() { return *m_idle; }
-  std::shared_ptr<IdleConnections> IdlePtr() { return m_idle; }
+  ConnectionSet& Idle() { return *m_idle; }
+  std::shared_ptr<ConnectionSet> IdlePtr() { return m_idle; }
+  /// Connections on which a request is being read.
+  std::shared_ptr<ConnectionSet> Reading() { return m_reading; }
+  RequestDurations& Durations() { return m_durations; }
+  StopSchedule& Stop() { return m_stop; }
+  /// Whether a request that has not been sent is expected to end before this
+  /// instance does, if that stops.
+  /// @param until_limit  time until its response is due at the latest
+  bool MayEndBeforeStop(const Route& route, Milliseconds until_limit);
 
   SnapshotPtr GetSnapshot() const { return m_snapshot; }
   void SetSnapshot(SnapshotPtr snapshot);
@@ -139,7 +149,10 @@
   RetryBudget m_retries;
   VersionEvidence m_evidence;
   std::function<void(const ServerId&, std::int64_t)> m_on_leaving_response;
-  std::shared_ptr<IdleConnections> m_idle = std::make_shared<IdleConnections>();
+  std::shared_ptr<ConnectionSet> m_idle = std::make_shared<ConnectionSet>();
+  std::shared_ptr<ConnectionSet> m_reading = std::make_shared<ConnectionSet>();
+  RequestDurations m_durations;
+  StopSchedule m_stop;
   std::mt19937_64 m_random;
   std::shared_ptr<std::size_t> m_requests_in_progress =
       std::make_shared<std::size_t>(0);
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -59,6 +59,13 @@
   admission.workspace = &configuration.workspaces.at(key->second);
 }
 
+void CheckStop(Worker& worker, AdmissionResult& admission) {
+  if (worker.MayEndBeforeStop(*admission.route, admission.response_timeout)) {
+    return;
+  }
+  Reject(admission, ResultCode::kDraining, {}, kStopRetryDelay);
+}
+
 /// Rejects a prompt that would crash a server. Its quota is not charged.
 void CheckPrompt(Worker& worker, AdmissionResult& admission) {
   Milliseconds until_trial{0};
@@ -112,6 +119,7 @@
   const Milliseconds deadline = admission.request.deadline.value_or(timeout);
   admission.response_timeout = std::min(deadline - kAnswerMargin, timeout);
   Authorize(worker, *snapshot.configuration, admission);
+  if (!admission.rejection) CheckStop(worker, admission);
   if (!admission.rejection) CheckPrompt(worker, admission);
   if (!admission.rejection) co_await Charge(worker, admission);
   co_return admission;
--- a/src/serve/request_admission.h
+++ b/src/serve/request_admission.h
@@ -6,6 +6,10 @@
 
 namespace cowslipknot::gateway {
 
+/// Retry-After of a request that this instance does not serve because it stops.
+/// Callers repeat it at another instance.
+constexpr Milliseconds kStopRetryDelay(50);
+
 /// A caller's request with its route and workspace. The pointers refer to the
 /// configuration snapshot that the request was admitted with.
 struct AdmissionResult {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <exception>
+#include <optional>
 
 #include "cowslipknot/events.h"
 
@@ -40,11 +41,15 @@
 
 class Exchange : public HttpExchange {
  public:
-  Exchange(StreamPtr stream, HttpRequest request, Milliseconds write)
+  /// @param close_after_response  asked when a response begins; may be empty
+  Exchange(StreamPtr stream, HttpRequest request, Milliseconds write,
+           std::function<bool()> close_after_response)
       : m_connection(std::move(stream)),
         m_stream(*m_connection),
         m_request(std::move(request)),
-        m_write_timeout(write) {}
+        m_write_timeout(write),
+        m_close_after_response(std::move(close_after_response)),
+        m_keep_alive(m_request.keep_alive()) {}
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
   ~Exchange() override { StopWatching(); }
@@ -75,7 +80,7 @@
     }
     m_answered = true;
     response.version(11);
-    response.keep_alive(KeepAlive());
+    response.keep_alive(DecideKeepAlive());
     response.prepare_payload();
     m_stream.expires_after(m_write_timeout);
     auto [error, size] =
@@ -90,7 +95,7 @@
     header_only.base() = header.base();
     header_only.version(11);
     header_only.chunked(true);
-    header_only.keep_alive(KeepAlive());
+    header_only.keep_alive(DecideKeepAlive());
     http::response_serializer<http::empty_body> serializer(header_only);
     m_stream.expires_after(m_write_timeout);
     auto [error, size] =
@@ -123,12 +128,16 @@
 
   bool Answered() const override { return m_answered; }
   bool ConnectionUsable() const { return m_usable; }
-  void CloseAfterResponse() { m_close_after_response = true; }
-  bool KeepAlive() const {
-    return m_request.keep_alive() && !m_close_after_response;
-  }
+  /// Whether the response announced that the connection stays open.
+  bool KeepAlive() const { return m_keep_alive; }
 
  private:
+  bool DecideKeepAlive() {
+    const bool closes = m_close_after_response && m_close_after_response();
+    m_keep_alive = m_request.keep_alive() && !closes;
+    return m_keep_alive;
+  }
+
   StreamPtr m_connection;
   beast::tcp_stream& m_stream;
   std::shared_ptr<bool> m_watching;
@@ -136,10 +145,12 @@
   Milliseconds m_write_timeout;
   bool m_answered = false;
   bool m_usable = true;
-  bool m_close_after_response = false;
+  std::function<bool()> m_close_after_response;
+  bool m_keep_alive;
 };
 
 ResultCode ReadFailureCode(error_code error) {
+  if (error == asio::error::operation_aborted) return ResultCode::kDraining;
   if (error == http::error::body_limit) return ResultCode::kBodyTooLarge;
   if (error == http::error::header_limit) return ResultCode::kHeaderTooLarge;
   return ResultCode::kMalformedRequest;
@@ -156,12 +167,14 @@
                                  const HttpServerLimits& limits,
                                  const HttpServerHooks& hooks) {
   LogEvent(Event::kRequestUnreadable, {{"detail", error.message()}});
-  if (IsDisconnect(error) || !hooks.make_error_response) co_return;
+  const bool cancelled = error == asio::error::operation_aborted;
+  if (IsDisconnect(error) && !cancelled) co_return;
+  if (!hooks.make_error_response) co_return;
   HttpRequest placeholder;
   placeholder.version(11);
   placeholder.keep_alive(false);
   Exchange exchange(std::move(stream), std::move(placeholder),
-                    limits.write_timeout);
+                    limits.write_timeout, nullptr);
   const Error failure{ReadFailureCode(error)};
   HttpResponse response = hooks.make_error_response(failure);
   co_await exchange.Respond(std::move(response));
@@ -309,25 +322,28 @@
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
                                 HttpServerHooks hooks) {
   beast::flat_buffer buffer;
+  std::optional<InProgressCount> counted;
   while (true) {
+    counted.reset();
     if (hooks.limits) limits = hooks.limits();
     const bool arrived = co_await WaitForRequest(stream, buffer, limits, hooks);
     // A request that crosses the close is not read, which tells the peer that
     // it was not accepted.
     if (!arrived) co_return;
-    const InProgressCount counted(hooks);
+    counted.emplace(hooks);
     // The configuration may have changed while the connection was idle.
     if (hooks.limits) limits = hooks.limits();
     http::request_parser<http::string_body> parser;
+    if (hooks.reading) hooks.reading->Add(*stream);
     const error_code error =
         co_await ReadRequest(*stream, buffer, parser, limits);
+    if (hooks.reading) hooks.reading->Remove(*stream);
     if (error) {
       co_await RejectUnreadable(stream, error, limits, hooks);
       break;
     }
-    Exchange exchange(stream, parser.release(), limits.write_timeout);
-    if (hooks.close_after_response && hooks.close_after_response())
-      exchange.CloseAfterResponse();
+    Exchange exchange(stream, parser.release(), limits.write_timeout,
+                      hooks.close_after_response);
     co_await HandleExchange(exchange, hooks);
     exchange.StopWatching();
     if (!exchange.ConnectionUsable()) co_return;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -42,13 +42,13 @@
   virtual void OnPeerDisconnect(std::function<void()> on_disconnect) = 0;
 };
 
-/// Connections that wait for a request.
-class IdleConnections {
+/// Connections that wait for input.
+class ConnectionSet {
  public:
   void Add(beast::tcp_stream& stream) { m_streams.insert(&stream); }
   void Remove(beast::tcp_stream& stream) { m_streams.erase(&stream); }
-  /// Closes all of them. A request that arrives meanwhile is not read.
-  void CloseAll() {
+  /// Ends their waits.
+  void CancelAll() {
     for (auto* stream : m_streams) stream->cancel();
   }
   std::size_t Count() const { return m_streams.size(); }
@@ -70,9 +70,14 @@
   std::function<bool()> no_more_requests;
   /// Returns the limits for the next request; empty if they do not change.
   std::function<HttpServerLimits()> limits;
-  std::shared_ptr<IdleConnections> idle;  ///< may be null
-  /// Number of requests between their first byte and the end of the response;
+  /// Connections that wait for a request, which close when they are cancelled;
   /// may be null.
+  std::shared_ptr<ConnectionSet> idle;
+  /// Connections on which a request is being read, which is rejected when they
+  /// are cancelled; may be null.
+  std::shared_ptr<ConnectionSet> reading;
+  /// Number of requests between their first byte and the end of the response,
+  /// or the close that follows; may be null.
   std::shared_ptr<std::size_t> requests_in_progress;
 };
 
