Wait in a planned stop of serve for requests that are being read

What callers would see: in a planned stop of `serve`, a request whose body arrives after the listeners close gets a closed connection without an answer. Change: serve uses the count and the set of idle connections of http_server, as the gateway does. Open: a plain request that still runs at drain.limit_ms is cut; model requests are handed over.

--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -47,10 +47,8 @@
       co_await HandleReadiness();
       co_return;
     }
-    ++m_worker.ExchangesInFlight();
     const auto outcome = co_await Dispatch(path);
     if (!outcome) co_await RespondWithError(outcome.error());
-    --m_worker.ExchangesInFlight();
   }
 
  private:
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -82,6 +82,9 @@
         return ErrorResponse(error);
       };
       hooks.close_after_response = [this] { return m_draining.load(); };
+      hooks.no_more_requests = [this] { return m_closing_idle.load(); };
+      hooks.idle = worker.Idle();
+      hooks.requests_in_progress = worker.RequestsInProgress();
       asio::co_spawn(worker.Context(),
                      ServeHttp(m_caller_acceptors[i], limits, hooks),
                      asio::detached);
@@ -124,6 +127,7 @@
       // instance is not ready.
       co_await SleepFor(m_settings.drain_grace);
       CloseCallerListeners();
+      m_closing_idle = true;
       const Milliseconds handover_delay =
           m_settings.drain_timeout - m_settings.hand_over_margin;
       while (ElapsedSince(started) < handover_delay &&
@@ -140,17 +144,21 @@
     m_control.Context().stop();
   }
 
+  /// Closes idle connections and returns whether requests, connections or
+  /// writes to the platform remain.
   Awaitable<bool> HasOutstandingWork() {
-    if (m_control.HasPendingWrites()) co_return true;
+    bool remains = m_control.HasPendingWrites();
     for (const auto& worker : m_workers) {
-      auto count = [](Worker& source) -> Awaitable<std::uint64_t> {
-        co_return source.ExchangesInFlight();
+      auto close_idle = [](Worker& source) -> Awaitable<bool> {
+        source.Idle()->CancelAll();
+        co_return *source.RequestsInProgress() > 0 ||
+            source.Idle()->Count() > 0;
       };
-      if (co_await RunOn(worker->Executor(), count(*worker)) > 0) {
-        co_return true;
+      if (co_await RunOn(worker->Executor(), close_idle(*worker))) {
+        remains = true;
       }
     }
-    co_return false;
+    co_return remains;
   }
 
   void CloseCallerListeners() {
@@ -170,6 +178,7 @@
   std::shared_ptr<tcp::acceptor> m_operators;
   std::shared_ptr<tcp::acceptor> m_peers;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_closing_idle{false};  ///< Drain() closes idle connections
 };
 
 }  // namespace
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -16,6 +16,7 @@
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/fleet.h"
 #include "transport/http_client.h"
+#include "transport/http_server.h"
 
 namespace cowslipknot {
 
@@ -98,7 +99,12 @@
   void AddRun(const std::shared_ptr<ModelRun>& run);
   std::shared_ptr<ModelRun> FindRun(const RequestId& id) const;
 
-  std::uint64_t& ExchangesInFlight() { return m_exchanges_in_flight; }
+  /// Connections of callers that wait for a request.
+  std::shared_ptr<ConnectionSet> Idle() { return m_idle; }
+  /// Number of requests that are being read or answered.
+  std::shared_ptr<std::size_t> RequestsInProgress() {
+    return m_requests_in_progress;
+  }
 
  private:
   void EvictFinishedRuns();
@@ -116,7 +122,9 @@
       m_waiting_admissions;
   std::uint64_t m_next_ticket = 0;
   std::uint64_t m_round_robin_index = 0;
-  std::uint64_t m_exchanges_in_flight = 0;
+  std::shared_ptr<ConnectionSet> m_idle = std::make_shared<ConnectionSet>();
+  std::shared_ptr<std::size_t> m_requests_in_progress =
+      std::make_shared<std::size_t>(0);
   std::map<MoveId, MoveEvidence> m_evidence;
   /// Server that each prompt block was last sent to.
   std::unordered_map<std::uint64_t, ServerId> m_block_servers;
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -140,6 +140,39 @@
         return run_under_load(cluster, seed, inject_faults, {"no_broken": True}, seconds=14)
 
 
+def stop_while_reading(options, seed):
+    """An instance that stops answers requests whose bodies arrive meanwhile."""
+    def stop_with_half_a_request(cluster, index):
+        host, port = cluster.entry_address(index).rsplit(":", 1)
+        body = b'{"lot": "x"}'
+        head = (f"POST /filings/new HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-clerks\r\n"
+                f"Idempotency-Key: k{index}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode()
+        process = cluster.processes[f"entry-{index}"]
+        with socket.create_connection((host, int(port)), timeout=10) as connection, \
+                socket.create_connection((host, int(port)), timeout=10) as idle:
+            connection.sendall(head + body[:5])
+            process.send_signal(signal.SIGTERM)
+            time.sleep(2)  # longer than the listeners stay open
+            idle_closed = idle.recv(1) == b""
+            try:
+                connection.sendall(body[5:])
+                answer = connection.recv(65536)
+            except OSError as error:
+                answer = repr(error).encode()
+        code = process.wait_exit(15)
+        if answer.startswith(b"HTTP/1.1 200") and idle_closed and code == 0:
+            return []
+        return [Violation("graceful_stop", f"entry-{index}: {answer[:200]!r}, idle connection "
+                                           f"closed: {idle_closed}, exit code {code}")]
+    with Cluster(seed=seed, **options) as cluster:
+        cluster.start_and_configure(OBJECTS_PATH)
+        violations = []
+        for index in random.Random(seed).sample(range(cluster.entry_count), 2):
+            violations += stop_with_half_a_request(cluster, index)
+        return CaseResult(violations, {"stops": 2})
+
+
 def freeze_entry(options, seed):
     """An entry instance is paused for longer than the lease duration and then resumes."""
     def inject_faults(cluster, rng):
@@ -564,7 +597,8 @@
 
 
 CASES = {case.__name__: case for case in (
-    kill_entry, die_in_reclaim, hand_over, planned_stops, freeze_entry, kill_engine,
+    kill_entry, die_in_reclaim, hand_over, planned_stops, stop_while_reading, freeze_entry,
+    kill_engine,
     freeze_engine, silent_connections, cut_answers, lost_end_marks, reclaim_domain,
     refusing_server, reset_filings, platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
@@ -572,7 +606,8 @@
     move_operator_takes_back)}
 
 SHORT_CASES = [
-    "kill_entry", "die_in_reclaim", "hand_over", "planned_stops", "kill_engine",
+    "kill_entry", "die_in_reclaim", "hand_over", "planned_stops", "stop_while_reading",
+    "kill_engine",
     "silent_connections", "cut_answers", "lost_end_marks", "reclaim_domain",
     "reset_filings", "platform_outage", "lost_answers", "cut_domain", "operator_race",
     "stale_configuration", "fresh_in_outage", "move_bad", "freeze_entry",
