Soak a restore of the store from a copy

Not covered before: the soak's store never lost what it had acknowledged. After: half of the seeds restore the store from a copy taken up to 5.5 s before; the operator and the servers write theirs again 0.5 s later. Drawn apart from the other faults; all checks as they were.

--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -24,6 +24,7 @@
           "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 2000}
 LIMIT = {"rate_per_s": 600, "burst": 3000}  # tokens, of tenant "limited"
 RESTART_DELAY_S = 0.3  # between the exit of a process and its next start
+RESTORE_REWRITE_S = 0.5  # until the operator and the servers have written theirs again
 REGISTRATION_EXPIRY_S = 2.0  # time until a crashed server's registration is removed
 EVENTS_PER_STREAM = 6
 EVENT_INTERVAL_S = 0.05  # between the events of a stream
@@ -113,6 +114,8 @@
         self.store = fakes.Store()
         self.cloud = fakes.Cloud()
         self.lock = threading.Lock()
+        self.rows_lock = threading.RLock()  # writes of the operator and the servers
+        self.registrations = {}  # server: its registration, as last written
         self.backends = {}  # slot: the fake server that currently runs there
         self.ended_backends = []  # fake servers that have stopped
         self.generation = 0
@@ -134,7 +137,7 @@
         for n in range(PROBE_SERVICES):
             backend = fakes.Backend(f"probe{n}")
             self.backends[f"probe{n}"] = backend
-            self.store.put("servers", backend.name, backend.registration(f"probe{n}"))
+            self._write_registration(backend.name, backend.registration(f"probe{n}"))
         self.change_configuration()
         for name in self.names:
             self.instances[name] = GatewayInstance(self, name)
@@ -178,7 +181,16 @@
                                 event_pause_s=EVENT_INTERVAL_S, port=self.ports[slot])
         with self.lock:
             self.backends[slot] = backend
-        self.store.put("servers", backend.name, self._registration(slot))
+        self._write_registration(backend.name, self._registration(slot))
+
+    def _write_registration(self, name, registration):
+        """Writes a server's registration, or deletes it if there is none."""
+        with self.rows_lock:
+            self.registrations[name] = registration
+            if registration:
+                self.store.put("servers", name, registration)
+            else:
+                self.store.delete("servers", name)
 
     def _registration(self, slot, **fields):
         return self.backends[slot].registration(self.slots[slot], address=self.links[slot],
@@ -210,10 +222,11 @@
         """Writes the next configuration once the store is available."""
         while self.store.down or self.store.silent:
             time.sleep(0.02)
-        index = len(self.changes)
-        begun = time.monotonic()
-        self.store.put("op", "config", configuration_at(index))
-        self.changes.append((index, begun, time.monotonic()))
+        with self.rows_lock:
+            index = len(self.changes)
+            begun = time.monotonic()
+            self.store.put("op", "config", configuration_at(index))
+            self.changes.append((index, begun, time.monotonic()))
 
     def current_index(self):
         return len(self.changes) - 1
@@ -306,25 +319,33 @@
     def _replace_locked(self, slot, kind):
         name = self.backends[slot].name
         if kind == "drain":
-            self.store.put("servers", name, self._registration(slot, state="draining"))
+            self._write_registration(name, self._registration(slot, state="draining"))
             self.drains.append((name, time.monotonic()))
             time.sleep(BOUNDS["drain_ms"] / 1000 + 0.5)
-            self.store.delete("servers", name)
+            self._write_registration(name, None)
             self._stop_backend(slot, crash=False)
         elif kind == "says_leaving":  # the store still lists it as ready
             self.backends[slot].leaving = True
             time.sleep(BOUNDS["drain_ms"] / 1000 + 1.5)
-            self.store.delete("servers", name)
+            self._write_registration(name, None)
             self._stop_backend(slot, crash=False)
         elif kind == "crash":
             self._stop_backend(slot, crash=True)
             time.sleep(REGISTRATION_EXPIRY_S)
-            self.store.delete("servers", name)
+            self._write_registration(name, None)
         else:  # "reborn": replaced at once at the same address
             self._stop_backend(slot, crash=True)
-            self.store.delete("servers", name)
+            self._write_registration(name, None)
         self._add_backend(slot)
 
+    def _restore_store(self, copy):
+        self.store.restore(copy)
+        time.sleep(RESTORE_REWRITE_S)
+        with self.rows_lock:
+            self.store.put("op", "config", configuration_at(self.current_index()))
+            for name, registration in self.registrations.items():
+                self._write_registration(name, registration)
+
     def _inject_environment_fault(self, fault):
         kind = fault.kind
         if kind == "store_down":
@@ -339,6 +360,10 @@
             self.store.delay_s = STORE_DELAY_S
             time.sleep(fault.for_s)
             self.store.delay_s = 0.0
+        elif kind == "store_restored":
+            copy = self.store.copy()
+            time.sleep(fault.for_s)
+            self._restore_store(copy)
         elif kind == "store_forgets":
             self.store.compact_history()
         elif kind == "store_loses_answers":
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -25,6 +25,7 @@
 # a seed determines as before.
 NOTICE_FAULT_WEIGHTS = {"says_leaving": 1, "wants_none": 1}
 MEAN_NOTICE_INTERVAL_S = 4.0
+RESTORE_PROBABILITY = 0.5  # that the store is restored from a copy in a run
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
 
@@ -73,6 +74,14 @@
     return notices
 
 
+def draw_restore(rng, seconds):
+    """Returns a restore of the store from a copy that is taken `for_s` before it, or none."""
+    if rng.random() >= RESTORE_PROBABILITY:
+        return []
+    at_s = rng.uniform(0.5, seconds / 2)
+    return [Fault(at_s, "store_restored", "world", rng.uniform(0.2, seconds / 2 - 2))]
+
+
 def draw_changes(rng, seconds):
     """Returns the times at which the operator writes a new configuration."""
     times = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,7 @@
 from environment import (
     BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
-from schedule import draw_changes, draw_faults, draw_notices
+from schedule import draw_changes, draw_faults, draw_notices, draw_restore
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
@@ -128,6 +128,7 @@
         if not quiet:
             faults += draw_notices(random.Random(f"{seed}/notices"), seconds,
                                    sorted(environment.slots))
+            faults += draw_restore(random.Random(f"{seed}/restore"), seconds)
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -220,7 +220,10 @@
         self.assertNotEqual(draw(1), draw(2))
         notices = schedule.draw_notices(random.Random(1), 30, ["plain0"])
         self.assertEqual({notice.kind for notice in notices}, {"says_leaving", "wants_none"})
-        for fault in draw(1) + notices:
+        restores = [restore for seed in range(8)
+                    for restore in schedule.draw_restore(random.Random(seed), 30)]
+        self.assertTrue(0 < len(restores) < 8)
+        for fault in draw(1) + notices + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
