Tell instances that start later of servers that said that they leave

What callers would see: nothing that breaks DRAIN for the instance that was answered; but an instance that the answered one did not know yet sends requests to the leaving server until one is answered. Found by the test of when it ran before the instances knew each other (2 requests instead of 1). Cause: the notice went once, to the peers known then. Ruled out: the relay's updates, which leave the server out, but only to its followers. Before: the new test fails on (no server_leaving at the later instance within 20 s). After: passes; an instance sends its notices, in one frame, to each instance that it learns of. A notice that is lost on the way is still not repeated. Command: python3 -m unittest server_notices_test.ServerNoticesTest.test_instance_that_starts_later_is_told

--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -121,6 +121,9 @@
   /// @param read_at  when the response's header was read, in TimeSinceBoot()
   void OnLeavingResponse(const ServerId& server, std::int64_t started_ms,
                          std::chrono::nanoseconds read_at);
+  /// Notifies instances that have started since the last call of servers that
+  /// said in a response to this instance that they are leaving.
+  void NotifyNewInstances();
   /// Handles the notices of such responses to other instances.
   void OnLeavingResponsesOfPeers(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
@@ -163,6 +166,10 @@
   std::chrono::nanoseconds m_shares_updated_at{0};
   RowLogFilter m_unreadable_rows;    ///< of the table of servers
   StorePosition m_servers_position;  ///< of the store, as last read
+  /// Servers that said in a response to this instance that they are leaving,
+  /// and their start times.
+  std::map<ServerId, std::int64_t> m_leaving_responses;
+  std::set<InstanceSummary> m_notified_instances;
   TableCursor m_configuration_cursor;
   bool m_following = false;
   asio::steady_timer m_following_ended;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -14,6 +14,23 @@
 /// this instance. Running requests and other instances' prompts use the rest.
 constexpr double kPrefixCacheFraction = 0.5;
 
+/// Leaving servers of which instances that start later are notified.
+constexpr std::size_t kMaxAnnouncedLeaving = 64;
+
+std::shared_ptr<PeerFrame> BuildLeavingNotice(
+    const std::map<ServerId, std::int64_t>& starts) {
+  std::vector<GossipRecord> records;
+  records.reserve(starts.size());
+  for (const auto& [server, started_ms] : starts) {
+    records.push_back(
+        {server.Text(), static_cast<std::uint64_t>(started_ms), std::string()});
+  }
+  auto frame = std::make_shared<PeerFrame>();
+  frame->kind = wire::Kind::LeavingResponses;
+  AddRecords(*frame, records);
+  return frame;
+}
+
 }  // namespace
 
 void ControlPlane::OnServersLeaving(const std::vector<GossipRecord>& servers) {
@@ -40,10 +57,15 @@
     return;
   LogEvent(Event::kServerLeaving,
            {{"server", server.Text()}, {"age_ms", FormatAgeMs(read_at)}});
-  auto frame = std::make_shared<PeerFrame>();
-  frame->kind = wire::Kind::LeavingResponses;
-  AddRecords(*frame, {{server.Text(), static_cast<std::uint64_t>(started_ms),
-                       std::string()}});
+  m_leaving_responses[server] = started_ms;
+  if (m_leaving_responses.size() > kMaxAnnouncedLeaving) {
+    m_leaving_responses.erase(
+        std::min_element(m_leaving_responses.begin(), m_leaving_responses.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second < right.second;
+                         }));
+  }
+  const auto frame = BuildLeavingNotice({{server, started_ms}});
   asio::post(m_worker.Context(), [this, frame] {
     m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
   });
@@ -51,6 +73,23 @@
   Publish();
 }
 
+void ControlPlane::NotifyNewInstances() {
+  const std::set<InstanceSummary> serving(m_fleet.serving.begin(),
+                                          m_fleet.serving.end());
+  std::vector<Endpoint> added;
+  for (const auto& instance : serving) {
+    const bool other = instance.peers && instance.peers != m_settings.peers;
+    if (other && !m_notified_instances.contains(instance))
+      added.push_back(*instance.peers);
+  }
+  m_notified_instances = serving;
+  if (added.empty() || m_leaving_responses.empty()) return;
+  const auto frame = BuildLeavingNotice(m_leaving_responses);
+  asio::post(m_worker.Context(), [this, frame, added] {
+    m_worker.Links().Broadcast(added, *frame);
+  });
+}
+
 void ControlPlane::OnLeavingResponsesOfPeers(
     const std::vector<GossipRecord>& servers) {
   bool changed = false;
--- a/tests/platform/server_notices_test.py
+++ b/tests/platform/server_notices_test.py
@@ -128,6 +128,17 @@
                             if event["name"] == "server_leaving"])
         self.assert_no_more_requests(other, leaving)
 
+    # Guards against an instance that starts later and sends requests to a leaving server.
+    def test_instance_that_starts_later_is_told(self):
+        leaving, _ = self.start_backends("plain")
+        gateway = self.start_gateway()
+        leaving.leaving = True
+        self.call_until_answered(gateway, leaving)
+        other = self.start_gateway("gw2")
+        eventually(lambda: [event for event in other.log_events()
+                            if event["name"] == "server_leaving"])
+        self.assert_no_more_requests(other, leaving)
+
     # Guards against requests sent to a server during the time for which it wants none.
     def test_server_that_asks_for_a_pause_gets_no_request_until_its_end(self):
         pausing, _ = self.start_backends("plain")
