Fail an unframed answer that ends right after its head

Callers would see: a server that stops after its answer's head, when this has neither a length nor chunks, gives them a 200 with an empty body and `Content-Length: 0`, or a stream without an event that looks complete.

Cause: such a body ends with its connection, so that a close right after the head counted as a whole, empty body. An empty body that is meant has a length. Such an answer is now a failed attempt of unknown outcome: repeatable requests go on elsewhere, others get 502.

The client's parser reports a head without its empty line as a partial message.

Remains: an unframed body that is closed after its first byte, a stream's at the end of an event, can't be told from a whole one and still counts as such; a reset is told apart.

--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -16,6 +16,14 @@
 constexpr Milliseconds kDiscardTimeout(50);
 constexpr std::size_t kMaxDiscardedBytes = 64 << 10;
 
+/// The server may have stopped after its response header: neither a length nor
+/// chunks tell.
+Error MakeNoBodyError() {
+  return Error{ResultCode::kBackendMalformed,
+               "connection ended before a body of unknown length",
+               Execution::kUnknown};
+}
+
 }  // namespace
 
 Awaitable<void> Call::DiscardBody(ResponseStream& stream) {
@@ -56,6 +64,11 @@
     if (!m_caller_gone) RecordAttemptFailure(server, error);
     co_return AttemptOutcome::kFailed;
   }
+  if (body->empty() && stream.EndsWithConnection()) {
+    error = MakeNoBodyError();
+    RecordAttemptFailure(server, error);
+    co_return AttemptOutcome::kFailed;
+  }
   if (!m_start_recorded) RecordRequestStart();
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
@@ -159,6 +172,11 @@
       co_return AttemptOutcome::kFailed;
     }
   }
+  if (first && stream.EndsWithConnection()) {
+    error = MakeNoBodyError();
+    RecordAttemptFailure(server, error);
+    co_return AttemptOutcome::kFailed;
+  }
   if (!m_events.PartialEvent().empty()) {
     error = Error{ResultCode::kBackendMalformed,
                   "ended in the middle of an event", Execution::kUnknown};
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -139,6 +139,8 @@
     return m_parser->get().base();
   }
 
+  bool EndsWithConnection() const override { return m_parser->need_eof(); }
+
   Awaitable<Result<std::string>> Read(Milliseconds timeout) override {
     std::string piece;
     piece.resize(kReadBufferBytes);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -57,6 +57,9 @@
  public:
   virtual ~ResponseStream() = default;
   virtual const http::response_header<>& Header() const = 0;
+  /// Whether only the end of the connection ends the body, for lack of a length
+  /// and of chunks.
+  virtual bool EndsWithConnection() const = 0;
   /// Reads the next piece. After a timeout the read may be repeated.
   /// @return the next piece; empty at the end of a complete body
   virtual Awaitable<Result<std::string>> Read(Milliseconds timeout) = 0;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -319,6 +319,15 @@
         self.send(200)
 
 
+class RawAnswer:
+    """Bytes that a backend sends as its answer before it closes or resets the connection.
+    `{id}` stands for the id of the request."""
+
+    def __init__(self, data, resets=False):
+        self.data = data
+        self.resets = resets
+
+
 class Backend:
     """A backend server. `pending_faults` holds the faults of the next requests, in order:
 
@@ -344,7 +353,8 @@
     "from_start": ignores Last-Event-Id, "gap": leaves out the first event that is due,
     "repeat": sends the second event once more after the third,
     "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
-    complete, ended inside an event, or reset at the end of one.
+    complete, ended inside an event, or reset at the end of one,
+    a RawAnswer: executes the request, sends these bytes and closes or resets.
 
     `answer_pause_s` is the time until an answer that is no stream.
     """
@@ -443,6 +453,13 @@
                              "time": time.monotonic(), "fault": fault})
         if self.late_copy:
             self.send_raw(self.late_copy)
+        if isinstance(fault, RawAnswer):
+            self.send_raw(fault.data.replace(b"{id}", request.encode()))
+            if fault.resets:
+                time.sleep(0.01)  # until the bytes are read
+                reset_client(self)
+            self.close_connection = True
+            return
         if fault == "reset":
             reset_client(self)
             return
