Keep the shared time when a restored store's clock jumps

After a restore the usage windows would jump with the store's clock, which need not go on: reports would be missed or be those of other times.

Cause: samples and offset of the shared clock were used across eras.

Ruled out: setting the time anew from a wall clock while others know it; clocks of single machines step.

Now samples and the stored offset belong to an era (row "OFFSET ERA"; the first format is still read). A process that knows the shared time keeps it and stores the offset of the new era. A process that does not waits 3 s for one of the current era before it proposes its own, also on a new fleet. A store that states no era is handled as before. ClusterClock is now a module of its own, src/serve/cluster_clock.

This form checks the time at which each window is reported.

--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -1,7 +1,6 @@
 #include "serve/gateway_fleet_coordinator.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "coordination/move_controller.h"
 #include "cowslipknot/events.h"
@@ -24,18 +23,6 @@
 /// after Settings::revoke_bound. Its share of the limits is redistributed this
 /// much later.
 constexpr Milliseconds kLifetimeMargin(1000);
-/// A new sample of the store's clock replaces the current one only if its round
-/// trip is at most this much longer.
-constexpr std::chrono::milliseconds kMaxRoundTripIncrease(3);
-
-std::optional<std::uint64_t> ParseUnsigned(std::string_view text) {
-  std::uint64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc()) return std::nullopt;
-  return number;
-}
-
 /// Whether conditions require that a row exists.
 bool HasKnownRow(const std::vector<StoreRow>& conditions) {
   return std::any_of(
@@ -53,30 +40,6 @@
 
 }  // namespace
 
-void ClusterClock::AddSample(Milliseconds store_time,
-                             std::chrono::nanoseconds sent_at,
-                             std::chrono::nanoseconds received_at) {
-  const auto round_trip = received_at - sent_at;
-  const auto midpoint = sent_at + round_trip / 2;
-  const Sample sample{store_time - midpoint, round_trip};
-  if (!m_sample || round_trip <= m_sample->round_trip + kMaxRoundTripIncrease) {
-    m_sample = sample;
-  }
-}
-
-std::optional<Milliseconds> ClusterClock::ProposeOffset(
-    WallTime wall, std::chrono::nanoseconds now) const {
-  if (!m_sample) return std::nullopt;
-  const auto store_now = now + m_sample->store_minus_boot;
-  return Milliseconds(wall.Count()) -
-         std::chrono::duration_cast<Milliseconds>(store_now);
-}
-
-std::optional<std::chrono::nanoseconds> ClusterClock::OffsetFromBoot() const {
-  if (!m_sample || !m_offset) return std::nullopt;
-  return m_sample->store_minus_boot + *m_offset;
-}
-
 FleetCoordinator::FleetCoordinator(const Settings& settings,
                                    const PlatformAdapter& adapter)
     : m_settings(settings),
@@ -116,7 +79,8 @@
   const auto sent_at = TimeSinceBoot();
   auto changed = co_await m_adapter.commit_transaction(std::move(transaction));
   if (!changed) co_return changed;
-  m_clock.AddSample(changed->store_time, sent_at, TimeSinceBoot());
+  m_clock.AddSample(changed->position.era, changed->store_time, sent_at,
+                    TimeSinceBoot());
   m_era = std::max(m_era, changed->position.era);
   // The condition held by chance: the versions were assigned anew since.
   if (is_bound_to_era && changed->position.era != era) {
@@ -210,13 +174,14 @@
   const auto rows = co_await m_adapter.read_table(store_rows::kTable);
   if (!rows) co_return tl::make_unexpected(rows.error());
   const auto now = TimeSinceBoot();
-  m_clock.AddSample(rows->store_time, sent_at, now);
+  m_clock.AddSample(rows->position.era, rows->store_time, sent_at, now);
   m_era = std::max(m_era, rows->position.era);
   std::map<std::string, InstanceReport> reports;
   std::optional<LeaseRow> lease;
   StorePosition lease_position{rows->position.era, StoreVersion(0)};
   m_report_position = {};
   m_report_position_known = true;
+  m_clock_position = {};
   m_row_positions.clear();
   std::vector<StoreRow> moves;
   for (const auto& row : rows->rows) {
@@ -224,10 +189,12 @@
       lease = DecodeLease(row.value);
       lease_position = row.position;
     } else if (row.key == store_rows::kClockKey) {
-      const auto offset = ParseUnsigned(row.value);
-      if (offset && !m_clock.HasOffset()) {
-        m_clock.SetOffset(Milliseconds(*offset));
-        LogEvent(Event::kClusterClockSet, {{"offset_ms", row.value}});
+      m_clock_position = row.position;
+      const auto stored = DecodeClock(row.value);
+      if (stored && m_clock.SetOffset(*stored)) {
+        LogEvent(Event::kClusterClockSet,
+                 {{"offset_ms", std::to_string(stored->offset.count())},
+                  {"era", std::to_string(stored->era.Count())}});
       }
     } else if (row.key.starts_with(store_rows::kMovePrefix)) {
       moves.push_back(row);
@@ -253,12 +220,13 @@
 }
 
 Awaitable<void> FleetCoordinator::StoreClockOffset() {
-  const auto offset = m_clock.ProposeOffset(NowWall(), TimeSinceBoot());
-  if (!offset) co_return;
+  const auto proposed = m_clock.ProposeOffset(NowWall(), TimeSinceBoot());
+  if (!proposed) co_return;
   StoreTransaction transaction;
-  transaction.conditions.push_back(store_rows::MakeRow(store_rows::kClockKey));
-  transaction.writes.push_back(store_rows::MakeRow(
-      store_rows::kClockKey, std::to_string(offset->count())));
+  transaction.conditions.push_back(
+      store_rows::MakeRow(store_rows::kClockKey, {}, m_clock_position));
+  transaction.writes.push_back(
+      store_rows::MakeRow(store_rows::kClockKey, EncodeClock(*proposed)));
   // If another instance was first or the response is lost, ReadTable() picks up
   // the stored row.
   co_await CommitTransaction(std::move(transaction));
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -12,37 +12,10 @@
 #include "cowslipknot/gateway/usage_progress.h"
 #include "protocol/peer_frame.h"
 #include "protocol/platform_adapter.h"
+#include "serve/cluster_clock.h"
 
 namespace cowslipknot::gateway {
 
-/// Wall clock shared by all instances: the store's monotonic clock plus an
-/// offset that the first instance stored. Unaffected by clock steps on single
-/// machines.
-class ClusterClock {
- public:
-  /// Adds a reading of the store's clock from a call that was sent at `sent_at`
-  /// and returned at `received_at`, both in TimeSinceBoot().
-  void AddSample(Milliseconds store_time, std::chrono::nanoseconds sent_at,
-                 std::chrono::nanoseconds received_at);
-  void SetOffset(Milliseconds offset) { m_offset = offset; }
-  bool HasOffset() const { return m_offset.has_value(); }
-  /// Returns the offset to store, given this machine's wall clock; nothing
-  /// before the first sample.
-  std::optional<Milliseconds> ProposeOffset(WallTime wall,
-                                            std::chrono::nanoseconds now) const;
-  /// Shared time minus TimeSinceBoot(); nothing until a sample and the offset
-  /// are known.
-  std::optional<std::chrono::nanoseconds> OffsetFromBoot() const;
-
- private:
-  struct Sample {
-    std::chrono::nanoseconds store_minus_boot{0};
-    std::chrono::nanoseconds round_trip{0};
-  };
-  std::optional<Sample> m_sample;
-  std::optional<Milliseconds> m_offset;
-};
-
 /// Coordinates instances through rows in the store: exchanges reports,
 /// maintains the lease, and performs the tasks of the lease holder. Runs on the
 /// control thread.
@@ -184,6 +157,7 @@
   UsageLedger m_usage;
   InstanceTable m_instances;
   ClusterClock m_clock;
+  StorePosition m_clock_position;
   LeaseView m_lease;
   bool m_logged_lease_held = false;  ///< as last logged
   UsageProgress m_usage_progress;
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -94,6 +94,7 @@
         self.rows = {}
         self.version = 0
         self.era = 1  # rises with each restore
+        self.clock_shift_ms = 0  # of the clock that it states
         self.compacted_version = 0  # changes up to this version are no longer in the feed
         self.down = False
         self.silent = False  # calls are never answered, even after it is cleared
@@ -176,7 +177,7 @@
 
     def render(self, rows):
         return {"rows": rows, "truncated": False, "ver": self.version,
-                "now_ms": int(time.monotonic() * 1000)}
+                "now_ms": int(time.monotonic() * 1000) + self.clock_shift_ms}
 
     def read(self, table):
         with self.changed:
--- a/tests/platform/restored_lease_test.py
+++ b/tests/platform/restored_lease_test.py
@@ -156,6 +156,24 @@
         self.assert_one_count_per_window()
         windows = [call["window"] for call in self.cloud.usage]
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+    # Guards against windows that jump with the clock of the store.
+    def test_shared_time_goes_on_when_the_clock_of_the_store_jumps(self):
+        self.wait_for_reports(1)
+        for shift_ms in (3_600_000, -1_000_000):
+            copy = self.store.copy()
+            self.store.clock_shift_ms = shift_ms
+            self.store.restore(copy)
+            self.wait_for_reports(3)
+        wall_offset = time.time() - time.monotonic()
+        for call in self.cloud.usage:
+            late_s = call["time"] + wall_offset - (call["window"] + 1)
+            self.assertTrue(1 < late_s < 8, f"window {call['window']}: {late_s} s")
+        # A process that starts later takes over the shared time.
+        gateway = Gateway(self.store, self.cloud, name="late")
+        self.addCleanup(gateway.stop)
+        eventually(lambda: [event for event in gateway.log_events()
+                            if event["name"] == "cluster_clock_set"
+                            and event["era"] == str(self.store.era)])
 
 
 if __name__ == "__main__":
