Keep a lost move also where the store's copy has the one before

Callers would see: a service's earlier move was completed, its next one reverted; after a restore to a copy from between the two, the bad version is tried again.

Cause: the copy's rows of the earlier order and move replaced what was known of the later ones, so that a rewritten order began a new move.

Ruled out: keeping the move alone.

Mending: MoveOrders doesn't let a row of a later era replace the known order if its version is lower and its content another one; it takes effect after 10 s if the operator has not written the later order again. A move that the copy's row of another order replaces is kept beside it until its order is there again.

Open: a new order of another content that the operator writes right after a restore, at a lower version than the lost one, takes effect up to 10 s late.

Command: cd tests/platform && python3 -m unittest -v restored_move_test.RestoredMoveTest.test_reverted_move_stays_reverted_after_an_earlier_one

--- a/include/cowslipknot/gateway/move_orders.h
+++ b/include/cowslipknot/gateway/move_orders.h
@@ -19,8 +19,10 @@
  public:
   using Time = std::chrono::nanoseconds;
 
+  /// Applies a row. One of an earlier order, which the store's copy had, takes
+  /// effect only if the operator does not write the later one again in time.
   /// @return whether the orders changed, as with the other functions
-  bool Put(const std::string& key, MoveOrder order);
+  bool Put(const std::string& key, MoveOrder order, Time now);
   /// Records that the store has no such row at a position. In a later era than
   /// the order's the row may be lost.
   bool Remove(const std::string& key, const StorePosition& position, Time now);
@@ -29,7 +31,7 @@
                       const StorePosition& position, Time now);
   /// Adds an order that a peer knows and the store, at a position, has lost.
   bool PutLost(MoveOrder order, const StorePosition& position, Time now);
-  /// Drops lost orders that the operator has not written again in time.
+  /// Ends lost orders that the operator has not written again in time.
   bool Expire(Time now);
 
   std::map<ServiceId, MoveOrder> ByService() const;
@@ -37,7 +39,8 @@
  private:
   struct KnownOrder {
     MoveOrder order;
-    std::optional<Time> lost_at;  ///< set while the store has no such row
+    std::optional<Time> lost_at;       ///< set while the store has no such row
+    std::optional<MoveOrder> earlier;  ///< that the store has instead
   };
   std::map<std::string, KnownOrder> m_orders;  ///< by row key
 };
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -122,7 +122,7 @@
     }
     order->revision = row.position;
     order->first_seen = WallTime(m_coordinator.SharedNowMs().value_or(0));
-    changed = m_move_orders.Put(row.key, std::move(*order)) || changed;
+    changed = m_move_orders.Put(row.key, std::move(*order), now) || changed;
   }
   if (!changed) return;
   m_coordinator.SetOrders(m_move_orders.ByService());
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -208,6 +208,8 @@
     VersionMove move;
     StorePosition position;  ///< unknown: the store has no such row
     bool is_stored = true;   ///< the row has this state
+    /// The move of a later order, while the store has lost both.
+    std::optional<VersionMove> lost;
   };
   bool IsLost(const StoredMove& stored) const;
   /// Returns the known move of an active order.
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -42,11 +42,23 @@
   for (auto& [service, known] : known_moves) {
     const auto stored = m_moves.find(service);
     if (stored == m_moves.end()) {
-      m_moves[service] = {std::move(known.move), {}, false};
-    } else if (IsFurther(known.move, stored->second.move)) {
-      stored->second.move = std::move(known.move);
-      stored->second.is_stored = false;
+      known.position = {};
+      known.is_stored = false;
+      m_moves[service] = std::move(known);
+      continue;
     }
+    StoredMove& move = stored->second;
+    const bool is_restored =
+        known.position.IsKnown() && move.position.era > known.position.era;
+    if (is_restored && !IsSameOrder(known.move.order, move.move.order))
+      known.lost = known.move;
+    for (const auto* further :
+         {&known.move, known.lost ? &*known.lost : nullptr}) {
+      if (further == nullptr || !IsFurther(*further, move.move)) continue;
+      move.move = *further;
+      move.is_stored = false;
+    }
+    move.lost = std::move(known.lost);
   }
 }
 
@@ -76,9 +88,11 @@
 
 const VersionMove* FleetCoordinator::FindMove(const MoveOrder& order) const {
   const auto known = m_moves.find(order.service);
-  const bool is_same =
-      known != m_moves.end() && IsSameOrder(known->second.move.order, order);
-  return is_same ? &known->second.move : nullptr;
+  if (known == m_moves.end()) return nullptr;
+  const StoredMove& move = known->second;
+  if (IsSameOrder(move.move.order, order)) return &move.move;
+  const bool is_lost = move.lost && IsSameOrder(move.lost->order, order);
+  return is_lost ? &*move.lost : nullptr;
 }
 
 std::map<ServiceId, VersionMove> FleetCoordinator::Moves() const {
@@ -223,8 +237,9 @@
       const auto state = NextState(move, evidence, WallTime(*now), bound);
       const auto halted = m_halted.find(MoveKey(move));
       // Written anew also for another era, whose store may lack the status.
-      const bool is_written =
-          stored->second.is_stored && move.order.revision == order.revision;
+      const bool is_written = known == &stored->second.move &&
+                              stored->second.is_stored &&
+                              move.order.revision == order.revision;
       if (halted != m_halted.end() && IsUndecided(move)) {
         next.move.state = RolledBack(move.state, halted->second);
       } else if (state) {
--- a/tests/platform/restored_move_test.py
+++ b/tests/platform/restored_move_test.py
@@ -72,9 +72,9 @@
     def move_row(self):
         return self.store.get("cowslipknot", "move/plain")
 
-    def write_order(self, duration_s=DURATION_S):
+    def write_order(self, duration_s=DURATION_S, to="v2"):
         self.store.put("op", "rollout/plain", {
-            "service": "plain", "to": "v2", "duration_s": duration_s})
+            "service": "plain", "to": to, "duration_s": duration_s})
 
     def decide_move(self, **new_server):
         """Carries out a move. Returns the servers of both versions and copies of the store
@@ -126,6 +126,25 @@
         _, new, before, running = self.decide_move(answer_pause_s=0.15)
         self.check_result_outlasts_restores("reverted", new, before, running)
 
+    # Guards against a bad version that is tried again since the copy has the move before.
+    def test_reverted_move_stays_reverted_after_an_earlier_one(self):
+        self.decide_move(answer_pause_s=0.02)
+        self.assertEqual(self.state(), "completed")
+        bad = self.add_backend("bad", "v3", answer_pause_s=0.15)
+        time.sleep(SETTLE_S)
+        before = self.store.copy()
+        self.write_order(to="v3")
+        eventually(lambda: self.state() == "in_progress")
+        eventually(lambda: self.state() == "reverted")
+        time.sleep(SETTLE_S)
+        runs = len(bad.runs)
+        self.store.restore(before)
+        time.sleep(LOST_S)
+        self.write_order(to="v3")
+        self.assert_state_again("reverted")
+        time.sleep(SETTLE_S)
+        self.assertEqual(len(bad.runs), runs)
+
     # Guards against a move that begins anew, with a new deadline, while it is undecided.
     def test_undecided_move_goes_on(self):
         self.add_backend("old", "v1", answer_pause_s=0.02)
