Weigh the risk of cutting a request off against turning it away

Cause: one accepted risk, 2 in 100, for all requests, and no expectation for unknown streams. Change: 2 in 100 where the outcome would be unknown and the request may not be repeated, 1 in 10 otherwise; a stream like none before is expected to end within a third of its limit.

--- a/include/cowslipknot/gateway/planned_stop.h
+++ b/include/cowslipknot/gateway/planned_stop.h
@@ -47,9 +47,8 @@
   DurationCount recent;         ///< by `until_end`
 };
 
-/// Whether the request is expected to end before the instance does. A request
-/// other than a stream that is like none before is expected to take about as
-/// long as its route's latency target.
+/// Whether the request is expected to end before the instance does, with a risk
+/// that depends on what it costs to be cut off.
 bool MayEndBeforeStop(const Route& route, const StopForecast& forecast);
 
 }  // namespace cowslipknot::gateway
--- a/src/coordination/planned_stop.cc
+++ b/src/coordination/planned_stop.cc
@@ -12,13 +12,23 @@
 constexpr std::chrono::seconds kGeneration(60);
 /// Time to write an answer that is made at the last moment.
 constexpr Milliseconds kAnswerMargin(50);
-/// A request that is turned away costs its caller an attempt, one that is cut
-/// off may cost the result.
-constexpr double kMaxShareCutOff = 0.02;
-/// A request is expected to end within so many latency targets.
+/// Largest accepted risk that a request is cut off. One that is turned away
+/// costs its caller an attempt, and may meet other instances that stop; one
+/// that is cut off costs the result, and its outcome is unknown if it is not
+/// repeatable.
+constexpr double kMaxCutOffRisk = 0.1;
+constexpr double kMaxUnknownOutcomeRisk = 0.02;
+/// A request like none before is expected to end within so many latency
+/// targets, a stream within this fraction of its limit.
 constexpr int kExpectedTargets = 2;
-/// The target counts as much as so many requests that met it.
-constexpr double kTargetWeight = 49;
+constexpr int kExpectedLimitFraction = 3;
+
+Milliseconds ExpectedDuration(const Route& route, Milliseconds until_limit) {
+  if (route.kind == RouteKind::kStream) {
+    return until_limit / kExpectedLimitFraction;
+  }
+  return kExpectedTargets * route.latency_target;
+}
 
 }  // namespace
 
@@ -60,12 +70,17 @@
 
 bool MayEndBeforeStop(const Route& route, const StopForecast& forecast) {
   if (forecast.until_limit + kAnswerMargin <= forecast.until_end) return true;
-  const bool target_fits =
-      route.kind != RouteKind::kStream &&
-      kExpectedTargets * route.latency_target <= forecast.until_end;
-  const double known = forecast.recent.all + (target_fits ? kTargetWeight : 0);
+  const double max_risk = route.kind == RouteKind::kUnsafe
+                              ? kMaxUnknownOutcomeRisk
+                              : kMaxCutOffRisk;
+  // An expectation that fits counts as the fewest requests that suffice.
+  const double expected =
+      ExpectedDuration(route, forecast.until_limit) <= forecast.until_end
+          ? 1 / max_risk - 1
+          : 0;
   // The next duration exceeds all n known ones with probability 1 / (n + 1).
-  return (forecast.recent.longer + 1) / (known + 1) <= kMaxShareCutOff;
+  return forecast.recent.longer + 1 <=
+         max_risk * (forecast.recent.all + expected + 1);
 }
 
 }  // namespace cowslipknot::gateway
