Tell relays apart by node and start

A follower that changed to a relay started in the same millisecond as its former one asked on with that one's cursor. The new relay then left out registrations that the follower had never received, so that it could go on using a server that leaves (DRAIN), or miss one.

Cause: a relay was identified by its start time alone. Instances of a fleet start together.

Before: the comparison was of the start times, which are equal in the new unit test fleet_view/relays_that_start_in_one_millisecond_are_two_processes. After: it passes.

--- a/include/cowslipknot/gateway/fleet_view.h
+++ b/include/cowslipknot/gateway/fleet_view.h
@@ -21,6 +21,10 @@
   auto operator<=>(const InstanceSummary&) const = default;
 };
 
+/// Whether two summaries are of one process. Instances that are started
+/// together may have the same start time.
+bool IsSameProcess(const InstanceSummary& left, const InstanceSummary& right);
+
 /// The instances that may be serving, and their demand.
 ///
 /// Either summarized from the reports in the store, or received from a relay.
--- a/src/coordination/fleet_view.cc
+++ b/src/coordination/fleet_view.cc
@@ -42,6 +42,10 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+bool IsSameProcess(const InstanceSummary& left, const InstanceSummary& right) {
+  return left.node == right.node && left.started_ms == right.started_ms;
+}
+
 std::vector<InstanceSummary> SelectRelays(const FleetView& fleet,
                                           const DomainId& domain) {
   std::vector<InstanceSummary> candidates;
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -176,8 +176,7 @@
   /// Relays that did not respond, and when to ask them again.
   std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
   std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
-  std::uint64_t m_relay_started_ms = 0;
-  NodeId m_relay_node;  ///< of the last update
+  InstanceSummary m_followed_relay;  ///< that sent the last update
   StorePosition m_relay_moves_position;
   std::chrono::nanoseconds m_report_due{0};
   std::size_t m_serving_instances = 0;  ///< as last logged
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -79,9 +79,9 @@
   if (!cursor.needs_full_read)
     frame.follow->configuration = PackPosition(cursor.since);
   const bool is_same_relay =
-      m_following && m_relay_started_ms == relay.started_ms;
+      m_following && IsSameProcess(m_followed_relay, relay);
   if (is_same_relay) {
-    frame.follow->relay_started_ms = m_relay_started_ms;
+    frame.follow->relay_started_ms = relay.started_ms;
     frame.follow->registrations_cursor = m_relay_cursor;
     frame.follow->instances_digest = m_instances_digest;
     frame.follow->moves = PackPosition(m_relay_moves_position);
@@ -115,12 +115,11 @@
   }
   // What a relay has read counts as the store's response.
   if (!m_following) SetStoreReachable(true, m_adapter.names.server_table);
-  if (!m_following || m_relay_node != relay.node) {
+  if (!m_following || m_followed_relay.node != relay.node) {
     LogEvent(Event::kRelayFollowed,
              {{"relay", relay.node.Text()},
               {"address", FormatEndpoint(*relay.peers)}});
   }
-  m_relay_node = relay.node;
   SetFollowing(true);
   ApplyUpdate(*answer->update, relay, sent_at);
   if (answer->update->configuration_in_force > ConfigurationInForce())
@@ -151,7 +150,7 @@
   m_relay.OnConfiguration(rows, is_full_read, confirmed);
   cursor.since = std::max(cursor.since, rows.position);
   if (is_full_read) cursor.needs_full_read = false;
-  m_relay_started_ms = relay.started_ms;
+  m_followed_relay = relay;
   ApplyUpdatedServers(update);
   ApplyUpdatedFleet(update);
 }
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -121,6 +121,21 @@
   }));
 }
 
+// Guards against a cursor that a follower takes from one relay to another: the
+// second one would leave out registrations that it never sent.
+Test(fleet_view, relays_that_start_in_one_millisecond_are_two_processes) {
+  const FleetView fleet =
+      MakeFleet({MakeReport("a", "d", 100), MakeReport("b", "d", 100),
+                 MakeReport("c", "d", 300), MakeReport("e", "d", 300)});
+  const auto relays = SelectRelays(fleet, DomainId("d"));
+  cr_assert_eq(relays.size(), 2u);
+  cr_expect_not(IsSameProcess(relays[0], relays[1]));
+  InstanceSummary restarted = relays[0];
+  restarted.started_ms = 400;
+  cr_expect_not(IsSameProcess(relays[0], restarted));
+  cr_expect(IsSameProcess(relays[0], relays[0]));
+}
+
 Test(registration_log, a_follower_far_behind_receives_the_complete_list) {
   RegistrationLog log;
   Follower follower;
