Use a server again that a lagging relay did not list after a restore

Callers would see a sound server left out by one instance for four heartbeats (4.8 s).

Cause: a follower that has read a later era changes to a relay that has not. The relay's list lacks servers that registered since, and the follower remembers their ends at a position of the era before. When the relay lists them, they are taken for registrations that ended before the restore and that its copy brought back.

Ruled out: ignoring such a removal altogether. A server that registers and leaves between two reads of the relay would then be kept for ever.

Change: an end that was read in an era before that of the entry is not remembered.

Before: gateway_restored_registry_test.cc a_removal_read_before_a_restore_delays_no_server fails. After: it passes.

--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -118,9 +118,12 @@
     known->second.lapsed_until = *m_store_recovered_at + m_reregistration_grace;
     return false;
   }
-  const Ending ending{position, known->second.entry.started_ms};
+  const ServerEntry& entry = known->second.entry;
+  // Read before a restore, it does not end what was registered after it.
+  const bool is_of_earlier_era = position.era < entry.position.era;
+  const Ending ending{position, entry.started_ms};
   m_entries.erase(known);
-  RememberEnding(id, ending);
+  if (!is_of_earlier_era) RememberEnding(id, ending);
   return true;
 }
 
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -120,6 +120,17 @@
   cr_expect(registry.UsableServers().empty());
 }
 
+// Guards against a sound server that is left alone for the silence limit, since
+// a relay that has not read the restore yet does not list it.
+Test(restored_registry, a_removal_read_before_a_restore_delays_no_server) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 85));
+  registry.Replace({}, kNow, In(1, 95));
+  cr_expect(registry.UsableServers().empty());
+  registry.Replace({MakeServer("a", In(2, 88))}, kNow, In(2, 90));
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+}
+
 // Guards against followers that differ from their relay after restores: the
 // relay's removals and returns have positions of several eras.
 Test(restored_registry, a_follower_ends_with_the_servers_of_its_relay) {
