Keep the later process of a server when the copy has its former one

A server that had crashed and started anew lost its place to its former process when the store was restored from a copy made before: requests went to the former address, where another server may listen by now, until the server had renewed its registration.

Cause: a row of a later era replaces what is known, also where it names an earlier start. The end of the former process was forgotten when the later one registered.

Change: such a row says that the copy lacks the later process, so it counts as a removal: the later process has the same time to register again as any other server that the copy lacks.

Before: gateway_restored_registry_test.cc a_former_process_does_not_replace_a_later_one and a_later_process_that_does_not_return_is_removed fail. After: both pass.

--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -134,6 +134,9 @@
   bool IsKnownToLeave(const ServerEntry& entry) const;
   /// Whether a restore of the store has brought back an entry that had ended.
   bool IsBroughtBack(const ServerEntry& entry) const;
+  /// Whether a restore of the store has brought back an entry of a process that
+  /// a later one had replaced.
+  bool IsOfFormerProcess(const ServerEntry& entry) const;
   /// Whether an entry is older than what is known of its server.
   bool IsOutdated(const ServerEntry& entry) const;
 
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -39,6 +39,15 @@
          ending->second.position.era < entry.position.era;
 }
 
+bool ServerRegistry::IsOfFormerProcess(const ServerEntry& entry) const {
+  const auto known = m_entries.find(entry.id);
+  if (known == m_entries.end()) return false;
+  const ServerEntry& latest = known->second.entry;
+  return latest.position.IsKnown() &&
+         latest.position.era < entry.position.era &&
+         entry.started_ms < latest.started_ms;
+}
+
 void ServerRegistry::RememberEnding(const ServerId& id, const Ending& ending) {
   if (!ending.position.IsKnown()) return;
   m_endings[id] = ending;
@@ -76,6 +85,9 @@
 
 bool ServerRegistry::Put(const ServerEntry& registered, Time now) {
   if (IsOutdated(registered)) return false;
+  // The copy lacks the later process, so that this counts as a removal.
+  if (IsOfFormerProcess(registered))
+    return Remove(registered.id, now, registered.position);
   Registration registration{registered, std::nullopt, std::nullopt};
   ServerEntry& entry = registration.entry;
   if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -131,6 +131,39 @@
   cr_expect_eq(registry.UsableServers().size(), 1u);
 }
 
+// Guards against requests to the address of a former process, which another
+// server may use since, when the copy has only that one.
+Test(restored_registry, a_former_process_does_not_replace_a_later_one) {
+  ServerRegistry registry = MakeRegistry();
+  const ServerId id("a");
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Apply({{id, MakeServer("a", In(1, 95), ServerState::kReady, 8)}},
+                 kNow);
+  registry.OnStoreUnavailable();
+  registry.OnStoreAvailable(kNow);
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  cr_assert_eq(registry.UsableServers().size(), 1u);
+  cr_expect_eq(registry.UsableServers().front().started_ms, 8);
+  registry.Apply({{id, MakeServer("a", In(2, 93), ServerState::kReady, 8)}},
+                 kNow);
+  registry.Expire(kNow + kGrace, In(2, 120));
+  cr_assert_eq(registry.UsableServers().size(), 1u);
+  cr_expect_eq(registry.UsableServers().front().started_ms, 8);
+}
+
+// Guards against a server that is kept for ever because its former process is
+// still listed.
+Test(restored_registry, a_later_process_that_does_not_return_is_removed) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 95), ServerState::kReady, 8)}, kNow,
+                   In(1, 95));
+  registry.OnStoreUnavailable();
+  registry.OnStoreAvailable(kNow);
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  registry.Expire(kNow + kGrace, In(2, 120));
+  cr_expect(registry.UsableServers().empty());
+}
+
 // Guards against followers that differ from their relay after restores: the
 // relay's removals and returns have positions of several eras.
 Test(restored_registry, a_follower_ends_with_the_servers_of_its_relay) {
