Write the final report of an instance again when its row has changed

The final report, with the counts since the last one and the word that the instance stops, was lost when the store had been restored since the last report, or while a report was under way.

Cause: it is written only over the row that was seen last, and no later report follows that would find the row's position.

Change: a final report whose condition fails is written once more without one. A report that is still under way has a condition of its own, which fails after that.

Before: gateway_final_report_test.cc a_restore_does_not_lose_it fails. After: it passes. Found by reading; not seen in a play.

--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -287,7 +287,14 @@
   InstanceReport report = BuildReport(input);
   const auto condition = m_report_position_known ? ReportCondition::kPosition
                                                  : ReportCondition::kNone;
-  const auto written = co_await WriteReport(std::move(report), condition);
+  auto written = co_await WriteReport(report, condition);
+  // The row has changed since, by a restore or by a write under way.
+  const bool is_refused =
+      !written && (written.error().code == ResultCode::kRevisionConflict ||
+                   written.error().code == ResultCode::kHistoryLost);
+  if (is_refused) {
+    written = co_await WriteReport(std::move(report), ReportCondition::kNone);
+  }
   if (!written) {
     LogEvent(Event::kPlatformLost, {{"detail", written.error().detail}});
   }
