Do not write a report of a follower over a later one

A relay whose report of a follower was refused, since the follower had written its final one, read the new position and wrote the earlier report over it: the follower counted as serving again, and its last counts were gone for an instance that had not read the row between.

Cause: the position of a row that was read is taken for leave to write a report that is older than what the row holds.

Change: a relay drops a report when a later one of the same process is known.

Before: gateway_final_report_test.cc an_earlier_one_at_the_relay_does_not_replace_it fails. After: it passes. Found by reading; not seen in a play.

--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -42,6 +42,9 @@
   /// All reports, including those of processes that have ended.
   std::vector<const InstanceReport*> All() const;
 
+  /// Whether a later report of the same process is known.
+  bool IsSuperseded(const std::string& key, std::uint64_t sequence) const;
+
   /// The latest process of a node that started before `started`, or nullptr if
   /// the store holds no report of one.
   const InstanceReport* Predecessor(const NodeId& node,
--- a/src/coordination/instance_table.cc
+++ b/src/coordination/instance_table.cc
@@ -66,6 +66,12 @@
   return all;
 }
 
+bool InstanceTable::IsSuperseded(const std::string& key,
+                                 std::uint64_t sequence) const {
+  const auto known = m_reports.find(key);
+  return known != m_reports.end() && sequence < known->second.report.sequence;
+}
+
 const InstanceReport* InstanceTable::Predecessor(const NodeId& node,
                                                  std::uint64_t started) const {
   const InstanceReport* latest = nullptr;
--- a/src/serve/gateway_relayed_reports.cc
+++ b/src/serve/gateway_relayed_reports.cc
@@ -40,6 +40,11 @@
 
 Awaitable<std::map<std::string, StoreRow>>
 FleetCoordinator::WriteRelayedReports(std::map<std::string, StoreRow> reports) {
+  // An instance that leaves, or that left this relay, writes its own.
+  std::erase_if(reports, [this](const auto& item) {
+    const auto report = DecodeReport(item.second.value);
+    return report && m_instances.IsSuperseded(item.first, report->sequence);
+  });
   std::map<std::string, StoreRow> unwritten;
   while (!reports.empty()) {
     StoreTransaction transaction;
--- a/tests/unit/gateway_final_report_test.cc
+++ b/tests/unit/gateway_final_report_test.cc
@@ -91,6 +91,24 @@
   return false;
 }
 
+Awaitable<void> LeaveWithReportAtRelay(FleetCoordinator& follower,
+                                       FleetCoordinator& relay) {
+  FleetCoordinator::ReportInput input;
+  std::map<std::string, StoreRow> reports;
+  StoreRow first = follower.PrepareReport(input);
+  const std::string key = first.key;
+  reports[key] = std::move(first);
+  co_await relay.WriteRelayedReports(std::move(reports));
+  reports.clear();
+  reports[key] = follower.PrepareReport(input);
+  input.stopping = true;
+  co_await follower.Leave(input);
+  auto unwritten = co_await relay.WriteRelayedReports(std::move(reports));
+  const FleetCoordinator::ReportInput own;
+  co_await relay.Exchange(own);
+  co_await relay.WriteRelayedReports(std::move(unwritten));
+}
+
 }  // namespace
 
 // Guards against a final report, with the last counts of usage, that is lost
@@ -106,3 +124,19 @@
   context.run();
   cr_expect(HasFinalReport(store, settings.node));
 }
+
+// Guards against a final report that is replaced by an earlier one, which its
+// relay could not write before.
+Test(final_report, an_earlier_one_at_the_relay_does_not_replace_it) {
+  FakeStore store;
+  const PlatformAdapter adapter = MakeAdapter(store);
+  const Settings settings = MakeSettings("n1");
+  const Settings relay_settings = MakeSettings("relay");
+  FleetCoordinator follower(settings, adapter);
+  FleetCoordinator relay(relay_settings, adapter);
+  asio::io_context context;
+  asio::co_spawn(context, LeaveWithReportAtRelay(follower, relay),
+                 asio::detached);
+  context.run();
+  cr_expect(HasFinalReport(store, settings.node));
+}
