Leave out registrations that were read before a relay was followed

An instance that begins to follow a relay while its own read of the registrations is under way applied the older answer over the relay's. The relay repeats an entry only when its routing changes, so a server that had registered in between stayed out.

Cause: the answer was applied without asking who reads the store by then.

--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -170,7 +170,8 @@
     co_await WhileFollowing();
     const auto sent_at = TimeSinceBoot();
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
-    if (!rows) continue;
+    // A relay has sent later registrations while the call was under way.
+    if (!rows || m_following) continue;
     SetStoreReachable(true, cursor.table);
     m_relay.OnRegistrationsRead(sent_at);
     const auto before = m_registry.UsableServers();
