Format the comment of a transaction's outcomes

The formatter had broken the line in the middle of a list; the text says now what a conflict and a lost history mean there. No code changes.

--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -151,9 +151,9 @@
   std::optional<std::uint64_t> LastCommittableWindow() const;
   /// Commits a transaction whose conditions were read in the current era of the
   /// store.
-  /// @return kRevisionConflict if they were not, or do not hold; kHistoryLost
-  /// if
-  ///         it was committed after a restore, when they meant other rows
+  /// @return kRevisionConflict if they were read in another era or do not hold;
+  ///         kHistoryLost if the store was restored before it was committed, so
+  ///         that the conditions held for other rows
   Awaitable<Result<StoreRows>> CommitTransaction(StoreTransaction transaction);
 
   const Settings& m_settings;
