Follow a relay only once the shared time is known

Cause: since the clock's offset belongs to an era, a new fleet proposes it after a few seconds. Instances began to follow a relay before, and a follower does not read the row, so that it never knew in which window a request began. Both parts were sound by themselves; no test started a fleet at once.

Change: an instance reads the store until it knows the shared time.

Before: relay_test.py test_usage_of_instances_that_start_together_is_reported failed. After: it passes, relay_test.py 10 of 10.

--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -41,8 +41,10 @@
 }
 
 std::optional<InstanceSummary> ControlPlane::ChooseRelay() const {
-  // The holder of the lease needs all reports, which only the store has.
-  if (!m_configuration || !m_servers_known || m_coordinator.HoldsLease())
+  if (!m_configuration || !m_servers_known) return std::nullopt;
+  // Only the store has the offset of the shared clock, by which requests are
+  // counted, and all reports, which the holder of the lease needs.
+  if (!m_coordinator.ClockOffset() || m_coordinator.HoldsLease())
     return std::nullopt;
   if (IsRelay()) return std::nullopt;
   const auto relays = SelectRelays(m_fleet, m_settings.domain);
--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -197,6 +197,27 @@
         eventually(lambda: sum(call["counts"].get("tenant1", 0)
                                for call in self.cloud.usage) == sent)
 
+    # Guards against instances that follow a relay before they know the shared time, and
+    # then count no request.
+    def test_usage_of_instances_that_start_together_is_reported(self):
+        store = fakes.Store()
+        self.addCleanup(store.server.stop)
+        store.put("op", "config", configuration())
+        store.put("servers", "p1", self.backends["p1"].registration("plain"))
+        cloud = fakes.Cloud()
+        self.addCleanup(cloud.server.stop)
+        gateways = [Gateway(store, cloud, name=f"new{number}")
+                    for number in range(INSTANCES)]
+        for gateway in gateways:
+            self.addCleanup(gateway.stop)
+        for gateway in gateways:
+            eventually(gateway.ready)
+        eventually(lambda: cloud.usage)
+        for number, gateway in enumerate(gateways):
+            self.assertEqual(gateway.call("/safe/x", request_id=f"n{number}")[0], 200)
+        eventually(lambda: sum(call["counts"].get("tenant1", 0)
+                               for call in cloud.usage) == INSTANCES)
+
     def test_stopped_follower_writes_its_last_counts(self):
         eventually(lambda: self.cloud.usage)
         holder = self.cloud.usage[-1]["holder"]
