--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 WITHOUT ?=
 SECONDS ?= 15
 INSTANCES ?= 6
+# Files of process tests that run side by side; they mostly wait.
+PLATFORM_JOBS ?= 3
 
 .PHONY: all setup build demo test unit failure soak soak-kept lint experiment capacity clean
 
@@ -23,7 +25,7 @@
 unit: build
 	RC_PARAMS="seed=1" $(BUILD)/unit_tests
 	python3 -m unittest discover -s tests/failure -p '*_test.py'
-	python3 -m unittest discover -s tests/platform -p '*_test.py'
+	cd tests/platform && ls *_test.py | xargs -P $(PLATFORM_JOBS) -n 1 python3 -m unittest
 	python3 -m unittest discover -s tests/soak -p '*_test.py'
 
 # make failure CASE=kill_engine SEED=1-10 [WITHOUT=retry]
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -191,6 +191,7 @@
           position = In(era, std::min(position.version.Count(), version));
       }
       std::vector<ServerEntry> entries;
+      entries.reserve(rows.size());
       for (const auto& [key, position] : rows)
         entries.push_back(MakeServer(key, position));
       relay.Replace(entries, now, In(era, version));
