Read only complete lines of a running process's log in tests

Cause: log_events parsed the whole file while the gateway was writing its last line. Conclusion: a reader of a file that grows stops at the last newline.

--- a/tests/failure/cluster.py
+++ b/tests/failure/cluster.py
@@ -306,7 +306,8 @@
         events = []
         with open(self.processes[f"entry-{index}"].log_path, encoding="utf-8") as file:
             for line in file:
-                if line.startswith("{\"time_ms\""):
+                # The process may be writing its last line at this moment.
+                if line.startswith("{\"time_ms\"") and line.endswith("\n"):
                     events.append(json.loads(line))
         return events
 
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -150,9 +150,9 @@
         return int(peak_kb.split()[1]) / 1024
 
     def log_events(self):
-        return [json.loads(line)
-                for line in self.log_path.read_text(encoding="utf-8").splitlines()
-                if line.startswith("{")]
+        # The process may be writing its last line at this moment.
+        complete_lines = self.log_path.read_bytes().split(b"\n")[:-1]
+        return [json.loads(line) for line in complete_lines if line.startswith(b"{")]
 
     def known_instances(self):
         """How many instances the gateway last said that it knows."""
