--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -111,9 +111,6 @@
      "the usage report of a window was accepted"},
     {Event::kUsageNotAccepted, "warn", "usage_not_accepted",
      "the usage report of a window was not accepted and will be retried"},
-    {Event::kUsageSkipped, "warn", "usage_skipped",
-     "a window may have been reported before the store was restored, with "
-     "counts that are lost, so it is not reported"},
     {Event::kCapacityOrdered, "info", "capacity_ordered",
      "a number of backend servers was ordered"},
     {Event::kCapacityNotAccepted, "warn", "capacity_not_accepted",
@@ -127,6 +124,9 @@
      "lost the store"},
     {Event::kRelayLeft, "info", "relay_left",
      "this instance reads the store itself again"},
+    {Event::kUsageSkipped, "warn", "usage_skipped",
+     "a window may have been reported before the store was restored, with "
+     "counts that are lost, so it is not reported"},
     {Event::kInstancesKnown, "info", "instances_known",
      "the number of instances that may be serving changed"},
     {Event::kQuotaLenderUnresponsive, "warn", "quota_home_silent",
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -1,6 +1,7 @@
 #include "cowslipknot/settings.h"
 
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "coordination/configuration_manager.h"
@@ -113,3 +114,13 @@
     cr_expect(events.find(line) != std::string::npos, "%s", line.c_str());
   }
 }
+
+// Guards against an event that is logged under the name of another one.
+Test(docs, each_event_and_result_code_has_its_own_number) {
+  std::set<Event> events;
+  for (const auto& row : EventTable())
+    cr_expect(events.insert(row.event).second, "%s", row.name.data());
+  std::set<ResultCode> codes;
+  for (const auto& row : ResultCodeTable())
+    cr_expect(codes.insert(row.code).second, "%s", row.name.data());
+}
