Check the ranges of what peers' frames say before it is used

Cause: numbers and addresses of a relay's update and of notices that a server leaves were used as they came. An age past the clock's range overflows, a start near the end of the type makes a server count as leaving for good. Ruled out: that decoded rows pass such values on; their decoders reject them (odd_rows/*). A peer of another build or a damaged frame can still send them. Before: no check existed; the values of the test went into the registry and the clock. Conclusion: a follower whose relay sends such an update counts it as lost and reads the store itself; such a notice is ignored and logged.

--- a/src/serve/follow_codec.cc
+++ b/src/serve/follow_codec.cc
@@ -1,6 +1,51 @@
 #include "serve/follow_codec.h"
 
+#include <algorithm>
+#include <cmath>
+
+#include "base/endpoint_text.h"
+#include "base/json_number.h"
+
 namespace cowslipknot::gateway {
+namespace {
+
+/// Longest age and longest warm-up. Sums with clock readings in nanoseconds
+/// stay in range.
+constexpr Milliseconds kMaxDuration = std::chrono::days(365);
+
+bool IsAddress(const Endpoint& endpoint) {
+  return endpoint.port != 0 &&
+         ParseEndpointText(FormatEndpoint(endpoint)).has_value();
+}
+
+bool IsInRange(const std::unique_ptr<wire::RegistrationT>& packed) {
+  if (!packed || packed->removed) return true;
+  return IsAddress({packed->host, packed->port}) && packed->started_ms >= 0 &&
+         packed->started_ms <= kMaxUnixMs &&
+         packed->warmup_ms >= -kMaxDuration.count() &&
+         packed->warmup_ms <= kMaxDuration.count();
+}
+
+bool IsInRange(const std::unique_ptr<wire::InstanceT>& packed) {
+  if (!packed || packed->peer_host.empty()) return true;
+  return IsAddress({packed->peer_host, packed->peer_port});
+}
+
+bool IsInRange(const std::unique_ptr<wire::WorkspaceDemandT>& packed) {
+  return !packed || (std::isfinite(packed->per_s) && packed->per_s >= 0);
+}
+
+template <class List>
+bool AreInRange(const List& list) {
+  return std::all_of(list.begin(), list.end(),
+                     [](const auto& packed) { return IsInRange(packed); });
+}
+
+tl::unexpected<Error> OutOfRange(std::string_view field) {
+  return Fail(ResultCode::kBadFrame, std::string(field) + " out of range");
+}
+
+}  // namespace
 
 std::unique_ptr<wire::StorePosition> PackPosition(
     const StorePosition& position) {
@@ -100,4 +145,20 @@
   return instance;
 }
 
+Result<std::int64_t> UnpackStart(const GossipRecord& notice) {
+  if (notice.version > static_cast<std::uint64_t>(kMaxUnixMs))
+    return OutOfRange("start");
+  return static_cast<std::int64_t>(notice.version);
+}
+
+Result<void> CheckUpdate(const wire::FollowUpdateT& update) {
+  constexpr auto kMaxAgeMs = static_cast<std::uint64_t>(kMaxDuration.count());
+  if (update.configuration_age_ms > kMaxAgeMs)
+    return OutOfRange("configuration_age_ms");
+  if (!AreInRange(update.registrations)) return OutOfRange("registrations");
+  if (!AreInRange(update.instances)) return OutOfRange("instances");
+  if (!AreInRange(update.demand)) return OutOfRange("demand");
+  return {};
+}
+
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -17,6 +17,15 @@
 /// Interval between checks for a relay while this instance reads the store.
 constexpr Milliseconds kRelayCheckInterval(500);
 
+/// Whether an answer is one to follow.
+Result<void> CheckAnswer(const Result<PeerFrame>& answer) {
+  if (!answer) return tl::make_unexpected(answer.error());
+  if (!answer->update || !answer->update->configuration)
+    return Fail(ResultCode::kPlatformUnavailable,
+                "the relay has lost the store");
+  return CheckUpdate(*answer->update);
+}
+
 }  // namespace
 
 Awaitable<void> ControlPlane::WhileFollowing() {
@@ -107,12 +116,11 @@
   const auto answer = co_await RunOn(
       m_worker.Context().get_executor(),
       m_worker.Links().Call(*relay.peers, std::move(frame), timeout));
-  if (!answer || !answer->update || !answer->update->configuration) {
-    LogEvent(Event::kRelayLost,
-             {{"relay", relay.node.Text()},
-              {"after_ms", FormatAgeMs(sent_at)},
-              {"detail", answer ? "the relay has lost the store"
-                                : answer.error().detail}});
+  const auto checked = CheckAnswer(answer);
+  if (!checked) {
+    LogEvent(Event::kRelayLost, {{"relay", relay.node.Text()},
+                                 {"after_ms", FormatAgeMs(sent_at)},
+                                 {"detail", checked.error().detail}});
     co_return false;
   }
   // What a relay has read counts as the store's response.
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -3,6 +3,7 @@
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
+#include "serve/follow_codec.h"
 #include "serve/gateway_control_plane.h"
 
 /// Tracks backend servers by their registrations in the store and notices from
@@ -31,6 +32,15 @@
   return frame;
 }
 
+/// @return nothing for a notice that is rejected
+std::optional<std::int64_t> AcceptStart(const GossipRecord& notice) {
+  const auto started_ms = UnpackStart(notice);
+  if (started_ms) return *started_ms;
+  LogEvent(Event::kFrameRejected,
+           {{"server", notice.key}, {"detail", started_ms.error().detail}});
+  return std::nullopt;
+}
+
 }  // namespace
 
 void ControlPlane::OnServersLeaving(const std::vector<GossipRecord>& servers) {
@@ -38,9 +48,10 @@
   for (const auto& server : servers) {
     const StorePosition position =
         ParsePosition(server.payload).value_or(StorePosition{});
-    const bool leaves = m_registry.OnServerLeaving(
-        ServerId(server.key), static_cast<std::int64_t>(server.version),
-        TimeSinceBoot(), position);
+    const auto started_ms = AcceptStart(server);
+    const bool leaves = started_ms && m_registry.OnServerLeaving(
+                                          ServerId(server.key), *started_ms,
+                                          TimeSinceBoot(), position);
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
@@ -94,9 +105,10 @@
     const std::vector<GossipRecord>& servers) {
   bool changed = false;
   for (const auto& server : servers) {
-    const bool leaves = m_registry.OnLeavingResponse(
-        ServerId(server.key), static_cast<std::int64_t>(server.version),
-        TimeSinceBoot());
+    const auto started_ms = AcceptStart(server);
+    const bool leaves =
+        started_ms && m_registry.OnLeavingResponse(
+                          ServerId(server.key), *started_ms, TimeSinceBoot());
     if (!leaves) continue;
     changed = true;
     LogEvent(Event::kServerLeaving, {{"server", server.key}});
