Share the set-up of process tests

Nine files of process tests started the store, the cloud, backend servers and gateways in the same lines. PlatformTestCase holds them once; what each test does and expects is as before. Ruled out: that a later attribute of a backend server matters; each file sets it before it starts its gateways, as before.

--- a/tests/platform/cut_head_test.py
+++ b/tests/platform/cut_head_test.py
@@ -7,7 +7,7 @@
 
 import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from platform_test_case import PlatformTestCase
 
 NOT_RUN = (408, 421, 429, 503)  # a caller concludes from these that a request did not run
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6)]
@@ -104,25 +104,17 @@
     yield "in another answer", FOREIGN[:-3]
 
 
-class CutHeadTest(unittest.TestCase):
+class CutHeadTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.requests = 0
 
     def start(self, service, count):
         self.backends = []
         for number in range(count):
-            backend = fakes.Backend(f"b{number}")
-            self.addCleanup(backend.server.stop)
-            self.store.put("servers", backend.name, backend.registration(service))
-            self.backends.append(backend)
-        self.gateway = Gateway(self.store, self.cloud)
-        self.addCleanup(self.gateway.stop)
-        eventually(self.gateway.ready)
+            self.backends.append(self.start_backend(f"b{number}", service))
+        self.gateway = self.start_gateway()
 
     def call(self, path, deadline_ms=3000):
         """Returns the request's id, the status, the body, and whether the answer looks
--- a/tests/platform/lost_request_test.py
+++ b/tests/platform/lost_request_test.py
@@ -8,9 +8,8 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from platform_test_case import PlatformTestCase
 
 IDLE_TIMEOUT_S = 1.0
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
@@ -22,25 +21,16 @@
     return dict(LIMITS, idle_timeout_ms=int(idle_s * 1000))
 
 
-class LostRequestTest(unittest.TestCase):
+class LostRequestTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration(limits=limits(IDLE_TIMEOUT_S)))
 
     def start(self, service="plain", count=1):
         self.backends = []
         for number in range(count):
-            backend = fakes.Backend(f"b{number}")
-            self.addCleanup(backend.server.stop)
-            self.store.put("servers", backend.name, backend.registration(service))
-            self.backends.append(backend)
-        gateway = Gateway(self.store, self.cloud)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
+            self.backends.append(self.start_backend(f"b{number}", service))
+        return self.start_gateway()
 
     @staticmethod
     def send(connection, request, path="/safe/x"):
--- a/tests/platform/odd_entries_test.py
+++ b/tests/platform/odd_entries_test.py
@@ -6,9 +6,9 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 INSTANCES = 6  # enough for relays and followers
 DRAIN_BOUND_S = 2.0
@@ -48,12 +48,9 @@
     return entries
 
 
-class OddEntriesTest(unittest.TestCase):
+class OddEntriesTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.backends = {}
         for name in ("p1", "p2"):
@@ -61,18 +58,11 @@
         self.gateways = []
 
     def register(self, name):
-        backend = fakes.Backend(name)
-        self.addCleanup(backend.server.stop)
-        self.backends[name] = backend
-        self.store.put("servers", name, backend.registration("plain"))
-        return backend
+        self.backends[name] = self.start_backend(name)
 
     def start(self, count=1):
         for _ in range(count):
-            gateway = Gateway(self.store, self.cloud, name=f"gw{len(self.gateways)}")
-            self.addCleanup(gateway.stop)
-            eventually(gateway.ready)
-            self.gateways.append(gateway)
+            self.gateways.append(self.start_gateway(name=f"gw{len(self.gateways)}"))
 
     def start_with_relays(self):
         self.start(INSTANCES)
--- a/tests/platform/planned_stop_test.py
+++ b/tests/platform/planned_stop_test.py
@@ -6,9 +6,9 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration, route
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 STOP_S = 6
 CALLS_END_S = 5.0  # after SIGTERM; the rest of STOP_S is for the final report
@@ -32,26 +32,14 @@
     ]
 
 
-class PlannedStopTest(unittest.TestCase):
-    def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
-
+class PlannedStopTest(PlatformTestCase):
     def start(self, timeout_ms=20000, target_ms=2000):
         self.store.put("op", "config", configuration(
             route_list=routes(timeout_ms, target_ms), limits=LIMITS))
         self.backends = {}
         for service in ("plain", "model"):
-            backend = fakes.Backend(service)
-            self.addCleanup(backend.server.stop)
-            self.store.put("servers", service, backend.registration(service, slots=64))
-            self.backends[service] = backend
-        gateway = Gateway(self.store, self.cloud, bounds={"stop_s": STOP_S})
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
+            self.backends[service] = self.start_backend(service, service, slots=64)
+        return self.start_gateway(bounds={"stop_s": STOP_S})
 
     def connect(self, gateway):
         connection = gateway.connect()
--- a/tests/platform/prompt_quarantine_test.py
+++ b/tests/platform/prompt_quarantine_test.py
@@ -4,9 +4,9 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 GATEWAYS = 3
 SERVERS = 16
@@ -19,30 +19,19 @@
 MAX_REQUESTS_LATER = 3  # that reach servers with the part
 
 
-class PromptQuarantineTest(unittest.TestCase):
+class PromptQuarantineTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.backends = []
         for number in range(SERVERS):
-            backend = fakes.Backend(f"b{number}")
+            backend = self.start_backend(f"b{number}", "model")
             backend.crashes_on = CRASHING_PART
-            self.addCleanup(backend.server.stop)
-            self.store.put("servers", backend.name, backend.registration("model"))
             self.backends.append(backend)
-        self.gateways = [self.start(f"gw{number}") for number in range(GATEWAYS)]
+        self.gateways = [self.start_gateway(name=f"gw{number}") for number in range(GATEWAYS)]
         eventually(lambda: all(self.peers_known(gateway) for gateway in self.gateways))
         self.sent = 0
 
-    def start(self, name):
-        gateway = Gateway(self.store, self.cloud, name=name)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
-
     @staticmethod
     def events(gateway, name):
         return [event for event in gateway.log_events() if event["name"] == name]
--- a/tests/platform/request_reading_test.py
+++ b/tests/platform/request_reading_test.py
@@ -5,9 +5,9 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 LIMITS = {"max_header_bytes": 8192, "max_body_bytes": 100, "header_timeout_ms": 1000,
           "idle_timeout_ms": 20000}
@@ -20,22 +20,11 @@
             "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": "3000"}
 
 
-class RequestReadingTest(unittest.TestCase):
-    def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
-
+class RequestReadingTest(PlatformTestCase):
     def start(self, limits):
         self.store.put("op", "config", configuration(limits=limits))
-        backend = fakes.Backend("b0")
-        self.addCleanup(backend.server.stop)
-        self.store.put("servers", backend.name, backend.registration("plain"))
-        gateway = Gateway(self.store, self.cloud)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
+        self.start_backend("b0")
+        return self.start_gateway()
 
     def assert_status(self, connection, status):
         answer = connection.getresponse()
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -9,7 +9,8 @@
 
 import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 ROUTE_TIMEOUT_S = 3  # of the routes in configuration()
@@ -17,26 +18,18 @@
 MEMORY_MB = 64  # limit of the gateway in these tests
 
 
-class ServerFaultsTest(unittest.TestCase):
+class ServerFaultsTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.backends = []
 
     def start(self, service, faults, count=2):
         for number in range(count):
-            backend = fakes.Backend(f"b{number}")
+            backend = self.start_backend(f"b{number}", service)
             backend.pending_faults = list(faults)
-            self.addCleanup(backend.server.stop)
-            self.store.put("servers", backend.name, backend.registration(service))
             self.backends.append(backend)
-        gateway = Gateway(self.store, self.cloud, memory_mb=MEMORY_MB)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
+        return self.start_gateway(memory_mb=MEMORY_MB)
 
     def assert_server_released(self, request="r1"):
         """The connection to the server that never ends was closed."""
--- a/tests/platform/server_notices_test.py
+++ b/tests/platform/server_notices_test.py
@@ -6,17 +6,15 @@
 
 import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 
 
-class ServerNoticesTest(unittest.TestCase):
+class ServerNoticesTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.requests = 0
 
@@ -27,12 +25,6 @@
             self.store.put("servers", backend.name, backend.registration(service))
         return backends
 
-    def start_gateway(self, name="gw1"):
-        gateway = Gateway(self.store, self.cloud, name=name)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
-        return gateway
-
     def call(self, gateway, path="/safe/x", **fields):
         self.requests += 1
         return gateway.call(path, request_id=f"r{self.requests}", **fields)
@@ -117,7 +109,7 @@
 
     def test_other_instances_are_told(self):
         leaving, _ = self.start_backends("plain")
-        gateway, other = self.start_gateway(), self.start_gateway("gw2")
+        gateway, other = self.start_gateway(), self.start_gateway(name="gw2")
         for instance in (gateway, other):
             eventually(lambda instance=instance: [
                 event for event in instance.log_events()
@@ -134,7 +126,7 @@
         gateway = self.start_gateway()
         leaving.leaving = True
         self.call_until_answered(gateway, leaving)
-        other = self.start_gateway("gw2")
+        other = self.start_gateway(name="gw2")
         eventually(lambda: [event for event in other.log_events()
                             if event["name"] == "server_leaving"])
         self.assert_no_more_requests(other, leaving)
--- a/tests/platform/version_move_test.py
+++ b/tests/platform/version_move_test.py
@@ -7,6 +7,7 @@
 import fakes
 from configuration_documents import configuration
 from gateway_process import Gateway, eventually
+from platform_test_case import PlatformTestCase
 
 DURATION_S = 15
 MOVE_TIMEOUT_S = 2 * DURATION_S
@@ -16,12 +17,9 @@
 EXPOSURE_SLACK = 50
 
 
-class VersionMoveTest(unittest.TestCase):
+class VersionMoveTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
 
     def add_backend(self, name, service, version, **options):
