--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -1,5 +1,6 @@
 """Runs a gateway process on loopback against fakes of the platform's services."""
 
+import atexit
 import fcntl
 import http.client
 import json
@@ -40,6 +41,12 @@
     return True
 
 
+@atexit.register
+def _release_ports():
+    for lock in _reserved.values():
+        lock.close()
+
+
 def set_port_range(first, last):
     """Restricts free_port to a range, so that test processes do not share ports."""
     _ports.update(first=first, last=last, next=first)
