--- a/include/cowslipknot/gateway/instance_table.h
+++ b/include/cowslipknot/gateway/instance_table.h
@@ -77,11 +77,10 @@
   /// or its last report announced that it is stopping.
   bool HasEnded(const TrackedReport& tracked) const;
   bool IsServing(const TrackedReport& tracked, Time now) const;
-
-  Milliseconds m_lifetime;
   bool IsObsolete(const TrackedReport& tracked, std::uint64_t window,
                   Time now) const;
 
+  Milliseconds m_lifetime;
   Time m_last_observed{0};  ///< last call of Observe()
   StoreEra m_era;           ///< at that time
   std::map<std::string, TrackedReport> m_reports;
