Ask the peers before a restored store confirms a configuration

What callers saw: an instance that was cut off from the store (or frozen) while a key was taken away, and came back after a restore that had lost this, accepted the key again: the copy's configuration counted as confirmed at once. Cause: a configuration read in a new era was taken for the latest one there can be. Only a process younger than 10 s asked its peers; any other one waited until it read a report that showed a later version, and a follower confirmed before it asked its relay. Ruled out: that the version in force went back; it never does. The instance had not seen it. Command: cd tests/platform && python3 -W ignore -m unittest -k missed restored_configuration_test Conclusion: the first read of an era is confirmed after all known instances have answered, or 300 ms; a follower confirms only what its relay has in force. For 10 s the instance asks on, as after its start. If no peer answers, the copy is still confirmed.

--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -219,6 +219,7 @@
         sent_at, rows->store_time, rows->position.era);
     const bool is_full_read = m_configuration_cursor.is_full_read;
     ApplyConfiguration(*rows, is_full_read);
+    co_await AskBeforeConfirming(rows->position.era);
     OnConfigurationConfirmed(confirmed);
     if (m_configuration && m_configuration_readable)
       m_relay.OnConfiguration(*rows, is_full_read, confirmed);
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -81,8 +81,11 @@
   Awaitable<bool> FollowOnce(InstanceSummary relay);
   Awaitable<PeerFrame> BuildFollowRequest(const InstanceSummary& relay);
   void ApplyUpdate(const wire::FollowUpdateT& update,
-                   const InstanceSummary& relay,
-                   std::chrono::nanoseconds sent_at);
+                   const InstanceSummary& relay);
+  /// Counts the configuration as confirmed, unless the relay has a later one in
+  /// force than this instance.
+  void ConfirmUpdate(const wire::FollowUpdateT& update,
+                     std::chrono::nanoseconds sent_at);
   void ApplyUpdatedServers(const wire::FollowUpdateT& update);
   void ApplyUpdatedFleet(const wire::FollowUpdateT& update);
   void SetFollowing(bool following);
@@ -103,6 +106,10 @@
   /// Asks the instances that may have a later configuration in force than the
   /// store has: some others after the start, later those that reported one.
   void AskPeersForConfiguration();
+  /// Asks all known instances, and waits for their answers, before a first
+  /// configuration of an era counts as confirmed: this instance may have missed
+  /// a later one that the store lost.
+  Awaitable<void> AskBeforeConfirming(StoreEra era);
   Awaitable<void> AskForConfiguration(InstanceSummary peer);
   /// Applies the row that a peer sent. Only the store confirms a configuration.
   void ApplyPeerConfiguration(const PeerFrame& answer);
@@ -153,6 +160,9 @@
   std::shared_ptr<const RouteTable> m_routes;
   StoreRow m_configuration_row;  ///< the one in force
   std::size_t m_next_peer_to_ask = 0;
+  StoreEra m_confirmed_era;  ///< of the last confirmed configuration
+  /// Start of the process, or when it last noticed a restore.
+  std::chrono::nanoseconds m_ask_since = TimeSinceBoot();
   ServerRegistry m_registry;
   std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
       m_backend_states;  ///< by id, with the server's start time
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -8,9 +8,9 @@
 namespace cowslipknot::gateway {
 namespace {
 
-/// Age until which a process asks instances whose reports show no later
-/// configuration. Later their reports have come back.
-constexpr Milliseconds kAskAfterStart(10000);
+/// Time after a start or a restore for which instances are asked although their
+/// reports show no later configuration. Later their reports have come back.
+constexpr Milliseconds kAskPeriod(10000);
 /// Instances that are asked after each exchange of reports.
 constexpr std::size_t kPeersAsked = 3;
 constexpr Milliseconds kAnswerTimeout(300);
@@ -53,7 +53,7 @@
 }
 
 void ControlPlane::AskPeersForConfiguration() {
-  const bool is_fresh = TimeSinceBoot() - m_started_at < kAskAfterStart;
+  const bool asks_others = TimeSinceBoot() - m_ask_since < kAskPeriod;
   std::vector<InstanceSummary> later;
   std::vector<InstanceSummary> others;
   for (const auto* report :
@@ -64,7 +64,7 @@
         {report->node, report->domain, report->peers, report->started_ms});
   }
   // In turn, since some may be gone.
-  if (is_fresh && !others.empty()) {
+  if (asks_others && !others.empty()) {
     const std::size_t first = m_next_peer_to_ask % others.size();
     std::rotate(others.begin(),
                 others.begin() + static_cast<std::ptrdiff_t>(first),
@@ -77,6 +77,27 @@
     asio::co_spawn(m_context, AskForConfiguration(peer), asio::detached);
 }
 
+Awaitable<void> ControlPlane::AskBeforeConfirming(StoreEra era) {
+  if (era <= m_confirmed_era) co_return;
+  m_confirmed_era = era;
+  m_ask_since = TimeSinceBoot();
+  struct Pending {
+    asio::steady_timer answered;
+    std::size_t peers = 0;
+  };
+  auto pending = std::make_shared<Pending>(
+      Pending{asio::steady_timer(m_context, kAnswerTimeout)});
+  for (const auto& peer : m_fleet.serving) {
+    if (!peer.peers || peer.peers == m_settings.peers) continue;
+    ++pending->peers;
+    asio::co_spawn(m_context, AskForConfiguration(peer),
+                   [pending](const std::exception_ptr&) {
+                     if (--pending->peers == 0) pending->answered.cancel();
+                   });
+  }
+  if (pending->peers > 0) co_await pending->answered.async_wait(kAsTuple);
+}
+
 Awaitable<void> ControlPlane::AskForConfiguration(InstanceSummary peer) {
   PeerFrame frame;
   frame.kind = wire::Kind::AskConfiguration;
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -131,15 +131,29 @@
               {"address", FormatEndpoint(*relay.peers)}});
   }
   SetFollowing(true);
-  ApplyUpdate(*answer->update, relay, sent_at);
-  if (answer->update->configuration_in_force > ConfigurationInForce())
+  const wire::FollowUpdateT& update = *answer->update;
+  ApplyUpdate(update, relay);
+  if (update.configuration_in_force > ConfigurationInForce())
     co_await AskForConfiguration(relay);
+  ConfirmUpdate(update, sent_at);
   co_return true;
 }
 
+void ControlPlane::ConfirmUpdate(const wire::FollowUpdateT& update,
+                                 std::chrono::nanoseconds sent_at) {
+  if (update.configuration_in_force > ConfigurationInForce()) return;
+  // The relay answered after `sent_at`, so its age counts from then at the
+  // latest.
+  const auto confirmed = sent_at - Milliseconds(update.configuration_age_ms);
+  OnConfigurationConfirmed(confirmed);
+  StoreRows no_changes;
+  no_changes.position = UnpackPosition(update.configuration);
+  m_confirmed_era = std::max(m_confirmed_era, no_changes.position.era);
+  m_relay.OnConfiguration(no_changes, false, confirmed);
+}
+
 void ControlPlane::ApplyUpdate(const wire::FollowUpdateT& update,
-                               const InstanceSummary& relay,
-                               std::chrono::nanoseconds sent_at) {
+                               const InstanceSummary& relay) {
   StoreRows rows;
   rows.position = UnpackPosition(update.configuration);
   for (const auto& packed : update.configuration_rows) {
@@ -153,11 +167,7 @@
   const bool is_full_read =
       update.configuration_complete && rows.position >= cursor.since;
   ApplyConfiguration(rows, is_full_read);
-  // The relay answered after `sent_at`, so its age counts from then at the
-  // latest.
-  const auto confirmed = sent_at - Milliseconds(update.configuration_age_ms);
-  OnConfigurationConfirmed(confirmed);
-  m_relay.OnConfiguration(rows, is_full_read, confirmed);
+  m_relay.OnConfiguration(rows, is_full_read, std::chrono::nanoseconds(0));
   cursor.since = std::max(cursor.since, rows.position);
   if (is_full_read) cursor.needs_full_read = false;
   m_followed_relay = relay;
--- a/tests/platform/restored_configuration_test.py
+++ b/tests/platform/restored_configuration_test.py
@@ -33,9 +33,9 @@
     def register_server(self):
         self.store.put("servers", "p1", self.backend.registration("plain"))
 
-    def start(self, name):
+    def start(self, name, **options):
         gateway = Gateway(self.store, self.cloud, name=name,
-                          bounds={"revoke_ms": int(REVOKE_BOUND_S * 1000)})
+                          bounds={"revoke_ms": int(REVOKE_BOUND_S * 1000)}, **options)
         self.addCleanup(gateway.stop)
         eventually(gateway.ready)
         self.gateways.append(gateway)
@@ -107,6 +107,43 @@
         self.assert_key1_refused(self.start("late"))
         self.assert_all_follow(3, "key3")
 
+    def check_instances_that_missed_a_version(self, instances):
+        """Instances behind one link miss a configuration, which the store then loses."""
+        link = fakes.Server(fakes.StoreHandler, self.store)
+        self.addCleanup(link.stop)
+        for number in range(2):
+            self.start(f"gw{number}")
+        cut = [self.start(f"cut{number}", store_address=link.address, domain="z2")
+               for number in range(instances)]
+        for gateway in self.gateways:
+            eventually(lambda g=gateway: self.instances_known(g))
+        time.sleep(REPORTS_READ_S)
+        copy = self.store.copy()
+        link.rejects_calls = True
+        time.sleep(0.5)  # until no call of theirs is under way
+        self.write_configuration(2, "key2")
+        for gateway in self.gateways[:2]:
+            eventually(lambda g=gateway: self.is_accepted(g, "key2"))
+        time.sleep(REVOKE_BOUND_S + 0.5)
+        self.store.restore(copy)
+        link.rejects_calls = False
+        deadline = time.monotonic() + REPORTS_READ_S
+        while time.monotonic() < deadline:
+            for gateway in cut:
+                self.assertFalse(self.is_accepted(gateway, "key1"), gateway.name)
+        for gateway in cut:
+            eventually(lambda g=gateway: self.is_accepted(g, "key2"))
+        self.assert_all_follow(3, "key3")
+
+    # Guards against an instance that was cut off while a key was taken away, and takes the
+    # older configuration of the restored store for the latest one.
+    def test_instance_that_missed_a_lost_configuration_refuses_a_removed_key(self):
+        self.check_instances_that_missed_a_version(1)
+
+    # The same where instances follow a relay that was cut off as well.
+    def test_followers_that_missed_a_lost_configuration_refuse_a_removed_key(self):
+        self.check_instances_that_missed_a_version(RELAYED_INSTANCES)
+
     # Guards against a process that keeps what a peer sent when the operator writes the lost
     # version again with another content.
     def test_the_operators_word_replaces_what_peers_sent(self):
