Begin the wait for a returned registration anew at each restore

What callers would see: after two restores within 4.8 s, requests to a server that is gone. Its registration had ended and came back with both copies; the second one lasts until the store counts three heartbeats of silence again, but the instance used it once the wait that the first restore began was over. The rule binds an instance that has read a server's end also beside a restore. Cause: unused_until was kept across a change of era, as if the row were the same one. Ruled out: that the second copy counts as a sign of life; is_rewritten asked for the same era. Before: restored_registry/a_second_restore_begins_the_wait_anew fails (the server is usable 4.8 s after the first restore, 1.8 s after the second). Conclusion: a wait belongs to an era, as does the row that it waits for.

--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -97,11 +97,12 @@
   if (leaves) RememberLeaving(entry.id, entry.started_ms);
   const auto known = m_entries.find(entry.id);
   if (IsBroughtBack(entry)) {
-    const bool waits =
-        known != m_entries.end() && known->second.unused_until.has_value();
+    // A further restore writes the row anew, which then lasts as long again.
+    const bool waits = known != m_entries.end() &&
+                       known->second.unused_until.has_value() &&
+                       known->second.entry.position.era == entry.position.era;
     const bool is_rewritten =
-        waits && known->second.entry.position < entry.position &&
-        known->second.entry.position.era == entry.position.era;
+        waits && known->second.entry.position < entry.position;
     if (!is_rewritten) {
       registration.unused_until =
           waits ? known->second.unused_until : now + m_silence_limit;
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -120,6 +120,21 @@
   cr_expect(registry.UsableServers().empty());
 }
 
+// Guards against requests to a server that is gone, while its row, which a
+// second restore has written anew, has not outlived the silence limit.
+Test(restored_registry, a_second_restore_begins_the_wait_anew) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Replace({}, kNow, In(1, 95));
+  registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
+  const auto second = kNow + std::chrono::seconds(3);
+  registry.Replace({MakeServer("a", In(3, 80))}, second, In(3, 85));
+  registry.Expire(kNow + kSilenceLimit, In(3, 120));
+  cr_expect(registry.UsableServers().empty());
+  registry.Expire(second + kSilenceLimit, In(3, 150));
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+}
+
 // Guards against a sound server that is left alone for the silence limit, since
 // a relay that has not read the restore yet does not list it.
 Test(restored_registry, a_removal_read_before_a_restore_delays_no_server) {
