Remember the end of a registration that lapses

What callers would see: requests to a server that is gone, up to the store's silence limit. The server did not register again in the 2 s after an outage or a restore, so that the instance dropped it; then a restore brought its row back, and it was used at once. Cause: Expire() erased a lapsed entry without an ending, which Remove() records. The copy's row then looked like a new server. Ruled out: that a server which registers again later is kept out; its row has a later position of the same era (restored_registry/a_former_process_..., a_later_process_...). Before: restored_registry/a_lapsed_server_waits_when_a_restore_brings_it_back fails (the server is usable at once). Conclusion: each way in which a registration ends leaves its position behind.

--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -200,8 +200,11 @@
 }
 
 bool ServerRegistry::Expire(Time now, const StorePosition& position) {
-  const auto removed = std::erase_if(m_entries, [now](const auto& item) {
-    return item.second.lapsed_until && now >= *item.second.lapsed_until;
+  const auto removed = std::erase_if(m_entries, [&](const auto& item) {
+    const auto& [id, known] = item;
+    if (!known.lapsed_until || now < *known.lapsed_until) return false;
+    RememberEnding(id, {position, known.entry.started_ms});
+    return true;
   });
   bool changed = removed > 0;
   for (auto& [id, known] : m_entries) {
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -135,6 +135,20 @@
   cr_expect_eq(registry.UsableServers().size(), 1u);
 }
 
+// Guards against requests to a server that did not register again after a
+// restore, and that a further restore brings back.
+Test(restored_registry, a_lapsed_server_waits_when_a_restore_brings_it_back) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.OnStoreUnavailable();
+  registry.OnStoreAvailable(kNow);
+  registry.Replace({}, kNow, In(2, 75));
+  registry.Expire(kNow + kGrace, In(2, 90));
+  cr_assert(registry.UsableServers().empty());
+  registry.Replace({MakeServer("a", In(3, 80))}, kNow + kGrace, In(3, 85));
+  cr_expect(registry.UsableServers().empty());
+}
+
 // Guards against a sound server that is left alone for the silence limit, since
 // a relay that has not read the restore yet does not list it.
 Test(restored_registry, a_removal_read_before_a_restore_delays_no_server) {
