Log the windows of usage that are dropped because they are too old

Seen: a trial with six restores at load 30 (three gateways, windows of 1 s, the store restored from copies 1 to 4 s old): three windows in a row were never reported, and no log had a line about them. The holder's call timed out after a restore, its lease lapsed, and the next instance held it 4.8 s later. With the cloud down for 9 s, five windows vanish so. Cause: ReportUsage began with the sixth window before the current one, whatever had been reported, and said nothing of those before it. Ruled out: windows lost otherwise. Change: usage_skipped says which windows are dropped (window, last_window) and why (detail), once by the instance that passes over them. What is reported and when stays as it was. Before: test_windows_that_are_too_old_are_logged fails, five windows without a line. After: passes; restored_lease_test 8 of 8, unit tests 262 of 262. Command: python3 -m unittest restored_lease_test (in tests/platform)

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -125,8 +125,8 @@
     {Event::kRelayLeft, "info", "relay_left",
      "this instance reads the store itself again"},
     {Event::kUsageSkipped, "warn", "usage_skipped",
-     "a window may have been reported before the store was restored, with "
-     "counts that are lost, so it is not reported"},
+     "windows are not reported: they are too old, or may have been reported "
+     "before the store was restored, with counts that are lost"},
     {Event::kInstancesKnown, "info", "instances_known",
      "the number of instances that may be serving changed"},
     {Event::kQuotaLenderUnresponsive, "warn", "quota_home_silent",
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -129,6 +129,9 @@
   Awaitable<Result<void>> ReadTable();
   Awaitable<void> StoreClockOffset();
   Awaitable<void> ReportUsage();
+  /// Logs windows that are not reported, and passes over them.
+  void SkipWindows(std::uint64_t first, std::uint64_t last,
+                   const std::string& reason);
   Awaitable<void> OrderCapacity(ConfigurationPtr configuration,
                                 std::vector<ServerEntry> servers);
   /// Records the load while another instance plans the capacity.
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -139,6 +139,14 @@
   co_return true;
 }
 
+void FleetCoordinator::SkipWindows(std::uint64_t first, std::uint64_t last,
+                                   const std::string& reason) {
+  LogEvent(Event::kUsageSkipped, {{"window", std::to_string(first)},
+                                  {"last_window", std::to_string(last)},
+                                  {"detail", reason}});
+  m_usage_progress.RecordDone(last);
+}
+
 Awaitable<void> FleetCoordinator::ReportUsage() {
   const auto now = SharedNowMs();
   if (!now || !m_usage_progress.IsReady()) co_return;
@@ -153,14 +161,15 @@
   const auto done = m_usage_progress.LastDone();
   std::uint64_t window =
       done ? *done + 1 : std::min(first, first_unwritten - 1);
-  if (current > kMaxWindowsBehind) {
-    window = std::max(window, current - kMaxWindowsBehind);
+  const std::uint64_t oldest = current - std::min(current, kMaxWindowsBehind);
+  if (window < oldest) {
+    SkipWindows(window, oldest - 1, "too old");
+    window = oldest;
   }
   for (; window < current; ++window) {
     if (m_usage_progress.NeedsDoneRow()) co_await WriteUsageDone();
     if (m_usage_progress.MustSkip(window)) {
-      LogEvent(Event::kUsageSkipped, {{"window", std::to_string(window)}});
-      m_usage_progress.RecordDone(window);
+      SkipWindows(window, window, "perhaps reported before a restore");
       continue;
     }
     const std::int64_t end = static_cast<std::int64_t>(window + 1) * window_ms;
--- a/tests/platform/restored_lease_test.py
+++ b/tests/platform/restored_lease_test.py
@@ -9,6 +9,7 @@
 from gateway_process import Gateway, eventually
 
 INSTANCES = 3
+MAX_WINDOWS_BEHIND = 6  # windows that may still be reported
 
 
 class RestoredLeaseTest(unittest.TestCase):
@@ -168,6 +169,24 @@
         self.assert_one_count_per_window()
         windows = [call["window"] for call in self.cloud.usage]
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
+    # Guards against windows that are dropped without a line in the log.
+    def test_windows_that_are_too_old_are_logged(self):
+        self.start_traffic()
+        self.wait_for_reports(1, counted=True)
+        self.cloud.down = True
+        time.sleep(MAX_WINDOWS_BEHIND + 3)
+        self.cloud.down = False
+        self.wait_for_reports(2, counted=True)
+        reported = {call["window"] for call in self.cloud.usage}
+        missed = set(range(min(reported), max(reported) + 1)) - reported
+        logged = [window for gateway in self.gateways.values()
+                  for event in gateway.log_events() if event["name"] == "usage_skipped"
+                  for window in range(int(event["window"]), int(event["last_window"]) + 1)
+                  if window > min(reported)]
+        self.assertTrue(missed)
+        self.assertEqual(sorted(logged), sorted(missed))
+
     # Guards against windows that jump with the clock of the store.
     def test_shared_time_goes_on_when_the_clock_of_the_store_jumps(self):
         self.wait_for_reports(1)
