Report a window of usage until its report is due

Seen: with windows of 1 s, reports due after 15 s and the cloud down for 9 s, windows are never reported although 8 s and more are left for them (new test; found by reading, after windows had been dropped in a trial of restores). Cause: a window was dropped when it was six windows old, whatever usage_due_s says. Ruled out: the usual ratios; at 6 s and 1 s, or 10 s and 5 s, six windows reach to the due time or beyond, and nothing changes. Change: a window is reported until it is due, six windows at least as before, and at most 48, fewer than the windows whose counts are remembered. Before: test_windows_that_are_not_due_are_reported_after_an_outage_of_the_cloud fails (holes in the list of windows). After: passes; unit tests 263 of 263 (new property: usage/a_window_is_reported_until_its_report_is_due), restored_lease_test 8 of 8.

--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -65,6 +65,10 @@
 Milliseconds DelayBeforeReport(std::int64_t now_ms, Milliseconds window,
                                Milliseconds pause, Milliseconds offset);
 
+/// How far behind the current window a window may be that is still reported.
+/// @param due  end of a window until its report is due
+std::uint64_t MaxWindowsBehind(Milliseconds window, Milliseconds due);
+
 std::string EncodeCounts(const WindowCounts& counts);
 std::optional<WindowCounts> DecodeCounts(std::string_view text);
 
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -17,9 +17,6 @@
 /// Obsolete reports deleted with each window, so that the transaction stays
 /// within the store's limit on entries. The next window deletes the rest.
 constexpr std::size_t kMaxDeletedReports = 50;
-/// Older windows are skipped.
-constexpr std::uint64_t kMaxWindowsBehind = 6;
-
 /// Maximum difference between the shared times of two instances, which a
 /// restore of the store may increase.
 constexpr Milliseconds kClockTolerance(500);
@@ -61,8 +58,10 @@
   }
   m_usage_progress.Observe(reading);
   const std::uint64_t current = reading.last_fixed.value_or(0);
-  if (current > kMaxWindowsBehind)
-    m_instances.ForgetLost(current - kMaxWindowsBehind, TimeSinceBoot());
+  const std::uint64_t behind = MaxWindowsBehind(
+      m_settings.usage_window, m_settings.usage_report_timeout);
+  if (current > behind)
+    m_instances.ForgetLost(current - behind, TimeSinceBoot());
 }
 
 std::optional<std::uint64_t> FleetCoordinator::LastCommittableWindow() const {
@@ -161,7 +160,9 @@
   const auto done = m_usage_progress.LastDone();
   std::uint64_t window =
       done ? *done + 1 : std::min(first, first_unwritten - 1);
-  const std::uint64_t oldest = current - std::min(current, kMaxWindowsBehind);
+  const std::uint64_t behind = MaxWindowsBehind(
+      m_settings.usage_window, m_settings.usage_report_timeout);
+  const std::uint64_t oldest = current - std::min(current, behind);
   if (window < oldest) {
     SkipWindows(window, oldest - 1, "too old");
     window = oldest;
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -16,6 +16,10 @@
 constexpr double kMaxRate = 1e18;
 /// Largest number of servers of a report.
 constexpr double kMaxServers = 1e6;
+/// Windows behind the current one that are reported although they are late.
+constexpr std::uint64_t kMinWindowsBehind = 6;
+/// Less than the windows whose counts UsageProgress remembers.
+constexpr std::uint64_t kMaxWindowsBehind = 48;
 
 double RequireAmount(const json::value& value, double max) {
   const auto amount = ToDouble(value, 0, max);
@@ -63,6 +67,12 @@
   m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
 }
 
+std::uint64_t MaxWindowsBehind(Milliseconds window, Milliseconds due) {
+  const auto until_due = (due + window - Milliseconds(1)) / window;
+  return std::clamp(static_cast<std::uint64_t>(until_due), kMinWindowsBehind,
+                    kMaxWindowsBehind);
+}
+
 Milliseconds DelayBeforeReport(std::int64_t now_ms, Milliseconds window,
                                Milliseconds pause, Milliseconds offset) {
   const std::int64_t elapsed = (now_ms - offset.count()) % window.count();
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -532,6 +532,19 @@
         self.assertEqual(len(backend.requests), 11)
         self.assertEqual(set(backend.server.open_connections), connections)
 
+    # Guards against windows that are dropped before their reports are due.
+    def test_windows_that_are_not_due_are_reported_after_an_outage_of_the_cloud(self):
+        self.store.put("op", "config", configuration())
+        self.start(bounds={"usage_due_s": 15})
+        eventually(lambda: self.cloud.usage)
+        self.cloud.down = True
+        time.sleep(9)
+        self.cloud.down = False
+        last = int(time.time())
+        eventually(lambda: self.cloud.usage[-1]["window"] > last)
+        windows = [call["window"] for call in self.cloud.usage]
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
     def run_fleet(self, gateway, *options):
         return subprocess.run([BINARY, "fleet", "--config", gateway.settings, *options],
                               capture_output=True, text=True, timeout=60, check=False)
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -341,6 +341,22 @@
   }));
 }
 
+Test(usage, a_window_is_reported_until_its_report_is_due) {
+  cr_assert(rc::check([] {
+    const Milliseconds window(*rc::gen::inRange(1000, 10000));
+    const Milliseconds due(*rc::gen::inRange(1000, 40000));
+    const std::uint64_t behind = MaxWindowsBehind(window, due);
+    const std::int64_t now = 1000000000LL + *rc::gen::inRange(0, 100000);
+    const std::int64_t current = now / window.count();
+    const std::int64_t dropped =
+        current - static_cast<std::int64_t>(behind) - 1;
+    RC_ASSERT((dropped + 1) * window.count() + due.count() <= now);
+  }));
+  cr_expect(MaxWindowsBehind(Milliseconds(1000), Milliseconds(6000)) == 6);
+  cr_expect(MaxWindowsBehind(Milliseconds(5000), Milliseconds(10000)) == 6);
+  cr_expect(MaxWindowsBehind(Milliseconds(1000), Milliseconds(15000)) == 15);
+}
+
 Test(load_meter, measures_the_servers_kept_busy_by_constant_load) {
   LoadMeter meter;
   for (int ms = 0; ms < 20000; ms += 50) {
