--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -507,6 +507,44 @@
                                for event in gateway.log_events()))
         self.assertEqual(gateway.call("/safe/x")[0], 200, gateway.history())
 
+    # Guards against a reload that resets connections or the state of servers.
+    def test_invalid_settings_file_disturbs_no_request(self):
+        self.store.put("op", "config", configuration())
+        backend = self.add_backend("p1", "plain", answer_pause_s=0.2)
+        gateway = self.start()
+        self.assertEqual(gateway.call("/safe/x")[0], 200)
+        connections = set(backend.server.open_connections)
+        gateway.settings.write_text("[node]\nname = 7\n", encoding="utf-8")
+        statuses = []
+        sender = threading.Thread(target=lambda: statuses.extend(
+            gateway.call("/safe/x", request_id=f"r{number}")[0] for number in range(10)))
+        sender.start()
+        reloads = 0
+        while sender.is_alive():
+            gateway.child.send_signal(signal.SIGHUP)
+            reloads += 1
+            eventually(lambda count=reloads: sum(
+                event["name"] == "settings_rejected"
+                for event in gateway.log_events()) >= count)
+        sender.join()
+        self.assertGreater(reloads, 10)
+        self.assertEqual(statuses, [200] * 10, gateway.history())
+        self.assertEqual(len(backend.requests), 11)
+        self.assertEqual(set(backend.server.open_connections), connections)
+
+    # Guards against windows that are dropped before their reports are due.
+    def test_windows_that_are_not_due_are_reported_after_an_outage_of_the_cloud(self):
+        self.store.put("op", "config", configuration())
+        self.start(bounds={"usage_due_s": 15})
+        eventually(lambda: self.cloud.usage)
+        self.cloud.down = True
+        time.sleep(9)
+        self.cloud.down = False
+        last = int(time.time())
+        eventually(lambda: self.cloud.usage[-1]["window"] > last)
+        windows = [call["window"] for call in self.cloud.usage]
+        self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
+
     def run_fleet(self, gateway, *options):
         return subprocess.run([BINARY, "fleet", "--config", gateway.settings, *options],
                               capture_output=True, text=True, timeout=60, check=False)
