Take a server as leaving from the head of any answer that says so

Callers of `serve` could still be sent to a server that had said in an answer that it leaves, and lose time or the request when it was gone.

Cause: X-Leaving was read only on a 503. A late 503 to another request was believed too.

The mark is set in the server's load state, which each incarnation has of its own and every choice reads; the control thread then tells peers by the existing leaving records.

Conclusion: every answer's head counts; only a newer incarnation ends it. Resuming a running stream at the same server is still allowed.

--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -78,6 +78,11 @@
                                      const std::vector<ServerView>& servers,
                                      const ChoiceContext& context);
 
+/// Records that a server said in an answer that it is leaving; it is not
+/// selected from then on.
+/// @return true the first time
+bool RecordLeaving(ServerLoad& load);
+
 /// Records the queue depth that a server reported with a response.
 void RecordQueueReport(ServerLoad& load, TokenCount queue, WallTime now);
 
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,6 +42,7 @@
   std::atomic<std::int64_t> reported_at_ms{0};
   std::atomic<std::uint32_t> consecutive_failures{0};
   std::atomic<std::int64_t> ejected_until_ms{0};
+  std::atomic<bool> leaving{false};  ///< the server said so in an answer
 };
 
 /// A backend server and its shared load counters.
@@ -68,7 +70,8 @@
 std::string LeavingKey(const ServerId& server, Incarnation incarnation);
 
 /// The servers of the instance list and which of them are leaving. Leaving
-/// marks merge monotonically: a marked incarnation stays marked until removed.
+/// marks merge monotonically: a marked incarnation stays marked until a newer
+/// one is listed, or until many servers were removed after it.
 class Fleet {
  public:
   /// Applies rows of the instance list; ignores rows of an older incarnation.
@@ -77,9 +80,13 @@
   /// Removes a server that is no longer in the list.
   void Remove(const ServerId& id);
 
-  /// Marks one incarnation as leaving. @return false if it was marked already
+  /// Marks one incarnation as leaving.
+  /// @return false if it was marked already, or a newer one is listed
   bool MarkLeaving(const ServerId& id, Incarnation incarnation);
 
+  /// Number of incarnations that are marked as leaving.
+  std::size_t LeavingCount() const { return m_leaving.size(); }
+
   const std::map<ServerId, InstanceRecord>& Records() const {
     return m_records;
   }
@@ -91,6 +98,8 @@
   std::map<ServerId, InstanceRecord> m_records;
   std::map<ServerId, std::shared_ptr<ServerLoad>> m_loads;
   std::set<std::string> m_leaving;
+  /// Marks whose servers were removed, the oldest first.
+  std::deque<std::string> m_marks_of_removed;
 };
 
 }  // namespace cowslipknot
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -41,8 +41,8 @@
          now.Count();
 }
 
-/// Indices of the untried servers, without ejected ones unless more than half
-/// are ejected.
+/// Indices of the untried servers that do not leave, without ejected ones
+/// unless more than half are ejected.
 std::vector<std::size_t> UsableServers(const std::vector<ServerView>& servers,
                                        const ChoiceContext& context) {
   std::vector<std::size_t> usable;
@@ -51,7 +51,7 @@
     const auto& id = servers[i].record.id;
     const bool tried = std::find(context.tried.begin(), context.tried.end(),
                                  id) != context.tried.end();
-    if (tried) continue;
+    if (tried || servers[i].load->leaving) continue;
     untried.push_back(i);
     if (!IsEjected(servers[i], context.now)) usable.push_back(i);
   }
@@ -233,6 +233,8 @@
   return TokenCount(std::max<std::uint64_t>(queue, load.in_flight_tokens));
 }
 
+bool RecordLeaving(ServerLoad& load) { return !load.leaving.exchange(true); }
+
 void RecordQueueReport(ServerLoad& load, TokenCount queue, WallTime now) {
   load.reported_queue_tokens = queue.Count();
   load.reported_at_ms = now.Count();
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -74,10 +74,12 @@
   const auto executor = m_context.get_executor();
   m_hooks.executor = executor;
   m_hooks.claims = m_claims.get();
-  m_hooks.on_server_refused = [this, executor](const ServerId& id,
-                                               Incarnation incarnation) {
-    asio::post(executor,
-               [this, id, incarnation] { MarkLeaving(id, incarnation); });
+  m_hooks.on_leaving_answer = [this, executor](
+                                  const ServerId& id, Incarnation incarnation,
+                                  std::chrono::nanoseconds read_at) {
+    asio::post(executor, [this, id, incarnation, read_at] {
+      OnLeavingAnswer(id, incarnation, read_at);
+    });
   };
   m_hooks.back_up = [this](std::shared_ptr<ModelRun> run) -> Awaitable<bool> {
     co_return co_await RunOn(m_hooks.executor, BackUpRun(run));
@@ -185,6 +187,20 @@
   LogEvent(Event::kServerLeaving,
            {{"server", id.Text()},
             {"incarnation", std::to_string(incarnation.Count())}});
+  AnnounceLeaving(id, incarnation);
+}
+
+void Control::OnLeavingAnswer(const ServerId& id, Incarnation incarnation,
+                              std::chrono::nanoseconds read_at) {
+  if (!m_fleet.MarkLeaving(id, incarnation)) return;
+  LogEvent(Event::kServerLeaving,
+           {{"server", id.Text()},
+            {"incarnation", std::to_string(incarnation.Count())},
+            {"age_ms", FormatAgeMs(read_at)}});
+  AnnounceLeaving(id, incarnation);
+}
+
+void Control::AnnounceLeaving(const ServerId& id, Incarnation incarnation) {
   m_gossip->Publish(
       {LeavingKey(id, incarnation), 1, std::to_string(NowWall().Count())});
   PublishSnapshot();
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -66,6 +66,12 @@
   void OnRecord(const GossipRecord& record, const NodeId& sender);
   bool AcceptsRecord(const GossipRecord& record) const;
   void MarkLeaving(const ServerId& id, Incarnation incarnation);
+  /// Marks a server that said in an answer that it is leaving.
+  /// @param read_at  when the answer's head was read, in TimeSinceBoot()
+  void OnLeavingAnswer(const ServerId& id, Incarnation incarnation,
+                       std::chrono::nanoseconds read_at);
+  /// Tells peers and traffic threads of a server that was marked as leaving.
+  void AnnounceLeaving(const ServerId& id, Incarnation incarnation);
   void StartTakenOverRun(const Descriptor& descriptor);
   Awaitable<void> FetchConfiguration(NodeId first);
   Awaitable<void> PollPlatform();
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -232,6 +232,8 @@
     }
     outcome = tl::make_unexpected(opened.error());
   } else {
+    m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
+                                 attempt.id, progress.header_read_at);
     outcome = CheckEngineHeader((*opened)->Header(), attempt.id);
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
@@ -239,10 +241,6 @@
   RecordAttempt(*attempt.server.load, !failed, NowWall());
   const bool refused =
       !outcome && outcome.error().code == ResultCode::kBackendRefused;
-  if (refused) {
-    m_worker.Hooks().on_server_refused(attempt.server.record.id,
-                                       attempt.server.record.incarnation);
-  }
   if (m_cancelled || m_handed_over) CancelOnEngine(attempt);
   if (!m_cancelled && !m_handed_over && !refused) {
     RecordEvidence(attempt, failed);
@@ -263,17 +261,20 @@
 }
 
 void ModelRun::CancelOnEngine(const Attempt& attempt) {
-  auto cancel = [](std::shared_ptr<ModelRun> run, Endpoint address,
+  auto cancel = [](std::shared_ptr<ModelRun> run, ServerView server,
                    std::string id) -> Awaitable<void> {
     HttpRequest request(http::verb::delete_, "/v1/streams/" + id, 11);
     CallProgress progress;
-    co_await run->m_worker.Http().Call(
-        address, std::move(request), kCancelTimeout, Reuse::kAllowed, progress);
+    const auto answer = co_await run->m_worker.Http().Call(
+        server.record.address, std::move(request), kCancelTimeout,
+        Reuse::kAllowed, progress);
+    if (!answer) co_return;
+    run->m_worker.RecordServerNotices(server, answer->base(), id,
+                                      progress.header_read_at);
   };
-  asio::co_spawn(
-      m_worker.Executor(),
-      cancel(shared_from_this(), attempt.server.record.address, attempt.id),
-      asio::detached);
+  asio::co_spawn(m_worker.Executor(),
+                 cancel(shared_from_this(), attempt.server, attempt.id),
+                 asio::detached);
 }
 
 }  // namespace cowslipknot
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -1,4 +1,5 @@
 #include "cowslipknot/events.h"
+#include "protocol/server_notices.h"
 #include "serve/attempt.h"
 
 // Reads the answer of a model run: applies its events and resumes an
@@ -16,7 +17,7 @@
     }
     return {};
   }
-  if (status == 503 && header.find("X-Leaving") != header.end()) {
+  if (status == 503 && DecodeServerNotices(header, attempt).is_leaving) {
     return Fail(ResultCode::kBackendRefused, "the server is leaving");
   }
   if (status >= 500 || status == 429) {
@@ -128,6 +129,8 @@
       attempt.server.record.address, std::move(request),
       WithTimeout(m_route.stall_timeout, Reuse::kNewOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
+  m_worker.RecordServerNotices(attempt.server, (*opened)->Header(), attempt.id,
+                               progress.header_read_at);
   const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
   if (!checked) {
     co_return Fail(ResultCode::kBackendFailed, "the stream no longer exists",
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -4,6 +4,7 @@
 
 #include "coordination/claim_writer.h"
 #include "cowslipknot/events.h"
+#include "protocol/server_notices.h"
 #include "serve/attempt.h"
 
 namespace cowslipknot {
@@ -20,9 +21,9 @@
     http::field::if_none_match};
 
 /// A server that is leaving rejects requests without executing them.
-bool IsLeavingResponse(const HttpResponse& response) {
+bool IsLeavingRefusal(const HttpResponse& response, const RequestId& id) {
   return response.result() == http::status::service_unavailable &&
-         response.find("X-Leaving") != response.end();
+         DecodeServerNotices(response.base(), id.Text()).is_leaving;
 }
 
 /// The response to one attempt, and how far the request was sent.
@@ -97,15 +98,18 @@
     const Endpoint address = choice.server.record.address;
     const auto started = SteadyClock::now();
     CallProgress progress;
+    progress.on_header = [&](const http::response_header<>& header) {
+      m_worker.RecordServerNotices(choice.server, header, m_request.id.Text(),
+                                   progress.header_read_at);
+    };
     auto answer = co_await m_worker.Http().Call(
         address, BuildRequest(span.Context()), TimeLeft(), reuse, progress);
     if (!answer && progress.reused_connection) {
       m_worker.Http().CloseIdle(address);
     }
-    const bool refused = answer && IsLeavingResponse(*answer);
+    progress.on_header = nullptr;
+    const bool refused = answer && IsLeavingRefusal(*answer, m_request.id);
     if (refused) {
-      m_worker.Hooks().on_server_refused(choice.server.record.id,
-                                         choice.server.record.incarnation);
       answer = Fail(ResultCode::kBackendRefused, "the server is leaving");
       progress.first_byte_sent = false;
     }
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -1,5 +1,7 @@
 #include "serve/worker.h"
 
+#include "cowslipknot/coordination/choose_server.h"
+#include "protocol/server_notices.h"
 #include "serve/model_run.h"
 
 namespace cowslipknot {
@@ -57,6 +59,19 @@
   }
 }
 
+void Worker::RecordServerNotices(const ServerView& server,
+                                 const http::response_header<>& header,
+                                 std::string_view id,
+                                 std::chrono::nanoseconds read_at) {
+  const ServerNotices notices = DecodeServerNotices(header, id);
+  if (!notices.is_leaving || IsDisabled(m_settings, "leaving")) return;
+  if (!RecordLeaving(*server.load)) return;
+  m_metrics.Add("cowslipknot_server_leavings_total",
+                FormatLabel("pool", server.record.pool.Text()));
+  m_hooks.on_leaving_answer(server.record.id, server.record.incarnation,
+                            read_at);
+}
+
 void Worker::MatchPrefix(RequestCost& cost) const {
   for (std::size_t depth = cost.blocks.size(); depth > 0; --depth) {
     const auto found = m_block_servers.find(cost.blocks[depth - 1]);
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -28,7 +28,11 @@
 struct ControlHooks {
   asio::any_io_executor executor;  ///< of the control thread
   ClaimWriter* claims = nullptr;   ///< used on `executor` only
-  std::function<void(const ServerId&, Incarnation)> on_server_refused;
+  /// Called once for each server that says in an answer that it is leaving.
+  /// @param read_at  when the answer's head was read, in TimeSinceBoot()
+  std::function<void(const ServerId&, Incarnation,
+                     std::chrono::nanoseconds read_at)>
+      on_leaving_answer;
   /// Sends a backup of a request to a peer; used once a stop or
   /// reclaim is announced.
   std::function<Awaitable<bool>(std::shared_ptr<ModelRun>)> back_up;
@@ -89,6 +93,13 @@
   RetryBudget& Retries() { return m_retries; }
   std::map<MoveId, MoveEvidence>& Evidence() { return m_evidence; }
 
+  /// Takes notice of what the head of a server's answer says of the server.
+  /// @param id  sent with the request
+  void RecordServerNotices(const ServerView& server,
+                           const http::response_header<>& header,
+                           std::string_view id,
+                           std::chrono::nanoseconds read_at);
+
   /// Fills in the length of the longest prefix of the prompt that this thread
   /// has sent before, and the server that it was last sent to.
   void MatchPrefix(RequestCost& cost) const;
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -1,6 +1,11 @@
 #include "cowslipknot/state/fleet.h"
 
 namespace cowslipknot {
+namespace {
+
+constexpr std::size_t kMaxMarksOfRemoved = 4096;
+
+}  // namespace
 
 std::string LeavingKey(const ServerId& server, Incarnation incarnation) {
   return "leaving/" + server.Text() + "/" + std::to_string(incarnation.Count());
@@ -12,7 +17,11 @@
     const bool is_newer =
         known == m_records.end() || known->second.incarnation < row.incarnation;
     if (!is_newer && row.incarnation < known->second.incarnation) continue;
-    if (is_newer) m_loads[row.id] = std::make_shared<ServerLoad>();
+    if (is_newer) {
+      if (known != m_records.end())
+        m_leaving.erase(LeavingKey(row.id, known->second.incarnation));
+      m_loads[row.id] = std::make_shared<ServerLoad>();
+    }
     m_records[row.id] = row;
     if (row.leaving) m_leaving.insert(LeavingKey(row.id, row.incarnation));
   }
@@ -21,12 +30,21 @@
 void Fleet::Remove(const ServerId& id) {
   const auto known = m_records.find(id);
   if (known == m_records.end()) return;
-  m_leaving.erase(LeavingKey(id, known->second.incarnation));
+  std::string mark = LeavingKey(id, known->second.incarnation);
   m_records.erase(known);
   m_loads.erase(id);
+  // A list that names the server again does not end its leaving.
+  if (!m_leaving.contains(mark)) return;
+  m_marks_of_removed.push_back(std::move(mark));
+  if (m_marks_of_removed.size() <= kMaxMarksOfRemoved) return;
+  m_leaving.erase(m_marks_of_removed.front());
+  m_marks_of_removed.pop_front();
 }
 
 bool Fleet::MarkLeaving(const ServerId& id, Incarnation incarnation) {
+  const auto known = m_records.find(id);
+  if (known != m_records.end() && incarnation < known->second.incarnation)
+    return false;
   return m_leaving.insert(LeavingKey(id, incarnation)).second;
 }
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -290,6 +290,7 @@
   if (error) co_return MakeCallError(error, progress);
   progress.response_started = true;
   progress.header_read_at = TimeSinceBoot();
+  if (progress.on_header) progress.on_header(stream->Header());
   co_return std::unique_ptr<ResponseStream>(std::move(stream));
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -20,6 +20,8 @@
   /// Closes the connection in use, which makes the pending call fail. Empty
   /// until the call has a connection.
   std::function<void()> abort;
+  /// Called when the response header was read, if set.
+  std::function<void(const http::response_header<>&)> on_header;
   bool first_byte_sent = false;    ///< request bytes may have been sent
   bool reused_connection = false;  ///< the connection came from the pool
   bool response_started = false;
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -14,6 +14,9 @@
 OBJECTS_PATH = ROOT / "examples" / "steigervergunning.toml"
 AUTH_HEADERS = {"Authorization": "Bearer key-clerks"}
 
+# By then, all instances in touch know what a server has said in an answer.
+MAX_NOTICE_MS = 500
+
 
 class LoadGenerator:
     """Runs the load tool as a child process during a case."""
@@ -78,6 +81,32 @@
     return CaseResult(violations, notes)
 
 
+def requests_to(cluster, server):
+    """Number of requests that have reached a server."""
+    return sum(1 for event in cluster.history()
+               if event["what"] in ("dispatch", "execute") and event["server"] == server)
+
+
+def requests_after(cluster, server, notice, bound_ms):
+    """The requests that reached a server later than a bound after its first notice."""
+    history = cluster.history()
+    first_ms = min((event["time_ms"] for event in history
+                    if event["what"] == notice and event["server"] == server),
+                   default=float("inf"))
+    return [event for event in history
+            if event["what"] in ("dispatch", "execute") and event["server"] == server and
+            event["time_ms"] > first_ms + bound_ms]
+
+
+def send_kind(cluster, entry, kind):
+    """Sends one request of a kind and returns (status, headers, body)."""
+    model = {"model": "notice-draft", "prompt": "x", "max_tokens": 3}
+    method, path, body = {
+        "streamed": ("POST", "/v1/completions", {**model, "stream": True}),
+        "lookup": ("GET", "/lookups/item", None)}[kind]
+    return http_json(method, cluster.entry_address(entry), path, body, AUTH_HEADERS, timeout=20)
+
+
 # Entry instances ---------------------------------------------------------
 
 def kill_entry(options, seed):
@@ -281,6 +310,62 @@
         return run_under_load(cluster, seed, inject_faults)
 
 
+def leaving_answers(options, seed):
+    """Servers say in their answers, and nowhere else, that they leave, while the platform is
+    unavailable. The answering instance sends them nothing from then on, its peers nothing
+    after MAX_NOTICE_MS, and new incarnations of them are used."""
+    def reached(cluster, server, entry, kind):
+        before = requests_to(cluster, server)
+        send_kind(cluster, entry, kind)
+        return requests_to(cluster, server) > before
+
+    def check_used(cluster, server, kind, violations):
+        if not any(reached(cluster, server, 0, kind) for _ in range(40)):
+            violations.append(Violation("case", f"no request reached {server}"))
+
+    def check_unused(cluster, server, kind, entry, violations):
+        if any(reached(cluster, server, entry, kind) for _ in range(15)):
+            violations.append(Violation(
+                "leaving", f"entry-{entry} sent {server} a request after its answer"))
+    with Cluster(seed=seed, entries=3, engines=3, traffic_threads=2, policy="round_robin",
+                 **options) as cluster:
+        cluster.start_and_configure(OBJECTS_PATH)
+        violations = []
+        rng = random.Random(seed)
+        engine, plain = rng.randrange(3), rng.randrange(2)
+        servers = ((f"engine-{engine}", cluster.engine_address(engine), "streamed"),
+                   (f"plain-{plain}", cluster.plain_address(plain), "lookup"))
+        cluster.set_faults(cluster.platform_address(), down=True)
+        for name, address, kind in servers:
+            cluster.set_faults(address, says_leaving=True)
+            check_used(cluster, name, kind, violations)
+            check_unused(cluster, name, kind, 0, violations)
+        time.sleep(MAX_NOTICE_MS / 1000)
+        for name, _, kind in servers:
+            for entry in (1, 2):
+                check_unused(cluster, name, kind, entry, violations)
+        LoadGenerator(cluster, seed, seconds=2, filings=0).finish()
+        for name, _, _ in servers:
+            late = requests_after(cluster, name, "said_leaving", MAX_NOTICE_MS)
+            violations += [Violation("leaving", f"{name} got a request", [e]) for e in late]
+        cluster.set_faults(cluster.platform_address(), down=False)
+        cluster.kill(f"engine-{engine}")
+        cluster.kill(f"plain-{plain}")
+        cluster.start_engine(engine, incarnation=2)
+        cluster.start_plain(plain, incarnation=2)
+        names = {name for name, _, _ in servers}
+        wait_until(lambda: names <= {server["server"] for server in cluster.status(0)["servers"]
+                                     if server["takes_new_work"]})
+        for name, _, kind in servers:
+            check_used(cluster, name, kind, violations)
+        more, notes = standard_checks(cluster)
+        leaving = [event for event in cluster.log_events(0) if event["name"] == "server_leaving"]
+        notes["age_ms"] = [event.get("age_ms") for event in leaving]
+        if len(leaving) != 2 or not all(int(event.get("age_ms", -1)) >= 0 for event in leaving):
+            violations.append(Violation("case", "the answers' ages are not logged", leaving))
+        return CaseResult(violations + more, notes)
+
+
 def reset_filings(options, seed):
     """Plain services reset the connection instead of answering every third request that
     they have executed."""
@@ -600,7 +685,7 @@
     kill_entry, die_in_reclaim, hand_over, planned_stops, stop_while_reading, freeze_entry,
     kill_engine,
     freeze_engine, silent_connections, cut_answers, lost_end_marks, reclaim_domain,
-    refusing_server, reset_filings, platform_outage, lost_answers, cut_domain, operator_race,
+    refusing_server, leaving_answers, reset_filings, platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
     move_bad, move_bad_late, move_slow, move_controller_killed, move_in_outage,
     move_operator_takes_back)}
@@ -611,11 +696,13 @@
     "silent_connections", "cut_answers", "lost_end_marks", "reclaim_domain",
     "reset_filings", "platform_outage", "lost_answers", "cut_domain", "operator_race",
     "stale_configuration", "fresh_in_outage", "move_bad", "freeze_entry",
-    "freeze_engine", "refusing_server", "move_operator_takes_back",
+    "freeze_engine", "refusing_server", "leaving_answers",
+    "move_operator_takes_back",
     "killed_between_requests", "bad_input"]
 
 # The mechanism without which each case fails.
 MECHANISM_BY_CASE = {
     "reset_filings": "claims", "die_in_reclaim": "hand_over", "hand_over": "hand_over",
     "planned_stops": "drain", "kill_engine": "retry", "silent_connections": "silent_links",
-    "cut_answers": "completeness", "reclaim_domain": "leaving", "move_bad": "take_back"}
+    "cut_answers": "completeness", "reclaim_domain": "leaving",
+    "leaving_answers": "leaving", "move_bad": "take_back"}
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -49,6 +49,7 @@
       : m_context(context),
         m_name(arguments.Text("name")),
         m_history(arguments.Text("history")),
+        m_notices(m_name, m_history),
         m_prefill_rate(arguments.Number("prefill-rate", 8000)),
         m_decode_ms(arguments.Number("decode-ms", 10)),
         m_decode_ms_per_stream(arguments.Number("decode-ms-per-stream", 0.2)),
@@ -72,7 +73,7 @@
     if (path.starts_with(kStreams)) {
       const auto found = m_streams.find(path.substr(kStreams.size()));
       if (found == m_streams.end()) {
-        co_await exchange.Respond(StatusResponse(http::status::not_found));
+        co_await RespondWithStatus(exchange, http::status::not_found);
         co_return;
       }
       const StreamPtr stream = found->second;
@@ -94,6 +95,11 @@
       co_await exchange.Respond(std::move(rejection));
       co_return;
     }
+    auto pause = m_notices.TakePause();
+    if (pause) {
+      co_await exchange.Respond(std::move(*pause));
+      co_return;
+    }
     co_await HandleCompletion(exchange, path);
   }
 
@@ -110,21 +116,27 @@
   }
 
  private:
+  Awaitable<void> RespondWithStatus(HttpExchange& exchange,
+                                    http::status status) {
+    HttpResponse response = StatusResponse(status);
+    m_notices.AddTo(response);
+    co_await exchange.Respond(std::move(response));
+  }
+
   Awaitable<void> HandleCompletion(HttpExchange& exchange,
                                    const std::string& path) {
     StreamPtr stream;
     error_code error;
     const json::value body = json::parse(exchange.Request().body(), error);
     if (error || !body.is_object()) {
-      co_await exchange.Respond(StatusResponse(http::status::bad_request));
+      co_await RespondWithStatus(exchange, http::status::bad_request);
       co_return;
     }
     ++m_requests;
     const std::string id(exchange.Request()["X-Request-Id"]);
     m_history.Write("dispatch", {{"server", m_name}, {"attempt", id}});
     if (ShouldFail()) {
-      co_await exchange.Respond(
-          StatusResponse(http::status::internal_server_error));
+      co_await RespondWithStatus(exchange, http::status::internal_server_error);
       co_return;
     }
     if (m_slow_ms > 0) co_await SleepFor(Milliseconds(m_slow_ms));
@@ -279,6 +291,7 @@
     HttpResponse header(http::status::ok, 11);
     header.set(http::field::content_type, "text/event-stream");
     header.set("X-Request-Id", m_send_previous_id ? m_previous_id : stream->id);
+    m_notices.AddTo(header);
     m_previous_id = stream->id;
     ++stream->readers;
     const std::uint64_t silence_epoch = m_silence_epoch;
@@ -327,6 +340,7 @@
   }
 
   void SetFaults(const json::object& faults) {
+    m_notices.SetFaults(faults);
     const auto number = [&faults](const char* name, auto& target) {
       if (!faults.contains(name)) return;
       target = faults.at(name).to_number<std::decay_t<decltype(target)>>();
@@ -350,6 +364,7 @@
   asio::io_context& m_context;
   std::string m_name;
   History m_history;
+  Notices m_notices;
   double m_prefill_rate;  ///< tokens per second
   double m_decode_ms;
   double m_decode_ms_per_stream;
--- a/tests/fakes/fake_plain_service.cc
+++ b/tests/fakes/fake_plain_service.cc
@@ -14,6 +14,7 @@
   explicit PlainService(const Arguments& arguments)
       : m_name(arguments.Text("name")),
         m_history(arguments.Text("history")),
+        m_notices(m_name, m_history),
         m_delay(arguments.Integer("delay-ms", 5)) {}
 
   Awaitable<void> Handle(HttpExchange& exchange) {
@@ -30,6 +31,11 @@
       co_await exchange.Respond(std::move(rejection));
       co_return;
     }
+    auto pause = m_notices.TakePause();
+    if (pause) {
+      co_await exchange.Respond(std::move(*pause));
+      co_return;
+    }
     const std::string key(exchange.Request()["Idempotency-Key"]);
     const std::string id(exchange.Request()["X-Request-Id"]);
     ++m_executions;
@@ -45,6 +51,7 @@
       HttpResponse failure =
           StatusResponse(http::status::internal_server_error);
       failure.set("X-Request-Id", id);
+      m_notices.AddTo(failure);
       co_await exchange.Respond(std::move(failure));
       co_return;
     }
@@ -55,12 +62,14 @@
     body["number"] = m_executions;
     HttpResponse response = JsonResponse(body);
     response.set("X-Request-Id", m_send_previous_id ? m_previous_id : id);
+    m_notices.AddTo(response);
     m_previous_id = id;
     co_await exchange.Respond(std::move(response));
   }
 
  private:
   void SetFaults(const json::object& faults) {
+    m_notices.SetFaults(faults);
     if (faults.contains("lose_every")) {
       m_lose_every = faults.at("lose_every").to_number<std::uint64_t>();
     }
@@ -78,6 +87,7 @@
 
   std::string m_name;
   History m_history;
+  Notices m_notices;
   Milliseconds m_delay;
   std::uint64_t m_executions = 0;
   std::uint64_t m_lose_every = 0;
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -45,6 +45,36 @@
   m_file << json::serialize(fields) << std::endl;
 }
 
+void Notices::SetFaults(const json::object& faults) {
+  if (faults.contains("says_leaving")) {
+    m_says_leaving = faults.at("says_leaving").as_bool();
+  }
+  if (faults.contains("pauses")) {
+    m_pauses = faults.at("pauses").to_number<std::int64_t>();
+  }
+  if (faults.contains("pause_s")) {
+    m_pause_s = std::string(faults.at("pause_s").as_string());
+  }
+}
+
+void Notices::AddTo(HttpResponse& answer) {
+  if (!m_says_leaving) return;
+  answer.set("X-Leaving", "1");
+  if (m_said_leaving) return;
+  m_said_leaving = true;
+  m_history.Write("said_leaving", {{"server", m_server}});
+}
+
+std::optional<HttpResponse> Notices::TakePause() {
+  if (m_pauses == 0) return std::nullopt;
+  --m_pauses;
+  m_history.Write("paused", {{"server", m_server}, {"pause_s", m_pause_s}});
+  HttpResponse refusal = StatusResponse(http::status::service_unavailable);
+  refusal.set(http::field::retry_after, m_pause_s);
+  AddTo(refusal);
+  return refusal;
+}
+
 HttpResponse JsonResponse(const json::value& body) {
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, "application/json");
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -34,6 +35,28 @@
   std::ofstream m_file;
 };
 
+/// What a server says of itself in its answers, as set by its faults:
+/// "says_leaving" marks each answer, "pauses" refuses that many requests and
+/// asks for none for "pause_s", which is sent as it is.
+class Notices {
+ public:
+  Notices(std::string server, History& history)
+      : m_server(std::move(server)), m_history(history) {}
+
+  void SetFaults(const boost::json::object& faults);
+  void AddTo(HttpResponse& answer);
+  /// @return the answer to a request that is refused for a pause
+  std::optional<HttpResponse> TakePause();
+
+ private:
+  std::string m_server;
+  History& m_history;
+  bool m_says_leaving = false;
+  bool m_said_leaving = false;
+  std::int64_t m_pauses = 0;
+  std::string m_pause_s;
+};
+
 HttpResponse JsonResponse(const boost::json::value& body);
 HttpResponse StatusResponse(http::status status);
 std::string PathOf(const HttpRequest& request);
