Send a server nothing until the end of the pause it asks for

Callers of `serve` were sent on to servers that had answered 503 with Retry-After, and while all servers of a pool asked for a pause, requests went to them in turn instead of being refused with a time to return.

Cause: Retry-After was not read. The end of the pause now stands in the server's load state, which every choice reads; the latest end counts, a new incarnation has none. What bounds a pause and spreads callers moves from the gateway's module to coordination/server_pause.h, used by both modes.

Ruled out: refusing each request that finds all servers in a pause. Also ruled out: repeating a call that may not be repeated after such a 503, since a 503 does not prove that nothing ran.

Conclusion: both modes follow one rule. Not mended: a pause is lost when the instance list drops a server's row and names it again within the pause.

--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -33,7 +33,8 @@
   RoutingPolicy policy = RoutingPolicy::kPredicted;
   DomainId domain;  ///< failure domain of this entry instance
   WallTime now;
-  std::uint64_t round_robin_index = 0;  ///< increases with each request
+  std::chrono::nanoseconds since_boot{0};  ///< the same time, for pauses
+  std::uint64_t round_robin_index = 0;     ///< increases with each request
   UnitDraw draw = 0;  ///< random draw that samples candidates and breaks ties
   Milliseconds target{1400};  ///< time to first token
   /// Servers already tried for this request; they are not selected again.
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -42,6 +42,7 @@
   std::atomic<std::int64_t> reported_at_ms{0};
   std::atomic<std::uint32_t> consecutive_failures{0};
   std::atomic<std::int64_t> ejected_until_ms{0};
+  std::atomic<std::int64_t> paused_until_ns{0};  ///< in TimeSinceBoot()
   std::atomic<bool> leaving{false};  ///< the server said so in an answer
 };
 
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "cowslipknot/coordination/rendezvous.h"
+#include "cowslipknot/coordination/server_pause.h"
 
 namespace cowslipknot {
 namespace {
@@ -41,8 +42,8 @@
          now.Count();
 }
 
-/// Indices of the untried servers that do not leave, without ejected ones
-/// unless more than half are ejected.
+/// Indices of the untried servers that neither leave nor pause, without ejected
+/// ones unless more than half are ejected.
 std::vector<std::size_t> UsableServers(const std::vector<ServerView>& servers,
                                        const ChoiceContext& context) {
   std::vector<std::size_t> usable;
@@ -51,7 +52,8 @@
     const auto& id = servers[i].record.id;
     const bool tried = std::find(context.tried.begin(), context.tried.end(),
                                  id) != context.tried.end();
-    if (tried || servers[i].load->leaving) continue;
+    const ServerLoad& load = *servers[i].load;
+    if (tried || load.leaving || IsPaused(load, context.since_boot)) continue;
     untried.push_back(i);
     if (!IsEjected(servers[i], context.now)) usable.push_back(i);
   }
--- a/src/coordination/server_pause.cc
+++ b/src/coordination/server_pause.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace cowslipknot::gateway {
+namespace cowslipknot {
 namespace {
 
 /// Longest pause. A server that restarts or recovers meanwhile would otherwise
@@ -24,6 +24,42 @@
   return {Milliseconds(static_cast<std::int64_t>(ms)), false};
 }
 
+Milliseconds SpreadReturn(std::chrono::nanoseconds time_left,
+                          Milliseconds usual, UnitDraw draw) {
+  const auto left = std::chrono::ceil<Milliseconds>(time_left);
+  const double spread =
+      std::max(static_cast<double>(usual.count()),
+               kReturnSpread * static_cast<double>(left.count()));
+  return left + Milliseconds(static_cast<std::int64_t>(draw * spread));
+}
+
+void RecordPause(ServerLoad& load, std::chrono::nanoseconds until) {
+  std::int64_t known = load.paused_until_ns;
+  while (known < until.count() &&
+         !load.paused_until_ns.compare_exchange_weak(known, until.count())) {
+  }
+}
+
+bool IsPaused(const ServerLoad& load, std::chrono::nanoseconds now) {
+  return now.count() < load.paused_until_ns;
+}
+
+std::optional<std::chrono::nanoseconds> FirstPauseEnd(
+    const std::vector<ServerView>& servers, std::chrono::nanoseconds now) {
+  std::optional<std::chrono::nanoseconds> first_end;
+  for (const auto& server : servers) {
+    if (server.load->leaving) continue;
+    const std::chrono::nanoseconds end(server.load->paused_until_ns.load());
+    if (end <= now) return std::nullopt;
+    first_end = std::min(first_end.value_or(end), end);
+  }
+  return first_end;
+}
+
+}  // namespace cowslipknot
+
+namespace cowslipknot::gateway {
+
 Milliseconds CallerRetryDelay(const std::vector<Backend>& backends,
                               std::chrono::nanoseconds now, Milliseconds usual,
                               UnitDraw draw) {
@@ -35,11 +71,7 @@
     first_end = std::min(first_end.value_or(end), end);
   }
   if (!first_end) return usual;
-  const auto left = std::chrono::ceil<Milliseconds>(*first_end - now);
-  const double spread =
-      std::max(static_cast<double>(usual.count()),
-               kReturnSpread * static_cast<double>(left.count()));
-  return left + Milliseconds(static_cast<std::int64_t>(draw * spread));
+  return SpreadReturn(*first_end - now, usual, draw);
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/protocol/server_notices.h
+++ b/src/protocol/server_notices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 #include "transport/asio.h"
@@ -9,6 +10,9 @@
 /// What the head of a backend server's answer says of the server itself.
 struct ServerNotices {
   bool is_leaving = false;
+  /// Time in seconds for which a server that answers 503 wants no request; as
+  /// stated, NaN if it is not a number.
+  std::optional<double> retry_after_s;
 };
 
 /// @param id  sent with the request; an answer that carries another one was
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -73,4 +73,10 @@
                                       const RequestCost& cost,
                                       const std::vector<ServerId>& tried);
 
+/// The time after which a caller should repeat a request that found no server,
+/// if all servers of its pool pause.
+std::optional<Milliseconds> RetryDelayOfPause(Worker& worker,
+                                              const ServiceId& service,
+                                              const RequestId& request);
+
 }  // namespace cowslipknot
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "serve/attempt.h"
 #include "serve/model_run.h"
 #include "serve/plain_call.h"
 #include "serve/request_lookup.h"
@@ -66,6 +67,14 @@
                            FormatLabel("code", Describe(error.code).name));
     HttpResponse response = ErrorResponse(error);
     if (!m_id.Empty()) response.set("X-Request-Id", m_id.Text());
+    const auto delay = error.code == ResultCode::kNoServer
+                           ? RetryDelayOfPause(m_worker, m_service, m_id)
+                           : std::nullopt;
+    if (delay) {
+      response.set(
+          http::field::retry_after,
+          std::to_string(std::chrono::duration<double>(*delay).count()));
+    }
     co_await m_exchange.Respond(std::move(response));
   }
 
@@ -178,6 +187,7 @@
       co_return Fail(ResultCode::kBodyTooLarge);
     }
     m_id = MakeId();
+    m_service = found->service;
     if (!m_idempotency_key.empty() && co_await HasBackup()) {
       RunReader reader(m_worker, m_exchange, m_id);
       co_await reader.RedirectToLookup();
@@ -275,6 +285,7 @@
     request.id = m_id;
     request.workspace = m_workspace;
     request.route = *route;
+    m_service = route->service;
     request.idempotency_key = m_idempotency_key;
     request.http = m_exchange.Request();
     request.parent = m_span.Context();
@@ -305,6 +316,7 @@
   WorkspaceId m_workspace;
   std::string m_idempotency_key;
   RequestId m_id;
+  ServiceId m_service;  ///< of the request's route; empty if there is none
 };
 
 }  // namespace
--- a/src/serve/choose_for_service.cc
+++ b/src/serve/choose_for_service.cc
@@ -1,5 +1,6 @@
 #include <xxhash.h>
 
+#include "cowslipknot/coordination/server_pause.h"
 #include "serve/attempt.h"
 
 namespace cowslipknot {
@@ -8,6 +9,12 @@
 /// Target for requests of the patient class: they leave the server that caches
 /// their prefix only if its queue is long.
 constexpr Milliseconds kPatientFirstTokenTarget(10000);
+/// Callers return spread over at least this time after a pause.
+constexpr Milliseconds kMinReturnSpread(1000);
+
+std::uint64_t HashOf(const RequestId& request) {
+  return XXH3_64bits(request.Text().data(), request.Text().size());
+}
 
 }  // namespace
 
@@ -17,8 +24,7 @@
                                       const std::vector<ServerId>& tried) {
   const FleetSnapshot& snapshot = worker.Snapshot();
   if (!snapshot.configuration) return Fail(ResultCode::kNoConfiguration);
-  const std::uint64_t hash =
-      XXH3_64bits(request.Text().data(), request.Text().size());
+  const std::uint64_t hash = HashOf(request);
   const ObjectSet& objects = snapshot.configuration->objects;
   if (!objects.services.contains(route.service)) {
     return Fail(ResultCode::kNoServer, "the service was removed");
@@ -34,6 +40,7 @@
   context.policy = worker.GetSettings().policy;
   context.domain = snapshot.domain;
   context.now = NowWall();
+  context.since_boot = TimeSinceBoot();
   context.round_robin_index = worker.NextRoundRobinIndex();
   context.draw = worker.Draw();
   context.tried = tried;
@@ -48,4 +55,21 @@
   return choice;
 }
 
+std::optional<Milliseconds> RetryDelayOfPause(Worker& worker,
+                                              const ServiceId& service,
+                                              const RequestId& request) {
+  const FleetSnapshot& snapshot = worker.Snapshot();
+  if (!snapshot.configuration) return std::nullopt;
+  const ObjectSet& objects = snapshot.configuration->objects;
+  if (!objects.services.contains(service)) return std::nullopt;
+  const auto version =
+      ChooseVersion(snapshot, service, HashOf(request)).version;
+  const auto servers = snapshot.servers.find(objects.versions.at(version).pool);
+  if (servers == snapshot.servers.end()) return std::nullopt;
+  const auto now = TimeSinceBoot();
+  const auto end = FirstPauseEnd(servers->second, now);
+  if (!end) return std::nullopt;
+  return SpreadReturn(*end - now, kMinReturnSpread, worker.Draw());
+}
+
 }  // namespace cowslipknot
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -166,11 +166,9 @@
     Error error = outcome.error();
     sent = sent || error.execution != Execution::kNotRun;
     if (sent) error.execution = Execution::kUnknown;
-    const bool first_selection_failed =
-        error.code == ResultCode::kNoServer && m_tried.empty();
     const bool out_of_time = ElapsedSince(m_started) >= m_route.timeout;
     const bool give_up = m_cancelled || out_of_time || !IsRetryable(error) ||
-                         (first_selection_failed && !sent) ||
+                         EndsForLackOfServers(error, sent) ||
                          IsDisabled(m_worker.GetSettings(), "retry");
     if (give_up) {
       Finish(error);
@@ -184,6 +182,14 @@
   }
 }
 
+bool ModelRun::EndsForLackOfServers(const Error& error, bool sent) {
+  if (error.code != ResultCode::kNoServer) return false;
+  const bool all_pause =
+      RetryDelayOfPause(m_worker, m_route.service, m_id).has_value();
+  if (all_pause) return m_chunks.empty() && !m_taken_over;
+  return m_tried.empty() && !sent;
+}
+
 Result<void> ModelRun::SelectServer(Attempt& attempt) {
   RequestCost cost = m_request.cost;
   m_worker.MatchPrefix(cost);
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -76,6 +76,9 @@
   /// server's speed.
   void RecordFirstOutput(Attempt& attempt);
   Result<void> SelectServer(Attempt& attempt);
+  /// Whether the run ends because no server can take it soon. One that has
+  /// output, or that a peer has accepted, waits for the end of a pause.
+  bool EndsForLackOfServers(const Error& error, bool sent);
   void RecordEvidence(const Attempt& attempt, bool failed);
   void Finish(std::optional<Error> failure);
   void CancelOnEngine(const Attempt& attempt);
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -1,3 +1,4 @@
+#include "cowslipknot/coordination/server_pause.h"
 #include "cowslipknot/events.h"
 #include "protocol/server_notices.h"
 #include "serve/attempt.h"
@@ -78,6 +79,7 @@
       if (HasCompleteAnswer()) co_return Result<void>();
       const bool may_reconnect =
           !IsDisabled(m_worker.GetSettings(), "silent_links") &&
+          !IsPaused(*attempt.server.load, TimeSinceBoot()) &&
           ElapsedSince(m_started) < m_route.timeout;
       if (!may_reconnect) co_return tl::make_unexpected(data.error());
       stream.reset();
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -88,6 +88,11 @@
                             RequestCost(), m_tried);
   }
 
+  bool AllPause() {
+    return RetryDelayOfPause(m_worker, m_request.route.service, m_request.id)
+        .has_value();
+  }
+
   Awaitable<AttemptOutcome> Attempt(const ServerChoice& choice, Reuse reuse) {
     Span span("attempt", m_request.parent, m_worker.Random(),
               m_worker.Hooks().trace);
@@ -113,6 +118,13 @@
       answer = Fail(ResultCode::kBackendRefused, "the server is leaving");
       progress.first_byte_sent = false;
     }
+    const bool asks_for_pause =
+        answer &&
+        DecodeServerNotices(answer->base(), m_request.id.Text()).retry_after_s;
+    if (asks_for_pause && m_request.route.repeatable) {
+      answer = Fail(ResultCode::kBackendRefused, "the server asks for a pause",
+                    Execution::kUnknown);
+    }
     if (answer && (*answer)["X-Request-Id"] != m_request.id.Text()) {
       answer = Fail(ResultCode::kBackendMalformed,
                     "response carries the id of another request",
@@ -153,7 +165,7 @@
         error = choice.error();
       }
       if (sent) error.execution = Execution::kUnknown;
-      const bool stop = TimeLeft().count() == 0 ||
+      const bool stop = TimeLeft().count() == 0 || (!choice && AllPause()) ||
                         IsDisabled(m_worker.GetSettings(), "retry");
       if (stop) co_return tl::make_unexpected(error);
       if (!choice || !m_worker.Retries().TrySpend()) {
@@ -225,6 +237,10 @@
         co_return Fail(ResultCode::kDeadlinePassed);
       }
       const auto choice = Choose();
+      if (!choice && AllPause()) {
+        FinishClaim(std::move(stored), std::nullopt);
+        co_return tl::make_unexpected(choice.error());
+      }
       if (!choice) {
         m_tried.clear();
         co_await SleepFor(kRetryDelay);
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -1,6 +1,8 @@
 #include "serve/worker.h"
 
 #include "cowslipknot/coordination/choose_server.h"
+#include "cowslipknot/coordination/server_pause.h"
+#include "cowslipknot/events.h"
 #include "protocol/server_notices.h"
 #include "serve/model_run.h"
 
@@ -64,6 +66,8 @@
                                  std::string_view id,
                                  std::chrono::nanoseconds read_at) {
   const ServerNotices notices = DecodeServerNotices(header, id);
+  if (notices.retry_after_s)
+    PauseServer(server, *notices.retry_after_s, id, read_at);
   if (!notices.is_leaving || IsDisabled(m_settings, "leaving")) return;
   if (!RecordLeaving(*server.load)) return;
   m_metrics.Add("cowslipknot_server_leavings_total",
@@ -72,6 +76,21 @@
                             read_at);
 }
 
+void Worker::PauseServer(const ServerView& server, double seconds,
+                         std::string_view request,
+                         std::chrono::nanoseconds read_at) {
+  const ServerPause pause = BoundPause(seconds);
+  RecordPause(*server.load, TimeSinceBoot() + pause.length);
+  m_metrics.Add("cowslipknot_server_pauses_total",
+                FormatLabel("pool", server.record.pool.Text()));
+  LogEvent(pause.is_adjusted ? Event::kPauseAdjusted : Event::kServerPaused,
+           {{"server", server.record.id.Text()},
+            {"request", std::string(request)},
+            {"stated_s", std::to_string(seconds)},
+            {"pause_ms", std::to_string(pause.length.count())},
+            {"age_ms", FormatAgeMs(read_at)}});
+}
+
 void Worker::MatchPrefix(RequestCost& cost) const {
   for (std::size_t depth = cost.blocks.size(); depth > 0; --depth) {
     const auto found = m_block_servers.find(cost.blocks[depth - 1]);
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -119,6 +119,8 @@
 
  private:
   void EvictFinishedRuns();
+  void PauseServer(const ServerView& server, double seconds,
+                   std::string_view request, std::chrono::nanoseconds read_at);
 
   const Settings& m_settings;
   const ControlHooks& m_hooks;
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -1,5 +1,6 @@
 """Failure cases. Each one injects one kind of failure while requests are in flight."""
 
+import json
 import random
 import signal
 import socket
@@ -103,8 +104,10 @@
     model = {"model": "notice-draft", "prompt": "x", "max_tokens": 3}
     method, path, body = {
         "streamed": ("POST", "/v1/completions", {**model, "stream": True}),
+        "filing": ("POST", "/filings/new", {"lot": "a"}),
         "lookup": ("GET", "/lookups/item", None)}[kind]
-    return http_json(method, cluster.entry_address(entry), path, body, AUTH_HEADERS, timeout=20)
+    headers = {**AUTH_HEADERS, "Idempotency-Key": "filing"} if kind == "filing" else AUTH_HEADERS
+    return http_json(method, cluster.entry_address(entry), path, body, headers, timeout=20)
 
 
 # Entry instances ---------------------------------------------------------
@@ -366,6 +369,123 @@
         return CaseResult(violations + more, notes)
 
 
+def paused_server(options, seed):
+    """Servers turn requests away with 503 and Retry-After. Until the end of that time the
+    instance sends them nothing and the others get the work; while all of them pause, callers
+    are refused at once, with times that are spread out."""
+    def until_paused(cluster, server, kind, violations):
+        for _ in range(40):
+            status, _, answer = send_kind(cluster, 0, kind)
+            if status != 200:
+                violations.append(Violation("case", f"{kind}: {status} {answer}"))
+            if paused_at(cluster, server):
+                return
+        violations.append(Violation("case", f"no request reached {server}"))
+
+    def paused_at(cluster, server):
+        return [event["time_ms"] for event in cluster.history()
+                if event["what"] == "paused" and event["server"] == server]
+
+    def check_refused_at_once(cluster, kind, addresses, violations):
+        for address in addresses:
+            cluster.set_faults(address, pauses=1, pause_s="1.5")
+        started = time.monotonic()
+        send_kind(cluster, 0, kind)
+        returns = []
+        for _ in range(8):
+            status, headers, _ = send_kind(cluster, 0, kind)
+            returns.append(time.monotonic() - started + float(headers["Retry-After"] or 0))
+            if status != 503:
+                violations.append(Violation("pause", f"{kind}: {status} while all pause"))
+        if time.monotonic() - started > 1:
+            violations.append(Violation("pause", f"{kind}: refused late"))
+        if min(returns) < 1.5 or max(returns) - min(returns) < 0.1:
+            violations.append(Violation("pause", f"{kind}: callers return at {returns}"))
+        time.sleep(max(0, started + 1.7 - time.monotonic()))
+    def check_filing_refused(cluster, violations):
+        for i in range(2):
+            cluster.set_faults(cluster.plain_address(i), pauses=1, pause_s="1")
+        send_kind(cluster, 0, "lookup")
+        status, headers, _ = send_kind(cluster, 0, "filing")
+        if status != 503 or headers["X-Execution"] != "not-run" or not headers["Retry-After"]:
+            violations.append(Violation("pause", f"filing: {status} {dict(headers)}"))
+        time.sleep(1.1)
+        status, _, answer = send_kind(cluster, 0, "filing")
+        if status != 200:
+            violations.append(Violation("pause", f"filing after the pause: {status} {answer}"))
+    with Cluster(seed=seed, entries=1, engines=2, traffic_threads=2, policy="round_robin",
+                 **options) as cluster:
+        cluster.start_and_configure(OBJECTS_PATH)
+        violations = []
+        engine, plain = random.Random(seed).choices(range(2), k=2)
+        servers = ((f"engine-{engine}", cluster.engine_address(engine), "streamed"),
+                   (f"plain-{plain}", cluster.plain_address(plain), "lookup"))
+        for name, address, kind in servers:
+            cluster.set_faults(address, pauses=1, pause_s="2.0")
+            until_paused(cluster, name, kind, violations)
+        LoadGenerator(cluster, seed, seconds=1.5, filings=0).finish()
+        for name, _, kind in servers:
+            wait_until(lambda name=name: time.time() * 1000 > paused_at(cluster, name)[0] + 2100)
+            first_ms = paused_at(cluster, name)[0]
+            violations += [Violation("pause", f"{name} got a request in its pause", [event])
+                           for event in requests_after(cluster, name, "paused", MAX_NOTICE_MS)
+                           if event["time_ms"] < first_ms + 2000]
+            before = requests_to(cluster, name)
+            for _ in range(10):
+                send_kind(cluster, 0, kind)
+            if requests_to(cluster, name) == before:
+                violations.append(Violation("case", f"{name} is not used after its pause"))
+        check_refused_at_once(cluster, "streamed", map(cluster.engine_address, range(2)),
+                              violations)
+        check_refused_at_once(cluster, "lookup", map(cluster.plain_address, range(2)),
+                              violations)
+        check_filing_refused(cluster, violations)
+        cluster.set_faults(servers[1][1], pauses=1, pause_s="-3")
+        for _ in range(4):
+            send_kind(cluster, 0, "lookup")
+        names = [event["name"] for event in cluster.log_events(0)]
+        notes = {name: names.count(name) for name in ("server_paused", "pause_adjusted")}
+        if notes != {"server_paused": 8, "pause_adjusted": 1}:
+            violations.append(Violation("case", f"unexpected events {notes}"))
+        more, outcomes = standard_checks(cluster)
+        return CaseResult(violations + more, {**notes, **outcomes})
+
+
+def hand_over_in_pause(options, seed):
+    """A request is handed over to an instance for which all engines pause. It is not refused
+    but runs after the pause."""
+    def dispatched(cluster):
+        return [event["attempt"].rsplit(".", 1)[0] for event in cluster.history()
+                if event["what"] == "dispatch"]
+    with Cluster(seed=seed, entries=2, engines=2, policy="round_robin",
+                 engine_arguments=("--decode-ms", 50), settings_overrides={
+                     "drain": {"grace_ms": 200, "limit_ms": 1500, "hand_over_margin_ms": 1000}},
+                 **options) as cluster:
+        cluster.start_and_configure(OBJECTS_PATH)
+        body = {"model": "notice-draft", "prompt": "x", "max_tokens": 60}
+        caller = threading.Thread(target=lambda: send_raw(cluster.entry_address(0), (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-clerks\r\n"
+            f"Content-Length: {len(json.dumps(body))}\r\n\r\n{json.dumps(body)}").encode()))
+        caller.start()
+        wait_until(lambda: dispatched(cluster))
+        request = dispatched(cluster)[0]
+        for i in range(2):
+            cluster.set_faults(cluster.engine_address(i), pauses=1, pause_s="3")
+        status, headers, _ = send_kind(cluster, 1, "streamed")
+        violations = []
+        if status != 503 or float(headers["Retry-After"]) < 2.5:
+            violations.append(Violation("case", f"answered {status} while all engines pause"))
+        cluster.processes["entry-0"].send_signal(signal.SIGTERM)
+        caller.join()
+        wait_until(lambda: any(event["name"] == "request_taken_over"
+                               for event in cluster.log_events(1)))
+        status, _, answer = http_json("GET", cluster.entry_address(1), f"/v1/requests/{request}",
+                                      headers=AUTH_HEADERS, timeout=20)
+        if status != 200 or answer["choices"][0]["finish_reason"] != "length":
+            violations.append(Violation("accepted_survives", f"{status} {answer}"))
+        return CaseResult(violations, {"status": status, "dispatches": len(dispatched(cluster))})
+
+
 def reset_filings(options, seed):
     """Plain services reset the connection instead of answering every third request that
     they have executed."""
@@ -685,7 +805,8 @@
     kill_entry, die_in_reclaim, hand_over, planned_stops, stop_while_reading, freeze_entry,
     kill_engine,
     freeze_engine, silent_connections, cut_answers, lost_end_marks, reclaim_domain,
-    refusing_server, leaving_answers, reset_filings, platform_outage, lost_answers, cut_domain, operator_race,
+    refusing_server, leaving_answers, paused_server, hand_over_in_pause,
+    reset_filings, platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
     move_bad, move_bad_late, move_slow, move_controller_killed, move_in_outage,
     move_operator_takes_back)}
@@ -696,7 +817,8 @@
     "silent_connections", "cut_answers", "lost_end_marks", "reclaim_domain",
     "reset_filings", "platform_outage", "lost_answers", "cut_domain", "operator_race",
     "stale_configuration", "fresh_in_outage", "move_bad", "freeze_entry",
-    "freeze_engine", "refusing_server", "leaving_answers",
+    "freeze_engine", "refusing_server", "leaving_answers", "paused_server",
+    "hand_over_in_pause",
     "move_operator_takes_back",
     "killed_between_requests", "bad_input"]
 
