Show that streams run on at a server that says it leaves

Callers whose streams run at a server that says in an answer that it leaves must keep them there to the end; `leaving_answers` showed this only for streams of three tokens. It now starts six long streams before the answer and checks that each is whole and was sent to one server only. No product code changes.

Before: the case had no such check.

Conclusion: the rule stops new work only.

--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -104,6 +104,7 @@
     model = {"model": "notice-draft", "prompt": "x", "max_tokens": 3}
     method, path, body = {
         "streamed": ("POST", "/v1/completions", {**model, "stream": True}),
+        "long": ("POST", "/v1/completions", {**model, "stream": True, "max_tokens": 150}),
         "filing": ("POST", "/filings/new", {"lot": "a"}),
         "lookup": ("GET", "/lookups/item", None)}[kind]
     headers = {**AUTH_HEADERS, "Idempotency-Key": "filing"} if kind == "filing" else AUTH_HEADERS
@@ -330,6 +331,14 @@
         if any(reached(cluster, server, entry, kind) for _ in range(15)):
             violations.append(Violation(
                 "leaving", f"entry-{entry} sent {server} a request after its answer"))
+
+    def check_streams(cluster, answers, violations):
+        """Streams that began before the answer ran to their end at the same server."""
+        whole = [status == 200 and "data: [DONE]" in body for status, _, body in answers]
+        requests = [event["attempt"].rsplit(".", 1)[0] for event in cluster.history()
+                    if event["what"] == "dispatch"]
+        if whole != [True] * 6 or len(requests) != len(set(requests)):
+            violations.append(Violation("leaving", f"streams: {whole}, attempts: {requests}"))
     with Cluster(seed=seed, entries=3, engines=3, traffic_threads=2, policy="round_robin",
                  **options) as cluster:
         cluster.start_and_configure(OBJECTS_PATH)
@@ -339,11 +348,24 @@
         servers = ((f"engine-{engine}", cluster.engine_address(engine), "streamed"),
                    (f"plain-{plain}", cluster.plain_address(plain), "lookup"))
         cluster.set_faults(cluster.platform_address(), down=True)
+        answers = []
+        streams = [threading.Thread(target=lambda: answers.append(send_kind(cluster, 0, "long")))
+                   for _ in range(6)]
+        for stream in streams:
+            stream.start()
+        wait_until(lambda: requests_to(cluster, f"engine-{engine}") and sum(
+            requests_to(cluster, f"engine-{i}") for i in range(3)) == 6)
         for name, address, kind in servers:
             cluster.set_faults(address, says_leaving=True)
             check_used(cluster, name, kind, violations)
+            if kind == "streamed" and not all(stream.is_alive() for stream in streams):
+                violations.append(Violation("case", "a stream ended before the answer"))
             check_unused(cluster, name, kind, 0, violations)
-        time.sleep(MAX_NOTICE_MS / 1000)
+        told = time.monotonic()
+        for stream in streams:
+            stream.join()
+        check_streams(cluster, answers, violations)
+        time.sleep(max(0, told + MAX_NOTICE_MS / 1000 - time.monotonic()))
         for name, _, kind in servers:
             for entry in (1, 2):
                 check_unused(cluster, name, kind, entry, violations)
