--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -33,7 +33,8 @@
   RoutingPolicy policy = RoutingPolicy::kPredicted;
   DomainId domain;  ///< failure domain of this entry instance
   WallTime now;
-  std::uint64_t round_robin_index = 0;  ///< increases with each request
+  std::chrono::nanoseconds since_boot{0};  ///< the same time, for pauses
+  std::uint64_t round_robin_index = 0;     ///< increases with each request
   UnitDraw draw = 0;  ///< random draw that samples candidates and breaks ties
   Milliseconds target{1400};  ///< time to first token
   /// Servers already tried for this request; they are not selected again.
@@ -78,6 +79,11 @@
                                      const std::vector<ServerView>& servers,
                                      const ChoiceContext& context);
 
+/// Records that a server said in an answer that it is leaving; it is not
+/// selected from then on.
+/// @return true the first time
+bool RecordLeaving(ServerLoad& load);
+
 /// Records the queue depth that a server reported with a response.
 void RecordQueueReport(ServerLoad& load, TokenCount queue, WallTime now);
 
--- /dev/null
+++ b/src/protocol/server_notices.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "transport/asio.h"
+
+namespace cowslipknot {
+
+/// What the head of a backend server's answer says of the server itself.
+struct ServerNotices {
+  bool is_leaving = false;
+  /// Time in seconds for which a server that answers 503 wants no request; as
+  /// stated, NaN if it is not a number.
+  std::optional<double> retry_after_s;
+};
+
+/// @param id  sent with the request; an answer that carries another one was
+///            meant for another request and says nothing
+ServerNotices DecodeServerNotices(const http::response_header<>& header,
+                                  std::string_view id);
+
+}  // namespace cowslipknot
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -166,11 +166,9 @@
     Error error = outcome.error();
     sent = sent || error.execution != Execution::kNotRun;
     if (sent) error.execution = Execution::kUnknown;
-    const bool first_selection_failed =
-        error.code == ResultCode::kNoServer && m_tried.empty();
     const bool out_of_time = ElapsedSince(m_started) >= m_route.timeout;
     const bool give_up = m_cancelled || out_of_time || !IsRetryable(error) ||
-                         (first_selection_failed && !sent) ||
+                         EndsForLackOfServers(error, sent) ||
                          IsDisabled(m_worker.GetSettings(), "retry");
     if (give_up) {
       Finish(error);
@@ -184,6 +182,14 @@
   }
 }
 
+bool ModelRun::EndsForLackOfServers(const Error& error, bool sent) {
+  if (error.code != ResultCode::kNoServer) return false;
+  const bool all_pause =
+      RetryDelayOfPause(m_worker, m_route.service, m_id).has_value();
+  if (all_pause) return m_chunks.empty() && !m_taken_over;
+  return m_tried.empty() && !sent;
+}
+
 Result<void> ModelRun::SelectServer(Attempt& attempt) {
   RequestCost cost = m_request.cost;
   m_worker.MatchPrefix(cost);
@@ -232,6 +238,8 @@
     }
     outcome = tl::make_unexpected(opened.error());
   } else {
+    m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
+                                 attempt.id, progress.header_read_at);
     outcome = CheckEngineHeader((*opened)->Header(), attempt.id);
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
@@ -239,10 +247,6 @@
   RecordAttempt(*attempt.server.load, !failed, NowWall());
   const bool refused =
       !outcome && outcome.error().code == ResultCode::kBackendRefused;
-  if (refused) {
-    m_worker.Hooks().on_server_refused(attempt.server.record.id,
-                                       attempt.server.record.incarnation);
-  }
   if (m_cancelled || m_handed_over) CancelOnEngine(attempt);
   if (!m_cancelled && !m_handed_over && !refused) {
     RecordEvidence(attempt, failed);
@@ -263,17 +267,20 @@
 }
 
 void ModelRun::CancelOnEngine(const Attempt& attempt) {
-  auto cancel = [](std::shared_ptr<ModelRun> run, Endpoint address,
+  auto cancel = [](std::shared_ptr<ModelRun> run, ServerView server,
                    std::string id) -> Awaitable<void> {
     HttpRequest request(http::verb::delete_, "/v1/streams/" + id, 11);
     CallProgress progress;
-    co_await run->m_worker.Http().Call(
-        address, std::move(request), kCancelTimeout, Reuse::kAllowed, progress);
+    const auto answer = co_await run->m_worker.Http().Call(
+        server.record.address, std::move(request), kCancelTimeout,
+        Reuse::kAllowed, progress);
+    if (!answer) co_return;
+    run->m_worker.RecordServerNotices(server, answer->base(), id,
+                                      progress.header_read_at);
   };
-  asio::co_spawn(
-      m_worker.Executor(),
-      cancel(shared_from_this(), attempt.server.record.address, attempt.id),
-      asio::detached);
+  asio::co_spawn(m_worker.Executor(),
+                 cancel(shared_from_this(), attempt.server, attempt.id),
+                 asio::detached);
 }
 
 }  // namespace cowslipknot
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -1,4 +1,6 @@
+#include "cowslipknot/coordination/server_pause.h"
 #include "cowslipknot/events.h"
+#include "protocol/server_notices.h"
 #include "serve/attempt.h"
 
 // Reads the answer of a model run: applies its events and resumes an
@@ -16,7 +18,7 @@
     }
     return {};
   }
-  if (status == 503 && header.find("X-Leaving") != header.end()) {
+  if (status == 503 && DecodeServerNotices(header, attempt).is_leaving) {
     return Fail(ResultCode::kBackendRefused, "the server is leaving");
   }
   if (status >= 500 || status == 429) {
@@ -77,6 +79,7 @@
       if (HasCompleteAnswer()) co_return Result<void>();
       const bool may_reconnect =
           !IsDisabled(m_worker.GetSettings(), "silent_links") &&
+          !IsPaused(*attempt.server.load, TimeSinceBoot()) &&
           ElapsedSince(m_started) < m_route.timeout;
       if (!may_reconnect) co_return tl::make_unexpected(data.error());
       stream.reset();
@@ -128,6 +131,8 @@
       attempt.server.record.address, std::move(request),
       WithTimeout(m_route.stall_timeout, Reuse::kNewOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
+  m_worker.RecordServerNotices(attempt.server, (*opened)->Header(), attempt.id,
+                               progress.header_read_at);
   const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
   if (!checked) {
     co_return Fail(ResultCode::kBackendFailed, "the stream no longer exists",
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -4,6 +4,7 @@
 
 #include "coordination/claim_writer.h"
 #include "cowslipknot/events.h"
+#include "protocol/server_notices.h"
 #include "serve/attempt.h"
 
 namespace cowslipknot {
@@ -20,9 +21,9 @@
     http::field::if_none_match};
 
 /// A server that is leaving rejects requests without executing them.
-bool IsLeavingResponse(const HttpResponse& response) {
+bool IsLeavingRefusal(const HttpResponse& response, const RequestId& id) {
   return response.result() == http::status::service_unavailable &&
-         response.find("X-Leaving") != response.end();
+         DecodeServerNotices(response.base(), id.Text()).is_leaving;
 }
 
 /// The response to one attempt, and how far the request was sent.
@@ -87,6 +88,11 @@
                             RequestCost(), m_tried);
   }
 
+  bool AllPause() {
+    return RetryDelayOfPause(m_worker, m_request.route.service, m_request.id)
+        .has_value();
+  }
+
   Awaitable<AttemptOutcome> Attempt(const ServerChoice& choice, Reuse reuse) {
     Span span("attempt", m_request.parent, m_worker.Random(),
               m_worker.Hooks().trace);
@@ -97,18 +103,28 @@
     const Endpoint address = choice.server.record.address;
     const auto started = SteadyClock::now();
     CallProgress progress;
+    progress.on_header = [&](const http::response_header<>& header) {
+      m_worker.RecordServerNotices(choice.server, header, m_request.id.Text(),
+                                   progress.header_read_at);
+    };
     auto answer = co_await m_worker.Http().Call(
         address, BuildRequest(span.Context()), TimeLeft(), reuse, progress);
     if (!answer && progress.reused_connection) {
       m_worker.Http().CloseIdle(address);
     }
-    const bool refused = answer && IsLeavingResponse(*answer);
+    progress.on_header = nullptr;
+    const bool refused = answer && IsLeavingRefusal(*answer, m_request.id);
     if (refused) {
-      m_worker.Hooks().on_server_refused(choice.server.record.id,
-                                         choice.server.record.incarnation);
       answer = Fail(ResultCode::kBackendRefused, "the server is leaving");
       progress.first_byte_sent = false;
     }
+    const bool asks_for_pause =
+        answer &&
+        DecodeServerNotices(answer->base(), m_request.id.Text()).retry_after_s;
+    if (asks_for_pause && m_request.route.repeatable) {
+      answer = Fail(ResultCode::kBackendRefused, "the server asks for a pause",
+                    Execution::kUnknown);
+    }
     if (answer && (*answer)["X-Request-Id"] != m_request.id.Text()) {
       answer = Fail(ResultCode::kBackendMalformed,
                     "response carries the id of another request",
@@ -149,7 +165,7 @@
         error = choice.error();
       }
       if (sent) error.execution = Execution::kUnknown;
-      const bool stop = TimeLeft().count() == 0 ||
+      const bool stop = TimeLeft().count() == 0 || (!choice && AllPause()) ||
                         IsDisabled(m_worker.GetSettings(), "retry");
       if (stop) co_return tl::make_unexpected(error);
       if (!choice || !m_worker.Retries().TrySpend()) {
@@ -221,6 +237,10 @@
         co_return Fail(ResultCode::kDeadlinePassed);
       }
       const auto choice = Choose();
+      if (!choice && AllPause()) {
+        FinishClaim(std::move(stored), std::nullopt);
+        co_return tl::make_unexpected(choice.error());
+      }
       if (!choice) {
         m_tried.clear();
         co_await SleepFor(kRetryDelay);
