--- a/tests/platform/planned_stop_test.py
+++ b/tests/platform/planned_stop_test.py
@@ -221,8 +221,6 @@
         self.assertEqual(len(self.runs("r1")), 1)
         self.assert_exits_in_time(gateway, terminated)
 
-    # Guards against cutting a request without an answer at the end of a planned stop, and
-    # against saying that it did not run.
     # Guards against a final report that takes longer than the rest of a planned stop.
     def assert_final_report_ends_in_time(self, hinder_store):
         gateway = self.start()
@@ -249,6 +247,8 @@
             self.store.delay_s = 0.6
         self.assert_final_report_ends_in_time(hinder)
 
+    # Guards against cutting a request without an answer at the end of a planned stop, and
+    # against saying that it did not run.
     def test_unsafe_request_that_runs_at_the_end_is_answered(self):
         self.end_running("/once/x")
 
--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -8,6 +8,7 @@
 import fakes
 from configuration_documents import configuration, tenant
 from gateway_process import Gateway, eventually
+from platform_test_case import PlatformTestCase
 
 INSTANCES = 6
 APPLY_BOUND_S = 2.0
@@ -20,18 +21,13 @@
 STEADY_MS = 4000
 
 
-class RelayTest(unittest.TestCase):
+class RelayTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.backends = {}
         for name in ("p1", "p2"):
-            self.backends[name] = fakes.Backend(name)
-            self.addCleanup(self.backends[name].server.stop)
-            self.store.put("servers", name, self.backends[name].registration("plain"))
+            self.backends[name] = self.start_backend(name)
         self.links = {}  # name: this gateway's address of the store
         self.gateways = []
         for number in range(INSTANCES):
@@ -42,9 +38,7 @@
         link = fakes.Server(fakes.StoreHandler, self.store)
         self.addCleanup(link.stop)
         self.links[name] = link
-        gateway = Gateway(self.store, self.cloud, name=name, store_address=link.address)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
+        gateway = self.start_gateway(name=name, store_address=link.address)
         self.gateways.append(gateway)
         return gateway
 
--- a/tests/platform/restored_configuration_test.py
+++ b/tests/platform/restored_configuration_test.py
@@ -6,7 +6,8 @@
 
 import fakes
 from configuration_documents import configuration, tenant
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 RELAYED_INSTANCES = 6  # of one domain; some of them follow a relay
 APPLY_BOUND_S = 2.0
@@ -14,12 +15,9 @@
 REPORTS_READ_S = 4.0  # until each instance has read the others' reports again
 
 
-class RestoredConfigurationTest(unittest.TestCase):
+class RestoredConfigurationTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.write_configuration(1, "key1")
         self.backend = fakes.Backend("p1")
         self.addCleanup(self.backend.server.stop)
@@ -34,10 +32,8 @@
         self.store.put("servers", "p1", self.backend.registration("plain"))
 
     def start(self, name, **options):
-        gateway = Gateway(self.store, self.cloud, name=name,
-                          bounds={"revoke_ms": int(REVOKE_BOUND_S * 1000)}, **options)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
+        gateway = self.start_gateway(
+            name=name, bounds={"revoke_ms": int(REVOKE_BOUND_S * 1000)}, **options)
         self.gateways.append(gateway)
         return gateway
 
--- a/tests/platform/restored_lease_test.py
+++ b/tests/platform/restored_lease_test.py
@@ -4,29 +4,23 @@
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
 from gateway_process import Gateway, eventually
+from platform_test_case import PlatformTestCase
 
 INSTANCES = 3
 MAX_WINDOWS_BEHIND = 6  # windows that may still be reported
 
 
-class RestoredLeaseTest(unittest.TestCase):
+class RestoredLeaseTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
-        self.backend = fakes.Backend("p1")
-        self.addCleanup(self.backend.server.stop)
-        self.store.put("servers", "p1", self.backend.registration("plain"))
+        self.backend = self.start_backend("p1")
         self.first_copy = self.store.copy()
         self.gateways = {}
         for number in range(INSTANCES):
-            gateway = Gateway(self.store, self.cloud, name=f"gw{number}")
-            self.addCleanup(gateway.stop)
+            gateway = self.start_gateway(wait=False, name=f"gw{number}")
             self.gateways[gateway.name] = gateway
         for gateway in self.gateways.values():
             eventually(gateway.ready)
--- a/tests/platform/restored_move_test.py
+++ b/tests/platform/restored_move_test.py
@@ -7,7 +7,8 @@
 
 import fakes
 from configuration_documents import configuration
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 DURATION_S = 15
 MOVE_TIMEOUT_S = 2 * DURATION_S
@@ -19,12 +20,9 @@
 LONG_DURATION_S = 30
 
 
-class RestoredMoveTest(unittest.TestCase):
+class RestoredMoveTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.gateways = []
         self.ended = threading.Event()
@@ -38,9 +36,7 @@
         return backend
 
     def start(self, name):
-        gateway = Gateway(self.store, self.cloud, name=name)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
+        gateway = self.start_gateway(name=name)
         self.gateways.append(gateway)
         return gateway
 
--- a/tests/platform/store_restore_test.py
+++ b/tests/platform/store_restore_test.py
@@ -5,7 +5,8 @@
 
 import fakes
 from configuration_documents import configuration, tenant
-from gateway_process import Gateway, eventually
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
 
 INSTANCES = 6
 APPLY_BOUND_S = 2.0
@@ -13,27 +14,20 @@
 ROWS_LOST = 40  # more than are written during a test's waits
 
 
-class StoreRestoreTest(unittest.TestCase):
+class StoreRestoreTest(PlatformTestCase):
     def setUp(self):
-        self.store = fakes.Store()
-        self.cloud = fakes.Cloud()
-        self.addCleanup(self.store.server.stop)
-        self.addCleanup(self.cloud.server.stop)
+        super().setUp()
         self.store.put("op", "config", configuration())
         self.backends = {}
         for name in ("p1", "p2"):
-            self.backends[name] = fakes.Backend(name)
-            self.addCleanup(self.backends[name].server.stop)
-            self.register(name)
+            self.backends[name] = self.start_backend(name)
         self.gateways = []
 
     def register(self, name, **fields):
         self.store.put("servers", name, self.backends[name].registration("plain", **fields))
 
     def start(self, name, **options):
-        gateway = Gateway(self.store, self.cloud, name=name, **options)
-        self.addCleanup(gateway.stop)
-        eventually(gateway.ready)
+        gateway = self.start_gateway(name=name, **options)
         self.gateways.append(gateway)
         return gateway
 
