Know of a restore that a relay told of when its follower reads the store again

Seen by a reviewer in reading: a follower that left its relay at any time after a restore took it for a new one, logged store_restored, and kept removed servers for the 2 s that servers have to register again. Cause: the cursor of the registrations kept the era from before the instance followed, while what it had received was of the later one. Ruled out: that a restore is missed so; the position is the relay's, and a later one in the store's answer still shows. Before: store_restore_test, test_followers_that_leave_their_relays_know_of_the_restore fails (known 1.27, restored 2.56). After: passes (python3 -m unittest -k know_of_the_restore store_restore_test). Conclusion: the cursor never lies behind what was applied.

--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -180,6 +180,8 @@
     // A relay's changes have no position in the store's.
     if (m_following) cursor.needs_full_read = true;
     co_await WhileFollowing();
+    // A restore that the relay has told of is not a new one.
+    cursor.since = std::max(cursor.since, m_servers_position);
     const auto sent_at = TimeSinceBoot();
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
     // A relay has sent later registrations while the call was under way.
--- a/tests/platform/store_restore_test.py
+++ b/tests/platform/store_restore_test.py
@@ -69,6 +69,25 @@
         self.lose_rows()
         self.assert_key_replaced("key2", "key3", self.gateways, version=3)
 
+    # Guards against a follower that takes a restore for a new one when it leaves its relay
+    # later, and keeps removed servers for a while once more.
+    def test_followers_that_leave_their_relays_know_of_the_restore(self):
+        self.start_with_relays()
+        followers = [gateway for gateway in self.gateways if self.follows(gateway)]
+        self.lose_rows()
+        time.sleep(2 * DRAIN_BOUND_S)  # until the relays have passed the restore on
+        for gateway in self.gateways:
+            if gateway not in followers:
+                gateway.child.kill()
+        for gateway in followers:
+            eventually(lambda g=gateway: any(event["name"] == "relay_left"
+                                             for event in g.log_events()))
+        time.sleep(2 * DRAIN_BOUND_S)  # until each has read the registrations itself
+        for gateway in followers:
+            names = [event["name"] for event in gateway.log_events()]
+            self.assertNotIn("store_restored", names[names.index("relay_left"):],
+                             gateway.history("store_", "relay_"))
+
     # Guards against a reader that does not notice a restore, since the versions have
     # passed its own again when it asks next.
     def test_instance_cut_off_during_a_restore_reads_what_it_missed(self):
