Let a new process ask the others before it confirms a configuration

Seen: a process that starts after a restore, before the operator has written again, ran requests by a key that had been taken away, until its first peer had answered. Cause: the first read of the configuration counted as confirmed before the process knew any other instance that it could ask. Ruled out: that the peers answer too late; they are asked 20 ms after the start, but the confirmation did not wait for it. Change: the first confirmation of an era waits until the reports of the others are read, 1 s at most. Twelve instances, spread over the list, are asked instead of all, so that a start of a large fleet sends frames in proportion to its size.

--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -106,10 +106,12 @@
   /// Asks the instances that may have a later configuration in force than the
   /// store has: some others after the start, later those that reported one.
   void AskPeersForConfiguration();
-  /// Asks all known instances, and waits for their answers, before a first
+  /// Asks other instances, and waits for their answers, before a first
   /// configuration of an era counts as confirmed: this instance may have missed
   /// a later one that the store lost.
   Awaitable<void> AskBeforeConfirming(StoreEra era);
+  /// At most `limit` of the other instances, spread evenly over their list.
+  std::vector<InstanceSummary> SamplePeers(std::size_t limit) const;
   Awaitable<void> AskForConfiguration(InstanceSummary peer);
   /// Applies the row that a peer sent. Only the store confirms a configuration.
   void ApplyPeerConfiguration(const PeerFrame& answer);
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -14,6 +14,12 @@
 /// Instances that are asked after each exchange of reports.
 constexpr std::size_t kPeersAsked = 3;
 constexpr Milliseconds kAnswerTimeout(300);
+/// Instances that are asked before the first confirmation of an era.
+constexpr std::size_t kPeersAskedFirst = 12;
+/// Time for which a new process waits until it knows the other instances, and
+/// the interval at which it looks.
+constexpr Milliseconds kFirstExchangeTimeout(1000);
+constexpr Milliseconds kFirstExchangePoll(5);
 
 /// Whether a row of the store replaces one of the same configuration version:
 /// a peer sent that, or the store lost it and has the version anew.
@@ -81,14 +87,16 @@
   if (era <= m_confirmed_era) co_return;
   m_confirmed_era = era;
   m_ask_since = TimeSinceBoot();
+  const auto known_by = m_started_at + kFirstExchangeTimeout;
+  while (m_fleet.serving.empty() && TimeSinceBoot() < known_by)
+    co_await SleepFor(kFirstExchangePoll);
   struct Pending {
     asio::steady_timer answered;
     std::size_t peers = 0;
   };
   auto pending = std::make_shared<Pending>(
       Pending{asio::steady_timer(m_context, kAnswerTimeout)});
-  for (const auto& peer : m_fleet.serving) {
-    if (!peer.peers || peer.peers == m_settings.peers) continue;
+  for (const auto& peer : SamplePeers(kPeersAskedFirst)) {
     ++pending->peers;
     asio::co_spawn(m_context, AskForConfiguration(peer),
                    [pending](const std::exception_ptr&) {
@@ -98,6 +106,21 @@
   if (pending->peers > 0) co_await pending->answered.async_wait(kAsTuple);
 }
 
+std::vector<InstanceSummary> ControlPlane::SamplePeers(
+    std::size_t limit) const {
+  std::vector<InstanceSummary> others;
+  for (const auto& instance : m_fleet.serving) {
+    if (instance.peers && instance.peers != m_settings.peers)
+      others.push_back(instance);
+  }
+  if (others.size() <= limit) return others;
+  std::vector<InstanceSummary> sample;
+  sample.reserve(limit);
+  for (std::size_t i = 0; i < limit; ++i)
+    sample.push_back(others[i * others.size() / limit]);
+  return sample;
+}
+
 Awaitable<void> ControlPlane::AskForConfiguration(InstanceSummary peer) {
   PeerFrame frame;
   frame.kind = wire::Kind::AskConfiguration;
--- a/tests/platform/restored_configuration_test.py
+++ b/tests/platform/restored_configuration_test.py
@@ -41,6 +41,18 @@
     def is_accepted(gateway, key):
         return gateway.call("/safe/x", Authorization=f"Token {key}")[0] == 200
 
+    @staticmethod
+    def responds(gateway):
+        """Polled faster than eventually() does, for the first moment."""
+        deadline = time.monotonic() + 2
+        while time.monotonic() < deadline:
+            try:
+                gateway.connect().connect()
+                return True
+            except OSError:
+                continue
+        return False
+
     def instances_known(self, gateway):
         return any(event["name"] == "instances_known"
                    and int(event["instances"]) >= len(self.gateways)
@@ -87,6 +99,21 @@
     def test_process_started_after_a_restore_refuses_a_removed_key(self):
         self.check_process_started_after_restore(2)
 
+    # The same from the first request that the process accepts.
+    def test_new_process_accepts_no_removed_key_before_it_knows_the_others(self):
+        self.start("gw0")
+        self.start("gw1")
+        for gateway in self.gateways:
+            eventually(lambda g=gateway: self.instances_known(g))
+        self.replace_key(self.store.copy())
+        for number in range(8):
+            late = self.start_gateway(wait=False, name=f"late{number}")
+            eventually(lambda g=late: self.responds(g))
+            deadline = time.monotonic() + 1
+            while time.monotonic() < deadline:
+                self.assertFalse(self.is_accepted(late, "key1"), late.history())
+            self.assertTrue(self.is_accepted(late, "key2"), late.history())
+
     # The same where the process comes to follow a relay, which has the older row as well.
     def test_process_that_follows_a_relay_after_a_restore_refuses_a_removed_key(self):
         self.check_process_started_after_restore(RELAYED_INSTANCES)
