--- a/tests/platform/restored_configuration_test.py
+++ b/tests/platform/restored_configuration_test.py
@@ -46,11 +46,14 @@
         """Polled faster than eventually() does, for the first moment."""
         deadline = time.monotonic() + 2
         while time.monotonic() < deadline:
+            connection = gateway.connect()
             try:
-                gateway.connect().connect()
+                connection.connect()
                 return True
             except OSError:
                 continue
+            finally:
+                connection.close()
         return False
 
     def instances_known(self, gateway):
