Check again that followers make no call to the store at all

Cause: replaced the check by one that allows followers to leave two late relays. It is weaker where relays are lost wrongly now and then on a quiet machine, so it was no replacement of equal strictness. Change: the first check is back: no call in 4 s, whatever the reason. It begins when the lease is held and the followers have settled. The newer check stays for the case in which both relays are paused.

--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -130,8 +130,13 @@
         return eventually(settled)
 
     def test_followers_do_not_call_the_store(self):
-        self.assert_followers_do_not_call_the_store(self.settled_followers(),
-                                                    time.time() * 1000)
+        followers = self.settled_followers()
+        before = {name: len(link.store_calls) for name, link in self.links.items()}
+        time.sleep(STEADY_MS / 1000)
+        calls = {name: link.store_calls[before[name]:]
+                 for name, link in self.links.items()}
+        for gateway in followers:
+            self.assertEqual(calls[gateway.name], [], self.history())
 
     # Guards against followers that go on reading the store when their relays respond again.
     def test_followers_whose_relays_were_late_follow_them_again(self):
