Review case 2: a call of a former holder reaches the cloud after its successor's

Cause: a call to the cloud that gets no answer is given up by closing its channel, not by resetting it, so bytes that a cut link holds up are delivered after the lease has changed hands.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,8 @@
-"""A part of a prompt crashes servers, and one server has crashed before. Sound requests that
-share another part are refused from then on, where answers end with their connection."""
+"""The holder of the lease is cut off from the cloud and is then stopped as planned. A call that
+it had sent, and given up, reaches the cloud after those of its successor."""
 
-import os
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -11,128 +11,158 @@
 sys.path.insert(0, str(FOLDER.parent))
 import standins  # noqa: E402
 
-SHARED_PART = "a1"  # of all requests
-DEADLY_PART = "dead"
-CONTACT_S = 3.0
-DOWN_S = 3.0  # of a crashed server
-EVENTS = 8
-EVENT_PAUSE_S = 0.06
-SOUND_PAUSE_S = 0.2  # between sound requests
-POISON_PAUSE_S = 0.8
-CRASH_AT_S = 8.0
-POISON_AT_S = 14.0
-END_AT_S = 34.0
-MIN_REQUESTS = 20
-MIN_SHARE = 0.5
-ORDINARY_CRASH = os.environ.get("ORDINARY_CRASH", "1") != "0"
-
-
-class Deadly:
-    """Streams without a length or chunks; crashes when it begins to answer a deadly part."""
-
-    def __init__(self, deployment, crashes):
-        self.deployment = deployment
-        self.crashes = crashes
-
-    def __call__(self, server, connection, request):
-        standins.begin_stream(connection, request, framed=False)
-        if DEADLY_PART in request.headers.get("cowslipknot-prefix-hash", "").replace(
-                ":", ",").split(","):
-            self.crash(server, f"by {request.id}")
-            return False
-        for number in range(standins.first_event(request), EVENTS + 1):
-            connection.sendall(standins.event(number))
-            time.sleep(EVENT_PAUSE_S)
-        return False  # the answer ends with its connection
-
-    def crash(self, server, reason):
-        server.record(f"{server.name}: crashes {reason}")
-        if reason != "by itself":
-            self.crashes.append(time.monotonic())
-        server.stop()
-        threading.Timer(DOWN_S, self.start, [server]).start()
-
-    def start(self, server):
-        server.born = int(time.time() * 1000)
-        server.listen()
-        self.deployment.register(server, "knot-servers")
-        server.record(f"{server.name}: is back")
+WINDOW_S = 5
+THAW_S = 0.3  # of the rule
+FIRST_RETRANSMISSION_S = 0.2  # of TCP; each further one after twice the time
+HEAL_BEFORE_S = 0.6  # a retransmission; the link may heal at any time
+TIMEOUT_S = 40
+
+
+class CutLink:
+    """Forwards a machine's connections to the cloud. While the link is cut, bytes are held up and
+    sent again as TCP does, also after their sender has closed the channel; they are lost if it
+    resets the channel. Channels that are opened meanwhile stay silent."""
+
+    def __init__(self, target, record):
+        host, port = target.split(":")
+        self.target = (host, int(port))
+        self.record = record
+        self.cut = False
+        self.held_at = None  # the first bytes that were held up
+        self.healed = threading.Event()
+        self.listener = socket.socket()
+        self.listener.bind((standins.HOST, 0))
+        self.listener.listen(64)
+        self.address = f"{standins.HOST}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            if self.cut:
+                # Its opening packet is lost.
+                threading.Thread(target=self.ignore, args=(client,), daemon=True).start()
+                continue
+            cloud = socket.create_connection(self.target)
+            threading.Thread(target=self.send, args=(client, cloud), daemon=True).start()
+            threading.Thread(target=self.answer, args=(cloud, client), daemon=True).start()
+
+    @staticmethod
+    def ignore(client):
+        try:
+            while client.recv(65536):
+                pass
+        except OSError:
+            pass
+
+    def answer(self, cloud, client):
+        try:
+            while data := cloud.recv(65536):
+                client.sendall(data)
+        except OSError:
+            pass
+
+    def send(self, client, cloud):
+        held = b""
+        held_at = None
+        try:
+            while data := client.recv(65536):
+                if not self.cut:
+                    cloud.sendall(data)
+                    continue
+                held += data
+                if held_at is None:
+                    held_at = time.monotonic()
+                    self.held_at = held_at
+                    self.record("link: holds up a call to the cloud")
+            if held:
+                self.record("link: the sender has closed the channel of the call")
+        except ConnectionResetError:
+            if held:
+                self.record("link: the sender has reset the channel; the call is lost")
+            held = b""
+        if held:
+            self.healed.wait()
+            time.sleep(max(0, self.next_retransmission(held_at, self.healed_at)
+                           - time.monotonic()))
+            self.record("link: the call reaches the cloud")
+            cloud.sendall(held)
+            time.sleep(1)
+        cloud.close()
+
+    @staticmethod
+    def next_retransmission(sent, after):
+        """When TCP sends bytes again that were lost until then."""
+        at, pause = sent, FIRST_RETRANSMISSION_S
+        while at < after:
+            at += pause
+            pause *= 2
+        return at
+
+    def heal(self):
+        self.cut = False
+        self.healed_at = time.monotonic()
+        self.record("link: healed")
+        self.healed.set()
+
+
+def wait_for(condition, what):
+    deadline = time.monotonic() + TIMEOUT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"waited in vain for {what}")
+        time.sleep(0.02)
 
 
 def run(deployment):
     record = deployment.record
+    cloud = deployment.cloud
     deployment.store.put("op", "config", standins.configuration())
-    crashes = []
-    behave = Deadly(deployment, crashes)
-    servers = [deployment.add_server(f"i-knot{number}", "knot-servers", behave)
-               for number in range(4)]
-    machine = deployment.add_machine("edge-nl-west-a-1")
+    deployment.add_server("i-desk", "filing-desk",
+                          lambda _, connection, request: standins.answer_whole(
+                              connection, request, b"status") or True)
+    link = CutLink(cloud.server.address, record)
+    first = deployment.add_machine("edge-nl-west-a-1", **{"cloud.address": link.address})
     deployment.wait_until_ready()
-    time.sleep(CONTACT_S + 0.5)  # the machine is in touch
-    started = time.monotonic()
-    sound = []
-    poison_sent = []
-    threads = []
-
-    def at(seconds):
-        return started + seconds
-
-    def call(name, parts):
-        caller = standins.Caller(record, machine)
-        outcome = caller.call("/letter/x", name, deadline_ms=12000, Cowslipknot_Model="m",
-                              Cowslipknot_Token_Count="600,49", Cowslipknot_Prefix_Hash=parts)
-        caller.close()
-        return outcome
-
-    def send_sound(number):
-        outcome = call(f"sound{number}", f"{SHARED_PART}:400,{0x1000 + number:x}:200")
-        sound.append((f"sound{number}", outcome))
-
-    def send_poison(number):
-        poison_sent.append(time.monotonic())
-        call(f"poison{number}", f"{SHARED_PART}:400,{DEADLY_PART}:100,{0x2000 + number:x}:100")
-
-    number = 0
-    poisons = 0
-    crashed = False
-    while time.monotonic() < at(END_AT_S):
-        threads.append(threading.Thread(target=send_sound, args=(number,)))
-        threads[-1].start()
-        number += 1
-        now = time.monotonic()
-        if standins.TROUBLE and ORDINARY_CRASH and not crashed and now >= at(CRASH_AT_S):
-            busy = {request: server for server in servers for _, request in server.runs}
-            latest = busy.get(f"sound{number - 2}") or servers[0]  # has a stream now
-            behave.crash(latest, "by itself")
-            crashed = True
-        due = POISON_AT_S + poisons * POISON_PAUSE_S
-        if standins.TROUBLE and now >= at(due):
-            threads.append(threading.Thread(target=send_poison, args=(poisons,)))
-            threads[-1].start()
-            poisons += 1
-        time.sleep(SOUND_PAUSE_S)
-    for thread in threads:
-        thread.join()
-    deployment.record_log("attempt_failed", "server_checked", "prompt_quarantined")
-    begun = {request for server in servers for _, request in server.runs}
-    if crashes:
-        from_time = crashes[min(4, len(crashes) - 1)] + 2 * CONTACT_S
-        until = poison_sent[-1]
-    else:
-        from_time, until = at(POISON_AT_S + 2 * CONTACT_S), at(END_AT_S)
-    before = [name for name, outcome in sound if outcome.sent < at(CRASH_AT_S - 1)]
-    after = [name for name, outcome in sound if from_time <= outcome.sent <= until]
-    if standins.TROUBLE and not crashes:
-        raise RuntimeError("no server has crashed")
-    if min(len(before), len(after)) < MIN_REQUESTS:
-        raise RuntimeError(f"too few requests: {len(before)} before, {len(after)} after")
-    usual = len(begun.intersection(before)) / len(before)
-    share = len(begun.intersection(after)) / len(after)
-    record(f"crashes by the part: {len(crashes)}; requests with it: {len(poison_sent)}")
-    record(f"sound requests that began at the first attempt: {usual:.3f} of {len(before)} before "
-           f"the trouble, {share:.3f} of {len(after)} from {2 * CONTACT_S:.0f} s after the last "
-           f"crash while such requests came")
-    return share >= MIN_SHARE * usual
+    wait_for(lambda: cloud.usage, "the first report")
+    second = deployment.add_machine("edge-nl-west-b-1", zone="nl-west-b")
+    deployment.wait_until_ready()
+    caller = standins.Caller(record, second)
+    for turn in range(10):
+        caller.call("/status/x", f"status{turn}", method="GET", body=None)
+    time.sleep(6)  # the second machine may take a released lease
+    reports = len(cloud.usage)
+    wait_for(lambda: len(cloud.usage) > reports, "a report of the holder")
+    time.sleep(WINDOW_S - 1)
+    if standins.TROUBLE:
+        link.cut = True
+        record("link: the holder is cut off from the cloud")
+        wait_for(lambda: link.held_at, "a call during the cut")
+        time.sleep(0.2)
+    first.terminate()
+    wait_for(lambda: any(call["holder"] == second.name for call in cloud.usage),
+             "a call of the successor")
+    if standins.TROUBLE:
+        sent_again = link.next_retransmission(link.held_at,
+                                              time.monotonic() + HEAL_BEFORE_S)
+        time.sleep(sent_again - HEAL_BEFORE_S - time.monotonic())
+        link.heal()
+    time.sleep(3)
+    stale = []
+    seen = 0
+    for call in cloud.usage:
+        record(f"cloud: {call['holder']} reports window {call['window']} with epoch "
+               f"{call['epoch']}")
+        is_excused = standins.TROUBLE and 0 <= call["time"] - link.healed_at <= THAW_S
+        if call["epoch"] < seen and not is_excused:
+            stale.append(call)
+            record(f"cloud: that epoch is lower than {seen}, {call['time'] - link.healed_at:.2f} s "
+                   f"after the link healed")
+        seen = max(seen, call["epoch"])
+    deployment.record_log("lease_taken", "lease_lost", "usage_not_accepted")
+    record(f"calls with a lower epoch than seen before, later than {THAW_S} s after the link "
+           f"healed: {len(stale)}")
+    return not stale
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,6 @@
-"""A machine was cut off from the store. Just after its return a server leaves without a notice:
-its entry is removed. The machine keeps sending it requests for longer than drain_ms."""
+"""Sound servers fall silent for a second, inside an event, while an instance stops as planned."""
 
 import pathlib
-import socket
 import sys
 import threading
 import time
@@ -11,144 +9,100 @@
 sys.path.insert(0, str(FOLDER.parent))
 import standins  # noqa: E402
 
-CONTACT_S = 3.0
-DRAIN_S = 2.0
-CUT_S = 4.0
-REMOVED_AFTER_S = 0.4  # the return of the machine
-EXTRA_S = 0.85  # the server serves for drain_ms and a little longer
-WORK_S = 0.06
-FILERS = 8
-LEAVER = "i-desk0"
-
-
-class CutLink:
-    """Forwards a machine's connections to the store. A cut link loses what is sent; what was
-    opened before or during the cut stays silent for good."""
-
-    def __init__(self, target):
-        host, port = target.split(":")
-        self.target = (host, int(port))
-        self.generation = 0
-        self.cut = False
-        self.lost_calls = threading.Condition()
-        self.lost_reads = 0  # of the servers' table
-        self.listener = socket.socket()
-        self.listener.bind((standins.HOST, 0))
-        self.listener.listen(64)
-        self.address = f"{standins.HOST}:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                client, _ = self.listener.accept()
-            except OSError:
-                return
-            generation = None if self.cut else self.generation
-            threading.Thread(target=self.forward, args=(client, generation),
-                             daemon=True).start()
-
-    def forward(self, client, generation):
-        store = socket.create_connection(self.target)
-        threading.Thread(target=self.pump, args=(store, client, generation),
-                         daemon=True).start()
-        self.pump(client, store, generation)
-
-    def pump(self, source, sink, generation):
-        try:
-            while data := source.recv(65536):
-                if generation == self.generation and not self.cut:
-                    sink.sendall(data)
-                elif b"table=servers" in data:
-                    with self.lost_calls:
-                        self.lost_reads += 1
-                        self.lost_calls.notify_all()
-            source.close()
-            sink.close()
-        except OSError:
-            pass
-
-    def start_cut(self):
-        self.cut = True
-
-    def heal(self):
-        self.generation += 1
-        self.cut = False
-
-    def wait_for_lost_read(self):
-        """Waits until the machine has just tried to read the servers' table."""
-        with self.lost_calls:
-            known = self.lost_reads
-            self.lost_calls.wait_for(lambda: self.lost_reads > known, timeout=3)
-
-
-def file_notice(_, connection, request):
-    time.sleep(WORK_S)
-    standins.answer_whole(connection, request, b"filed")
-    return True
+CALLERS = 12
+EARLIER_REQUESTS = 10  # of each caller
+EVENTS = 40
+PIECES = 4  # of an event, as its tokens are made
+PIECE_PAUSE_S = 0.03
+PATIENCE_S = 2.4  # eight times the pause that the route allows
+TERM_AT_S = 0.5  # after the streams have begun
+SILENCE_S = 1.0
+SILENT_AT_S = {"i-knot0": 1.0, "i-knot1": 3.0}  # each server once
+
+
+class Server:
+    """Streams its events, each in pieces, as its tokens are made. Once, it sends nothing at
+    all for a second and goes on: a begun event takes so much longer."""
+
+    def __init__(self):
+        self.silent_from = None
+
+    def __call__(self, server, connection, request):
+        standins.begin_stream(connection, request)
+        for number in range(standins.first_event(request), EVENTS + 1):
+            data = standins.event(number)
+            size = -(-len(data) // PIECES)
+            for start in range(0, len(data), size):
+                if start > 0:
+                    self.pause_if_silent(server, number, request)
+                connection.sendall(standins.chunk(data[start:start + size]))
+                time.sleep(PIECE_PAUSE_S)
+        connection.sendall(b"0\r\n\r\n")
+        server.record(f"{server.name}: has sent the end of {request.id}")
+        return True
+
+    def pause_if_silent(self, server, number, request):
+        silent_from = self.silent_from
+        now = time.monotonic()
+        if not silent_from or not silent_from <= now < silent_from + SILENCE_S:
+            return
+        time.sleep(silent_from + SILENCE_S - now)
+        server.record(f"{server.name}: goes on with event {number} of {request.id} "
+                      f"after {time.monotonic() - now:.2f} s")
 
 
 def run(deployment):
     record = deployment.record
     deployment.store.put("op", "config", standins.configuration())
-    for number in range(2):
-        deployment.add_server(f"i-desk{number}", "filing-desk", file_notice, slots=6)
-    leaver = deployment.servers[0]
-    link = CutLink(deployment.store.server.address)
-    machine = deployment.add_machine("edge-nl-west-a-1", **{"provider.address": link.address})
+    deployment.add_server("i-desk", "filing-desk",
+                          lambda _, connection, request: standins.answer_whole(
+                              connection, request, b"status") or True)
+    behaviours = {name: Server() for name in SILENT_AT_S}
+    for name, behave in behaviours.items():
+        deployment.add_server(name, "knot-servers", behave)
+    machine = deployment.add_machine("edge-nl-west-a-1")
     deployment.wait_until_ready()
-    time.sleep(2)
-    ended = threading.Event()
+    time.sleep(3.5)  # contact_ms; the machine is in touch
     outcomes = {}
 
-    def file(number):
-        caller = standins.Caller(record, machine)
-        turn = 0
-        while not ended.is_set():
-            name = f"filing{number}.{turn}"
-            outcomes[name] = caller.call("/filing/x", name, deadline_ms=2500)
-            turn += 1
-            if outcomes[name].error:
-                caller.close()
-                caller = standins.Caller(record, machine)
+    def call(number):
+        caller = standins.Caller(record, machine, patience_s=PATIENCE_S)
+        for turn in range(EARLIER_REQUESTS):
+            name = f"status{number}.{turn}"
+            if caller.call("/status/x", name, method="GET", body=None).status != 200:
+                raise RuntimeError("an earlier request failed")
+        name = f"letter{number}"
+        outcomes[name] = caller.call(
+            "/letter/x", name, deadline_ms=12000, Cowslipknot_Model="m",
+            Cowslipknot_Token_Count="600,49",
+            Cowslipknot_Prefix_Hash=f"{7 * number + 161:x}:500,{number + 1:x}:100")
         caller.close()
 
-    threads = [threading.Thread(target=file, args=(number,)) for number in range(FILERS)]
+    threads = [threading.Thread(target=call, args=(number,)) for number in range(CALLERS)]
     for thread in threads:
         thread.start()
+        time.sleep(0.02)
+    begun = time.monotonic()
     if standins.TROUBLE:
-        link.start_cut()
-        record("link: the machine is cut off from the store")
-        time.sleep(CUT_S - 1)
-        link.wait_for_lost_read()
-        link.heal()
-        record("link: healed")
-    healed = time.monotonic()
-    time.sleep(REMOVED_AFTER_S)
-    deployment.store.delete("servers", LEAVER)
-    removed = time.monotonic()
-    record(f"store: has removed the entry of {LEAVER}")
-    time.sleep(DRAIN_S + EXTRA_S)
-    running = [request for _, request in leaver.runs]
-    leaver.stop()
-    left = time.monotonic()
-    record(f"{LEAVER}: exits, {left - removed:.2f} s after the removal of its entry")
-    time.sleep(1)
-    ended.set()
+        for name, at in SILENT_AT_S.items():
+            behaviours[name].silent_from = begun + at
+    time.sleep(TERM_AT_S)
+    machine.terminate()
     for thread in threads:
         thread.join()
-    deployment.record_log("platform_lost", "platform_back", "server_leaving", "server_gone",
-                          "attempt_failed")
-    from_time = max(removed + DRAIN_S, healed + CONTACT_S if standins.TROUBLE else 0)
-    late = [(at, request) for at, request in leaver.runs if at > from_time]
-    lost = [request for request in running if not 200 <= outcomes[request].status < 300]
-    for at, request in late:
-        record(f"{request} reached {LEAVER} {at - removed:.3f} s after the removal, "
-               f"{at - healed:.3f} s after the link healed")
-    record(f"requests that reached {LEAVER} more than {DRAIN_S} s after the removal, sent by the "
-           f"machine in touch: {len(late)}")
-    record(f"filings that {LEAVER} took and that got no answer of it: {len(lost)} {lost}")
-    return not late
+    if len(outcomes) < CALLERS:
+        raise RuntimeError("not all callers sent their request")
+    machine.process.wait(timeout=10)
+    deployment.record_log("attempt_started", "attempt_failed", "request_failed")
+    passed_on = {request for server in deployment.servers for _, request in server.runs}
+    cut = sorted(name for name, outcome in outcomes.items()
+                 if name in passed_on and not outcome.complete and not outcome.left)
+    left = sorted(name for name, outcome in outcomes.items() if outcome.left)
+    record(f"streams that their callers left after {PATIENCE_S} s without a byte (not counted): "
+           f"{len(left)} {left}")
+    record(f"streams passed on to sound servers: {len(passed_on & set(outcomes))}; connection "
+           f"ended without a complete answer: {len(cut)} {cut}")
+    return not cut
 
 
 if __name__ == "__main__":
