Bound what a connection keeps of a chunk header or trailer without end

Cause: the parser bounds headers and bodies, but waits for the whole size line of a chunk and the whole trailer; the connection's flat_buffer had no maximum and grew meanwhile. Ruled out: body_limit and kMaxResponseFraction (these bytes are no body), header_limit (the header had ended). Why this works: every byte of a server, the store or the cloud passes this buffer. It holds the largest header and 4 KB; a parser that still wants more gets buffer_overflow, which ends the attempt as malformed and closes the connection. Buffers that grew are released with their connection or when it returns to the pool.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -12,6 +12,10 @@
 
 /// For connections whose peer announces no idle timeout.
 constexpr std::chrono::seconds kDefaultIdleTimeout(15);
+constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
+/// Bounds what the parser asks to keep until it has read the end of a header, a
+/// chunk's size line or a trailer; it limits only headers itself.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + (4 << 10);
 
 }  // namespace
 
@@ -19,7 +23,7 @@
   Connection(const asio::any_io_executor& executor, Endpoint peer)
       : stream(executor), endpoint(std::move(peer)) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   Endpoint endpoint;
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
@@ -29,7 +33,6 @@
 
 constexpr std::size_t kMaxIdlePerEndpoint = 32;
 constexpr std::size_t kReadBufferBytes = 16 << 10;
-constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
 /// Fraction of the peer's idle timeout for which a connection is reused. Later
 /// the peer may already be closing it.
 constexpr double kIdleTimeoutFraction = 0.7;
@@ -211,6 +214,8 @@
 void HttpClient::ReturnToPool(ConnectionPtr connection) {
   auto& idle = m_idle[connection->endpoint];
   if (idle.size() >= kMaxIdlePerEndpoint) return;
+  if (connection->buffer.capacity() > kReadBufferBytes)
+    connection->buffer.shrink_to_fit();
   connection->stream.expires_never();
   connection->idle_since = std::chrono::steady_clock::now();
   idle.push_back(std::move(connection));
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -340,6 +340,8 @@
     "mute": executes the request and never answers,
     "endless_head", "endless_interim", "endless_body": sends a header, interim responses or
     the body of a signed answer until the caller closes,
+    "endless_chunk_header", "endless_trailer": begins a chunked body, and sends a chunk's size
+    line or a field after the last chunk until the caller closes,
     "endless_refusal": refuses without executing, with such a body,
     "endless_event": such an event as the third of a stream,
     "trickle": a byte of the third event of a stream now and then, "comments": comments
@@ -401,6 +403,13 @@
 }
 
 
+# By fault: the beginning of what has no end, in a chunked body.
+ENDLESS_FRAMING = {
+    "endless_chunk_header": b"5;",
+    "endless_trailer": b"5\r\nhello\r\n0\r\nX-Filler: ",
+}
+ENDLESS_FRAMING_BLOCK = b"x" * 65536
+
 # By fault: status, content type and body.
 WHOLE_ANSWERS = {
     "fail": (500, "text/plain", b"failed"),
@@ -491,6 +500,9 @@
         if fault == "endless_body":
             self.send_endless_body(200, signed_headers)
             return
+        if fault in ENDLESS_FRAMING:
+            self.send_endless_framing(signed_headers, ENDLESS_FRAMING[fault])
+            return
         self.late_copy = LATE_COPIES.get(fault, b"")
         if fault == "foreign":
             self.send(200, b"not yours",
@@ -539,6 +551,15 @@
             self.server.owner.disconnects[request] = time.monotonic()
         self.close_connection = True
 
+    def send_endless_framing(self, headers, beginning):
+        self.send_response(200)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self.send_raw(beginning)
+        self.send_without_end(ENDLESS_FRAMING_BLOCK, headers["Cowslipknot-Request-Id"])
+
     def send_endless_body(self, status, headers):
         self.send_response(status)
         for name, value in headers.items():
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -76,6 +76,32 @@
         self.assertIsNone(gateway.child.poll())
         self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
 
+    # Guards against a server's chunk header or trailer without end taking all memory of the
+    # process, and with it the requests of all other callers.
+    def test_endless_framing_of_a_body_ends_the_attempt_and_memory_stays_bounded(self):
+        for fault in ("endless_chunk_header", "endless_trailer"):
+            with self.subTest(fault=fault):
+                gateway = self.start("plain", [fault], count=1)
+                (status, _, body), took_s = self.call_timed(
+                    gateway, "/once/x", request_id=fault)
+                self.assertEqual(status, 502)
+                self.assertNotIn(b"xxxx", body)
+                self.assertLess(took_s, ROUTE_TIMEOUT_S)
+                self.assert_server_released(fault)
+                self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
+                self.assertEqual(gateway.call("/once/x", request_id="next")[0], 200)
+
+    def test_endless_framing_of_a_stream_ends_the_attempt_and_memory_stays_bounded(self):
+        for fault in ("endless_chunk_header", "endless_trailer"):
+            with self.subTest(fault=fault):
+                gateway = self.start("model", [fault], count=2)
+                received, complete = self.read_stream(gateway, fault)
+                self.assertNotIn(b"xxxx", received)
+                if complete:
+                    self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
+                self.assert_server_released(fault)
+                self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
+
     def test_endless_refusal_is_not_waited_for(self):
         gateway = self.start("plain", ["endless_refusal"], count=1)
         spare = fakes.Backend("spare")
