Let no call that was given up reach its receiver later

Cause: a call without an answer was given up by closing its connection. The operating system delivers what it still holds, also when the process has ended. On the way to the same end: a timeout began anew for connecting, writing and reading the header, so a call lasted up to three times as long as the lease's margins assume; a planned stop released the lease beside a call under way. Why this works: a client's connection has SO_LINGER 0 from its opening, so any end of it, by the program or by the kernel for it, discards undelivered bytes; no path has to remember to. A call has one deadline; a holder's call ends with the lease at the latest, asks again right before its first byte, and is aborted before the lease is released. The same holds for attempts at servers, for calls to the store and, by the same option, for frames between instances.

--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -83,7 +83,9 @@
 
   /// Whether the lease is held with a safety margin, so that an action that
   /// requires it may start now.
-  bool MayAct(Time now) const;
+  bool MayAct(Time now) const { return TimeToAct(now).count() > 0; }
+  /// How long that lasts; zero if the lease is not held.
+  std::chrono::nanoseconds TimeToAct(Time now) const;
   /// Whether the lease may be taken: what the table holds has not changed for
   /// longer than the lease lasts, or it has held no row since it was created.
   /// False until the table has been read.
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -1,5 +1,6 @@
 #include "cowslipknot/coordination/lease.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace cowslipknot {
@@ -100,8 +101,10 @@
   if (row.holder == m_self) m_renewed = sent;
 }
 
-bool LeaseView::MayAct(Time now) const {
-  return m_renewed && now < After(*m_renewed, m_duration, kHolderFraction);
+std::chrono::nanoseconds LeaseView::TimeToAct(Time now) const {
+  if (!m_renewed) return std::chrono::nanoseconds(0);
+  const auto left = After(*m_renewed, m_duration, kHolderFraction) - now;
+  return std::max<std::chrono::nanoseconds>(left, std::chrono::nanoseconds(0));
 }
 
 bool LeaseView::MayAcquire(Time now) const {
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -82,6 +82,9 @@
 struct LeaseHolder {
   NodeId node;
   Epoch epoch;
+  /// How long the instance may still act as the holder. A call is not sent, or
+  /// is given up, when none is left.
+  std::function<Milliseconds()> time_left;
 };
 
 /// Number of requests that started to run in one window, by workspace.
@@ -138,6 +141,9 @@
       report_usage;
   std::function<Awaitable<CloudCallOutcome>(LeaseHolder, CapacityOrder)>
       order_capacity;
+  /// Gives up the calls in flight that need the lease; they cannot arrive
+  /// later.
+  std::function<void()> abort_holder_calls;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_capacity.cc
+++ b/src/serve/gateway_capacity.cc
@@ -51,11 +51,8 @@
     for (std::size_t i = 0; i < orders.size(); ++i) {
       const CapacityOrder order = orders[i];
       if (!HoldsLease()) co_return;
-      LeaseHolder holder;
-      holder.node = m_settings.node;
-      holder.epoch = m_lease.CurrentEpoch();
       const CloudCallOutcome outcome =
-          co_await m_adapter.order_capacity(std::move(holder), order);
+          co_await m_adapter.order_capacity(ActingHolder(), order);
       const bool accepted = outcome == CloudCallOutcome::kAccepted;
       if (accepted) planner->second.OnOrderAccepted(order, TimeSinceBoot());
       if (outcome == CloudCallOutcome::kRejected) {
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -148,7 +148,10 @@
     with_lease.writes.push_back(
         store_rows::MakeRow(store_rows::kLeaseKey, EncodeLease(lease)));
     m_lease.RecordSent(lease, now);
-    if (releases) m_lease.StopActing();
+    if (releases) {
+      m_lease.StopActing();
+      m_adapter.abort_holder_calls();
+    }
     const auto changed = co_await CommitTransaction(std::move(with_lease));
     if (changed) {
       m_report_position = changed->position;
@@ -169,6 +172,19 @@
   co_return Result<void>();
 }
 
+LeaseHolder FleetCoordinator::ActingHolder() const {
+  LeaseHolder holder;
+  holder.node = m_settings.node;
+  holder.epoch = m_lease.CurrentEpoch();
+  holder.time_left = [this, epoch = holder.epoch] {
+    // Reacquired meanwhile, the lease has another epoch.
+    if (m_lease.CurrentEpoch() != epoch) return Milliseconds(0);
+    return std::chrono::duration_cast<Milliseconds>(
+        m_lease.TimeToAct(LeaseNow()));
+  };
+  return holder;
+}
+
 Awaitable<void> FleetCoordinator::RetakeLease() {
   const auto now = LeaseNow();
   const LeaseRow lease = m_lease.NextRow();
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -114,6 +114,8 @@
     return LeaseView::Time(
         std::chrono::duration_cast<LeaseView::Time::duration>(TimeSinceBoot()));
   }
+  /// This instance as the holder, for calls that need the lease.
+  LeaseHolder ActingHolder() const;
   InstanceReport BuildReport(const ReportInput& input);
   /// Whether the lease has expired, was released, or was held by an earlier
   /// process on this machine.
--- a/src/serve/gateway_usage.cc
+++ b/src/serve/gateway_usage.cc
@@ -123,11 +123,8 @@
   UsageReport report;
   report.window = window;
   report.counts = std::move(*counts);
-  LeaseHolder holder;
-  holder.node = m_settings.node;
-  holder.epoch = m_lease.CurrentEpoch();
   const CloudCallOutcome outcome =
-      co_await m_adapter.report_usage(std::move(holder), std::move(report));
+      co_await m_adapter.report_usage(ActingHolder(), std::move(report));
   if (outcome != CloudCallOutcome::kAccepted) {
     LogEvent(Event::kUsageNotAccepted, {{"window", std::to_string(window)}});
     co_return false;
--- a/src/transport/endpoint.cc
+++ b/src/transport/endpoint.cc
@@ -33,4 +33,10 @@
   return acceptor;
 }
 
+bool ResetOnClose(tcp::socket& socket) {
+  error_code error;
+  socket.set_option(asio::socket_base::linger(true, 0), error);
+  return !error;
+}
+
 }  // namespace cowslipknot
--- a/src/transport/endpoint.h
+++ b/src/transport/endpoint.h
@@ -14,4 +14,9 @@
 Result<tcp::acceptor> Listen(asio::io_context& context,
                              const Endpoint& endpoint);
 
+/// Makes closing a connection reset it, also when the process ends: what the
+/// operating system still holds for sending is then discarded, whereas it would
+/// otherwise deliver it, perhaps much later. @return whether that succeeded
+bool ResetOnClose(tcp::socket& socket);
+
 }  // namespace cowslipknot
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -94,6 +94,9 @@
   auto [error] = co_await stream->async_connect(*address, kAsTuple);
   if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
   stream->socket().set_option(tcp::no_delay(true), error);
+  if (!ResetOnClose(stream->socket())) {
+    co_return Fail(ResultCode::kPeerUnreachable, "cannot be reset on close");
+  }
   co_return stream;
 }
 
--- a/src/transport/frame_link.h
+++ b/src/transport/frame_link.h
@@ -15,8 +15,9 @@
 /// Length-prefixed frames over TCP between instances.
 ///
 /// A call has a connection to itself while it sends one frame and receives one.
-/// A call that times out closes its connection, so that the next call replaces
-/// a connection that no longer delivers data.
+/// A call that times out resets its connection, so that the next call replaces
+/// a connection that no longer delivers data, and the frame does not arrive
+/// after those that follow it.
 namespace cowslipknot {
 
 using FrameBytes = std::vector<std::uint8_t>;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -119,8 +119,10 @@
 
   /// Reads the response header. Skips interim responses and responses to
   /// earlier calls.
-  Awaitable<error_code> ReadHeader(const CallOptions& options) {
-    m_connection->stream.expires_after(options.timeout);
+  Awaitable<error_code> ReadHeader(
+      const CallOptions& options,
+      std::chrono::steady_clock::time_point deadline) {
+    m_connection->stream.expires_at(deadline);
     for (int skipped = 0; skipped <= kMaxSkippedResponses;) {
       m_parser.emplace();
       m_parser->body_limit(m_max_body.Count());
@@ -239,7 +241,7 @@
 }
 
 Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::Connect(
-    const Endpoint& endpoint, const CallOptions& options,
+    const Endpoint& endpoint, const CallOptions& options, Deadline deadline,
     CallProgress& progress) {
   ConnectionPtr connection;
   if (options.reuse == Reuse::kAllowed) {
@@ -255,29 +257,36 @@
   if (progress.reused_connection) co_return connection;
   const auto address = ToTcpEndpoint(endpoint);
   if (!address) co_return tl::make_unexpected(address.error());
-  connection->stream.expires_after(
-      std::min(options.timeout, options.connect_timeout));
+  connection->stream.expires_at(std::min(
+      deadline, std::chrono::steady_clock::now() + options.connect_timeout));
   auto [error] = co_await connection->stream.async_connect(*address, kAsTuple);
   if (error) {
     co_return Fail(ResultCode::kConnectFailed,
                    FormatEndpoint(endpoint) + ": " + error.message());
   }
   connection->stream.socket().set_option(tcp::no_delay(true), error);
+  if (!ResetOnClose(connection->stream.socket())) {
+    co_return Fail(ResultCode::kConnectFailed,
+                   FormatEndpoint(endpoint) + ": cannot be reset on close");
+  }
   co_return connection;
 }
 
 Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::SendRequest(
     const Endpoint& endpoint, HttpRequest& request, const CallOptions& options,
-    CallProgress& progress) {
-  auto connected = co_await Connect(endpoint, options, progress);
+    Deadline deadline, CallProgress& progress) {
+  auto connected = co_await Connect(endpoint, options, deadline, progress);
   if (!connected) co_return tl::make_unexpected(connected.error());
   ConnectionPtr connection = std::move(*connected);
   if (request.find(http::field::host) == request.end()) {
     request.set(http::field::host, FormatEndpoint(endpoint));
   }
   request.prepare_payload();
+  if (options.may_send && !options.may_send()) {
+    co_return Fail(ResultCode::kDeadlinePassed, "while connecting");
+  }
   progress.first_byte_sent = true;
-  connection->stream.expires_after(options.timeout);
+  connection->stream.expires_at(deadline);
   auto [error, size] =
       co_await http::async_write(connection->stream, request, kAsTuple);
   if (error) co_return MakeCallError(error, progress);
@@ -287,11 +296,13 @@
 Awaitable<Result<std::unique_ptr<ResponseStream>>> HttpClient::Open(
     Endpoint endpoint, HttpRequest request, CallOptions options,
     CallProgress& progress) {
-  auto sent = co_await SendRequest(endpoint, request, options, progress);
+  const Deadline deadline = std::chrono::steady_clock::now() + options.timeout;
+  auto sent =
+      co_await SendRequest(endpoint, request, options, deadline, progress);
   if (!sent) co_return tl::make_unexpected(sent.error());
   auto stream = std::make_unique<PooledResponseStream>(
       weak_from_this(), std::move(*sent), m_max_response);
-  const error_code error = co_await stream->ReadHeader(options);
+  const error_code error = co_await stream->ReadHeader(options, deadline);
   if (error) co_return MakeCallError(error, progress);
   progress.response_started = true;
   progress.header_read_at = TimeSinceBoot();
@@ -304,10 +315,17 @@
                                                  Milliseconds timeout,
                                                  Reuse reuse,
                                                  CallProgress& progress) {
-  const auto deadline = std::chrono::steady_clock::now() + timeout;
-  const CallOptions options = WithTimeout(timeout, reuse);
-  auto opened =
-      co_await Open(std::move(endpoint), std::move(request), options, progress);
+  co_return co_await Call(std::move(endpoint), std::move(request),
+                          WithTimeout(timeout, reuse), progress);
+}
+
+Awaitable<Result<HttpResponse>> HttpClient::Call(Endpoint endpoint,
+                                                 HttpRequest request,
+                                                 CallOptions options,
+                                                 CallProgress& progress) {
+  const Deadline deadline = std::chrono::steady_clock::now() + options.timeout;
+  auto opened = co_await Open(std::move(endpoint), std::move(request),
+                              std::move(options), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
   HttpResponse response;
   response.base() = (*opened)->Header();
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -33,7 +33,8 @@
 enum class Reuse : std::uint8_t { kAllowed, kNewOnly };
 
 struct CallOptions {
-  Milliseconds timeout{1000};  ///< until the response header
+  /// From the start of the call until the response header.
+  Milliseconds timeout{1000};
   Milliseconds connect_timeout{1000};
   Reuse reuse = Reuse::kAllowed;
   /// A pooled connection that was idle for longer is not used.
@@ -42,6 +43,9 @@
   /// their end and discarded, because a server may send a late response to an
   /// earlier call.
   std::function<bool(const http::response_header<>&)> is_own_response;
+  /// Asked right before the first byte is sent; may be empty. Otherwise the
+  /// call fails without being sent.
+  std::function<bool()> may_send;
 };
 
 /// Options of a call with one timeout for connecting and for its response.
@@ -71,6 +75,10 @@
 
 /// HTTP/1.1 client with a connection pool. Not thread-safe: use one per
 /// executor.
+///
+/// A call that is given up resets its connection, as does the end of the
+/// process. The operating system then discards what it has not delivered, so
+/// that the call cannot arrive later.
 class HttpClient : public std::enable_shared_from_this<HttpClient> {
  public:
   /// @param max_response  largest response body that is accepted
@@ -82,6 +90,11 @@
                                        Milliseconds timeout, Reuse reuse,
                                        CallProgress& progress);
 
+  /// The same, within the timeout of `options`.
+  Awaitable<Result<HttpResponse>> Call(Endpoint endpoint, HttpRequest request,
+                                       CallOptions options,
+                                       CallProgress& progress);
+
   /// Sends a request and reads the header within `timeout`.
   Awaitable<Result<std::unique_ptr<ResponseStream>>> Open(
       Endpoint endpoint, HttpRequest request, CallOptions options,
@@ -99,13 +112,17 @@
   HttpClient(asio::any_io_executor executor, ByteCount max_response)
       : m_executor(std::move(executor)), m_max_response(max_response) {}
 
+  using Deadline = std::chrono::steady_clock::time_point;
+
   Awaitable<Result<ConnectionPtr>> Connect(const Endpoint& endpoint,
                                            const CallOptions& options,
+                                           Deadline deadline,
                                            CallProgress& progress);
   ConnectionPtr TakeIdle(const Endpoint& endpoint, const CallOptions& options);
   Awaitable<Result<ConnectionPtr>> SendRequest(const Endpoint& endpoint,
                                                HttpRequest& request,
                                                const CallOptions& options,
+                                               Deadline deadline,
                                                CallProgress& progress);
 
   asio::any_io_executor m_executor;
--- a/tests/unit/gateway_final_report_test.cc
+++ b/tests/unit/gateway_final_report_test.cc
@@ -58,6 +58,7 @@
   adapter.read_table = [&store](std::string) -> Awaitable<Result<StoreRows>> {
     co_return store.Read();
   };
+  adapter.abort_holder_calls = [] {};
   adapter.commit_transaction =
       [&store](StoreTransaction transaction) -> Awaitable<Result<StoreRows>> {
     co_return store.Commit(transaction);
