Do not take a silence inside an event for bytes without progress

Cause: the time in which a server sends bytes but no event began with the event's first byte and was compared when the next piece came, so a silence counted as a trickle. The server was left at once, also if no attempt, no retry or no other server was left. Why this works: pauses longer than the route's event gap are no trickle. The time without an event, which is what the caller waits, has the bound of a silence at any pace of the bytes, so a slow trickle does not escape either. A server is left only if another may go on.

--- a/src/coordination/stream_stall.cc
+++ b/src/coordination/stream_stall.cc
@@ -35,14 +35,33 @@
                   kPartialEventGaps * route.max_event_gap);
 }
 
-StallAction DecideSilence(const Route& route, const StreamGap& gap,
-                          bool may_resume) {
-  const bool stalled = gap.silence >= SilenceTimeout(route);
-  return stalled && may_resume ? StallAction::kResume : StallAction::kWait;
+void StreamGapMeter::OnBytes(Time now, bool complete_event) {
+  const auto pause = now - m_last_byte;
+  m_last_byte = now;
+  if (complete_event) {
+    m_last_event = now;
+    m_trickle = {};
+    m_in_event = false;
+    return;
+  }
+  if (m_in_event && pause <= m_max_event_gap) m_trickle += pause;
+  m_in_event = true;
 }
 
-bool SendsNoEvent(const Route& route, const StreamGap& gap) {
-  return gap.partial_event > PartialEventTimeout(route);
+StreamGap StreamGapMeter::Gap(Time now) const {
+  return {std::chrono::duration_cast<Milliseconds>(now - m_last_event),
+          std::chrono::duration_cast<Milliseconds>(m_trickle)};
+}
+
+bool IsStalled(const Route& route, const StreamGap& gap) {
+  return gap.since_event >= SilenceTimeout(route) ||
+         gap.trickle > PartialEventTimeout(route);
+}
+
+StallAction DecideStall(const Route& route, const StreamGap& gap,
+                        bool may_resume) {
+  return IsStalled(route, gap) && may_resume ? StallAction::kResume
+                                             : StallAction::kWait;
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cowslipknot/gateway/response_use.h"
+#include "cowslipknot/gateway/stream_stall.h"
 #include "protocol/event_splitter.h"
 #include "serve/gateway_worker.h"
 #include "serve/in_flight_request_guard.h"
@@ -85,7 +86,8 @@
   /// Reads the next piece of a stream. Waits for a silent server for as long as
   /// that is better than to resume the stream elsewhere.
   Awaitable<Result<std::string>> ReadEvents(ResponseStream& stream,
-                                            const Backend& server);
+                                            const Backend& server,
+                                            const StreamGapMeter& meter);
   /// Reads the body of a response that declined a request. A body that is long
   /// or slow is left, which closes the connection.
   static Awaitable<void> DiscardBody(ResponseStream& stream);
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
+#include <utility>
 
-#include "cowslipknot/gateway/stream_stall.h"
 #include "protocol/hop_by_hop_fields.h"
 #include "serve/gateway_call.h"
 
@@ -96,19 +96,24 @@
 }
 
 Awaitable<Result<std::string>> Call::ReadEvents(ResponseStream& stream,
-                                                const Backend& server) {
-  const auto silent_since = SteadyClock::now();
-  Milliseconds timeout = SilenceTimeout(*m_route);
+                                                const Backend& server,
+                                                const StreamGapMeter& meter) {
+  bool logged = false;
   while (true) {
-    auto piece = co_await stream.Read(std::min(timeout, TimeLeft()));
+    const Milliseconds until_stall =
+        SilenceTimeout(*m_route) - meter.Gap(SteadyClock::now()).since_event;
+    const Milliseconds wait = std::max(until_stall, kStallCheckInterval);
+    auto piece = co_await stream.Read(std::min(wait, TimeLeft()));
     const bool timed_out =
         !piece && piece.error().code == ResultCode::kBackendTimeout;
     if (!timed_out || TimeLeft().count() == 0) co_return piece;
-    const StreamGap gap{ElapsedSince(silent_since), Milliseconds(0)};
-    const auto action = DecideSilence(*m_route, gap, MayResumeElsewhere());
-    if (action == StallAction::kResume) co_return piece;
-    if (timeout != kStallCheckInterval) LogStall(server, gap.silence);
-    timeout = kStallCheckInterval;
+    const StreamGap gap = meter.Gap(SteadyClock::now());
+    if (!IsStalled(*m_route, gap)) continue;
+    if (DecideStall(*m_route, gap, MayResumeElsewhere()) ==
+        StallAction::kResume) {
+      co_return piece;
+    }
+    if (!std::exchange(logged, true)) LogStall(server, gap.since_event);
   }
 }
 
@@ -119,7 +124,7 @@
   bool first = true;
   const std::uint64_t events_before = m_events.FieldEventCount();
   std::uint64_t events_seen = events_before;
-  std::optional<SteadyClock::time_point> partial_since;
+  StreamGapMeter meter(m_route->max_event_gap, SteadyClock::now());
   while (true) {
     const Milliseconds time_left = TimeLeft();
     if (time_left.count() == 0) {
@@ -130,7 +135,7 @@
     if (first) {
       chunk = co_await stream.Read(time_left);
     } else {
-      chunk = co_await ReadEvents(stream, server);
+      chunk = co_await ReadEvents(stream, server, meter);
     }
     if (!chunk) {
       error = chunk.error();
@@ -140,21 +145,24 @@
     if (chunk->empty()) break;
     if (first) {
       first = false;
+      meter = StreamGapMeter(m_route->max_event_gap, SteadyClock::now());
       guard.OnFirstEvent();
       if (!m_start_recorded) RecordRequestStart();
     }
     const std::string events = m_events.Feed(*chunk);
-    if (m_events.FieldEventCount() > events_seen) {
+    const bool complete_event = m_events.FieldEventCount() > events_seen;
+    if (complete_event) {
       events_seen = m_events.FieldEventCount();
       m_worker.Evidence().OnEvents(
           m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
-      partial_since.reset();
-    } else if (!partial_since) {
-      partial_since = SteadyClock::now();
     }
-    StreamGap gap;
-    if (partial_since) gap.partial_event = ElapsedSince(*partial_since);
-    if (m_events.IsOverlong() || SendsNoEvent(*m_route, gap)) {
+    const auto now = SteadyClock::now();
+    meter.OnBytes(now, complete_event);
+    const bool stalled =
+        IsStalled(*m_route, meter.Gap(now)) &&
+        DecideStall(*m_route, meter.Gap(now), MayResumeElsewhere()) ==
+            StallAction::kResume;
+    if (m_events.IsOverlong() || stalled) {
       error = m_events.IsOverlong()
                   ? Error{ResultCode::kBackendMalformed, "event without end"}
                   : Error{ResultCode::kBackendTimeout, "bytes but no event"};
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -15,6 +15,7 @@
 import urllib.parse
 
 
+PIECE_PAUSE_S = 0.02  # between the pieces of an event
 STOP_POLL_INTERVAL_S = 0.05  # a server that stops serves for up to this time
 
 
@@ -347,6 +348,7 @@
     "trickle": a byte of the third event of a stream now and then, "comments": comments
     instead of the third event of a stream, now and then,
     "silent": sends nothing for `silence_s` before the third event of a stream, and goes on,
+    "silent_inside": the same inside the third event, which is sent in pieces,
     "late_copy": answers, and sends the answer once more when the next request on the
     connection has arrived, without an id; "late_refusal": sends an earlier refusal then,
     "reject_twice": refuses, and sends the refusal, with its id, once more then,
@@ -617,6 +619,13 @@
                     return
                 if fault == "silent" and number == 3:
                     time.sleep(backend.silence_s)
+                if fault == "silent_inside" and number == 3:
+                    self.chunk(event[:7])
+                    time.sleep(backend.silence_s)
+                    for start in range(7, len(event) - 2, 4):
+                        self.chunk(event[start:start + 4])
+                        time.sleep(PIECE_PAUSE_S)
+                    event = event[start + 4:]
                 if fault == "endless_event" and number == 3:
                     self.chunk(event[:-2])
                     self.send_without_end(b"800\r\n" + b"x" * 0x800 + b"\r\n", request)
--- a/tests/platform/lost_request_test.py
+++ b/tests/platform/lost_request_test.py
@@ -104,6 +104,17 @@
         self.stream(gateway)
         self.assertEqual(len(self.backends[0].runs), 1)
 
+    # Guards against leaving sound servers, and cutting streams at last, because a silence
+    # falls inside an event.
+    def test_streams_survive_a_silence_inside_an_event(self):
+        gateway = self.start("model", count=2)
+        for backend in self.backends:
+            backend.pending_faults = ["silent_inside"]
+            backend.silence_s = 1.0
+        status, _, body = gateway.call("/stream/x", Cowslipknot_Token_Count="100,10")
+        self.assertEqual((status, body), (200, EVENTS))
+        self.assertEqual(sum(len(backend.runs) for backend in self.backends), 1)
+
     # Guards against cutting streams when the next server declines, or is silent as well.
     def test_streams_survive_a_silent_second_of_all_servers(self):
         gateway = self.start("model", count=2)
