Begin a grace period of servers only after an outage, and end it on time

Cause: missing registrations are kept for 2 s after an outage of the store. Any failed call began that, it counted from the first answer after the return, ended with the next read only, and a restore began it for each table. Ruled out: a late read of the removal (the log shows it within 1.2 s of the return). Why this works: only failed reads of the registrations over at least two heartbeats begin the period, since no registration can lapse in less; it counts from the sending of the last failed read, when the link was down; a timer ends it. So a server is left less than 2 s after the return at the latest, before the instance is bound again; no poll or further failure moves that. Tests changed: those that said "the store was unavailable" say which read failed, or that the store was restored; bounds as before.

--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -46,6 +46,10 @@
 /// Registrations lapse during an outage of the store, although the servers are
 /// running. For a grace period after an outage, ready servers whose
 /// registration is missing are therefore kept, so that they can register again.
+/// An instance can't tell such an outage from one of its own link, during which
+/// registrations that are missing have ended. So a grace period follows only
+/// an outage in which a registration may have lapsed, and starts when the last
+/// failed read was sent, at which time the link was still down.
 ///
 /// Registrations arrive from the store and from other instances, which may lag
 /// behind. One that is older than a known removal or change of the same server
@@ -92,21 +96,31 @@
   /// @return true if the server was ready
   bool OnLeavingResponse(const ServerId& id, std::int64_t started_ms, Time now);
 
-  /// Records that the store did not respond, or was restored from a copy.
-  void OnStoreUnavailable() { m_store_unavailable = true; }
-  /// Records that the store responds.
-  void OnStoreAvailable(Time now);
+  /// Records a read of the registrations that failed. Other calls don't count.
+  /// @param sent  when the read was sent
+  void OnReadFailed(Time sent) { m_failed_read_sent = sent; }
+  /// Records a successful read, before what it has read is applied. Begins a
+  /// grace period if it ends an outage.
+  /// @param sent  when the read was sent
+  void OnRead(Time sent);
+  /// Begins a grace period because the store was restored from a copy, which
+  /// may lack registrations. Has no effect a second time in an era.
+  void OnRestored(StoreEra era, Time now);
 
   /// Ends the grace period: another instance, which has applied its own, says
   /// which servers are registered, so that the two do not add up. Lapsed
   /// entries that it does not list are removed by the next Replace().
-  void EndGrace();
+  void EndGrace(Time now);
 
   /// Removes lapsed entries whose grace period has passed, and uses entries
   /// that a restore brought back and that are still registered.
   /// @param position  of the store as last read
   /// @return true if routing is affected
   bool Expire(Time now, const StorePosition& position = {});
+  /// Removes lapsed entries only, for which no read is needed.
+  bool ExpireLapsed(Time now, const StorePosition& position);
+  /// When ExpireLapsed() is due; nothing if no entry has lapsed.
+  std::optional<Time> NextLapse() const;
 
   /// Ready servers, including lapsed ones, ordered by id.
   std::vector<ServerEntry> UsableServers() const;
@@ -146,9 +160,10 @@
   std::map<ServerId, Ending> m_endings;
   /// Latest start of each server whose process said that it is leaving.
   std::map<ServerId, std::int64_t> m_leaving_starts;
-  bool m_store_unavailable = false;
-  /// End of the last outage of the store.
-  std::optional<Time> m_store_recovered_at;
+  std::optional<Time> m_read_sent;         ///< last successful read
+  std::optional<Time> m_failed_read_sent;  ///< last failed one, since then
+  std::optional<Time> m_grace_until;
+  StoreEra m_restored_era;  ///< of the last restore
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -35,6 +35,7 @@
                  settings.server_heartbeat * kSilenceHeartbeats),
       m_configuration_cursor{adapter.names.configuration_table},
       m_following_ended(context, SteadyClock::time_point::max()),
+      m_lapse_timer(context),
       m_coordinator(settings, adapter),
       m_relay(settings, context.get_executor(), m_coordinator.StartedMs()) {}
 
@@ -92,12 +93,7 @@
 
 void ControlPlane::SetStoreReachable(bool reachable,
                                      const std::string& detail) {
-  if (reachable) {
-    m_registry.OnStoreAvailable(TimeSinceBoot());
-  } else {
-    m_registry.OnStoreUnavailable();
-    m_relay.OnStoreLost();
-  }
+  if (!reachable) m_relay.OnStoreLost();
   if (reachable == m_store_reachable) return;
   m_store_reachable = reachable;
   LogEvent(reachable ? Event::kPlatformBack : Event::kPlatformLost,
@@ -164,7 +160,8 @@
     rows =
         co_await m_adapter.watch_table(cursor.table, cursor.since, poll_wait);
   }
-  cursor.last_call_failed = !rows.has_value();
+  cursor.last_call_failed =
+      !rows && rows.error().code != ResultCode::kHistoryLost;
   if (rows) {
     if (MoveCursor(cursor, rows->position)) co_return std::move(*rows);
     if (cursor.needs_full_read) co_return std::nullopt;
@@ -193,7 +190,7 @@
                                    {"known", FormatPosition(cursor.since)},
                                    {"restored", FormatPosition(answered)}});
   // The copy may lack servers that have registered since.
-  m_registry.OnStoreUnavailable();
+  m_registry.OnRestored(answered.era, TimeSinceBoot());
   SetStoreReachable(true, cursor.table);
   cursor.needs_full_read = !cursor.is_full_read;
   if (cursor.is_full_read) cursor.since = answered;
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -44,7 +44,7 @@
     StorePosition since;            ///< up to which changes are known
     bool needs_full_read = true;    ///< the changes since then can't be read
     bool is_full_read = false;      ///< the last read covers the table
-    bool last_call_failed = false;  ///< of this cursor
+    bool last_call_failed = false;  ///< without an answer of the table
   };
 
   /// Reads the changes of a table since the last read, or the complete table.
@@ -136,6 +136,8 @@
   /// Handles the notices of such responses to other instances.
   void OnLeavingResponsesOfPeers(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
+  /// Removes servers whose grace period ends before the next read, on time.
+  void ScheduleLapse();
   void Publish();
   /// Passes the usable servers on to followers.
   void RelayServers();
@@ -185,6 +187,7 @@
   TableCursor m_configuration_cursor;
   bool m_following = false;
   asio::steady_timer m_following_ended;
+  asio::steady_timer m_lapse_timer;
   /// Relays that did not respond, and when to ask them again.
   std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
   std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -184,7 +184,7 @@
     if (changes.back().entry) entries.push_back(*changes.back().entry);
   }
   m_relay_cursor = update.registrations_cursor;
-  m_registry.EndGrace();
+  m_registry.EndGrace(TimeSinceBoot());
   const StorePosition position = UnpackPosition(update.registrations_position);
   m_servers_position = std::max(m_servers_position, position);
   const auto now = TimeSinceBoot();
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -185,14 +185,20 @@
     const auto sent_at = TimeSinceBoot();
     const auto rows = co_await ReadChanges(cursor, Milliseconds(0));
     // A relay has sent later registrations while the call was under way.
-    if (!rows || m_following) continue;
+    if (m_following) continue;
+    if (!rows) {
+      if (cursor.last_call_failed) m_registry.OnReadFailed(sent_at);
+      continue;
+    }
     SetStoreReachable(true, cursor.table);
+    m_registry.OnRead(sent_at);
     m_relay.OnRegistrationsRead(sent_at);
     const auto before = m_registry.UsableServers();
     bool changed = ApplyServers(*rows, cursor.is_full_read);
     if (changed && m_servers_known)
       AnnounceLeavingServers(FindRemovedServers(before));
     changed = m_registry.Expire(TimeSinceBoot(), m_servers_position) || changed;
+    ScheduleLapse();
     RelayServers();
     if (changed || !m_servers_known) {
       m_servers_known = true;
@@ -202,6 +208,21 @@
   }
 }
 
+void ControlPlane::ScheduleLapse() {
+  const auto next = m_registry.NextLapse();
+  if (!next) return;
+  m_lapse_timer.expires_after(
+      std::max(*next - TimeSinceBoot(), std::chrono::nanoseconds(0)));
+  m_lapse_timer.async_wait([this](error_code error) {
+    if (error) return;
+    if (m_registry.ExpireLapsed(TimeSinceBoot(), m_servers_position)) {
+      RelayServers();
+      Publish();
+    }
+    ScheduleLapse();
+  });
+}
+
 void ControlPlane::RelayServers() {
   m_relay.OnRegistrations(m_registry.UsableServers(), m_servers_position);
 }
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -11,6 +11,10 @@
 constexpr std::size_t kMaxRememberedEndings = 1000;
 /// Leaving processes that are remembered, latest start first.
 constexpr std::size_t kMaxRememberedLeaving = 1000;
+/// Heartbeats in the silence limit, and in the shortest outage of the store in
+/// which a registration can lapse.
+constexpr int kSilenceLimitHeartbeats = 4;
+constexpr int kLapseHeartbeats = 2;
 
 }  // namespace
 
@@ -123,12 +127,10 @@
                             const StorePosition& position) {
   const auto known = m_entries.find(id);
   if (known == m_entries.end()) return false;
-  const bool within_grace =
-      m_store_recovered_at &&
-      now < *m_store_recovered_at + m_reregistration_grace;
+  const bool within_grace = m_grace_until && now < *m_grace_until;
   const bool ready = known->second.entry.state == ServerState::kReady;
   if (within_grace && ready) {
-    known->second.lapsed_until = *m_store_recovered_at + m_reregistration_grace;
+    known->second.lapsed_until = m_grace_until;
     return false;
   }
   const ServerEntry& entry = known->second.entry;
@@ -188,25 +190,53 @@
   return changed;
 }
 
-void ServerRegistry::OnStoreAvailable(Time now) {
-  if (m_store_unavailable) m_store_recovered_at = now;
-  m_store_unavailable = false;
+void ServerRegistry::OnRead(Time sent) {
+  // The store removes a registration after three heartbeats without one; the
+  // latest may have come up to one heartbeat before the outage.
+  const auto shortest_outage =
+      m_silence_limit * kLapseHeartbeats / kSilenceLimitHeartbeats;
+  const bool may_have_lapsed = m_failed_read_sent && m_read_sent &&
+                               sent - *m_read_sent >= shortest_outage;
+  if (may_have_lapsed)
+    m_grace_until = *m_failed_read_sent + m_reregistration_grace;
+  m_failed_read_sent.reset();
+  m_read_sent = sent;
 }
 
-void ServerRegistry::EndGrace() {
-  m_store_unavailable = false;
-  m_store_recovered_at.reset();
+void ServerRegistry::OnRestored(StoreEra era, Time now) {
+  if (era <= m_restored_era) return;
+  m_restored_era = era;
+  m_grace_until = m_failed_read_sent.value_or(now) + m_reregistration_grace;
+}
+
+void ServerRegistry::EndGrace(Time now) {
+  m_read_sent = now;
+  m_failed_read_sent.reset();
+  m_grace_until.reset();
   for (auto& [id, known] : m_entries) known.lapsed_until.reset();
 }
 
-bool ServerRegistry::Expire(Time now, const StorePosition& position) {
+bool ServerRegistry::ExpireLapsed(Time now, const StorePosition& position) {
   const auto removed = std::erase_if(m_entries, [&](const auto& item) {
     const auto& [id, known] = item;
     if (!known.lapsed_until || now < *known.lapsed_until) return false;
     RememberEnding(id, {position, known.entry.started_ms});
     return true;
   });
-  bool changed = removed > 0;
+  return removed > 0;
+}
+
+std::optional<ServerRegistry::Time> ServerRegistry::NextLapse() const {
+  std::optional<Time> next;
+  for (const auto& [id, known] : m_entries) {
+    if (known.lapsed_until && (!next || *known.lapsed_until < *next))
+      next = known.lapsed_until;
+  }
+  return next;
+}
+
+bool ServerRegistry::Expire(Time now, const StorePosition& position) {
+  bool changed = ExpireLapsed(now, position);
   for (auto& [id, known] : m_entries) {
     if (!known.unused_until || now < *known.unused_until) continue;
     known.unused_until.reset();
--- a/tests/unit/gateway_relay_test.cc
+++ b/tests/unit/gateway_relay_test.cc
@@ -186,12 +186,13 @@
 // the store: the grace periods of both must not add up.
 Test(server_registry, a_removal_by_a_relay_has_no_second_grace_period) {
   ServerRegistry registry(Milliseconds(2000));
+  registry.OnRead(kNow - std::chrono::seconds(9));
   registry.Replace({MakeServer("a", 10), MakeServer("b", 11)}, kNow, At(12));
-  registry.OnStoreUnavailable();
-  registry.OnStoreAvailable(kNow);
+  registry.OnReadFailed(kNow);
+  registry.OnRead(kNow);
   registry.Replace({MakeServer("b", 11)}, kNow, At(13));
   cr_expect_eq(registry.UsableServers().size(), 2u, "a may register again");
-  registry.EndGrace();
+  registry.EndGrace(kNow);
   registry.Replace({MakeServer("b", 11)}, kNow, At(14));
   cr_expect_eq(registry.UsableServers().size(), 1u);
   registry.Apply({{ServerId("b"), std::nullopt, At(15)}}, kNow);
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -140,8 +140,7 @@
 Test(restored_registry, a_lapsed_server_waits_when_a_restore_brings_it_back) {
   ServerRegistry registry = MakeRegistry();
   registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
-  registry.OnStoreUnavailable();
-  registry.OnStoreAvailable(kNow);
+  registry.OnRestored(StoreEra(2), kNow);
   registry.Replace({}, kNow, In(2, 75));
   registry.Expire(kNow + kGrace, In(2, 90));
   cr_assert(registry.UsableServers().empty());
@@ -168,8 +167,7 @@
   registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
   registry.Apply({{id, MakeServer("a", In(1, 95), ServerState::kReady, 8)}},
                  kNow);
-  registry.OnStoreUnavailable();
-  registry.OnStoreAvailable(kNow);
+  registry.OnRestored(StoreEra(2), kNow);
   registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
   cr_assert_eq(registry.UsableServers().size(), 1u);
   cr_expect_eq(registry.UsableServers().front().started_ms, 8);
@@ -186,8 +184,7 @@
   ServerRegistry registry = MakeRegistry();
   registry.Replace({MakeServer("a", In(1, 95), ServerState::kReady, 8)}, kNow,
                    In(1, 95));
-  registry.OnStoreUnavailable();
-  registry.OnStoreAvailable(kNow);
+  registry.OnRestored(StoreEra(2), kNow);
   registry.Replace({MakeServer("a", In(2, 80))}, kNow, In(2, 90));
   registry.Expire(kNow + kGrace, In(2, 120));
   cr_expect(registry.UsableServers().empty());
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -94,10 +94,11 @@
 Test(server_registry,
      an_entry_that_expired_in_an_outage_is_kept_until_its_server_can_renew) {
   ServerRegistry registry(Milliseconds(2000));
+  registry.OnRead(kNow);
   registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
-  registry.OnStoreUnavailable();
   const Time outage_end = kNow + std::chrono::seconds(9);
-  registry.OnStoreAvailable(outage_end);
+  registry.OnReadFailed(outage_end);
+  registry.OnRead(outage_end);
   registry.Replace({}, outage_end);
   cr_expect_eq(registry.UsableServers().size(), 2u);
   registry.Apply({{ServerId("a"), MakeEntry("a")}},
@@ -198,13 +199,78 @@
 Test(server_registry, without_an_outage_a_removal_takes_effect_at_once) {
   ServerRegistry registry(Milliseconds(2000));
   registry.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
-  registry.OnStoreAvailable(kNow);
+  registry.OnRead(kNow);
   cr_expect(registry.Replace({MakeEntry("a")}, kNow));
   cr_expect_eq(registry.UsableServers().size(), 1u);
 }
 
 namespace {
 
+constexpr Milliseconds kGrace(2000);
+constexpr Milliseconds kSilenceLimit(4800);  // of heartbeats every 1,200 ms
+constexpr Milliseconds kShortestOutage(2400);
+
+/// A registry with one server, read at kNow. Its next read is sent at `read`,
+/// after one at `failed` had failed, and no longer lists the server.
+ServerRegistry RemoveAfterOutage(Time failed, Time read) {
+  ServerRegistry registry(kGrace, kSilenceLimit);
+  registry.OnRead(kNow);
+  registry.Replace({MakeEntry("a")}, kNow);
+  registry.OnReadFailed(failed);
+  registry.OnRead(read);
+  registry.Replace({}, read);
+  return registry;
+}
+
+}  // namespace
+
+// Guards against one failed call of an instance keeping servers in use whose
+// registration has ended: none can lapse in so short an outage.
+Test(server_registry, an_outage_too_short_for_a_lapse_keeps_no_server) {
+  const Time read = kNow + kShortestOutage - Milliseconds(1);
+  cr_expect(RemoveAfterOutage(kNow, read).UsableServers().empty());
+  const Time later = kNow + kShortestOutage;
+  cr_expect_eq(RemoveAfterOutage(later, later).UsableServers().size(), 1u);
+}
+
+// Guards against a grace period that a late read stretches.
+Test(server_registry, a_grace_period_starts_with_the_last_failed_read) {
+  const Time failed = kNow + std::chrono::seconds(8);
+  const Time read = kNow + std::chrono::seconds(9);
+  ServerRegistry registry = RemoveAfterOutage(failed, read);
+  cr_assert(registry.NextLapse().has_value());
+  cr_expect(*registry.NextLapse() == failed + kGrace);
+  cr_expect_not(registry.ExpireLapsed(failed + kGrace - Milliseconds(1), {}));
+  cr_expect(registry.ExpireLapsed(failed + kGrace, {}));
+  cr_expect(registry.UsableServers().empty());
+  cr_expect_not(registry.NextLapse().has_value());
+}
+
+Test(server_registry, further_reads_do_not_stretch_a_grace_period) {
+  const Time failed = kNow + std::chrono::seconds(9);
+  ServerRegistry registry = RemoveAfterOutage(failed, failed);
+  registry.OnReadFailed(failed + Milliseconds(500));
+  registry.OnRead(failed + Milliseconds(600));
+  registry.Replace({}, failed + Milliseconds(600));
+  cr_assert(registry.NextLapse().has_value());
+  cr_expect(*registry.NextLapse() == failed + kGrace);
+}
+
+// Guards against the grace period of a restore being begun by each table's
+// read.
+Test(server_registry, a_restore_begins_one_grace_period) {
+  ServerRegistry registry(kGrace, kSilenceLimit);
+  registry.OnRead(kNow);
+  registry.Replace({MakeEntry("a")}, kNow);
+  registry.OnRestored(StoreEra(2), kNow);
+  registry.OnRestored(StoreEra(2), kNow + Milliseconds(1200));
+  registry.Replace({}, kNow + Milliseconds(1200));
+  cr_assert(registry.NextLapse().has_value());
+  cr_expect(*registry.NextLapse() == kNow + kGrace);
+}
+
+namespace {
+
 InstanceReport MakeReport(const std::string& node, std::uint64_t started,
                           std::uint64_t sequence) {
   InstanceReport report;
