Bound what a connection keeps of a caller's chunk header or trailer without end

One caller, with or without a key, could end the process and with it the requests of all others. Cause: the parser waits for a whole size line of a chunk and a whole trailer, and the buffer of an accepted connection had no maximum. Ruled out: max_header_size and max_body_size, which do not count these bytes; the read timeout, which bounds the time only. Why this works: the buffer holds a header of the configured size and one read. A parser that wants more fails as malformed, and the connection is closed. It holds for the readiness, metrics and operators' listeners too, and for `serve`, since all use ServeHttp.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -15,6 +15,7 @@
 /// takes a round trip.
 constexpr Milliseconds kLingerTimeout(150);
 constexpr Milliseconds kAcceptRetryDelay(20);
+constexpr std::size_t kReadBytes = 16 << 10;
 
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -183,11 +184,10 @@
 /// Reads what has arrived on a connection without waiting.
 /// @return whether anything had arrived
 bool ReadArrived(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
-  constexpr std::size_t kFirstReadBytes = 16 << 10;
   error_code error;
   stream.socket().non_blocking(true, error);
   buffer.commit(
-      stream.socket().read_some(buffer.prepare(kFirstReadBytes), error));
+      stream.socket().read_some(buffer.prepare(kReadBytes), error));
   return buffer.size() > 0;
 }
 
@@ -244,6 +244,10 @@
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::request_parser<http::string_body>& parser,
     const HttpServerLimits& limits) {
+  // The parser waits for a whole header, size line of a chunk or trailer, but
+  // limits only the header.
+  buffer.max_size(
+      std::max(buffer.size(), limits.max_header_size.Count()) + kReadBytes);
   parser.header_limit(
       static_cast<std::uint32_t>(limits.max_header_size.Count()));
   parser.body_limit(limits.max_body_size.Count());
