--- a/tests/platform/memory_bound_test.py
+++ b/tests/platform/memory_bound_test.py
@@ -1,10 +1,13 @@
-"""Tests that what callers send does not exhaust a gateway's memory."""
+"""Tests that what callers and the store send does not exhaust a gateway's memory."""
 
+import json
 import socket
 import time
 import unittest
 
+import fakes
 from configuration_documents import configuration
+from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
 MEMORY_MB = 64  # limit of the gateway
@@ -12,6 +15,23 @@
 BLOCK = b"x" * 65536
 
 
+class EndlessTable(fakes.Store):
+    """Says of each page of rows that more follow, when `endless`."""
+
+    endless = False
+    page = 0
+
+    def read(self, table):
+        answer = super().read(table)
+        if self.endless:
+            self.page += 1
+            answer["truncated"] = True
+            answer["rows"] = [fakes.encode_row(table, f"k{self.page}.{number}",
+                                               {"value": b"y" * 2000, "ver": 1})
+                              for number in range(400)]
+        return answer
+
+
 class MemoryBoundTest(PlatformTestCase):
     def setUp(self):
         super().setUp()
@@ -42,6 +62,20 @@
                         caller.sendall(BLOCK)
             self.assert_bounded(gateway)
 
+    # Guards against a store whose table never ends.
+    def test_table_without_end_leaves_memory(self):
+        self.store.server.stop()
+        self.store = EndlessTable()
+        self.store.put("op", "config", configuration())
+        self.addCleanup(self.store.server.stop)
+        self.store.endless = True
+        gateway = self.start_gateway(wait=False, memory_mb=MEMORY_MB)
+        eventually(lambda: [event for event in gateway.log_events()
+                            if "has no end" in json.dumps(event)])
+        self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
+        self.store.endless = False
+        eventually(gateway.ready)
+
 
 if __name__ == "__main__":
     unittest.main()
