Bound what all connections of a process hold together

Many messages, each within its limit, could end the process and with it the requests of all callers. Cause: each response, request body and frame had a limit of its own, and nothing bounded their sum. A frame's memory was taken as its length announced, and a frame that was begun could wait for 120 s. Evidence, on with a limit of 64 MB: 100 responses of 900 KB that did not end took 108 MB; 40 frames took 168 MB; 40 request bodies of 3.6 MB were all kept and none was turned away; a peer's unfinished frame was kept for longer than 15 s. Ruled out: kMaxResponseFraction and max_body_size, which hold for one message. Why this works: what a buffer holds beyond 16 KB is reserved from one budget, a quarter of the process's memory, as the bytes arrive, where they are read (ReadRequest, ReadBody, ForwardEvents, ReadContent), and returned with the object that holds it. Ordinary messages take nothing, so large ones cannot keep them out. A request for whose body none is left gets 503 with Retry-After before it is passed on (memory_exhausted, 2009); a response fails like one over its limit; a frame closes its connection, with a line in the log. An unfinished frame is given up after 5 s. Not covered: `serve`, which has the bounds of connections only. Command: python3 -m unittest memory_bound_test (in tests/platform); build/unit_tests

--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -28,6 +28,7 @@
   kPlatformUnavailable = 2006,
   kDeadlinePassed = 2007,
   kPromptQuarantined = 2008,
+  kMemoryExhausted = 2009,
   kConnectFailed = 3001,
   kBackendFailed = 3002,
   kBackendMalformed = 3003,
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -38,6 +38,8 @@
      "the deadline passed before the request was sent"},
     {ResultCode::kPromptQuarantined, "prompt_quarantined", 503,
      "a part of the prompt crashed several backend servers"},
+    {ResultCode::kMemoryExhausted, "memory_exhausted", 503,
+     "the instance has no memory left for the request body"},
     {ResultCode::kConnectFailed, "connect_failed", 502,
      "could not connect to a backend server"},
     {ResultCode::kBackendFailed, "backend_failed", 502,
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -28,6 +28,16 @@
 /// Part of that reserve in which the requests that were ended are answered.
 constexpr Milliseconds kLastAnswerTimeout(200);
 constexpr Milliseconds kReadTimeoutMargin(2000);
+/// Retry-After of a request for whose body no memory was left.
+constexpr Milliseconds kMemoryRetryDelay(500);
+
+/// How long the sender of a request that was not read waits before it repeats
+/// the request; zero if it should not.
+Milliseconds UnreadRetryDelay(ResultCode code) {
+  if (code == ResultCode::kDraining) return kStopRetryDelay;
+  if (code == ResultCode::kMemoryExhausted) return kMemoryRetryDelay;
+  return Milliseconds(0);
+}
 
 class Instance {
  public:
@@ -96,9 +106,7 @@
       return HandleCaller(m_worker, exchange);
     };
     callers.make_error_response = [](const Error& error) {
-      const bool stops = error.code == ResultCode::kDraining;
-      return MakeErrorResponse(error,
-                               stops ? kStopRetryDelay : Milliseconds(0));
+      return MakeErrorResponse(error, UnreadRetryDelay(error.code));
     };
     callers.close_after_response = [this] { return m_stopping.load(); };
     callers.no_more_requests = [this] { return m_closing_idle.load(); };
@@ -106,6 +114,7 @@
     callers.idle = m_worker.IdlePtr();
     callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
+    callers.memory = m_worker.Memory();
     asio::co_spawn(m_worker.Context(),
                    ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
                    asio::detached);
@@ -114,6 +123,7 @@
                      m_worker.Links().Serve(m_peer_acceptor), asio::detached);
     }
     HttpServerHooks readiness;
+    readiness.memory = m_worker.Memory();
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
@@ -122,6 +132,7 @@
         ServeHttp(m_readiness_acceptor, HttpServerLimits(), readiness),
         asio::detached);
     HttpServerHooks metrics;
+    metrics.memory = m_worker.Memory();
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -26,7 +26,9 @@
   Call(Worker& worker, HttpExchange& exchange)
       : m_worker(worker),
         m_exchange(exchange),
-        m_snapshot(worker.GetSnapshot()) {}
+        m_snapshot(worker.GetSnapshot()),
+        m_event_memory(worker.Memory()),
+        m_body_memory(worker.Memory()) {}
 
   Awaitable<void> Run();
 
@@ -149,6 +151,8 @@
   std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
   std::uint32_t m_executed = 0;  ///< attempts that may have been executed
   EventSplitter m_events;
+  MemoryReservation m_event_memory;  ///< of a partial event
+  MemoryReservation m_body_memory;   ///< of responses
   std::optional<HttpResponse> m_last_answer;
   bool m_reached_server = false;  ///< request bytes may have reached a server
   bool m_streaming = false;
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -49,6 +49,11 @@
     if (!chunk) co_return tl::make_unexpected(chunk.error());
     if (chunk->empty()) co_return body;
     body += *chunk;
+    const std::size_t kept = m_last_answer ? m_last_answer->body().size() : 0;
+    if (!m_body_memory.Resize(body.capacity() + kept)) {
+      co_return Fail(ResultCode::kBackendFailed, "no memory left for the body",
+                     Execution::kUnknown);
+    }
   }
 }
 
@@ -162,8 +167,11 @@
         IsStalled(*m_route, meter.Gap(now)) &&
         DecideStall(*m_route, meter.Gap(now), MayResumeElsewhere()) ==
             StallAction::kResume;
-    if (m_events.IsOverlong() || stalled) {
-      error = m_events.IsOverlong()
+    const bool too_long =
+        m_events.IsOverlong() ||
+        !m_event_memory.Resize(m_events.PartialEvent().size());
+    if (too_long || stalled) {
+      error = too_long
                   ? Error{ResultCode::kBackendMalformed, "event without end"}
                   : Error{ResultCode::kBackendTimeout, "bytes but no event"};
       RecordAttemptFailure(server, error);
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -8,6 +8,9 @@
 /// Largest response body, as a fraction of the process's memory, so that a few
 /// servers that send without end do not exhaust it.
 constexpr std::uint64_t kMaxResponseFraction = 64;
+/// Received data that all connections may hold, as a fraction of the process's
+/// memory. The rest is for buffers of ordinary size and the process itself.
+constexpr std::uint64_t kReceivedFraction = 4;
 /// Instances that may have been added without being known here.
 constexpr double kUnseenInstances = 4;
 /// Fractions of the retry slack and ratio that are used. The rest of the slack
@@ -33,11 +36,13 @@
 Worker::Worker(const Settings& settings, const PlatformAdapter& adapter)
     : m_settings(settings),
       m_adapter(adapter),
+      m_memory(std::make_shared<MemoryBudget>(
+          ByteCount(settings.max_memory.Count() / kReceivedFraction))),
       m_http(HttpClient::Create(
           m_context.get_executor(),
           ByteCount(settings.max_memory.Count() / kMaxResponseFraction))),
       m_quota(settings.quota),
-      m_links(m_context.get_executor(), settings),
+      m_links(m_context.get_executor(), settings, m_memory),
       m_quota_peers(m_links, settings),
       m_prompts(m_links, m_context.get_executor(), settings,
                 [this] { return m_snapshot->peers; }),
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -64,6 +64,9 @@
   const Settings& GetSettings() const { return m_settings; }
   const PlatformAdapter& GetAdapter() const { return m_adapter; }
   HttpClient& Http() { return *m_http; }
+  /// Bounds what this instance holds of callers' requests, servers' responses
+  /// and other instances' frames.
+  const std::shared_ptr<MemoryBudget>& Memory() const { return m_memory; }
   MetricSet& Metrics() { return m_metrics; }
   QuotaLimiter& Quota() { return m_quota; }
   PeerLinks& Links() { return m_links; }
@@ -136,6 +139,7 @@
   const Settings& m_settings;
   const PlatformAdapter& m_adapter;
   asio::io_context m_context{1};
+  std::shared_ptr<MemoryBudget> m_memory;
   std::shared_ptr<HttpClient> m_http;
   SnapshotPtr m_snapshot = std::make_shared<Snapshot>();
   MetricSet m_metrics;
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -12,11 +12,14 @@
 
 }  // namespace
 
-PeerLinks::PeerLinks(asio::any_io_executor executor, const Settings& settings)
+PeerLinks::PeerLinks(asio::any_io_executor executor, const Settings& settings,
+                     std::shared_ptr<MemoryBudget> memory)
     : m_settings(settings),
       m_executor(executor),
+      m_memory(std::move(memory)),
       m_client(std::move(executor),
-               settings.peers ? settings.peers->host : std::string()) {}
+               settings.peers ? settings.peers->host : std::string(),
+               m_memory) {}
 
 void PeerLinks::SetHandler(wire::Kind kind, Handler handler) {
   m_handlers[kind] = [handler = std::move(handler)](
@@ -71,8 +74,8 @@
 Awaitable<void> PeerLinks::Serve(std::shared_ptr<tcp::acceptor> acceptor) {
   co_await ServeFrames(
       std::move(acceptor),
-      [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
-      m_traffic);
+      [this](const FrameBytes& bytes) { return HandleFrame(bytes); }, m_traffic,
+      m_memory);
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/peer_links.h
+++ b/src/serve/peer_links.h
@@ -18,7 +18,9 @@
   /// The same, for a response that takes time.
   using AsyncHandler = std::function<Awaitable<PeerFrame>(const PeerFrame&)>;
 
-  PeerLinks(asio::any_io_executor executor, const Settings& settings);
+  /// @param memory  bounds the frames of all connections
+  PeerLinks(asio::any_io_executor executor, const Settings& settings,
+            std::shared_ptr<MemoryBudget> memory);
 
   /// Sets the handler for a kind of frame. Call it before Serve().
   void SetHandler(wire::Kind kind, Handler handler);
@@ -40,6 +42,7 @@
 
   const Settings& m_settings;
   asio::any_io_executor m_executor;
+  std::shared_ptr<MemoryBudget> m_memory;
   FrameClient m_client;
   std::map<wire::Kind, AsyncHandler> m_handlers;
   std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -1,7 +1,9 @@
 #include "transport/frame_link.h"
 
+#include <algorithm>
 #include <array>
 
+#include "cowslipknot/events.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot {
@@ -10,6 +12,10 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxIdleConnections = 64;
 constexpr Milliseconds kServerIdleTimeout(120000);
+/// From a served frame's length to its last byte.
+constexpr Milliseconds kFrameTimeout(5000);
+/// A frame takes memory as it arrives, not as its length announces.
+constexpr std::size_t kFramePieceBytes = 64 << 10;
 
 using LengthPrefix = std::array<std::uint8_t, kLengthBytes>;
 
@@ -37,32 +43,62 @@
   co_return !error;
 }
 
-Awaitable<Result<FrameBytes>> ReadFrame(beast::tcp_stream& stream) {
+Awaitable<Result<std::uint32_t>> ReadLength(beast::tcp_stream& stream) {
   LengthPrefix prefix;
-  auto [prefix_error, prefix_size] =
+  auto [error, size] =
       co_await asio::async_read(stream, asio::buffer(prefix), kAsTuple);
-  if (prefix_error) {
-    co_return Fail(ResultCode::kPeerUnreachable, prefix_error.message());
-  }
+  if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
   const std::uint32_t length = DecodeLength(prefix);
   if (length > kMaxFrameBytes) {
     co_return Fail(ResultCode::kFrameTooLarge, std::to_string(length));
   }
-  FrameBytes frame(length);
-  auto [error, size] =
-      co_await asio::async_read(stream, asio::buffer(frame), kAsTuple);
-  if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
+  co_return length;
+}
+
+Awaitable<Result<FrameBytes>> ReadContent(beast::tcp_stream& stream,
+                                          std::uint32_t length,
+                                          MemoryReservation& memory) {
+  FrameBytes frame;
+  while (frame.size() < length) {
+    const std::size_t start = frame.size();
+    const std::size_t end =
+        std::min<std::size_t>(start + kFramePieceBytes, length);
+    if (!memory.Resize(end))
+      co_return Fail(ResultCode::kMemoryExhausted, std::to_string(length));
+    frame.resize(end);
+    auto [error, size] = co_await asio::async_read(
+        stream, asio::buffer(frame.data() + start, end - start), kAsTuple);
+    if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
+  }
   co_return frame;
 }
 
+Awaitable<Result<FrameBytes>> ReadFrame(beast::tcp_stream& stream,
+                                        MemoryReservation& memory) {
+  const auto length = co_await ReadLength(stream);
+  if (!length) co_return tl::make_unexpected(length.error());
+  co_return co_await ReadContent(stream, *length, memory);
+}
+
 Awaitable<void> ServePeerConnection(beast::tcp_stream stream,
                                     FrameHandler handler,
-                                    std::shared_ptr<LinkTraffic> traffic) {
+                                    std::shared_ptr<LinkTraffic> traffic,
+                                    std::shared_ptr<MemoryBudget> budget) {
   while (true) {
+    MemoryReservation memory(budget);
     stream.expires_after(kServerIdleTimeout);
-    auto frame = co_await ReadFrame(stream);
+    const auto length = co_await ReadLength(stream);
+    Result<FrameBytes> frame =
+        length ? Result<FrameBytes>() : tl::make_unexpected(length.error());
+    if (length) {
+      stream.expires_after(kFrameTimeout);
+      frame = co_await ReadContent(stream, *length, memory);
+    }
     if (!frame) {
       ++traffic->failures;
+      if (frame.error().code != ResultCode::kPeerUnreachable) {
+        LogEvent(Event::kFrameRejected, {{"detail", frame.error().detail}});
+      }
       co_return;
     }
     traffic->received += frame->size() + kLengthBytes;
@@ -122,7 +158,8 @@
                    "the frame could not be written");
   }
   m_traffic.sent += frame.size() + kLengthBytes;
-  auto answer = co_await ReadFrame(*stream);
+  MemoryReservation memory(m_memory);
+  auto answer = co_await ReadFrame(*stream, memory);
   if (!answer) co_return tl::make_unexpected(answer.error());
   m_traffic.received += answer->size() + kLengthBytes;
   if (m_idle_count < kMaxIdleConnections) {
@@ -159,7 +196,8 @@
 
 Awaitable<void> ServeFrames(std::shared_ptr<tcp::acceptor> acceptor,
                             FrameHandler handler,
-                            std::shared_ptr<LinkTraffic> traffic) {
+                            std::shared_ptr<LinkTraffic> traffic,
+                            std::shared_ptr<MemoryBudget> memory) {
   const auto executor = co_await asio::this_coro::executor;
   while (acceptor->is_open()) {
     auto [error, socket] = co_await acceptor->async_accept(kAsTuple);
@@ -172,7 +210,7 @@
     socket.set_option(tcp::no_delay(true), ignored);
     asio::co_spawn(executor,
                    ServePeerConnection(beast::tcp_stream(std::move(socket)),
-                                       handler, traffic),
+                                       handler, traffic, memory),
                    asio::detached);
   }
 }
--- a/src/transport/frame_link.h
+++ b/src/transport/frame_link.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
 #include "transport/asio.h"
@@ -36,8 +37,12 @@
 class FrameClient {
  public:
   /// @param source  local IP address of the connections
-  FrameClient(asio::any_io_executor executor, std::string source)
-      : m_executor(std::move(executor)), m_source(std::move(source)) {}
+  /// @param memory  bounds the frames of all connections; may be null
+  FrameClient(asio::any_io_executor executor, std::string source,
+              std::shared_ptr<MemoryBudget> memory = nullptr)
+      : m_executor(std::move(executor)),
+        m_source(std::move(source)),
+        m_memory(std::move(memory)) {}
 
   /// Sends a frame and waits for the reply.
   Awaitable<Result<FrameBytes>> Call(Endpoint peer, FrameBytes frame,
@@ -58,6 +63,7 @@
 
   asio::any_io_executor m_executor;
   std::string m_source;
+  std::shared_ptr<MemoryBudget> m_memory;
   std::map<Endpoint, std::deque<StreamPtr>> m_idle;
   std::size_t m_idle_count = 0;
   LinkTraffic m_traffic;
@@ -68,8 +74,10 @@
     std::function<Awaitable<FrameBytes>(const FrameBytes& frame)>;
 
 /// Accepts peer connections until the acceptor is closed.
+/// @param memory  bounds the frames of all connections; may be null
 Awaitable<void> ServeFrames(std::shared_ptr<tcp::acceptor> acceptor,
                             FrameHandler handler,
-                            std::shared_ptr<LinkTraffic> traffic);
+                            std::shared_ptr<LinkTraffic> traffic,
+                            std::shared_ptr<MemoryBudget> memory = nullptr);
 
 }  // namespace cowslipknot
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kLingerTimeout(150);
 constexpr Milliseconds kAcceptRetryDelay(20);
 constexpr std::size_t kReadBytes = 16 << 10;
+/// A request body and its copy in an attempt.
+constexpr std::uint64_t kBodyCopies = 2;
 
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -154,6 +156,7 @@
   if (error == asio::error::operation_aborted) return ResultCode::kDraining;
   if (error == http::error::body_limit) return ResultCode::kBodyTooLarge;
   if (error == http::error::header_limit) return ResultCode::kHeaderTooLarge;
+  if (error == asio::error::no_memory) return ResultCode::kMemoryExhausted;
   return ResultCode::kMalformedRequest;
 }
 
@@ -168,8 +171,9 @@
                                  const HttpServerLimits& limits,
                                  const HttpServerHooks& hooks) {
   LogEvent(Event::kRequestUnreadable, {{"detail", error.message()}});
-  const bool cancelled = error == asio::error::operation_aborted;
-  if (IsDisconnect(error) && !cancelled) co_return;
+  const bool is_own_decision = error == asio::error::operation_aborted ||
+                               error == asio::error::no_memory;
+  if (IsDisconnect(error) && !is_own_decision) co_return;
   if (!hooks.make_error_response) co_return;
   HttpRequest placeholder;
   placeholder.version(11);
@@ -186,8 +190,7 @@
 bool ReadArrived(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   error_code error;
   stream.socket().non_blocking(true, error);
-  buffer.commit(
-      stream.socket().read_some(buffer.prepare(kReadBytes), error));
+  buffer.commit(stream.socket().read_some(buffer.prepare(kReadBytes), error));
   return buffer.size() > 0;
 }
 
@@ -243,11 +246,11 @@
 Awaitable<error_code> ReadRequest(
     beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::request_parser<http::string_body>& parser,
-    const HttpServerLimits& limits) {
+    const HttpServerLimits& limits, MemoryReservation& memory) {
   // The parser waits for a whole header, size line of a chunk or trailer, but
   // limits only the header.
-  buffer.max_size(
-      std::max(buffer.size(), limits.max_header_size.Count()) + kReadBytes);
+  buffer.max_size(std::max(buffer.size(), limits.max_header_size.Count()) +
+                  kReadBytes);
   parser.header_limit(
       static_cast<std::uint32_t>(limits.max_header_size.Count()));
   parser.body_limit(limits.max_body_size.Count());
@@ -263,9 +266,14 @@
     auto [failed, sent] = co_await http::async_write(stream, proceed, kAsTuple);
     if (failed) co_return failed;
   }
-  auto [body_error, body_size] =
-      co_await http::async_read(stream, buffer, parser, kAsTuple);
-  co_return body_error;
+  while (!parser.is_done()) {
+    auto [body_error, body_size] =
+        co_await http::async_read_some(stream, buffer, parser, kAsTuple);
+    if (body_error) co_return body_error;
+    if (!memory.Resize(parser.get().body().size() * kBodyCopies))
+      co_return make_error_code(asio::error::no_memory);
+  }
+  co_return error_code();
 }
 
 /// Closes a connection so that the peer receives all that was written. Without
@@ -337,10 +345,11 @@
     counted.emplace(hooks);
     // The configuration may have changed while the connection was idle.
     if (hooks.limits) limits = hooks.limits();
+    MemoryReservation memory(hooks.memory);
     http::request_parser<http::string_body> parser;
     if (hooks.reading) hooks.reading->Add(*stream);
     const error_code error =
-        co_await ReadRequest(*stream, buffer, parser, limits);
+        co_await ReadRequest(*stream, buffer, parser, limits, memory);
     if (hooks.reading) hooks.reading->Remove(*stream);
     if (error) {
       co_await RejectUnreadable(stream, error, limits, hooks);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "base/memory_budget.h"
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
 #include "transport/asio.h"
@@ -79,6 +80,8 @@
   /// Number of requests between their first byte and the end of the response,
   /// or the close that follows; may be null.
   std::shared_ptr<std::size_t> requests_in_progress;
+  /// Bounds the request bodies of all connections; may be null.
+  std::shared_ptr<MemoryBudget> memory;
 };
 
 /// Accepts connections until the acceptor is closed.
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -322,12 +322,13 @@
 
 
 class RawAnswer:
-    """Bytes that a backend sends as its answer before it closes or resets the connection.
-    `{id}` stands for the id of the request."""
+    """Bytes that a backend sends as its answer before it closes or resets the connection, or
+    `holds` it until it is left. `{id}` stands for the id of the request."""
 
-    def __init__(self, data, resets=False):
+    def __init__(self, data, resets=False, holds=False):
         self.data = data
         self.resets = resets
+        self.holds = holds
 
 
 class Backend:
@@ -359,7 +360,7 @@
     "repeat": sends the second event once more after the third,
     "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
     complete, ended inside an event, or reset at the end of one,
-    a RawAnswer: executes the request, sends these bytes and closes or resets.
+    a RawAnswer: executes the request, sends these bytes and closes, resets or waits.
 
     `answer_pause_s` is the time until an answer that is no stream.
     """
@@ -479,6 +480,8 @@
             self.send_raw(self.late_copy)
         if isinstance(fault, RawAnswer):
             self.send_raw(fault.data.replace(b"{id}", request.encode()))
+            if fault.holds:
+                self.wait_until_disconnected(request)
             if fault.resets:
                 time.sleep(0.01)  # until the bytes are read
                 reset_client(self)
--- a/tests/platform/memory_bound_test.py
+++ b/tests/platform/memory_bound_test.py
@@ -1,7 +1,11 @@
-"""Tests that what callers and the store send does not exhaust a gateway's memory."""
+"""Tests that what servers, callers, other instances and the store send does not exhaust a
+gateway's memory, also over all of its connections."""
 
+import http.client
 import json
 import socket
+import struct
+import threading
 import time
 import unittest
 
@@ -11,10 +15,21 @@
 from platform_test_case import PlatformTestCase
 
 MEMORY_MB = 64  # limit of the gateway
+SENDERS = 100
+PIECE_BYTES = 900_000  # below each bound of a single response, request or frame
 MAX_BODY_BYTES = 4 << 20
+HOLD_S = 1.5
 BLOCK = b"x" * 65536
 
 
+class HeldBody:
+    """A backend server's part of a body, after which it sends nothing until it is left."""
+
+    data = (b"HTTP/1.1 200 OK\r\nCowslipknot-Request-Id: {id}\r\n"
+            b"Cowslipknot-Server-Signature: sig\r\nContent-Length: 1000000\r\n\r\n"
+            + b"x" * PIECE_BYTES)
+
+
 class EndlessTable(fakes.Store):
     """Says of each page of rows that more follow, when `endless`."""
 
@@ -48,6 +63,26 @@
         self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
         self.assertEqual(gateway.call("/once/x", request_id="last")[0], 200)
 
+    @staticmethod
+    def run_all(target, count=SENDERS):
+        threads = [threading.Thread(target=target, args=(n,)) for n in range(count)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    # Guards against many responses, each within its bound, taking all memory of the process.
+    def test_bodies_of_many_responses_that_do_not_end_leave_memory(self):
+        gateway = self.start()
+        self.backend.pending_faults = [fakes.RawAnswer(HeldBody.data, holds=True)] * SENDERS
+        statuses = []
+
+        def call(number):
+            statuses.append(gateway.call("/once/x", request_id=f"r{number}")[0])
+        self.run_all(call)
+        self.assertEqual(set(statuses) - {502, 504}, set())
+        self.assert_bounded(gateway)
+
     # Guards against a caller's chunk header or trailer without end.
     def test_endless_framing_of_a_request_is_rejected(self):
         gateway = self.start()
@@ -62,6 +97,61 @@
                         caller.sendall(BLOCK)
             self.assert_bounded(gateway)
 
+    # Guards against many request bodies, each within its bound, taking all memory; callers
+    # that are turned away are told that their request did not run.
+    def test_bodies_of_many_requests_leave_memory(self):
+        gateway = self.start()
+        statuses = []
+
+        def call(number):
+            connection = gateway.connect()
+            connection.putrequest("POST", "/once/x", skip_host=True)
+            for name, value in {"Host": "h.example", "Authorization": "Token key1",
+                                "Cowslipknot-Request-Id": f"r{number}",
+                                "Content-Length": str(MAX_BODY_BYTES)}.items():
+                connection.putheader(name, value)
+            try:
+                connection.endheaders()
+                for _ in range(PIECE_BYTES * 4 // len(BLOCK)):
+                    connection.send(BLOCK)
+                time.sleep(HOLD_S)
+            except OSError:
+                pass  # the answer may be there
+            try:
+                answer = connection.getresponse()
+                statuses.append((answer.status, bool(answer.headers["Retry-After"])))
+            except (OSError, http.client.HTTPException):
+                pass
+            connection.close()
+        self.run_all(call, 40)
+        self.assertIn((503, True), statuses)
+        self.assertEqual([run for run in self.backend.runs
+                          if run["headers"]["Cowslipknot-Request-Id"] != "last"], [])
+        self.assert_bounded(gateway)
+
+    # Guards against other instances' frames, each within its bound, taking all memory.
+    def test_frames_that_do_not_end_leave_memory(self):
+        gateway = self.start()
+
+        def send(_):
+            with socket.create_connection(("127.0.0.1", gateway.peers_port)) as peer:
+                try:
+                    peer.sendall(struct.pack("<I", MAX_BODY_BYTES))
+                    for _ in range(PIECE_BYTES * 4 // len(BLOCK)):
+                        peer.sendall(BLOCK)
+                    time.sleep(HOLD_S)
+                except OSError:
+                    pass  # it was closed
+        self.run_all(send, 40)
+        self.assert_bounded(gateway)
+
+    # Guards against a peer that keeps memory by a frame that it does not finish.
+    def test_frame_that_is_not_finished_is_given_up(self):
+        gateway = self.start()
+        with socket.create_connection(("127.0.0.1", gateway.peers_port), timeout=15) as peer:
+            peer.sendall(struct.pack("<I", 1000) + b"x")
+            self.assertEqual(peer.recv(1), b"")
+
     # Guards against a store whose table never ends.
     def test_table_without_end_leaves_memory(self):
         self.store.server.stop()
