--- a/tests/unit/memory_budget_test.cc
+++ b/tests/unit/memory_budget_test.cc
@@ -2,8 +2,8 @@
 
 #include <rapidcheck.h>
 
+#include <array>
 #include <thread>
-#include <vector>
 
 #include "unit_test.h"
 
@@ -43,13 +43,13 @@
   rc::check([] {
     const auto budget = MakeBudget();
     {
-      std::vector<std::unique_ptr<MemoryReservation>> buffers;
-      for (int i = 0; i < 4; ++i)
-        buffers.push_back(std::make_unique<MemoryReservation>(budget));
+      std::array<MemoryReservation, 4> buffers = {
+          MemoryReservation(budget), MemoryReservation(budget),
+          MemoryReservation(budget), MemoryReservation(budget)};
       const auto steps = *rc::gen::inRange(0, 40);
       for (int step = 0; step < steps; ++step) {
         const auto buffer = *rc::gen::inRange<std::size_t>(0, buffers.size());
-        buffers[buffer]->Resize(
+        buffers.at(buffer).Resize(
             *rc::gen::inRange<std::uint64_t>(0, 2 * kLimit));
         RC_ASSERT(budget->Used().Count() <= kLimit);
       }
@@ -61,9 +61,9 @@
 Test(memory_budget, threads_do_not_exceed_the_limit_together) {
   MemoryBudget budget{ByteCount(1000)};
   std::atomic<int> taken{0};
-  std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
-    threads.emplace_back([&] {
+  std::array<std::thread, 4> threads;
+  for (auto& thread : threads) {
+    thread = std::thread([&] {
       for (int turn = 0; turn < 1000; ++turn) {
         if (budget.TryTake(1)) ++taken;
       }
