Log a stream that makes no progress once, not at each byte

Operators saw: with the change of a server that sends a byte now and then, where no other server may go on, gave a line stream_stalled for each of them: 7 in 3 s. Cause: whether the stall was logged was forgotten with each read. Found by reading the change again. Why this works: it is remembered until an event is complete. Before: test_stream_that_makes_no_progress_and_cannot_resume_is_logged_once 7 != 1. After: passed. Command: python3 -m unittest server_faults_test (in tests/platform)

--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -153,6 +153,7 @@
   EventSplitter m_events;
   MemoryReservation m_event_memory;  ///< of a partial event
   MemoryReservation m_body_memory;   ///< of responses
+  bool m_stall_logged = false;       ///< since the last complete event
   std::optional<HttpResponse> m_last_answer;
   bool m_reached_server = false;  ///< request bytes may have reached a server
   bool m_streaming = false;
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -103,7 +103,6 @@
 Awaitable<Result<std::string>> Call::ReadEvents(ResponseStream& stream,
                                                 const Backend& server,
                                                 const StreamGapMeter& meter) {
-  bool logged = false;
   while (true) {
     const Milliseconds until_stall =
         SilenceTimeout(*m_route) - meter.Gap(SteadyClock::now()).since_event;
@@ -118,7 +117,7 @@
         StallAction::kResume) {
       co_return piece;
     }
-    if (!std::exchange(logged, true)) LogStall(server, gap.since_event);
+    if (!std::exchange(m_stall_logged, true)) LogStall(server, gap.since_event);
   }
 }
 
@@ -157,6 +156,7 @@
     const std::string events = m_events.Feed(*chunk);
     const bool complete_event = m_events.FieldEventCount() > events_seen;
     if (complete_event) {
+      m_stall_logged = false;
       events_seen = m_events.FieldEventCount();
       m_worker.Evidence().OnEvents(
           m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -154,6 +154,13 @@
         self.assertLess(took_s, ROUTE_TIMEOUT_S + 0.25)
         self.assert_server_released()
 
+    # Guards against a log line for each byte of a stream that makes no progress.
+    def test_stream_that_makes_no_progress_and_cannot_resume_is_logged_once(self):
+        gateway = self.start("model", ["trickle"], count=1)
+        self.call_timed(gateway, "/stream/x", Cowslipknot_Token_Count="100,10")
+        stalls = [event for event in gateway.log_events() if event["name"] == "stream_stalled"]
+        self.assertEqual(len(stalls), 1)
+
     def test_late_copy_of_an_answer_does_not_reach_the_next_caller(self):
         gateway = self.start("plain", ["late_copy"], count=1)
         self.assertEqual(gateway.call("/safe/x", request_id="r1", body=b"one")[2],
