Close a rejected connection in time although its caller sends on

Callers saw: nothing yet. Cause: before it closes, a connection discards what still comes, for 150 ms. The timer of the stream does not end that loop: reads that complete at once cancel its wait each time. A caller that sends fast enough kept its connection, and the processor, for as long as it liked. A server's interim responses could pass by the timeout of a call in the same way. Evidence: on test_connection_is_closed_although_its_caller_sends_on (ten connections that send on) failed, one was not closed within 1 s. Ruled out: the bound on unparsed bytes; the rejection had been sent. Why this works: both loops look at the time themselves. The other loops that read have a limit on bytes (body_limit, the buffer, a frame's length). Command: python3 -m unittest memory_bound_test (in tests/platform)

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -131,7 +131,12 @@
           m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
       if (error) co_return error;
       const auto kind = http::to_status_class(m_parser->get().result());
-      if (kind == http::status_class::informational) continue;
+      if (kind == http::status_class::informational) {
+        // The timer of the stream does not end reads that complete at once.
+        if (std::chrono::steady_clock::now() >= deadline)
+          co_return make_error_code(beast::error::timeout);
+        continue;
+      }
       if (!options.is_own_response || options.is_own_response(Header()))
         co_return error;
       ++skipped;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -283,8 +283,10 @@
   error_code ignored;
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   std::array<char, 4096> discarded;
-  stream.expires_after(kLingerTimeout);
-  while (true) {
+  // The timer of the stream does not end reads that complete at once.
+  const SteadyTime deadline = std::chrono::steady_clock::now() + kLingerTimeout;
+  stream.expires_at(deadline);
+  while (std::chrono::steady_clock::now() < deadline) {
     auto [error, size] =
         co_await stream.async_read_some(asio::buffer(discarded), kAsTuple);
     if (error) co_return;
--- a/tests/platform/memory_bound_test.py
+++ b/tests/platform/memory_bound_test.py
@@ -19,6 +19,7 @@
 PIECE_BYTES = 900_000  # below each bound of a single response, request or frame
 MAX_BODY_BYTES = 4 << 20
 HOLD_S = 1.5
+CLOSED_S = 1.0
 BLOCK = b"x" * 65536
 
 
@@ -97,6 +98,18 @@
                         caller.sendall(BLOCK)
             self.assert_bounded(gateway)
 
+    # Guards against a caller that keeps a rejected connection open by sending on: what closes
+    # it waits for the caller for 150 ms.
+    def test_connection_is_closed_although_its_caller_sends_on(self):
+        gateway = self.start()
+        for _ in range(10):
+            with socket.create_connection(("127.0.0.1", gateway.port)) as caller:
+                caller.sendall(b"no request\r\n\r\n")
+                started = time.monotonic()
+                with self.assertRaises(OSError):
+                    while time.monotonic() < started + CLOSED_S:
+                        caller.sendall(BLOCK)
+
     # Guards against many request bodies, each within its bound, taking all memory; callers
     # that are turned away are told that their request did not run.
     def test_bodies_of_many_requests_leave_memory(self):
