Renew the lease with each report, and again after a failed write

Seen: one write of the lease holder that got no answer let its lease lapse: for about five seconds nobody reported usage, ordered capacity or advanced moves, and windows past due by then were dropped.

Cause: the holder reports once a second and acts for 2.5 s after a renewal, but a renewal was due only after 1.08 s (0.3 of the lease), so each second report renewed it, 2.04 s after the last. A write that timed out then (0.9 s) ended the hold; only a lost row was written again at once. Calls to the cloud that got no answer delayed the next report by another second.

Ruled out: a longer lease, which would leave the fleet without a holder for longer after a crash.

Why it works: a renewal is due after 0.9 s (0.25), so each report renews the lease and 1.5 s remain for another try. After the reading the holder renews if that is still due, not only if a restore lost its row, and comes back after 150 ms instead of 1 s while it is due. The lease of the moves (MoveController) is renewed after 750 ms instead of 900 ms by the same fraction.

Failed try: a test whose cloud gave no answer to orders; the fleet of the test never ordered capacity, so it showed nothing and was dropped.

--- a/include/cowslipknot/coordination/lease.h
+++ b/include/cowslipknot/coordination/lease.h
@@ -93,8 +93,6 @@
   /// Whether the holder should write the lease, also because a restore of the
   /// store lost its row.
   bool ShouldRenew(Time now) const;
-  /// Whether the holder's row was lost, so that it should write one at once.
-  bool HasLostRow(Time now) const { return MayAct(now) && !m_written_here; }
   /// Whether the last holder has released the lease.
   bool IsReleased() const { return HasCurrentRow() && m_row->holder.Empty(); }
   /// Whether the row names this instance as the holder, but comes from no
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -14,7 +14,7 @@
 /// without a change. The gap to kHolderFraction is the safety margin.
 constexpr double kTakeoverFactor = 1.3;
 /// The holder renews the lease after this fraction of its duration.
-constexpr double kRenewFraction = 0.3;
+constexpr double kRenewFraction = 0.25;
 
 LeaseView::Time After(LeaseView::Time start, Milliseconds duration,
                       double factor) {
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -13,8 +13,9 @@
 /// holder), so that one slow call to the store does not let it expire.
 constexpr int kLeaseNumerator = 6;
 constexpr int kLeaseDenominator = 5;
-/// Minimum lease duration: the holder renews with its reports, which are 1 s
-/// plus two store calls apart.
+/// Minimum lease duration: the holder renews with each of its reports, which
+/// are at least 1 s apart, and acts long enough for another try after a failed
+/// one.
 constexpr Milliseconds kMinLeaseDuration(3600);
 /// Minimum age of a process that takes a released lease. A younger process may
 /// be the successor of a recent holder, and holders must not alternate.
@@ -185,7 +186,7 @@
   return holder;
 }
 
-Awaitable<void> FleetCoordinator::RetakeLease() {
+Awaitable<void> FleetCoordinator::RenewLease() {
   const auto now = LeaseNow();
   const LeaseRow lease = m_lease.NextRow();
   StoreTransaction transaction;
@@ -278,8 +279,8 @@
   // response was lost.
   const auto read = co_await ReadTable();
   if (!read) co_return read;
-  // The lease could expire before the next report.
-  if (m_lease.HasLostRow(LeaseNow())) co_await RetakeLease();
+  // The report did not renew the lease: its write failed, or a restore lost it.
+  if (ShouldRenewLease()) co_await RenewLease();
   if (!m_clock.HasOffset()) co_await StoreClockOffset();
   co_return Result<void>();
 }
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -106,6 +106,8 @@
     return m_clock.OffsetFromBoot();
   }
   bool HoldsLease() const { return m_lease.MayAct(LeaseNow()); }
+  /// Whether the held lease is due to be renewed by the next report.
+  bool ShouldRenewLease() const { return m_lease.ShouldRenew(LeaseNow()); }
   /// The shared wall clock in milliseconds; nothing until it is known.
   std::optional<std::int64_t> SharedNowMs() const;
 
@@ -124,8 +126,8 @@
   enum class ReportCondition : std::uint8_t { kPosition, kNone };
   Awaitable<Result<void>> WriteReport(InstanceReport report,
                                       ReportCondition condition);
-  /// Writes the lease if this instance holds it and a restore lost its row.
-  Awaitable<void> RetakeLease();
+  /// Writes the lease that this instance holds, without a report.
+  Awaitable<void> RenewLease();
   /// Applies the rows of the moves. A decision that the store lost is kept.
   void ApplyMoveRows(const std::vector<StoreRow>& rows);
   Awaitable<Result<void>> ReadTable();
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kReportInterval(1500);
 /// The lease holder reports more often, since its reports renew the lease.
 constexpr Milliseconds kHolderReportInterval(1000);
+/// Delay if the lease is due again, after failed calls or slow calls to the
+/// cloud, so that it lasts beyond one call that times out.
+constexpr Milliseconds kRenewalRetryDelay(150);
 /// Interval during an undecided move, so that all instances know of a harmful
 /// version within three reports.
 constexpr Milliseconds kMoveReportInterval(1000);
@@ -242,6 +245,7 @@
 }
 
 Milliseconds ControlPlane::NextReportDelay() const {
+  if (m_coordinator.ShouldRenewLease()) return kRenewalRetryDelay;
   const bool relays = m_relay.HasFollowers(TimeSinceBoot());
   if (m_coordinator.IsMoving())
     return relays || m_following ? kRelayedMoveReportInterval
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -83,6 +83,15 @@
         self.send(status, json.dumps(value).encode(),
                   {"Content-Type": "application/json"})
 
+    def hold(self):
+        """Never answers the call; returns once the caller gives it up."""
+        self.connection.settimeout(10)
+        try:
+            self.connection.recv(1)
+        except OSError:
+            pass
+        self.close_connection = True
+
 
 MAX_TRANSACTION_ENTRIES = 100  # of the platform's store
 ENTRY_LISTS = ("expected", "set_keys", "remove")  # of a transaction
@@ -103,6 +112,7 @@
         self.delay_s = 0.0  # before each answer
         self.lose_answers = 0  # number of transactions to commit without an answer
         self.cut_reads = None  # turns the bytes of an answer to a read into those sent
+        self.lost_renewals = 0  # number of writes of the lease to lose, without an answer
         self.lease_contended = False  # another instance always writes the lease row first
         self.calls = []
         self.lease_holders = []  # in the order written; empty for a released lease
@@ -154,17 +164,26 @@
         self.rows[(table, key)] = {"value": value, "ver": self.version}
         self.changed.notify_all()
 
+    def _holds(self, conditions):
+        for row in conditions:
+            known = self.rows.get((row["table"], row["key"]))
+            present = known is not None and known["value"] is not None
+            if (known["ver"] if present else 0) != row["ver"]:
+                return False
+        return True
+
     def transact(self, change):
-        """Applies the change if all conditions hold; returns whether it was applied."""
+        """Applies the change if all conditions hold; returns whether it was applied, or None
+        if it is lost."""
         with self.changed:
             writes_lease = any(row["key"] == "lease" for row in change["expected"])
             if self.lease_contended and writes_lease:
                 self._set("cowslipknot", "lease", b"{}")
-            for row in change["expected"]:
-                known = self.rows.get((row["table"], row["key"]))
-                present = known is not None and known["value"] is not None
-                if (known["ver"] if present else 0) != row["ver"]:
-                    return False
+            if not self._holds(change["expected"]):
+                return False
+            if self.lost_renewals > 0 and writes_lease:
+                self.lost_renewals -= 1
+                return None
             self.version += 1
             for row in change["set_keys"]:
                 value = base64.b64decode(row["value"])
@@ -233,12 +252,7 @@
         time.sleep(self.server.owner.delay_s)
         if not self.server.owner.silent:
             return False
-        self.connection.settimeout(10)
-        try:
-            self.connection.recv(1)
-        except OSError:
-            pass
-        self.close_connection = True
+        self.hold()
         return True
 
     def do_GET(self):
@@ -274,6 +288,9 @@
             self.send(400)
             return
         applied = store.transact(change)
+        if applied is None:
+            self.hold()
+            return
         if applied and store.lose_answers > 0:
             store.lose_answers -= 1
             reset_client(self)
@@ -304,6 +321,7 @@
         self.usage = []
         self.scale = []
         self.down = False
+        self.silent = False  # calls are never answered
         self.server = Server(CloudHandler, self)
 
 
@@ -317,6 +335,9 @@
         if cloud.down:
             self.send(503)
             return
+        if cloud.silent:
+            self.hold()
+            return
         (cloud.usage if self.path == "/usage" else cloud.scale).append(call)
         self.send(200)
 
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -261,6 +261,19 @@
   cr_expect_lt(EpochAt(At(500, 1000000)).Count(), std::uint64_t(1) << 53);
 }
 
+// Guards against a lease that is renewed so late that one lost write lets it
+// expire.
+Test(lease, is_renewed_early_enough_for_another_try) {
+  // As the gateways use it; their holder reports every second.
+  constexpr Milliseconds kLeaseDuration(3600);
+  constexpr Milliseconds kReportInterval(1000);
+  LeaseView view(NodeId("a"), kLeaseDuration);
+  view.Observe(std::nullopt, At(0, 0), kStart);
+  view.RecordOwnWrite(view.NextRow(), At(0, 1), kStart);
+  cr_expect(view.ShouldRenew(kStart + kReportInterval));
+  cr_expect(view.MayAct(kStart + 2 * kReportInterval));
+}
+
 // Guards against a new epoch with each renewal, and one of another's write.
 Test(lease, a_renewal_keeps_the_epoch_of_its_acquisition) {
   LeaseView view = MakeHolder(At(3, 7), kStart);
