Let the clock of the fake store be positive whatever the machine's uptime

The test sets the store's clock back by 1000 s. The fake took the machine's uptime for the store's clock, so on a machine that had started less than 1000 s ago the clock was negative, and the gateway rightly rejected such answers as malformed (platform/row_response.cc accepts 0 and more; the protocol's steady clock counts from a start).

The test asks the same.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -94,6 +94,7 @@
 
 
 MAX_TRANSACTION_ENTRIES = 100  # of the platform's store
+STORE_UPTIME_MS = 100_000_000  # when the machine of the test starts
 ENTRY_LISTS = ("expected", "set_keys", "remove")  # of a transaction
 
 
@@ -199,7 +200,8 @@
 
     def render(self, rows):
         return {"rows": rows, "truncated": False, "ver": self.version,
-                "now_ms": int(time.monotonic() * 1000) + self.clock_shift_ms}
+                "now_ms": STORE_UPTIME_MS + int(time.monotonic() * 1000)
+                + self.clock_shift_ms}
 
     def read(self, table):
         with self.changed:
