Keep message signals from ending a server process

Operators saw processes end by signal 1, 10, 13 or 15 in place of serving or of an orderly stop; each end took the requests in progress with it. `serve` was ended by every SIGHUP.

Cause: the dispositions were the default ones until asio::signal_set was built, after the settings were read, and for all other signals for good. The parent's mask and ignored signals were inherited. Now: .preinit_array of the executable, which runs before the constructors of all libraries, blocks the message signals; they stay pending, threads inherit the mask, and the control loop reads them from a signalfd. Those without a meaning are logged (signal_ignored). SIGPIPE and SIGXFSZ are ignored in servers, so that the write reports the error. Other commands get their mask back. `draining` (gateway) and `stopped` say why. Tests: tests/platform/process_ends_test.py. Command: cd tests/platform && python3 -m unittest process_ends_test

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -18,6 +18,7 @@
   kStopped = 103,
   kSettingsRejected = 104,
   kSettingsReloaded = 105,
+  kSignalIgnored = 120,
   kRevisionInForce = 200,
   kRevisionIgnored = 201,
   kRevisionPublished = 202,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -25,6 +25,8 @@
      "the settings are invalid"},
     {Event::kSettingsReloaded, "info", "settings_reloaded",
      "the settings file was reloaded"},
+    {Event::kSignalIgnored, "info", "signal_ignored",
+     "a signal without a meaning for the instance was received"},
     {Event::kRevisionInForce, "info", "revision_in_force",
      "a configuration revision took effect on this instance"},
     {Event::kRevisionIgnored, "warn", "revision_ignored",
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -43,7 +43,7 @@
     std::cout << options.config << ": ok\n";
     return kExitOk;
   }
-  return Serve(*settings);
+  return Serve(*settings, options.config);
 }
 
 /// Reads and validates the object file that the command names. On failure,
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -1,16 +1,14 @@
 #include "serve/gateway.h"
 
-#include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 #include "cowslipknot/events.h"
 #include "serve/error_response.h"
 #include "serve/gateway_control_plane.h"
 #include "serve/request_admission.h"
+#include "serve/signal_loop.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot::gateway {
@@ -47,8 +45,7 @@
         m_path(std::move(path)),
         m_adapter(make_adapter(m_context.get_executor(), settings)),
         m_worker(settings, *m_adapter),
-        m_control(settings, *m_adapter, m_worker, m_context),
-        m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
+        m_control(settings, *m_adapter, m_worker, m_context) {}
 
   Result<void> OpenListeners() {
     auto callers = Listen(m_worker.Context(), m_settings.callers);
@@ -72,7 +69,7 @@
   int Run() {
     StartListeners();
     m_control.Start();
-    asio::co_spawn(m_context, HandleSignals(), asio::detached);
+    asio::co_spawn(m_context, HandleSignals(MakeSignalHooks()), asio::detached);
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
     std::thread traffic_thread([this] {
@@ -82,7 +79,7 @@
     m_context.run();
     m_worker.Context().stop();
     traffic_thread.join();
-    LogEvent(Event::kStopped);
+    LogEvent(Event::kStopped, {{"reason", m_stop_reason}});
     return 0;
   }
 
@@ -159,39 +156,26 @@
     co_await exchange.Respond(std::move(response));
   }
 
-  Awaitable<void> HandleSignals() {
-    while (!m_stopping) {
-      auto [error, signal] = co_await m_signals.async_wait(kAsTuple);
-      if (error) co_return;
-      if (signal == SIGHUP) {
-        ValidateSettingsFile();
-      } else {
-        m_stopping = true;
-        asio::co_spawn(m_context, Stop(), asio::detached);
-      }
-    }
-  }
-
-  /// Validates the settings file again and logs the result. Addresses are fixed
-  /// for the lifetime of the process, so a valid file takes effect only at the
-  /// next start.
-  void ValidateSettingsFile() {
-    std::ifstream file(m_path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    const auto settings = ParseSettings(text.str(), m_path);
-    if (settings) {
-      LogEvent(Event::kSettingsReloaded, {{"file", m_path}});
-      return;
-    }
-    for (const auto& problem : settings.error()) {
-      LogEvent(Event::kSettingsRejected, {{"detail", FormatProblem(problem)}});
-    }
+  SignalHooks MakeSignalHooks() {
+    SignalHooks hooks;
+    hooks.reload = [this] {
+      ValidateSettingsFile(m_path, [this](const std::string& text) {
+        const auto settings = ParseSettings(text, m_path);
+        return settings ? std::vector<ObjectProblem>() : settings.error();
+      });
+    };
+    hooks.stop = [this](const std::string& signal) {
+      if (m_stopping.exchange(true)) return false;
+      m_stop_reason = signal;
+      asio::co_spawn(m_context, Stop(), asio::detached);
+      return true;
+    };
+    return hooks;
   }
 
   Awaitable<void> Stop() {
     const auto started = SteadyClock::now();
-    LogEvent(Event::kDraining);
+    LogEvent(Event::kDraining, {{"reason", m_stop_reason}});
     const Milliseconds drain_timeout =
         m_settings.stop_timeout - kFinalReportReserve;
     asio::post(m_worker.Context(), [this, end = started + drain_timeout] {
@@ -240,11 +224,11 @@
   std::shared_ptr<const PlatformAdapter> m_adapter;
   Worker m_worker;
   ControlPlane m_control;
-  asio::signal_set m_signals;
   std::shared_ptr<tcp::acceptor> m_caller_acceptor;
   std::shared_ptr<tcp::acceptor> m_readiness_acceptor;
   std::shared_ptr<tcp::acceptor> m_metrics_acceptor;
   std::shared_ptr<tcp::acceptor> m_peer_acceptor;
+  std::string m_stop_reason;
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_closing_idle{false};  ///< Stop() closes idle connections
   bool m_logged_ready = false;
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -1,6 +1,5 @@
 #include "serve/serve.h"
 
-#include <csignal>
 #include <iostream>
 #include <thread>
 
@@ -8,6 +7,7 @@
 #include "serve/caller_session.h"
 #include "serve/control.h"
 #include "serve/operator_api.h"
+#include "serve/signal_loop.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot {
@@ -20,11 +20,11 @@
 /// One running instance: its threads and listeners, and their shutdown.
 class Instance {
  public:
-  explicit Instance(const Settings& settings)
+  Instance(const Settings& settings, std::string path)
       : m_settings(settings),
+        m_path(std::move(path)),
         m_control(settings, m_workers),
-        m_operator_api(m_control, [this] { BeginDrain(); }),
-        m_signals(m_control.Context(), SIGTERM, SIGINT) {
+        m_operator_api(m_control, [this] { BeginDrain("drain command"); }) {
     for (std::size_t i = 0; i < settings.traffic_threads; ++i) {
       m_workers.push_back(
           std::make_unique<Worker>(settings, i, m_control.Hooks()));
@@ -32,7 +32,7 @@
     m_caller_context.workers = &m_workers;
     m_caller_context.draining = [this] { return m_draining.load(); };
     m_caller_context.reclaim_announced = [this] { return m_draining.load(); };
-    m_control.SetReclaimHandler([this] { BeginDrain(); });
+    m_control.SetReclaimHandler([this] { BeginDrain("announced reclaim"); });
   }
 
   Result<void> OpenListeners() {
@@ -63,7 +63,7 @@
     m_control.Context().run();
     for (const auto& worker : m_workers) worker->Context().stop();
     for (auto& thread : threads) thread.join();
-    LogEvent(Event::kStopped);
+    LogEvent(Event::kStopped, {{"reason", m_stop_reason}});
     return 0;
   }
 
@@ -99,9 +99,8 @@
     asio::co_spawn(m_control.Context(), ServeHttp(m_operators, limits, hooks),
                    asio::detached);
     m_control.Start(m_peers);
-    m_signals.async_wait([this](error_code error, int) {
-      if (!error) BeginDrain();
-    });
+    asio::co_spawn(m_control.Context(), HandleSignals(MakeSignalHooks()),
+                   asio::detached);
     asio::co_spawn(m_control.Context(), LogWhenReady(), asio::detached);
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
@@ -113,10 +112,26 @@
     LogEvent(Event::kReady);
   }
 
-  /// Call on the control thread. Further calls have no effect.
-  void BeginDrain() {
-    if (m_draining.exchange(true)) return;
+  SignalHooks MakeSignalHooks() {
+    SignalHooks hooks;
+    hooks.reload = [this] {
+      ValidateSettingsFile(m_path, [this](const std::string& text) {
+        const auto settings = ParseSettings(text, m_path);
+        return settings ? std::vector<ObjectProblem>() : settings.error();
+      });
+    };
+    hooks.stop = [this](const std::string& signal) {
+      return BeginDrain(signal);
+    };
+    return hooks;
+  }
+
+  /// Call on the control thread. Further calls have no effect and return false.
+  bool BeginDrain(const std::string& reason) {
+    if (m_draining.exchange(true)) return false;
+    m_stop_reason = reason;
     asio::co_spawn(m_control.Context(), Drain(), asio::detached);
+    return true;
   }
 
   Awaitable<void> Drain() {
@@ -169,23 +184,24 @@
   }
 
   const Settings& m_settings;
+  std::string m_path;
   Workers m_workers;
   Control m_control;
   OperatorApi m_operator_api;
-  asio::signal_set m_signals;
   CallerContext m_caller_context;
   std::vector<std::shared_ptr<tcp::acceptor>> m_caller_acceptors;
   std::shared_ptr<tcp::acceptor> m_operators;
   std::shared_ptr<tcp::acceptor> m_peers;
+  std::string m_stop_reason;
   std::atomic<bool> m_draining{false};
   std::atomic<bool> m_closing_idle{false};  ///< Drain() closes idle connections
 };
 
 }  // namespace
 
-int Serve(const Settings& settings) {
+int Serve(const Settings& settings, const std::string& path) {
   StartLog(settings.node.Text());
-  Instance instance(settings);
+  Instance instance(settings, path);
   const auto opened = instance.OpenListeners();
   if (!opened) {
     std::cerr << opened.error().detail << "\n";
--- /dev/null
+++ b/tests/platform/process_ends_test.py
@@ -0,0 +1,159 @@
+"""Tests that nothing outside a server process ends it but a wanted stop."""
+
+import os
+import resource
+import signal
+import time
+import unittest
+
+from server_process import ServerProcess
+
+MESSAGES = [signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM,
+            signal.SIGPROF, signal.SIGIO, signal.SIGPWR, signal.SIGSTKFLT,
+            signal.SIGXCPU, signal.SIGRTMIN, signal.SIGRTMAX]
+
+
+def block_all_signals():
+    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+
+
+def ignore_stop_and_reload():
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
+class ServerCase(unittest.TestCase):
+    """Runs each test with both server commands."""
+
+    def for_each_server(self, check):
+        for command in ("gateway", "serve"):
+            with self.subTest(command=command):
+                server = ServerProcess(command)
+                try:
+                    check(server)
+                finally:
+                    server.close()
+
+    def assert_stopped(self, server, reason):
+        self.assertEqual(server.child.wait(timeout=15), 0, server.log_path.read_text())
+        last = server.events()[-1]
+        self.assertEqual(last["name"], "stopped", last)
+        self.assertTrue(last["reason"].startswith(reason), last)
+
+
+class SignalTest(ServerCase):
+    # Guards against a process that SIGHUP or SIGUSR1 ends while it starts.
+    def test_signals_sent_during_the_start_are_handled_after_it(self):
+        def check(server):
+            server.start(preexec_fn=block_all_signals)
+            server.send(signal.SIGHUP, signal.SIGUSR1, signal.SIGALRM)
+            server.wait_for("settings_reloaded")
+            server.wait_until(lambda: len(server.events("signal_ignored")) == 2)
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+    # Guards against a process that is ended by signal 15 in place of an orderly stop.
+    def test_a_stop_signal_at_any_moment_of_the_start_ends_with_code_0(self):
+        for delay_ms in (0, 1, 2, 3, 5, 8, 12, 20, 35, 60):
+            def check(server, delay_ms=delay_ms):
+                server.start(preexec_fn=block_all_signals)
+                time.sleep(delay_ms / 1000)
+                server.send(signal.SIGTERM)
+                self.assert_stopped(server, "SIGTERM from process")
+            self.for_each_server(check)
+
+    # Guards against a gap between the first code of the process and its handlers.
+    def test_signals_are_handled_from_the_first_code_of_the_process_on(self):
+        def check(server):
+            server.start()
+            server.wait_until(lambda: server.blocks(signal.SIGHUP))
+            server.send(signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)
+            self.assert_stopped(server, "SIGTERM")
+        self.for_each_server(check)
+
+    # Guards against signals that nobody waits for, but whose default action ends a process.
+    def test_signals_without_a_meaning_are_logged_only(self):
+        def check(server):
+            server.start()
+            server.wait_for("started")
+            server.send(*MESSAGES, signal.SIGPIPE, signal.SIGXFSZ)
+            server.wait_until(lambda: len(server.events("signal_ignored")) == len(MESSAGES))
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+    # Guards against a reload in series that ends the process or keeps it from stopping.
+    def test_reloads_in_series_and_a_second_stop_signal_do_not_disturb_a_stop(self):
+        def check(server):
+            server.start()
+            server.wait_for("started")
+            for _ in range(50):
+                server.send(signal.SIGHUP)
+                time.sleep(0.002)
+            server.wait_for("settings_reloaded")
+            server.send(signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+            server.wait_for("draining")
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
+                server.send(number)
+            self.assert_stopped(server, "SIGTERM")
+        self.for_each_server(check)
+
+    # Guards against a stop that a parent process such as nohup has switched off.
+    def test_signals_that_the_parent_ignored_are_handled(self):
+        def check(server):
+            server.start(preexec_fn=ignore_stop_and_reload)
+            server.wait_for("started")
+            server.send(signal.SIGHUP)
+            server.wait_for("settings_reloaded")
+            server.send(signal.SIGINT)
+            self.assert_stopped(server, "SIGINT")
+        self.for_each_server(check)
+
+    # Guards against a reload of a broken file that ends the process.
+    def test_a_reload_of_an_invalid_file_is_logged(self):
+        def check(server):
+            server.start()
+            server.wait_for("started")
+            server.settings.write_text("[node", encoding="utf-8")
+            server.send(signal.SIGHUP)
+            server.wait_for("settings_rejected")
+            server.settings.unlink()
+            server.send(signal.SIGHUP)
+            server.wait_until(lambda: "not a regular file" in
+                       server.events("settings_rejected")[-1]["detail"])
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+
+class LogTest(ServerCase):
+    # Guards against a process that SIGPIPE ends because its log's reader has gone.
+    def test_a_log_reader_that_closes_does_not_end_the_process(self):
+        def check(server):
+            reader, writer = os.pipe()
+            server.start(stdout=writer, stderr=writer)
+            os.close(writer)
+            os.read(reader, 1)
+            os.close(reader)
+            for _ in range(3):
+                server.send(signal.SIGHUP)
+                time.sleep(0.05)
+            server.wait_until(lambda: server.readiness() == 503)
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+    # Guards against a process that SIGXFSZ ends at the size limit of its log file.
+    def test_a_log_at_its_size_limit_does_not_end_the_process(self):
+        def limit_file_size():
+            resource.setrlimit(resource.RLIMIT_FSIZE, (300, 300))
+
+        def check(server):
+            server.start(preexec_fn=limit_file_size)
+            server.wait_until(lambda: server.readiness() == 503)
+            server.send(signal.SIGUSR1)
+            time.sleep(0.05)
+            server.wait_until(lambda: server.readiness() == 503)
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
