Keep the soak's valid settings from the start of an instance

Cause: of two overlapping `bad_settings` of one instance, the second read the first one's invalid file, took it for the valid one and wrote it back last. Evidence: the unit test overlaps two of them; the file held the invalid text before, and holds the valid one now.

--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -76,6 +76,7 @@
         self.gateway = Gateway(environment.store, environment.cloud, name=name, bounds=BOUNDS,
                                port=environment.caller_ports[name],
                                store_address=environment.links[f"store-{name}"])
+        self.valid_settings = self.gateway.settings.read_text(encoding="utf-8")
         self.forwarded_address = environment.links[f"callers-{name}"]
         self.boot = 0
         self.expected_exit = False
@@ -262,11 +263,10 @@
             instance.send_signal(signal.SIGHUP)
         elif kind == "bad_settings":
             path = instance.gateway.settings
-            text = path.read_text(encoding="utf-8")
             path.write_text("[node]\nname = 7\n", encoding="utf-8")
             instance.send_signal(signal.SIGHUP)
             time.sleep(0.3)
-            path.write_text(text, encoding="utf-8")
+            path.write_text(instance.valid_settings, encoding="utf-8")
             instance.send_signal(signal.SIGHUP)
         else:
             side, mode = kind.split("_", 1)
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -3,7 +3,10 @@
 import pathlib
 import random
 import sys
+import tempfile
 import threading
+import time
+import types
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
@@ -211,6 +214,22 @@
         self.assertIsNotNone(failing.forwarder.returncode)
 
 
+class FaultsTest(unittest.TestCase):
+    # Guards against an overlapping fault that takes the invalid settings for the valid ones.
+    def test_overlapping_bad_settings_leave_the_valid_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text("valid", encoding="utf-8")
+            instance = types.SimpleNamespace(
+                gateway=types.SimpleNamespace(settings=path), valid_settings="valid",
+                send_signal=lambda number: None)
+            soak_environment = environment.SoakEnvironment(instance_count=1)
+            soak_environment.instances["gw0"] = instance
+            faults = [schedule.Fault(at_s, "bad_settings", "gw0", 1.0) for at_s in (0.0, 0.1)]
+            soak.inject_faults(soak_environment, faults, [], time.monotonic())
+            self.assertEqual(path.read_text(encoding="utf-8"), "valid")
+
+
 class ScheduleTest(unittest.TestCase):
     def test_seed_determines_faults_which_end_in_time(self):
         def draw(seed):
