Open /dev/null as a standard descriptor that is missing

A process started without descriptor 1 or 2 wrote its log lines into an event counter or an epoll set, which had taken the number; it could as well have been a caller's connection. The numbers are now filled before any other code runs. Command: cd tests/platform && python3 -m unittest process_ends_test.LogTest

--- a/src/main.cc
+++ b/src/main.cc
@@ -1,4 +1,5 @@
 #include "base/process_signals.h"
+#include "base/standard_descriptors.h"
 #include "cli/commands.h"
 #include "cli/options.h"
 #include "platform/client.h"
@@ -6,10 +7,13 @@
 namespace cowslipknot {
 namespace {
 
-void PrepareProcess() { BlockMessageSignals(); }
+void PrepareProcess() {
+  BlockMessageSignals();
+  OpenMissingStandardDescriptors();
+}
 
-/// Runs before the constructors of all libraries: a signal that arrives while
-/// they run stays pending.
+/// Runs before the constructors of all libraries, so that a signal that arrives
+/// while they run stays pending, and none of them opens a standard descriptor.
 __attribute__((section(".preinit_array"),
                used)) void (*const kPrepareProcess)() = PrepareProcess;
 
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -154,6 +154,22 @@
             self.assertEqual(server.stop(), 0)
         self.for_each_server(check)
 
+    # Guards against a socket or an epoll set as standard output, which log lines are
+    # written into.
+    def test_closed_standard_descriptors_are_opened(self):
+        for closed in ((0,), (1,), (2,), (1, 2), (0, 1, 2)):
+            def close_descriptors(closed=closed):
+                for number in closed:
+                    os.close(number)
+
+            def check(server, closed=closed, close_descriptors=close_descriptors):
+                server.start(preexec_fn=close_descriptors)
+                server.wait_until(lambda: server.readiness() == 503)
+                for number in closed:
+                    self.assertEqual(server.descriptor(number), "/dev/null")
+                self.assertEqual(server.stop(), 0)
+            self.for_each_server(check)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/server_process.py
+++ b/tests/platform/server_process.py
@@ -101,18 +101,26 @@
             return value
         return eventually(checked)
 
-    def readiness(self):
-        """The status of the readiness check, or None without an answer."""
-        port, path = READINESS[self.command]
+    def request(self, method, path, port="callers"):
+        """Sends a request; returns the status, or None without an answer."""
         connection = http.client.HTTPConnection("127.0.0.1", self.ports[port], timeout=3)
         try:
-            connection.request("GET", path)
+            connection.request(method, path)
             return connection.getresponse().status
         except OSError:
             return None
         finally:
             connection.close()
 
+    def readiness(self):
+        """The status of the readiness check, or None without an answer."""
+        port, path = READINESS[self.command]
+        return self.request("GET", path, port)
+
+    def descriptor(self, number):
+        """What a descriptor of the process refers to."""
+        return os.readlink(f"/proc/{self.child.pid}/fd/{number}")
+
     def blocks(self, number):
         """Whether the process has blocked a signal."""
         status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii")
