Never wait for the reader of a log or trace, and keep cut lines apart

With a terminal as log that nobody reads (also one stopped by ^S), the process stopped answering: the terminal polled as writable, and the write waited for room for the rest of the line, on the control or traffic thread. The trace of `serve` was written by std::cout << std::endl on the control thread, which then waited for the pipe's reader; reload and stop did not run. After a full disk, the begin of a cut line was joined to the next line, so that neither was valid JSON. Lines over 4,096 bytes lost their newline. Pipes and terminals are now opened again without blocking (their own mode is shared with other processes), sockets get MSG_DONTWAIT, the rest of a line is written before the next one, fields are cut at 1,024 bytes, and dropped trace lines are counted like log lines. Not covered: a write to a file on a disk that hangs. Command: cd tests/platform && python3 -m unittest process_ends_test.LogTest

--- a/src/base/bounded_appender.h
+++ b/src/base/bounded_appender.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/line_rate_limiter.h"
+#include "base/line_writer.h"
 
 namespace cowslipknot {
 
@@ -24,9 +25,7 @@
   void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
  private:
-  bool Write(const std::string& line) const;
-
-  int m_descriptor;
+  LineWriter m_writer;
   std::string (*m_format_dropped)(std::uint64_t);
   LineRateLimiter m_limiter;
   std::uint64_t m_dropped = 0;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -16,6 +16,8 @@
 namespace cowslipknot {
 namespace {
 
+constexpr std::size_t kMaxFieldBytes = 1024;
+
 constexpr auto kEvents = std::to_array<EventRow>({
     {Event::kStarted, "info", "started", "the instance started"},
     {Event::kReady, "info", "ready", "the instance accepts requests"},
@@ -173,6 +175,17 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+/// Cuts a long text between characters, so that a line stays valid JSON and
+/// within what a pipe accepts at once.
+std::string_view Shorten(std::string_view text) {
+  if (text.size() <= kMaxFieldBytes) return text;
+  std::size_t end = kMaxFieldBytes;
+  while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80) {
+    --end;
+  }
+  return text.substr(0, end);
+}
+
 std::string FormatEvent(Event event, std::initializer_list<EventField> fields) {
   const EventRow& row = Describe(event);
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -183,7 +196,7 @@
   line["event"] = static_cast<std::uint16_t>(event);
   line["name"] = row.name;
   line["node"] = NodeName();
-  for (const auto& [key, value] : fields) line[key] = value;
+  for (const auto& [key, value] : fields) line[key] = Shorten(value);
   return boost::json::serialize(line);
 }
 
--- a/src/base/trace.cc
+++ b/src/base/trace.cc
@@ -3,6 +3,10 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
+#include <memory>
+
+#include "base/line_writer.h"
+#include "cowslipknot/events.h"
 
 namespace cowslipknot {
 namespace {
@@ -93,4 +97,22 @@
   m_sink = nullptr;
 }
 
+SpanSink MakeTraceSink(int descriptor) {
+  struct State {
+    LineWriter writer;
+    std::uint64_t dropped = 0;
+  };
+  const auto state = std::make_shared<State>(State{LineWriter(descriptor)});
+  return [state](const std::string& line) {
+    if (!state->writer.Write(line)) {
+      ++state->dropped;
+      return;
+    }
+    if (state->dropped == 0) return;
+    LogEvent(Event::kLinesDropped,
+             {{"lines", std::to_string(state->dropped)}, {"of", "trace"}});
+    state->dropped = 0;
+  };
+}
+
 }  // namespace cowslipknot
--- a/src/base/trace.h
+++ b/src/base/trace.h
@@ -25,6 +25,11 @@
 /// Receives each finished span as one line of OTLP/JSON.
 using SpanSink = std::function<void(std::string)>;
 
+/// Returns a sink that writes to a descriptor without blocking. Lines that its
+/// reader does not take are dropped, and their number is logged with the next
+/// one that is written. The sink may be used by one thread.
+SpanSink MakeTraceSink(int descriptor);
+
 /// One span of a trace. Sent to the sink when it ends or is destroyed.
 class Span {
  public:
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -1,9 +1,10 @@
 #include "serve/control.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
-#include <iostream>
 
 #include "cowslipknot/events.h"
 
@@ -97,9 +98,9 @@
     return m_backups->Locate(std::move(id));
   };
   if (!m_settings.trace) return;
-  m_hooks.trace = [executor](std::string line) {
-    asio::post(executor,
-               [line = std::move(line)] { std::cout << line << std::endl; });
+  m_hooks.trace = [executor,
+                   write = MakeTraceSink(STDOUT_FILENO)](std::string line) {
+    asio::post(executor, [write, line = std::move(line)] { write(line); });
   };
 }
 
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -1,6 +1,9 @@
 """Tests that nothing outside a server process ends it but a wanted stop."""
 
+import fcntl
+import json
 import os
+import pty
 import resource
 import signal
 import time
@@ -170,6 +173,76 @@
                 self.assertEqual(server.stop(), 0)
             self.for_each_server(check)
 
+    # Guards against a process that waits for the reader of its log: a terminal accepts a
+    # part of a line when it has little room left.
+    def test_a_terminal_that_nobody_reads_does_not_block_the_process(self):
+        def check(server):
+            reader, writer = pty.openpty()
+            self.addCleanup(os.close, reader)
+            server.start(stdout=writer, stderr=writer, start_new_session=True)
+            os.close(writer)
+            server.wait_until(lambda: server.readiness() == 503)
+            for _ in range(300):  # fills the terminal's buffer
+                server.send(signal.SIGHUP)
+                time.sleep(0.001)
+            self.assertEqual(server.readiness(), 503)
+            os.set_blocking(reader, False)
+            output = bytearray()
+
+            def names():
+                try:
+                    output.extend(os.read(reader, 65536))
+                except BlockingIOError:
+                    pass
+                server.send(signal.SIGHUP)
+                return [json.loads(line)["name"] for line in output.split(b"\n")[:-1]]
+            server.wait_until(lambda: "lines_dropped" in names())
+            self.assertEqual(server.stop(), 0)
+        self.for_each_server(check)
+
+    # Guards against a log line that is joined to the begin of another one, which a full
+    # disk cut off.
+    def test_a_line_that_was_written_in_part_is_completed(self):
+        def limit_file_size():
+            resource.setrlimit(resource.RLIMIT_FSIZE, (150, resource.RLIM_INFINITY))
+
+        def check(server):
+            server.start(preexec_fn=limit_file_size)
+            server.wait_until(lambda: server.readiness() == 503)
+            for _ in range(3):
+                server.send(signal.SIGHUP)
+                time.sleep(0.05)
+            self.assertEqual(server.log_path.stat().st_size, 150)
+            resource.prlimit(server.child.pid, resource.RLIMIT_FSIZE,
+                             (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+            server.send(signal.SIGHUP)
+            self.assertGreater(int(server.wait_for("lines_dropped")["lines"]), 0)
+            self.assertEqual(server.stop(), 0)
+            for line in server.log_path.read_bytes().splitlines():
+                json.loads(line)
+        self.for_each_server(check)
+
+    # Guards against a control thread that waits for the reader of the trace.
+    def test_a_trace_that_nobody_reads_does_not_block_the_process(self):
+        server = ServerProcess("serve")
+        self.addCleanup(server.close)
+        server.settings.write_text(server.settings_text + "[trace]\nstdout = true\n",
+                                   encoding="utf-8")
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        server.start(stdout=writer)
+        os.close(writer)
+        server.wait_until(lambda: server.readiness() == 503)
+        for _ in range(40):
+            server.request("POST", "/v1/none")
+        server.send(signal.SIGHUP)  # answered by the control thread
+        server.wait_for("settings_reloaded")
+        os.read(reader, 65536)
+        server.request("POST", "/v1/none")
+        self.assertEqual(server.wait_for("lines_dropped")["of"], "trace")
+        os.close(reader)
+        self.assertEqual(server.stop(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
