Wait for an address that is in use or not there yet

Operators saw processes that did not start: with a predecessor still closing, another program on the port or an address that comes up late, the process ended with exit code 3 at once and without a log line; a supervisor then restarts it in a loop with growing delays. Also, the callers' listener was opened first, so that callers could connect to a process that then ended for want of another address. Now EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS and ENOMEM are retried every 200 ms without end (start_waiting at once and every 10 s), with all listeners closed in between and the callers' one opened last; a stop signal ends the wait with exit code 0. Other errors end with 3 and start_failed. New result code 4010. Command: cd tests/platform && python3 -m unittest process_ends_test.StartTest

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -19,6 +19,8 @@
   kSettingsRejected = 104,
   kSettingsReloaded = 105,
   kSignalIgnored = 120,
+  kStartWaiting = 121,
+  kStartFailed = 122,
   kRevisionInForce = 200,
   kRevisionIgnored = 201,
   kRevisionPublished = 202,
--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -45,6 +45,7 @@
   kNotInForce = 4007,
   kMoveDecided = 4008,
   kHistoryLost = 4009,
+  kAddressUnavailable = 4010,
   kPeerUnreachable = 5001,
   kBadFrame = 5002,
   kFrameTooLarge = 5003,
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -71,6 +71,8 @@
      "the move has already completed or been rolled back"},
     {ResultCode::kHistoryLost, "history_lost", 410,
      "the store no longer has the requested changes"},
+    {ResultCode::kAddressUnavailable, "address_unavailable", 503,
+     "an address to listen on is not available at present"},
     {ResultCode::kPeerUnreachable, "peer_unreachable", 504,
      "the peer did not respond"},
     {ResultCode::kBadFrame, "bad_frame", 400, "a frame failed verification"},
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -8,13 +8,13 @@
 #include "serve/error_response.h"
 #include "serve/gateway_control_plane.h"
 #include "serve/request_admission.h"
+#include "serve/server_start.h"
 #include "serve/signal_loop.h"
 #include "transport/endpoint.h"
 
 namespace cowslipknot::gateway {
 namespace {
 
-constexpr int kExitListenFailed = 3;
 /// Time after SIGTERM for the load balancer to see the failing readiness check
 /// and stop opening connections.
 constexpr Milliseconds kLoadBalancerDrainDelay(2600);
@@ -48,9 +48,6 @@
         m_control(settings, *m_adapter, m_worker, m_context) {}
 
   Result<void> OpenListeners() {
-    auto callers = Listen(m_worker.Context(), m_settings.callers);
-    if (!callers) return tl::make_unexpected(callers.error());
-    m_caller_acceptor = std::make_shared<tcp::acceptor>(std::move(*callers));
     auto readiness = Listen(m_context, m_settings.readiness);
     if (!readiness) return tl::make_unexpected(readiness.error());
     m_readiness_acceptor =
@@ -63,9 +60,20 @@
       if (!peers) return tl::make_unexpected(peers.error());
       m_peer_acceptor = std::make_shared<tcp::acceptor>(std::move(*peers));
     }
+    // The last one: no caller connects while another listener cannot open.
+    auto callers = Listen(m_worker.Context(), m_settings.callers);
+    if (!callers) return tl::make_unexpected(callers.error());
+    m_caller_acceptor = std::make_shared<tcp::acceptor>(std::move(*callers));
     return {};
   }
 
+  /// Closes those that OpenListeners() opened before it failed.
+  void CloseListeners() {
+    m_readiness_acceptor.reset();
+    m_metrics_acceptor.reset();
+    m_peer_acceptor.reset();
+  }
+
   int Run() {
     StartListeners();
     m_control.Start();
@@ -240,11 +248,10 @@
           const PlatformAdapterFactory& make_adapter) {
   StartLog(settings.node.Text(), LogTarget::kStandardOutput);
   Instance instance(settings, path, make_adapter);
-  const auto opened = instance.OpenListeners();
-  if (!opened) {
-    std::cerr << opened.error().detail << "\n";
-    return kExitListenFailed;
-  }
+  const auto exit_code =
+      OpenWhenAvailable([&instance] { return instance.OpenListeners(); },
+                        [&instance] { instance.CloseListeners(); });
+  if (exit_code) return *exit_code;
   const int code = instance.Run();
   // No state is left to save. Destroying open connections and the logger's
   // threads could exceed the stop timeout, so destructors are skipped.
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -1,12 +1,12 @@
 #include "serve/serve.h"
 
-#include <iostream>
 #include <thread>
 
 #include "cowslipknot/events.h"
 #include "serve/caller_session.h"
 #include "serve/control.h"
 #include "serve/operator_api.h"
+#include "serve/server_start.h"
 #include "serve/signal_loop.h"
 #include "transport/endpoint.h"
 
@@ -15,7 +15,6 @@
 
 constexpr Milliseconds kDrainPollInterval(50);
 constexpr Milliseconds kReadyPollInterval(50);
-constexpr int kExitListenFailed = 3;
 
 /// One running instance: its threads and listeners, and their shutdown.
 class Instance {
@@ -36,21 +35,29 @@
   }
 
   Result<void> OpenListeners() {
-    for (const auto& worker : m_workers) {
-      auto acceptor = Listen(worker->Context(), m_settings.callers);
-      if (!acceptor) return tl::make_unexpected(acceptor.error());
-      m_caller_acceptors.push_back(
-          std::make_shared<tcp::acceptor>(std::move(*acceptor)));
-    }
     auto operators = Listen(m_control.Context(), m_settings.operators);
     if (!operators) return tl::make_unexpected(operators.error());
     m_operators = std::make_shared<tcp::acceptor>(std::move(*operators));
     auto peers = Listen(m_control.Context(), m_settings.peers);
     if (!peers) return tl::make_unexpected(peers.error());
     m_peers = std::make_shared<tcp::acceptor>(std::move(*peers));
+    // The last ones: no caller connects while another listener cannot open.
+    for (const auto& worker : m_workers) {
+      auto acceptor = Listen(worker->Context(), m_settings.callers);
+      if (!acceptor) return tl::make_unexpected(acceptor.error());
+      m_caller_acceptors.push_back(
+          std::make_shared<tcp::acceptor>(std::move(*acceptor)));
+    }
     return {};
   }
 
+  /// Closes those that OpenListeners() opened before it failed.
+  void CloseListeners() {
+    m_operators.reset();
+    m_peers.reset();
+    m_caller_acceptors.clear();
+  }
+
   int Run() {
     StartServing();
     std::vector<std::thread> threads;
@@ -202,11 +209,10 @@
 int Serve(const Settings& settings, const std::string& path) {
   StartLog(settings.node.Text());
   Instance instance(settings, path);
-  const auto opened = instance.OpenListeners();
-  if (!opened) {
-    std::cerr << opened.error().detail << "\n";
-    return kExitListenFailed;
-  }
+  const auto exit_code =
+      OpenWhenAvailable([&instance] { return instance.OpenListeners(); },
+                        [&instance] { instance.CloseListeners(); });
+  if (exit_code) return *exit_code;
   return instance.Run();
 }
 
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -6,6 +6,7 @@
 import pty
 import resource
 import signal
+import socket
 import time
 import unittest
 
@@ -244,5 +245,63 @@
         self.assertEqual(server.stop(), 0)
 
 
+class StartTest(ServerCase):
+    def occupy(self, port):
+        """Listens on a port without allowing others to share it."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+        return listener
+
+    # Guards against a start that is given up because an address is still in use.
+    def test_a_start_waits_for_an_address_that_is_in_use(self):
+        for name in ("callers", "status", "other"):
+            def check(server, name=name):
+                listener = self.occupy(server.ports[name])
+                server.start()
+                event = server.wait_for("start_waiting")
+                self.assertIn(f":{server.ports[name]}: Address already in use",
+                              event["detail"])
+                for other in server.ports.values():
+                    if other != server.ports[name]:
+                        with socket.socket() as probe:
+                            self.assertNotEqual(probe.connect_ex(("127.0.0.1", other)), 0)
+                time.sleep(0.5)  # a few more attempts
+                listener.close()
+                server.wait_for("started")
+                self.assertEqual(len(server.events("start_waiting")), 1)
+                server.wait_until(lambda: server.readiness() == 503)
+                self.assertEqual(server.stop(), 0)
+            self.for_each_server(check)
+
+    # Guards against a start that is given up because an address comes up late.
+    def test_a_start_waits_for_an_address_that_does_not_exist_yet(self):
+        def check(server):
+            server.settings.write_text(
+                server.settings_text.replace(f"127.0.0.1:{server.ports['callers']}",
+                                             f"192.0.2.1:{server.ports['callers']}"),
+                encoding="utf-8")
+            server.start()
+            self.assertIn("Cannot assign", server.wait_for("start_waiting")["detail"])
+            began = time.monotonic()
+            server.send(signal.SIGHUP, signal.SIGTERM)
+            self.assert_stopped(server, "SIGTERM from process")
+            self.assertLess(time.monotonic() - began, 2)
+        self.for_each_server(check)
+
+    # Guards against an end without a log line, and against a wait that cannot help.
+    def test_an_address_that_no_wait_makes_usable_ends_the_start_with_a_log_line(self):
+        def check(server):
+            server.settings.write_text(
+                server.settings_text.replace(f"127.0.0.1:{server.ports['callers']}",
+                                             f"fe80::1:{server.ports['callers']}"),
+                encoding="utf-8")
+            self.assertEqual(server.start().wait(timeout=10), 3)
+            self.assertEqual(server.events()[-1]["name"], "start_failed")
+        self.for_each_server(check)
+
+
 if __name__ == "__main__":
     unittest.main()
