Leave a last log line when a process ends unexpectedly

A log could not tell a crash, an abort or an exception from SIGKILL: none left a line. Without a thread, std::terminate ended the process before main, in a static constructor of the logger's library, which starts threads. Now crash signals, SIGQUIT and std::terminate write unexpected_end with write(2), without the logger, and go on with their default action; they are installed in .preinit_array. Not covered by a test: StartThread() of a traffic thread (the logger's threads fail first), an exception out of main, the stack overflow of a thread other than the main one. Command: cd tests/platform && python3 -m unittest process_ends_test

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -21,6 +21,7 @@
   kSignalIgnored = 120,
   kStartWaiting = 121,
   kStartFailed = 122,
+  kUnexpectedEnd = 123,
   kRevisionInForce = 200,
   kRevisionIgnored = 201,
   kRevisionPublished = 202,
@@ -95,7 +96,7 @@
 
 enum class LogTarget : std::uint8_t { kStandardError, kStandardOutput };
 
-/// Initializes log4cplus; call once. Each event is written as one line that
+/// Initializes log4cplus; a further call changes node and target. Each event is written as one line that
 /// holds a JSON object.
 void StartLog(const std::string& node,
               LogTarget target = LogTarget::kStandardError);
--- a/src/base/bounded_appender.h
+++ b/src/base/bounded_appender.h
@@ -21,6 +21,9 @@
   ~BoundedAppender() override;
   void close() override {}
 
+  /// The descriptor that is written to.
+  int Descriptor() const { return m_writer.Descriptor(); }
+
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -8,10 +8,12 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
 
 #include "base/bounded_appender.h"
+#include "base/last_words.h"
 
 namespace cowslipknot {
 namespace {
@@ -33,6 +35,8 @@
      "the instance cannot start yet and tries again"},
     {Event::kStartFailed, "error", "start_failed",
      "the instance could not start; the process ends"},
+    {Event::kUnexpectedEnd, "error", "unexpected_end",
+     "a crash or an exception ends the process"},
     {Event::kRevisionInForce, "info", "revision_in_force",
      "a configuration revision took effect on this instance"},
     {Event::kRevisionIgnored, "warn", "revision_ignored",
@@ -157,6 +161,8 @@
      "log lines were dropped by the rate limit or for a slow reader"},
 });
 
+std::atomic<bool> g_started{false};
+
 log4cplus::Logger& RootLogger() {
   static log4cplus::Logger logger = log4cplus::Logger::getRoot();
   return logger;
@@ -216,15 +222,18 @@
   static const log4cplus::Initializer initializer;
   NodeName() = node;
   const bool to_error = target == LogTarget::kStandardError;
-  log4cplus::SharedAppenderPtr appender(new BoundedAppender(
-      to_error ? STDERR_FILENO : STDOUT_FILENO, FormatDroppedLines));
+  auto* const bounded = new BoundedAppender(
+      to_error ? STDERR_FILENO : STDOUT_FILENO, FormatDroppedLines);
+  log4cplus::SharedAppenderPtr appender(bounded);
+  SetLastWords(bounded->Descriptor(), node);
   RootLogger().removeAllAppenders();
   RootLogger().addAppender(appender);
   RootLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  g_started = true;
 }
 
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
-  if (NodeName().empty()) return;
+  if (!g_started) return;
   const auto level = ToLogLevel(Describe(event).level);
   RootLogger().log(level, FormatEvent(event, fields));
 }
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -80,7 +80,7 @@
     asio::co_spawn(m_context, HandleSignals(MakeSignalHooks()), asio::detached);
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
-    std::thread traffic_thread([this] {
+    std::thread traffic_thread = StartThread([this] {
       const auto guard = asio::make_work_guard(m_worker.Context());
       m_worker.Context().run();
     });
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -62,10 +62,10 @@
     StartServing();
     std::vector<std::thread> threads;
     for (const auto& worker : m_workers) {
-      threads.emplace_back([&worker] {
+      threads.push_back(StartThread([&worker] {
         const auto guard = asio::make_work_guard(worker->Context());
         worker->Context().run();
-      });
+      }));
     }
     m_control.Context().run();
     for (const auto& worker : m_workers) worker->Context().stop();
--- a/src/serve/server_start.cc
+++ b/src/serve/server_start.cc
@@ -1,6 +1,11 @@
 #include "serve/server_start.h"
 
+#include <cstdlib>
+#include <system_error>
+#include <utility>
+
 #include "base/clock.h"
+#include "base/last_words.h"
 #include "base/process_signals.h"
 #include "cowslipknot/events.h"
 
@@ -39,4 +44,16 @@
   }
 }
 
+std::thread StartThread(std::function<void()> run) {
+  try {
+    return std::thread(std::move(run));
+  } catch (const std::system_error& error) {
+    LogEvent(
+        Event::kStartFailed,
+        {{"detail", std::string("cannot start a thread: ") + error.what()}});
+  }
+  // Threads that already run use objects that unwinding would destroy.
+  std::quick_exit(kExitNoThread);
+}
+
 }  // namespace cowslipknot
--- a/src/serve/server_start.h
+++ b/src/serve/server_start.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <thread>
 
 #include "cowslipknot/result.h"
 
@@ -16,4 +18,8 @@
 std::optional<int> OpenWhenAvailable(const std::function<Result<void>()>& open,
                                      const std::function<void()>& close);
 
+/// Starts a thread. Ends the process with a log line and exit code 7 if the
+/// system has none.
+std::thread StartThread(std::function<void()> run);
+
 }  // namespace cowslipknot
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -302,6 +302,40 @@
             self.assertEqual(server.events()[-1]["name"], "start_failed")
         self.for_each_server(check)
 
+    # Guards against std::terminate without a log line where the system has no thread left.
+    def test_a_thread_that_cannot_be_started_ends_the_start_with_a_log_line(self):
+        def leave_no_room_for_stacks():
+            resource.setrlimit(resource.RLIMIT_STACK, (1 << 36, resource.RLIM_INFINITY))
+            resource.setrlimit(resource.RLIMIT_AS, (1 << 33, 1 << 33))
+
+        def check(server):
+            server.start(preexec_fn=leave_no_room_for_stacks)
+            self.assertEqual(server.child.wait(timeout=10), 7, server.log_path.read_text())
+            self.assertIn(server.events()[-1]["name"], ("start_failed", "unexpected_end"))
+        self.for_each_server(check)
+
+
+class LastLineTest(ServerCase):
+    # Guards against a crash that leaves no last line, so that the log cannot tell it from
+    # a process that was killed.
+    def test_a_crash_leaves_a_last_line(self):
+        for number in (signal.SIGSEGV, signal.SIGBUS, signal.SIGILL, signal.SIGFPE,
+                       signal.SIGABRT, signal.SIGSYS, signal.SIGTRAP, signal.SIGQUIT):
+            def no_core():
+                resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+
+            def check(server, number=number, no_core=no_core):
+                server.start(preexec_fn=no_core)
+                server.wait_for("started")
+                server.send(number)
+                self.assertEqual(server.child.wait(timeout=10), -number)
+                last = server.events()[-1]
+                self.assertEqual((last["event"], last["name"], last["signal"]),
+                                 (123, "unexpected_end", signal.Signals(number).name))
+                self.assertIn(last["node"], ("gw1", "entry-1"))
+                self.assertEqual(len(server.events("unexpected_end")), 1)
+            self.for_each_server(check)
+
 
 if __name__ == "__main__":
     unittest.main()
