Read a settings file again while it is being replaced

The two server commands now read it again for 3 s (start_waiting), then end with the same code as before and start_failed; a stop signal ends the wait with 0. `--check` and other commands stay immediate; a pipe is read once. Known limit: a file written in place that is valid when half written is taken as it is. Command: cd tests/platform && python3 -m unittest process_ends_test.StartTest

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -11,6 +11,7 @@
 #include "cli/gateway_commands.h"
 #include "cli/operator_client.h"
 #include "cli/print.h"
+#include "cli/server_settings.h"
 #include "cowslipknot/events.h"
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/objects.h"
@@ -35,7 +36,16 @@
   if (options.config.empty()) {
     return PrintUsageError("serve requires --config FILE");
   }
-  const auto text = ReadFile(options.config);
+  auto text = ReadFile(options.config);
+  if (!options.check) {
+    StartLog({});
+    const auto check = [&options](const std::string& content) {
+      const auto parsed = ParseSettings(content, options.config);
+      return parsed ? std::vector<ObjectProblem>() : parsed.error();
+    };
+    const auto exit_code = ReadServerSettings(options.config, check, text);
+    if (exit_code) return *exit_code;
+  }
   if (!text) return PrintError(text.error());
   const auto settings = ParseSettings(*text, options.config);
   if (!settings) return PrintProblems(settings.error());
--- a/src/cli/gateway_commands.cc
+++ b/src/cli/gateway_commands.cc
@@ -4,6 +4,8 @@
 
 #include "cli/command_output.h"
 #include "cli/print.h"
+#include "cli/server_settings.h"
+#include "cowslipknot/events.h"
 #include "serve/fleet_status.h"
 
 namespace cowslipknot {
@@ -11,15 +13,10 @@
 
 namespace json = boost::json;
 
-/// Reads and validates the settings file of a gateway. On failure, prints the
-/// problems and sets `exit_code`.
-std::optional<gateway::Settings> LoadGatewaySettings(const Options& options,
-                                                     int& exit_code) {
-  if (options.config.empty()) {
-    exit_code = PrintUsageError(options.command + " requires --config FILE");
-    return std::nullopt;
-  }
-  const auto text = ReadFile(options.config);
+/// Parses the settings of a gateway. On failure, prints the problems and sets
+/// `exit_code`.
+std::optional<gateway::Settings> ParseGatewaySettings(
+    const Options& options, const Result<std::string>& text, int& exit_code) {
   if (!text) {
     exit_code = PrintError(text.error());
     return std::nullopt;
@@ -32,12 +29,18 @@
   return std::move(*settings);
 }
 
+int PrintMissingConfig(const Options& options) {
+  return PrintUsageError(options.command + " requires --config FILE");
+}
+
 }  // namespace
 
 int RunFleet(const Options& options,
              const gateway::PlatformAdapterFactory& make_adapter) {
+  if (options.config.empty()) return PrintMissingConfig(options);
   int exit_code = kExitOk;
-  const auto settings = LoadGatewaySettings(options, exit_code);
+  const auto settings =
+      ParseGatewaySettings(options, ReadFile(options.config), exit_code);
   if (!settings) return exit_code;
   asio::io_context context;
   const auto adapter = make_adapter(context.get_executor(), *settings);
@@ -58,8 +61,19 @@
 
 int RunGateway(const Options& options,
                const gateway::PlatformAdapterFactory& make_adapter) {
+  if (options.config.empty()) return PrintMissingConfig(options);
+  auto text = ReadFile(options.config);
+  if (!options.check) {
+    StartLog({}, LogTarget::kStandardOutput);
+    const auto check = [&options](const std::string& content) {
+      const auto parsed = gateway::ParseSettings(content, options.config);
+      return parsed ? std::vector<ObjectProblem>() : parsed.error();
+    };
+    const auto stopped = ReadServerSettings(options.config, check, text);
+    if (stopped) return *stopped;
+  }
   int exit_code = kExitOk;
-  const auto settings = LoadGatewaySettings(options, exit_code);
+  const auto settings = ParseGatewaySettings(options, text, exit_code);
   if (!settings) return exit_code;
   if (options.check) {
     std::cout << options.config << ": ok\n";
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -302,6 +302,37 @@
             self.assertEqual(server.events()[-1]["name"], "start_failed")
         self.for_each_server(check)
 
+    # Guards against a start that is given up because the settings file is being replaced.
+    def test_a_start_waits_for_a_settings_file_that_is_being_replaced(self):
+        for begin in (None, b"", b"[node]\nname ="):
+            def check(server, begin=begin):
+                server.settings.unlink()
+                if begin is not None:
+                    server.settings.write_bytes(begin)
+                server.start()
+                server.wait_for("start_waiting")
+                server.settings.write_text(server.settings_text, encoding="utf-8")
+                server.wait_for("started")
+                self.assertEqual(server.stop(), 0)
+            self.for_each_server(check)
+
+    # Guards against a wait without end, and an end without a log line.
+    def test_a_settings_file_that_stays_invalid_ends_the_start(self):
+        def check(server):
+            server.settings.write_text("[node", encoding="utf-8")
+            self.assertEqual(server.start().wait(timeout=10), 3)
+            self.assertEqual(server.events()[-1]["name"], "start_failed")
+        self.for_each_server(check)
+
+    def test_a_stop_signal_ends_the_wait_for_a_settings_file(self):
+        def check(server):
+            server.settings.unlink()
+            server.start()
+            server.wait_for("start_waiting")
+            server.send(signal.SIGTERM)
+            self.assert_stopped(server, "SIGTERM from process")
+        self.for_each_server(check)
+
     # Guards against std::terminate without a log line where the system has no thread left.
     def test_a_thread_that_cannot_be_started_ends_the_start_with_a_log_line(self):
         def leave_no_room_for_stacks():
