--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -96,8 +96,8 @@
 
 enum class LogTarget : std::uint8_t { kStandardError, kStandardOutput };
 
-/// Initializes log4cplus; a further call changes node and target. Each event is written as one line that
-/// holds a JSON object.
+/// Initializes log4cplus; a further call changes node and target. Each event is
+/// written as one line that holds a JSON object.
 void StartLog(const std::string& node,
               LogTarget target = LogTarget::kStandardError);
 
