--- a/src/base/bounded_appender.h
+++ b/src/base/bounded_appender.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/line_rate_limiter.h"
+#include "base/line_writer.h"
 
 namespace cowslipknot {
 
@@ -20,13 +21,14 @@
   ~BoundedAppender() override;
   void close() override {}
 
+  /// The descriptor that is written to.
+  int Descriptor() const { return m_writer.Descriptor(); }
+
  protected:
   void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
  private:
-  bool Write(const std::string& line) const;
-
-  int m_descriptor;
+  LineWriter m_writer;
   std::string (*m_format_dropped)(std::uint64_t);
   LineRateLimiter m_limiter;
   std::uint64_t m_dropped = 0;
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -8,14 +8,18 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
 
 #include "base/bounded_appender.h"
+#include "base/last_words.h"
 
 namespace cowslipknot {
 namespace {
 
+constexpr std::size_t kMaxFieldBytes = 1024;
+
 constexpr auto kEvents = std::to_array<EventRow>({
     {Event::kStarted, "info", "started", "the instance started"},
     {Event::kReady, "info", "ready", "the instance accepts requests"},
@@ -27,6 +31,12 @@
      "the settings file was reloaded"},
     {Event::kSignalIgnored, "info", "signal_ignored",
      "a signal without a meaning for the instance was received"},
+    {Event::kStartWaiting, "warn", "start_waiting",
+     "the instance cannot start yet and tries again"},
+    {Event::kStartFailed, "error", "start_failed",
+     "the instance could not start; the process ends"},
+    {Event::kUnexpectedEnd, "error", "unexpected_end",
+     "a crash or an exception ends the process"},
     {Event::kRevisionInForce, "info", "revision_in_force",
      "a configuration revision took effect on this instance"},
     {Event::kRevisionIgnored, "warn", "revision_ignored",
@@ -151,6 +161,8 @@
      "log lines were dropped by the rate limit or for a slow reader"},
 });
 
+std::atomic<bool> g_started{false};
+
 log4cplus::Logger& RootLogger() {
   static log4cplus::Logger logger = log4cplus::Logger::getRoot();
   return logger;
@@ -173,6 +185,17 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+/// Cuts a long text between characters, so that a line stays valid JSON and
+/// within what a pipe accepts at once.
+std::string_view Shorten(std::string_view text) {
+  if (text.size() <= kMaxFieldBytes) return text;
+  std::size_t end = kMaxFieldBytes;
+  while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80) {
+    --end;
+  }
+  return text.substr(0, end);
+}
+
 std::string FormatEvent(Event event, std::initializer_list<EventField> fields) {
   const EventRow& row = Describe(event);
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -183,7 +206,7 @@
   line["event"] = static_cast<std::uint16_t>(event);
   line["name"] = row.name;
   line["node"] = NodeName();
-  for (const auto& [key, value] : fields) line[key] = value;
+  for (const auto& [key, value] : fields) line[key] = Shorten(value);
   return boost::json::serialize(line);
 }
 
@@ -199,15 +222,18 @@
   static const log4cplus::Initializer initializer;
   NodeName() = node;
   const bool to_error = target == LogTarget::kStandardError;
-  log4cplus::SharedAppenderPtr appender(new BoundedAppender(
-      to_error ? STDERR_FILENO : STDOUT_FILENO, FormatDroppedLines));
+  auto* const bounded = new BoundedAppender(
+      to_error ? STDERR_FILENO : STDOUT_FILENO, FormatDroppedLines);
+  log4cplus::SharedAppenderPtr appender(bounded);
+  SetLastWords(bounded->Descriptor(), node);
   RootLogger().removeAllAppenders();
   RootLogger().addAppender(appender);
   RootLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  g_started = true;
 }
 
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
-  if (NodeName().empty()) return;
+  if (!g_started) return;
   const auto level = ToLogLevel(Describe(event).level);
   RootLogger().log(level, FormatEvent(event, fields));
 }
