Go on after an exception in a callback of an event loop

Operators saw a process end by itself (signal 6), with every request in progress on it. Cause: the control thread, the traffic threads and `serve`'s control ran their contexts outside any try. Beast reserves the announced length of a body inside the callback of a read, so an allocation that fails there never reaches the coroutine that waits for the read: it leaves io_context::run() and ends the process. A throwing close() in a posted function would do the same. The posted closes of listeners use the overload with an error code.

Not a claim that the users' processes ended in this way: no log was kept.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -95,6 +95,11 @@
     {Event::kRetryWithheld, "warn", "retry_withheld",
      "a request is not sent to another server, since its prompt may have "
      "crashed the last ones"},
+    {Event::kLoopRestarted, "error", "loop_restarted",
+     "a loop failed or ended, and starts again"},
+    {Event::kTaskFailed, "error", "task_failed", "an exception ended a task"},
+    {Event::kCallbackFailed, "error", "callback_failed",
+     "an exception left a callback of an event loop, which goes on"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -12,6 +12,7 @@
 #include "serve/gateway_control_plane.h"
 #include "serve/request_admission.h"
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -75,11 +76,9 @@
     asio::co_spawn(m_context, HandleSignals(), asio::detached);
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
-    std::thread traffic_thread([this] {
-      const auto guard = asio::make_work_guard(m_worker.Context());
-      m_worker.Context().run();
-    });
-    m_context.run();
+    std::thread traffic_thread(
+        [this] { RunEventLoop(m_worker.Context(), "traffic"); });
+    RunEventLoop(m_context, "control");
     m_worker.Context().stop();
     traffic_thread.join();
     LogEvent(Event::kStopped);
@@ -205,8 +204,10 @@
           m_worker.Idle().Count() > 0;
     };
     m_closing_idle = true;
-    asio::post(m_worker.Context(),
-               [acceptor = m_caller_acceptor] { acceptor->close(); });
+    asio::post(m_worker.Context(), [acceptor = m_caller_acceptor] {
+      error_code ignored;
+      acceptor->close(ignored);
+    });
     bool ended_requests = false;
     while (co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
       const Milliseconds elapsed = ElapsedSince(started);
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -9,6 +9,7 @@
 #include "serve/control.h"
 #include "serve/operator_api.h"
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -55,12 +56,10 @@
     StartServing();
     std::vector<std::thread> threads;
     for (const auto& worker : m_workers) {
-      threads.emplace_back([&worker] {
-        const auto guard = asio::make_work_guard(worker->Context());
-        worker->Context().run();
-      });
+      threads.emplace_back(
+          [&worker] { RunEventLoop(worker->Context(), "traffic"); });
     }
-    m_control.Context().run();
+    RunEventLoop(m_control.Context(), "control");
     for (const auto& worker : m_workers) worker->Context().stop();
     for (auto& thread : threads) thread.join();
     LogEvent(Event::kStopped);
@@ -163,8 +162,10 @@
 
   void CloseCallerListeners() {
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
-      asio::post(m_workers[i]->Executor(),
-                 [acceptor = m_caller_acceptors[i]] { acceptor->close(); });
+      asio::post(m_workers[i]->Executor(), [acceptor = m_caller_acceptors[i]] {
+        error_code ignored;
+        acceptor->close(ignored);
+      });
     }
   }
 
