Forget a connection whose read fails, and accept on after one that can't start

Callers would have seen every open request cut at a stop, or the listener accept no more. Cause 1: a connection was taken out of the sets of idle and reading connections by a statement after the wait. An exception in the wait (no memory for a body) destroys the coroutine before it: the set then holds a freed stream, which a stop cancels, and its count of idle connections never reaches zero. An object now has the connection in the set and takes it out in its destructor. Cause 2: an exception while a connection's coroutine is built (std::bad_alloc) left the accept loop, which was started detached: the loop was gone without a log line, the listener open. The same guard is in ServeFrames. Connections are started with Spawn, which logs what ends them.

ServeFrames has no such test: nothing in it can be made to fail from outside.

--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -5,6 +5,7 @@
 
 #include "cowslipknot/events.h"
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -208,10 +209,13 @@
     }
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    asio::co_spawn(executor,
-                   ServePeerConnection(beast::tcp_stream(std::move(socket)),
-                                       handler, traffic, memory),
-                   asio::detached);
+    try {
+      Spawn(executor, "peer connection",
+            ServePeerConnection(beast::tcp_stream(std::move(socket)), handler,
+                                traffic, memory));
+    } catch (...) {
+      RecordTaskFailure("peer connection", std::current_exception());
+    }
   }
 }
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -60,10 +61,9 @@
   void OnPeerDisconnect(std::function<void()> on_disconnect) override {
     m_watching = std::make_shared<bool>(true);
     m_stream.expires_never();
-    asio::co_spawn(
-        m_stream.get_executor(),
-        WatchForDisconnect(m_connection, m_watching, std::move(on_disconnect)),
-        asio::detached);
+    Spawn(
+        m_stream.get_executor(), "watch caller",
+        WatchForDisconnect(m_connection, m_watching, std::move(on_disconnect)));
   }
 
   void StopWatching() {
@@ -219,9 +219,9 @@
   stream->expires_never();
   while (true) {
     const auto deadline = idle_since + idle_timeout;
-    if (hooks.idle) hooks.idle->Add(*stream);
+    std::optional<ConnectionSetEntry> idle(std::in_place, hooks.idle, *stream);
     co_await WaitForInput(stream, deadline);
-    if (hooks.idle) hooks.idle->Remove(*stream);
+    idle.reset();
     // A request may have arrived although the wait ended for another reason.
     if (ReadArrived(*stream, buffer)) co_return true;
     if (std::chrono::steady_clock::now() < deadline) co_return false;
@@ -349,10 +349,11 @@
     if (hooks.limits) limits = hooks.limits();
     MemoryReservation memory(hooks.memory);
     http::request_parser<http::string_body> parser;
-    if (hooks.reading) hooks.reading->Add(*stream);
+    std::optional<ConnectionSetEntry> reading(std::in_place, hooks.reading,
+                                              *stream);
     const error_code error =
         co_await ReadRequest(*stream, buffer, parser, limits, memory);
-    if (hooks.reading) hooks.reading->Remove(*stream);
+    reading.reset();
     if (error) {
       co_await RejectUnreadable(stream, error, limits, hooks);
       break;
@@ -384,11 +385,13 @@
     }
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    asio::co_spawn(
-        executor,
-        ServeConnection(std::make_shared<beast::tcp_stream>(std::move(socket)),
-                        limits, hooks),
-        asio::detached);
+    try {
+      auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+      Spawn(executor, "connection",
+            ServeConnection(std::move(stream), limits, hooks));
+    } catch (...) {
+      RecordTaskFailure("connection", std::current_exception());
+    }
   }
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -58,6 +58,27 @@
   std::set<beast::tcp_stream*> m_streams;
 };
 
+/// Has a connection in a set for the lifetime of the object, also when an
+/// exception ends the wait.
+class ConnectionSetEntry {
+ public:
+  /// @param set  may be null
+  ConnectionSetEntry(std::shared_ptr<ConnectionSet> set,
+                     beast::tcp_stream& stream)
+      : m_set(std::move(set)), m_stream(stream) {
+    if (m_set) m_set->Add(m_stream);
+  }
+  ConnectionSetEntry(const ConnectionSetEntry&) = delete;
+  ConnectionSetEntry& operator=(const ConnectionSetEntry&) = delete;
+  ~ConnectionSetEntry() {
+    if (m_set) m_set->Remove(m_stream);
+  }
+
+ private:
+  std::shared_ptr<ConnectionSet> m_set;
+  beast::tcp_stream& m_stream;
+};
+
 /// Callbacks of the server.
 struct HttpServerHooks {
   std::function<Awaitable<void>(HttpExchange&)> handle;
