Log what ends a task, and tell those who wait for it

Callers of `serve` would have waited until their own timeout for a run that had failed, and operators would have seen nothing: an exception in a coroutine started with asio::detached was dropped without a log line. Cause of the waits: ModelRun's readers wait for the end of a run without a limit; RowWriter's callers for an outcome that only a task sets, and its queue stood still once Flush had failed (m_flushing stayed true); CollectRevisions for a count that only finished queries decrease. Each one-shot task is now started with Spawn, which logs the exception with the task's name (event 541). A write without an outcome is given up 5 s after its deadline.

--- a/src/cli/gateway_commands.cc
+++ b/src/cli/gateway_commands.cc
@@ -5,6 +5,7 @@
 #include "cli/command_output.h"
 #include "cli/print.h"
 #include "serve/fleet_status.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -45,7 +46,7 @@
   auto read = [&]() -> Awaitable<void> {
     status = co_await gateway::ReadFleetStatus(*adapter);
   };
-  asio::co_spawn(context, read(), asio::detached);
+  Spawn(context.get_executor(), "read fleet status", read());
   context.run();
   if (!status) return PrintError(status.error());
   if (options.output == OutputFormat::kJson) {
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -1,6 +1,7 @@
 #include "cli/operator_client.h"
 
 #include "base/endpoint_text.h"
+#include "transport/event_loop.h"
 #include "transport/http_client.h"
 
 namespace cowslipknot {
@@ -59,7 +60,7 @@
     response = co_await client->Call(*endpoint, std::move(request),
                                      kCallTimeout, Reuse::kNewOnly, progress);
   };
-  asio::co_spawn(context, call(), asio::detached);
+  Spawn(context.get_executor(), "call operator interface", call());
   context.run();
   if (!response) {
     return Fail(ResultCode::kPeerUnreachable,
--- a/src/coordination/claim_writer.cc
+++ b/src/coordination/claim_writer.cc
@@ -1,5 +1,7 @@
 #include "coordination/claim_writer.h"
 
+#include "transport/event_loop.h"
+
 namespace cowslipknot {
 namespace {
 
@@ -18,8 +20,7 @@
   RowChange change{wanted.key, 0, EncodeClaim(wanted)};
   auto outcome = co_await m_rows.Write(std::move(change), deadline);
   if (!outcome) {
-    asio::co_spawn(m_executor, ReleaseIfInserted(std::move(wanted)),
-                   asio::detached);
+    Spawn(m_executor, "release claim", ReleaseIfInserted(std::move(wanted)));
     co_return tl::make_unexpected(outcome.error());
   }
   StoredClaim stored;
--- a/src/coordination/gossip_node.cc
+++ b/src/coordination/gossip_node.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -188,7 +189,7 @@
     for (const auto& node : m_membership.ExpireMembers(NowWall()))
       OnMemberFailed(node);
     const auto target = m_membership.NextProbe(Draw());
-    if (target) asio::co_spawn(m_executor, Probe(*target), asio::detached);
+    if (target) Spawn(m_executor, "probe", Probe(*target));
   }
 }
 
--- a/src/coordination/row_writer.cc
+++ b/src/coordination/row_writer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "transport/event_loop.h"
+
 namespace cowslipknot {
 namespace {
 
@@ -10,6 +12,8 @@
 
 constexpr std::size_t kMaxRowsPerTransaction = 64;
 constexpr Milliseconds kRetryDelay(50);
+/// Time beyond its deadline until a write without an outcome is given up.
+constexpr Milliseconds kOverdue(5000);
 
 }  // namespace
 
@@ -17,7 +21,7 @@
   Pending(const asio::any_io_executor& executor, RowChange wanted,
           Clock::time_point until)
       : change(std::move(wanted)), deadline(until), done(executor) {
-    done.expires_at(Clock::time_point::max());
+    done.expires_at(deadline + kOverdue);
   }
   RowChange change;
   Clock::time_point deadline;
@@ -33,8 +37,23 @@
 void RowWriter::Enqueue(const PendingPtr& pending) {
   m_queue.push_back(pending);
   if (m_flushing) return;
+  StartFlush();
+}
+
+void RowWriter::StartFlush() {
   m_flushing = true;
-  asio::co_spawn(m_executor, Flush(), asio::detached);
+  Spawn(m_executor, "flush rows", Flush(), [this] {
+    m_flushing = false;
+    if (!m_queue.empty()) StartFlush();
+  });
+}
+
+void RowWriter::StartReading(const PendingPtr& pending) {
+  if (pending->outcome) return;
+  Spawn(m_executor, "read row", ResolveByReading(pending), [pending] {
+    Resolve(*pending, Fail(ResultCode::kPlatformUnavailable,
+                           "the outcome could not be read"));
+  });
 }
 
 Awaitable<Result<RowOutcome>> RowWriter::Write(RowChange change,
@@ -43,8 +62,12 @@
       std::make_shared<Pending>(m_executor, std::move(change), deadline);
   Enqueue(pending);
   ++m_outstanding;
-  while (!pending->outcome) co_await pending->done.async_wait(kAsTuple);
+  while (!pending->outcome && Clock::now() < deadline + kOverdue)
+    co_await pending->done.async_wait(kAsTuple);
   --m_outstanding;
+  if (!pending->outcome)
+    Resolve(*pending, Fail(ResultCode::kPlatformUnavailable,
+                           "the outcome is not known in time"));
   co_return *pending->outcome;
 }
 
@@ -71,7 +94,9 @@
   while (!m_queue.empty()) {
     co_await SleepFor(m_batch_delay);
     std::vector<PendingPtr> batch = TakeBatch();
-    asio::co_spawn(m_executor, WriteBatch(std::move(batch)), asio::detached);
+    Spawn(m_executor, "write rows", WriteBatch(batch), [this, batch] {
+      for (const auto& pending : batch) StartReading(pending);
+    });
   }
   m_flushing = false;
 }
@@ -101,7 +126,7 @@
           std::find(reply->conflicts.begin(), reply->conflicts.end(),
                     pending->change.key) != reply->conflicts.end();
       if (conflict) {
-        asio::co_spawn(m_executor, ResolveByReading(pending), asio::detached);
+        StartReading(pending);
       } else {
         rest.push_back(pending);
       }
@@ -109,7 +134,7 @@
     batch = std::move(rest);
   }
   for (const auto& pending : batch) {
-    asio::co_spawn(m_executor, ResolveByReading(pending), asio::detached);
+    StartReading(pending);
   }
 }
 
--- a/src/coordination/row_writer.h
+++ b/src/coordination/row_writer.h
@@ -52,6 +52,9 @@
   void Enqueue(const PendingPtr& pending);
   /// Removes the next writes that may share a transaction from the queue.
   std::vector<PendingPtr> TakeBatch();
+  void StartFlush();
+  /// Resolves the outcome of a write whose response was lost.
+  void StartReading(const PendingPtr& pending);
   Awaitable<void> Flush();
   Awaitable<void> WriteBatch(std::vector<PendingPtr> batch);
   Awaitable<void> ResolveByReading(PendingPtr pending);
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -224,7 +224,7 @@
                                        std::move(run_request));
       worker.AddRun(run);
       if (back_up_first) co_await worker.Hooks().back_up(run);
-      asio::co_spawn(worker.Executor(), run->Execute(parent), asio::detached);
+      run->Start(parent);
       co_return run;
     };
     co_return co_await RunOn(
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -17,7 +18,6 @@
 constexpr Milliseconds kMoveStepInterval(500);
 constexpr int kMaxFetchAttempts = 10;
 constexpr Milliseconds kFetchRetryDelay(100);
-constexpr std::size_t kMaxConcurrentQueries = 16;
 constexpr std::string_view kRevisionKey = "revision/latest";
 constexpr std::string_view kLeavingPrefix = "leaving/";
 constexpr std::string_view kRollbackPrefix = "taken_back/";
@@ -85,7 +85,7 @@
     co_return co_await RunOn(m_hooks.executor, BackUpRun(run));
   };
   m_hooks.discard_backup = [this, executor](const RequestId& id) {
-    asio::co_spawn(executor, m_backups->DiscardBackup(id), asio::detached);
+    Spawn(executor, "discard backup", m_backups->DiscardBackup(id));
   };
   m_hooks.holds_backup = [this](RequestId id) -> Awaitable<bool> {
     co_return m_backups->HoldsBackup(id);
@@ -227,45 +227,6 @@
   m_fetching_configuration = false;
 }
 
-Awaitable<std::map<NodeId, Revision>> Control::CollectRevisions() {
-  struct RevisionQuery {
-    explicit RevisionQuery(asio::io_context& context) : done(context) {}
-    std::map<NodeId, Revision> revisions;
-    std::vector<NodeId> waiting;
-    std::size_t running = 0;
-    asio::steady_timer done;
-  };
-  auto query = std::make_shared<RevisionQuery>(m_context);
-  query->revisions[m_settings.node] =
-      m_configuration_manager->CurrentRevision();
-  for (const auto& member : m_gossip->Members().Live()) {
-    if (member.info.node == m_settings.node) continue;
-    query->waiting.push_back(member.info.node);
-  }
-  auto ask = [](Control& control,
-                std::shared_ptr<RevisionQuery> shared) -> Awaitable<void> {
-    while (!shared->waiting.empty()) {
-      const NodeId node = shared->waiting.back();
-      shared->waiting.pop_back();
-      PeerFrame frame;
-      frame.kind = wire::Kind::AskRevision;
-      const auto answer =
-          co_await control.m_gossip->Call(node, std::move(frame));
-      if (answer) shared->revisions[node] = Revision(answer->digest);
-    }
-    if (--shared->running == 0) shared->done.cancel();
-  };
-  query->done.expires_at(SteadyClock::time_point::max());
-  query->running = kMaxConcurrentQueries;
-  for (std::size_t i = 0; i < kMaxConcurrentQueries; ++i) {
-    asio::co_spawn(m_context, ask(*this, query), asio::detached);
-  }
-  while (query->running > 0) {
-    co_await query->done.async_wait(kAsTuple);
-  }
-  co_return query->revisions;
-}
-
 Awaitable<bool> Control::PollInstances() {
   const auto delta = co_await m_platform->Instances(m_instance_sequence);
   if (!delta) co_return false;
--- a/src/serve/control_drain.cc
+++ b/src/serve/control_drain.cc
@@ -96,8 +96,7 @@
   asio::post(worker.Executor(), [&worker, run] {
     if (worker.FindRun(run->Id())) return;
     worker.AddRun(run);
-    asio::co_spawn(worker.Executor(), run->Execute(TraceContext()),
-                   asio::detached);
+    run->Start(TraceContext());
   });
 }
 
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -2,6 +2,7 @@
 
 #include "cowslipknot/events.h"
 #include "serve/gateway_control_plane.h"
+#include "transport/event_loop.h"
 
 /// A configuration that the store lost when it was restored from a copy:
 /// instances that have it in force pass it on to those that read an older one.
@@ -20,6 +21,7 @@
 /// the interval at which it looks.
 constexpr Milliseconds kFirstExchangeTimeout(1000);
 constexpr Milliseconds kFirstExchangePoll(5);
+constexpr std::string_view kAskTask = "ask for configuration";
 
 /// Whether a row of the store replaces one of the same configuration version:
 /// a peer sent that, or the store lost it and has the version anew.
@@ -80,7 +82,7 @@
   }
   later.resize(std::min(later.size(), kPeersAsked));
   for (auto& peer : later)
-    asio::co_spawn(m_context, AskForConfiguration(peer), asio::detached);
+    Spawn(m_context.get_executor(), kAskTask, AskForConfiguration(peer));
 }
 
 Awaitable<void> ControlPlane::AskBeforeConfirming(StoreEra era) {
@@ -99,7 +101,8 @@
   for (const auto& peer : SamplePeers(kPeersAskedFirst)) {
     ++pending->peers;
     asio::co_spawn(m_context, AskForConfiguration(peer),
-                   [pending](const std::exception_ptr&) {
+                   [pending](const std::exception_ptr& failure) {
+                     if (failure) RecordTaskFailure(kAskTask, failure);
                      if (--pending->peers == 0) pending->answered.cancel();
                    });
   }
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -2,6 +2,7 @@
 
 #include "cowslipknot/events.h"
 #include "serve/attempt.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -73,7 +74,7 @@
 void ModelRun::RemoveReader() {
   --m_readers;
   if (m_readers > 0 || m_finished || m_taken_over) return;
-  asio::co_spawn(m_worker.Executor(), CancelIfNoReaders(), asio::detached);
+  Spawn(m_worker.Executor(), "wait for readers", CancelIfNoReaders());
 }
 
 void ModelRun::MarkDelivered() {
@@ -125,6 +126,15 @@
   m_taken_over = true;
 }
 
+void ModelRun::Start(TraceContext parent) {
+  // Readers wait for the end of the run.
+  Spawn(m_worker.Executor(), "run", Execute(parent),
+        [self = shared_from_this()] {
+          self->Finish(Error{ResultCode::kInternal, "the run failed",
+                             Execution::kUnknown});
+        });
+}
+
 Awaitable<void> ModelRun::Execute(TraceContext parent) {
   const auto self = shared_from_this();
   if (HasCompleteAnswer()) {
@@ -278,9 +288,8 @@
     run->m_worker.RecordServerNotices(server, answer->base(), id,
                                       progress.header_read_at);
   };
-  asio::co_spawn(m_worker.Executor(),
-                 cancel(shared_from_this(), attempt.server, attempt.id),
-                 asio::detached);
+  Spawn(m_worker.Executor(), "cancel attempt",
+        cancel(shared_from_this(), attempt.server, attempt.id));
 }
 
 }  // namespace cowslipknot
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -29,8 +29,9 @@
   ModelRun(Worker& worker, RequestId id, WorkspaceId workspace, Route route,
            ModelRequest request);
 
-  /// Runs attempts until the answer is complete or the run has failed.
-  Awaitable<void> Execute(TraceContext parent);
+  /// Runs attempts in the background until the answer is complete or the run
+  /// has failed.
+  void Start(TraceContext parent);
 
   /// Waits until there is output beyond `position` or the run has finished.
   Awaitable<RunProgress> ReadBeyond(std::size_t position);
@@ -63,6 +64,7 @@
  private:
   struct Attempt;
 
+  Awaitable<void> Execute(TraceContext parent);
   Awaitable<Result<void>> RunAttempt(const TraceContext& parent);
   Awaitable<Result<void>> ReadAnswer(Attempt& attempt,
                                      std::unique_ptr<ResponseStream> stream);
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -1,6 +1,7 @@
 #include "serve/peer_links.h"
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -43,14 +44,12 @@
                           const PeerFrame& frame) {
   const auto shared = std::make_shared<const FrameBytes>(EncodeFrame(frame));
   for (const auto& peer : peers) {
-    asio::co_spawn(
-        m_executor,
-        [](PeerLinks& links, Endpoint to,
-           std::shared_ptr<const FrameBytes> bytes) -> Awaitable<void> {
-          // A peer that is not reached reads the change from the store.
-          co_await links.m_client.Call(to, *bytes, kBroadcastTimeout);
-        }(*this, peer, shared),
-        asio::detached);
+    Spawn(m_executor, "broadcast",
+          [](PeerLinks& links, Endpoint to,
+             std::shared_ptr<const FrameBytes> bytes) -> Awaitable<void> {
+            // A peer that is not reached reads the change from the store.
+            co_await links.m_client.Call(to, *bytes, kBroadcastTimeout);
+          }(*this, peer, shared));
   }
 }
 
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -6,6 +6,7 @@
 #include "cowslipknot/events.h"
 #include "protocol/server_notices.h"
 #include "serve/attempt.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -272,9 +273,8 @@
     if (IsDisabled(m_worker.GetSettings(), "claims")) return;
     if (!answer) {
       const ControlHooks& hooks = m_worker.Hooks();
-      asio::co_spawn(hooks.executor,
-                     hooks.claims->Release(stored.row, stored.version),
-                     asio::detached);
+      Spawn(hooks.executor, "release claim",
+            hooks.claims->Release(stored.row, stored.version));
       return;
     }
     stored.row.state = ClaimState::kDone;
@@ -288,9 +288,8 @@
   void Record(StoredClaim stored) {
     if (IsDisabled(m_worker.GetSettings(), "claims")) return;
     const ControlHooks& hooks = m_worker.Hooks();
-    asio::co_spawn(hooks.executor,
-                   hooks.claims->Record(std::move(stored.row), stored.version),
-                   asio::detached);
+    Spawn(hooks.executor, "record claim",
+          hooks.claims->Record(std::move(stored.row), stored.version));
   }
 
   static HttpResponse Replay(const Claim& claim) {
--- a/src/serve/prompt_guard.cc
+++ b/src/serve/prompt_guard.cc
@@ -10,6 +10,7 @@
 #include "cowslipknot/coordination/rendezvous.h"
 #include "cowslipknot/events.h"
 #include "transport/connect_check.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -85,8 +86,7 @@
   const ServerBoot boot{server.id, server.started_ms};
   const auto known = m_quarantine.RecordBreakOff(boot, parts, TimeSinceBoot());
   if (known == PromptQuarantine::BreakOff::kNew) {
-    asio::co_spawn(m_executor, CheckServer(boot, server.address),
-                   asio::detached);
+    Spawn(m_executor, "check server", CheckServer(boot, server.address));
   } else if (known == PromptQuarantine::BreakOff::kConfirmed) {
     AnnounceCrash(boot);
   }
