Start a loop again that an exception ended

Callers were served by an old view of the store, by a process that counted as ready, without a log line: no server that registered later was ever used. Cause: the loops of both modes ran in coroutines started with asio::detached, which drops the exception that ends them. An answer of the store for which there was no memory ended WatchServers for good. All loops and accept loops are now started with SpawnLoop: a failure, or an end that was not asked for, is logged (event 540) and counted, and the loop starts again after 0.1 s, later up to 2 s. What a loop leaves half changed: - WatchConfiguration reads the whole table after a restart, since its cursor may have passed rows that were not applied (WatchServers' cursor is its own and starts anew) - FollowRelays stops following, since the loops that read the store wait while it follows; a failure on an update counts as a lost relay - a relay's list of waiting followers drops a timer whose coroutine was destroyed - PollInstances moves its cursor after the changes are applied - m_fetching_configuration becomes false when the fetch fails - the stop: its deadline runs from SIGTERM, and `serve` stops if its drain fails Metrics: cowslipknot_loop_restarts_total, _task_failures_total, _callback_failures_total. scripts/check_layers.py rejects asio::detached in src/.

The other loops' restarts are covered by event_loop/* only.

--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -2,7 +2,8 @@
 
 Fails when a layer includes a header of a layer above it, or when src/, include/ or
 benchmark/ contains a wire name of the outer platform: only platform/ uses these names
-and translates them into types.
+and translates them into types. Nor may a coroutine in src/ be started detached, which drops
+its exceptions.
 """
 
 import pathlib
@@ -57,6 +58,14 @@
                 yield f"{path.relative_to(ROOT)}: {line}"
 
 
+def unwatched_coroutines():
+    for path in sorted((ROOT / "src").rglob("*.[ch]*")):
+        text = path.read_text(encoding="utf-8")
+        for number, line in enumerate(text.splitlines(), 1):
+            if "asio::detached" in line:
+                yield f"{path.relative_to(ROOT)}:{number}: use Spawn or SpawnLoop"
+
+
 def include_violations(folder, allowed, pattern):
     for path in sorted(folder.glob("*.[ch]*")):
         for line in path.read_text(encoding="utf-8").splitlines():
@@ -75,6 +84,7 @@
     found += include_violations(ROOT / "src/state", {"state", "gateway"}, PUBLIC_INCLUDE)
     found += gateway_state_violations()
     found += wire_name_violations()
+    found += unwatched_coroutines()
     print("\n".join(found) or "layers: ok")
     return 1 if found else 0
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -105,16 +105,15 @@
 
 void Control::Start(std::shared_ptr<tcp::acceptor> peers) {
   const auto executor = m_context.get_executor();
-  asio::co_spawn(executor, m_gossip->Run(), asio::detached);
-  asio::co_spawn(executor, PollPlatform(), asio::detached);
-  asio::co_spawn(executor, StepMoves(), asio::detached);
-  asio::co_spawn(
-      executor,
-      ServeFrames(
-          std::move(peers),
-          [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
-          m_served_traffic),
-      asio::detached);
+  SpawnLoop(executor, "gossip", [this] { return m_gossip->Run(); });
+  SpawnLoop(executor, "poll platform", [this] { return PollPlatform(); });
+  SpawnLoop(executor, "step moves", [this] { return StepMoves(); });
+  auto serve = [this, peers] {
+    return ServeFrames(
+        peers, [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
+        m_served_traffic);
+  };
+  SpawnLoop(executor, "serve peers", serve, WhenClosed(peers));
 }
 
 void Control::PublishSnapshot() {
@@ -165,7 +164,10 @@
             m_configuration_manager->CurrentRevision()) {
       return;
     }
-    asio::co_spawn(m_context, FetchConfiguration(sender), asio::detached);
+    m_fetching_configuration = true;
+    Spawn(m_context.get_executor(), "fetch configuration",
+          FetchConfiguration(sender),
+          [this] { m_fetching_configuration = false; });
     return;
   }
   if (record.key.starts_with(kLeavingPrefix)) {
@@ -207,7 +209,6 @@
 }
 
 Awaitable<void> Control::FetchConfiguration(NodeId first) {
-  m_fetching_configuration = true;
   NodeId peer = std::move(first);
   for (int i = 0; i < kMaxFetchAttempts; ++i) {
     PeerFrame frame;
@@ -230,14 +231,14 @@
 Awaitable<bool> Control::PollInstances() {
   const auto delta = co_await m_platform->Instances(m_instance_sequence);
   if (!delta) co_return false;
-  m_instance_sequence = delta->sequence;
   const bool first = !m_instances_known;
   m_instances_known = true;
-  if (!first && delta->changed.empty() && delta->removed.empty()) {
-    co_return true;
+  if (first || !delta->changed.empty() || !delta->removed.empty()) {
+    for (const auto& id : delta->removed) m_fleet.Remove(id);
+    ApplyInstances(delta->changed);
   }
-  for (const auto& id : delta->removed) m_fleet.Remove(id);
-  ApplyInstances(delta->changed);
+  // Last, so that changes that could not be applied are read again.
+  m_instance_sequence = delta->sequence;
   co_return true;
 }
 
@@ -381,6 +382,7 @@
           m_platform->CallCounts().writes);
   sum.Add("cowslipknot_platform_failures_total", "",
           m_platform->CallCounts().failures);
+  AddFailureCounts(sum);
   co_return sum;
 }
 
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -13,6 +13,7 @@
 #include "serve/request_admission.h"
 #include "transport/endpoint.h"
 #include "transport/event_loop.h"
+#include "transport/http_listener.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -73,7 +74,10 @@
   int Run() {
     StartListeners();
     m_control.Start();
-    asio::co_spawn(m_context, HandleSignals(), asio::detached);
+    SpawnLoop(
+        m_context.get_executor(), "handle signals",
+        [this] { return HandleSignals(); },
+        [this] { return m_stopping.load(); });
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
     std::thread traffic_thread(
@@ -114,30 +118,28 @@
     callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
     callers.memory = m_worker.Memory();
-    asio::co_spawn(m_worker.Context(),
-                   ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
-                   asio::detached);
+    const auto traffic = m_worker.Context().get_executor();
+    StartHttp(traffic, "serve callers", m_caller_acceptor, callers);
     if (m_peer_acceptor) {
-      asio::co_spawn(m_worker.Context(),
-                     m_worker.Links().Serve(m_peer_acceptor), asio::detached);
+      SpawnLoop(
+          traffic, "serve peers",
+          [this] { return m_worker.Links().Serve(m_peer_acceptor); },
+          WhenClosed(m_peer_acceptor));
     }
     HttpServerHooks readiness;
     readiness.memory = m_worker.Memory();
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
-    asio::co_spawn(
-        m_context,
-        ServeHttp(m_readiness_acceptor, HttpServerLimits(), readiness),
-        asio::detached);
+    StartHttp(m_context.get_executor(), "serve readiness", m_readiness_acceptor,
+              readiness);
     HttpServerHooks metrics;
     metrics.memory = m_worker.Memory();
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
-    asio::co_spawn(m_context,
-                   ServeHttp(m_metrics_acceptor, HttpServerLimits(), metrics),
-                   asio::detached);
+    StartHttp(m_context.get_executor(), "serve metrics", m_metrics_acceptor,
+              metrics);
   }
 
   Awaitable<void> HandleReadiness(HttpExchange& exchange) {
@@ -166,7 +168,7 @@
         ValidateSettingsFile();
       } else {
         m_stopping = true;
-        asio::co_spawn(m_context, Stop(), asio::detached);
+        Spawn(m_context.get_executor(), "stop", Stop());
       }
     }
   }
@@ -191,6 +193,9 @@
   Awaitable<void> Stop() {
     const auto started = SteadyClock::now();
     LogEvent(Event::kDraining);
+    // From the start, so that a failure of this task does not prevent the stop.
+    Spawn(m_context.get_executor(), "end of stop",
+          EndWithoutFinalReport(m_settings.stop_timeout - kExitReserve));
     const Milliseconds drain_timeout =
         m_settings.stop_timeout - kFinalReportReserve;
     asio::post(m_worker.Context(), [this, end = started + drain_timeout] {
@@ -221,9 +226,6 @@
       }
       co_await SleepFor(kDrainPollInterval);
     }
-    const Milliseconds left =
-        m_settings.stop_timeout - kExitReserve - ElapsedSince(started);
-    asio::co_spawn(m_context, EndWithoutFinalReport(left), asio::detached);
     co_await m_control.Leave();
     m_context.stop();
   }
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -5,6 +5,7 @@
 
 #include "base/endpoint_text.h"
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -80,11 +81,14 @@
         co_return co_await RunOn(m_context.get_executor(),
                                  AnswerConfiguration(known_version));
       });
-  asio::co_spawn(m_context, FollowRelays(), asio::detached);
-  asio::co_spawn(m_context, WatchConfiguration(), asio::detached);
-  asio::co_spawn(m_context, WatchServers(), asio::detached);
-  asio::co_spawn(m_context, ExchangeReports(), asio::detached);
-  asio::co_spawn(m_context, ExchangeMoveEvidence(), asio::detached);
+  const auto executor = m_context.get_executor();
+  SpawnLoop(executor, "follow relays", [this] { return FollowRelays(); });
+  SpawnLoop(executor, "watch configuration",
+            [this] { return WatchConfiguration(); });
+  SpawnLoop(executor, "watch servers", [this] { return WatchServers(); });
+  SpawnLoop(executor, "exchange reports", [this] { return ExchangeReports(); });
+  SpawnLoop(executor, "exchange move evidence",
+            [this] { return ExchangeMoveEvidence(); });
 }
 
 bool ControlPlane::Ready() const {
@@ -200,6 +204,8 @@
 Awaitable<void> ControlPlane::WatchConfiguration() {
   const auto long_wait = std::chrono::duration_cast<Milliseconds>(
       m_settings.revoke_bound * kConfigurationWaitFraction);
+  // Changes that were read before a restart of the loop may not be in force.
+  m_configuration_cursor.needs_full_read = true;
   while (true) {
     co_await WhileFollowing();
     const auto sent_at = TimeSinceBoot();
@@ -280,8 +286,9 @@
   auto copy = [](Worker& worker) -> Awaitable<MetricSet> {
     co_return worker.Metrics();
   };
-  const MetricSet metrics =
+  MetricSet metrics =
       co_await RunOn(m_worker.Context().get_executor(), copy(m_worker));
+  AddFailureCounts(metrics);
   co_return metrics.Render();
 }
 
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -4,6 +4,7 @@
 #include "cowslipknot/events.h"
 #include "serve/follow_codec.h"
 #include "serve/gateway_control_plane.h"
+#include "transport/event_loop.h"
 
 /// Follows a relay of this instance's failure domain instead of reading the
 /// store.
@@ -67,6 +68,8 @@
 }
 
 Awaitable<void> ControlPlane::FollowRelays() {
+  // The loops that read the store wait while a relay is followed.
+  SetFollowing(false);
   while (true) {
     const auto relay = ChooseRelay();
     if (!relay) {
@@ -74,7 +77,13 @@
       co_await SleepFor(kRelayCheckInterval);
       continue;
     }
-    if (co_await FollowOnce(*relay)) continue;
+    bool followed = false;
+    try {
+      followed = co_await FollowOnce(*relay);
+    } catch (const std::exception&) {
+      RecordTaskFailure("follow relay", std::current_exception());
+    }
+    if (followed) continue;
     m_relay_retry_at[relay->node] = TimeSinceBoot() + kRelayRetryDelay;
     // The next relay, or the store, receives the report.
     m_report_due = std::chrono::nanoseconds(0);
--- a/src/serve/gateway_store_relay.cc
+++ b/src/serve/gateway_store_relay.cc
@@ -26,6 +26,22 @@
 /// An instance that has not asked for this long no longer follows.
 constexpr Milliseconds kFollowerTimeout(3000);
 
+/// Has a timer in a list for the lifetime of the object.
+class ListEntry {
+ public:
+  using List = std::list<asio::steady_timer*>;
+
+  ListEntry(List& list, asio::steady_timer* timer)
+      : m_list(list), m_position(list.insert(list.end(), timer)) {}
+  ListEntry(const ListEntry&) = delete;
+  ListEntry& operator=(const ListEntry&) = delete;
+  ~ListEntry() { m_list.erase(m_position); }
+
+ private:
+  List& m_list;
+  List::iterator m_position;
+};
+
 Milliseconds Fraction(Milliseconds bound, double fraction) {
   return Milliseconds(static_cast<Milliseconds::rep>(
       static_cast<double>(bound.count()) * fraction));
@@ -134,9 +150,8 @@
 
 Awaitable<void> StoreRelay::WaitForNews(Milliseconds hold) {
   asio::steady_timer timer(m_executor, hold);
-  const auto waiting = m_waiting.insert(m_waiting.end(), &timer);
+  const ListEntry waiting(m_waiting, &timer);
   co_await timer.async_wait(kAsTuple);
-  m_waiting.erase(waiting);
 }
 
 Awaitable<PeerFrame> StoreRelay::Answer(PeerFrame request) {
--- a/src/serve/prompt_guard.cc
+++ b/src/serve/prompt_guard.cc
@@ -51,7 +51,8 @@
     m_links.SetHandler(
         kind, [this](const PeerFrame& frame) { return OnNotice(frame); });
   }
-  asio::co_spawn(m_executor, ExchangeEvidence(), asio::detached);
+  SpawnLoop(m_executor, "exchange prompt evidence",
+            [this] { return ExchangeEvidence(); });
 }
 
 Result<void> PromptGuard::Admit(const RequestId& request,
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -10,6 +10,7 @@
 #include "serve/operator_api.h"
 #include "transport/endpoint.h"
 #include "transport/event_loop.h"
+#include "transport/http_listener.h"
 
 namespace cowslipknot {
 namespace {
@@ -84,9 +85,8 @@
       hooks.no_more_requests = [this] { return m_closing_idle.load(); };
       hooks.idle = worker.Idle();
       hooks.requests_in_progress = worker.RequestsInProgress();
-      asio::co_spawn(worker.Context(),
-                     ServeHttp(m_caller_acceptors[i], limits, hooks),
-                     asio::detached);
+      StartHttp(worker.Executor(), "serve callers", m_caller_acceptors[i],
+                hooks, limits);
     }
     HttpServerHooks hooks;
     hooks.handle = [this](HttpExchange& exchange) {
@@ -95,13 +95,13 @@
     hooks.make_error_response = [](const Error& error) {
       return ErrorResponse(error);
     };
-    asio::co_spawn(m_control.Context(), ServeHttp(m_operators, limits, hooks),
-                   asio::detached);
+    const auto control = m_control.Context().get_executor();
+    StartHttp(control, "serve operators", m_operators, hooks, limits);
     m_control.Start(m_peers);
     m_signals.async_wait([this](error_code error, int) {
       if (!error) BeginDrain();
     });
-    asio::co_spawn(m_control.Context(), LogWhenReady(), asio::detached);
+    Spawn(control, "log when ready", LogWhenReady());
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
   }
@@ -115,7 +115,8 @@
   /// Call on the control thread. Further calls have no effect.
   void BeginDrain() {
     if (m_draining.exchange(true)) return;
-    asio::co_spawn(m_control.Context(), Drain(), asio::detached);
+    Spawn(m_control.Context().get_executor(), "drain", Drain(),
+          [this] { m_control.Context().stop(); });
   }
 
   Awaitable<void> Drain() {
--- a/tests/platform/exhausted_memory_test.py
+++ b/tests/platform/exhausted_memory_test.py
@@ -6,10 +6,13 @@
 import unittest
 
 from configuration_documents import configuration
+from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
 MAX_BODY_BYTES = 128 << 20
 BODY_BYTES = 100 << 20  # more than the allocator keeps mapped for a thread
+ROW_BYTES = 5 << 20  # below the limit of an answer
+READ_S = 4.0  # in which a gateway has read the store
 SPARE_BYTES = 4 << 20  # that the process may still map
 
 
@@ -67,6 +70,21 @@
         self.assertEqual(self.gateway.call("/safe/x")[0], 200)
         self.assertIn("callback_failed", self.names())
 
+    # Guards against a loop that is gone for good: the process counts as ready and serves
+    # by an old view of the store.
+    def test_reads_the_store_on_after_an_answer_for_which_there_was_no_memory(self):
+        with NoMemory(self.gateway.child):
+            self.store.put("servers", "huge", {"pad": "y" * ROW_BYTES})
+            time.sleep(READ_S)
+        self.assertIsNone(self.gateway.child.poll(), self.gateway.history())
+        self.store.delete("servers", "huge")
+        self.start_backend("b1")
+        eventually(lambda: "b1" in [event["server"] for event in self.gateway.log_events()
+                                    if event["name"] == "server_registered"])
+        self.assertIn("loop_restarted", self.names(), self.gateway.history())
+        self.assertIn('cowslipknot_loop_restarts_total{task="watch servers"}',
+                      self.gateway.metrics())
+
 
 if __name__ == "__main__":
     unittest.main()
