Publish again what an exception kept from the traffic thread

Found by reading what a restarted loop skips. A configuration was put into force before its routes were built and before it was published: an exception between (no memory) left new objects with old routes, and the repeated read, of the same version, published nothing, while confirming it told the traffic thread that its keys were fresh. A removed key could then run until the next publication for another reason, up to 3 s. Configuration and routes are now built before either is replaced. A publication that failed is repeated before the configuration counts as confirmed, and after the next read of servers.

No test: nothing outside the process can fail an allocation at this place.

--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -232,6 +232,7 @@
 void ControlPlane::OnConfigurationConfirmed(
     std::chrono::nanoseconds confirmed) {
   if (!m_configuration || !m_configuration_readable) return;
+  if (m_publication_due) Publish();
   // Posted after the snapshot, so that the traffic thread never treats an older
   // configuration as confirmed.
   asio::post(m_worker.Context(), [this, confirmed] {
@@ -240,6 +241,7 @@
 }
 
 void ControlPlane::Publish() {
+  m_publication_due = true;
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->configuration = m_configuration;
   snapshot->routes = m_routes;
@@ -280,6 +282,7 @@
   }
   asio::post(m_worker.Context(),
              [this, snapshot] { m_worker.SetSnapshot(snapshot); });
+  m_publication_due = false;
 }
 
 Awaitable<std::string> ControlPlane::RenderMetrics() {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -198,6 +198,7 @@
   const std::chrono::nanoseconds m_started_at = TimeSinceBoot();
   bool m_servers_known = false;
   bool m_store_reachable = true;
+  bool m_publication_due = false;  ///< an exception ended the last Publish()
   bool m_configuration_readable = false;
   FleetCoordinator m_coordinator;
   StoreRelay m_relay;
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -41,9 +41,15 @@
     m_configuration_row.position = row.position;
     if (row.value == m_configuration_row.value) return;
   }
-  m_configuration_row = row;
-  m_configuration = std::make_shared<const Configuration>(std::move(decoded));
-  m_routes = std::make_shared<const RouteTable>(*m_configuration);
+  // Built first, so that an exception leaves the former configuration whole.
+  StoreRow in_force_row = row;
+  auto configuration =
+      std::make_shared<const Configuration>(std::move(decoded));
+  auto routes = std::make_shared<const RouteTable>(*configuration);
+  m_configuration_row = std::move(in_force_row);
+  m_configuration = std::move(configuration);
+  m_routes = std::move(routes);
+  m_publication_due = true;
   m_relay.OnConfigurationInForce(m_configuration->version);
   LogEvent(Event::kRevisionInForce,
            {{"revision", std::to_string(m_configuration->version)},
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -200,7 +200,7 @@
     changed = m_registry.Expire(TimeSinceBoot(), m_servers_position) || changed;
     ScheduleLapse();
     RelayServers();
-    if (changed || !m_servers_known) {
+    if (changed || !m_servers_known || m_publication_due) {
       m_servers_known = true;
       Publish();
     }
