--- a/src/cli/gateway_commands.cc
+++ b/src/cli/gateway_commands.cc
@@ -7,6 +7,7 @@
 #include "cli/server_settings.h"
 #include "cowslipknot/events.h"
 #include "serve/fleet_status.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -48,7 +49,7 @@
   auto read = [&]() -> Awaitable<void> {
     status = co_await gateway::ReadFleetStatus(*adapter);
   };
-  asio::co_spawn(context, read(), asio::detached);
+  Spawn(context.get_executor(), "read fleet status", read());
   context.run();
   if (!status) return PrintError(status.error());
   if (options.output == OutputFormat::kJson) {
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -18,7 +19,6 @@
 constexpr Milliseconds kMoveStepInterval(500);
 constexpr int kMaxFetchAttempts = 10;
 constexpr Milliseconds kFetchRetryDelay(100);
-constexpr std::size_t kMaxConcurrentQueries = 16;
 constexpr std::string_view kRevisionKey = "revision/latest";
 constexpr std::string_view kLeavingPrefix = "leaving/";
 constexpr std::string_view kRollbackPrefix = "taken_back/";
@@ -86,7 +86,7 @@
     co_return co_await RunOn(m_hooks.executor, BackUpRun(run));
   };
   m_hooks.discard_backup = [this, executor](const RequestId& id) {
-    asio::co_spawn(executor, m_backups->DiscardBackup(id), asio::detached);
+    Spawn(executor, "discard backup", m_backups->DiscardBackup(id));
   };
   m_hooks.holds_backup = [this](RequestId id) -> Awaitable<bool> {
     co_return m_backups->HoldsBackup(id);
@@ -106,16 +106,15 @@
 
 void Control::Start(std::shared_ptr<tcp::acceptor> peers) {
   const auto executor = m_context.get_executor();
-  asio::co_spawn(executor, m_gossip->Run(), asio::detached);
-  asio::co_spawn(executor, PollPlatform(), asio::detached);
-  asio::co_spawn(executor, StepMoves(), asio::detached);
-  asio::co_spawn(
-      executor,
-      ServeFrames(
-          std::move(peers),
-          [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
-          m_served_traffic),
-      asio::detached);
+  SpawnLoop(executor, "gossip", [this] { return m_gossip->Run(); });
+  SpawnLoop(executor, "poll platform", [this] { return PollPlatform(); });
+  SpawnLoop(executor, "step moves", [this] { return StepMoves(); });
+  auto serve = [this, peers] {
+    return ServeFrames(
+        peers, [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
+        m_served_traffic);
+  };
+  SpawnLoop(executor, "serve peers", serve, WhenClosed(peers));
 }
 
 void Control::PublishSnapshot() {
@@ -166,7 +165,10 @@
             m_configuration_manager->CurrentRevision()) {
       return;
     }
-    asio::co_spawn(m_context, FetchConfiguration(sender), asio::detached);
+    m_fetching_configuration = true;
+    Spawn(m_context.get_executor(), "fetch configuration",
+          FetchConfiguration(sender),
+          [this] { m_fetching_configuration = false; });
     return;
   }
   if (record.key.starts_with(kLeavingPrefix)) {
@@ -208,7 +210,6 @@
 }
 
 Awaitable<void> Control::FetchConfiguration(NodeId first) {
-  m_fetching_configuration = true;
   NodeId peer = std::move(first);
   for (int i = 0; i < kMaxFetchAttempts; ++i) {
     PeerFrame frame;
@@ -228,56 +229,17 @@
   m_fetching_configuration = false;
 }
 
-Awaitable<std::map<NodeId, Revision>> Control::CollectRevisions() {
-  struct RevisionQuery {
-    explicit RevisionQuery(asio::io_context& context) : done(context) {}
-    std::map<NodeId, Revision> revisions;
-    std::vector<NodeId> waiting;
-    std::size_t running = 0;
-    asio::steady_timer done;
-  };
-  auto query = std::make_shared<RevisionQuery>(m_context);
-  query->revisions[m_settings.node] =
-      m_configuration_manager->CurrentRevision();
-  for (const auto& member : m_gossip->Members().Live()) {
-    if (member.info.node == m_settings.node) continue;
-    query->waiting.push_back(member.info.node);
-  }
-  auto ask = [](Control& control,
-                std::shared_ptr<RevisionQuery> shared) -> Awaitable<void> {
-    while (!shared->waiting.empty()) {
-      const NodeId node = shared->waiting.back();
-      shared->waiting.pop_back();
-      PeerFrame frame;
-      frame.kind = wire::Kind::AskRevision;
-      const auto answer =
-          co_await control.m_gossip->Call(node, std::move(frame));
-      if (answer) shared->revisions[node] = Revision(answer->digest);
-    }
-    if (--shared->running == 0) shared->done.cancel();
-  };
-  query->done.expires_at(SteadyClock::time_point::max());
-  query->running = kMaxConcurrentQueries;
-  for (std::size_t i = 0; i < kMaxConcurrentQueries; ++i) {
-    asio::co_spawn(m_context, ask(*this, query), asio::detached);
-  }
-  while (query->running > 0) {
-    co_await query->done.async_wait(kAsTuple);
-  }
-  co_return query->revisions;
-}
-
 Awaitable<bool> Control::PollInstances() {
   const auto delta = co_await m_platform->Instances(m_instance_sequence);
   if (!delta) co_return false;
-  m_instance_sequence = delta->sequence;
   const bool first = !m_instances_known;
   m_instances_known = true;
-  if (!first && delta->changed.empty() && delta->removed.empty()) {
-    co_return true;
+  if (first || !delta->changed.empty() || !delta->removed.empty()) {
+    for (const auto& id : delta->removed) m_fleet.Remove(id);
+    ApplyInstances(delta->changed);
   }
-  for (const auto& id : delta->removed) m_fleet.Remove(id);
-  ApplyInstances(delta->changed);
+  // Last, so that changes that could not be applied are read again.
+  m_instance_sequence = delta->sequence;
   co_return true;
 }
 
@@ -421,6 +383,7 @@
           m_platform->CallCounts().writes);
   sum.Add("cowslipknot_platform_failures_total", "",
           m_platform->CallCounts().failures);
+  AddFailureCounts(sum);
   co_return sum;
 }
 
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -11,6 +11,8 @@
 #include "serve/server_start.h"
 #include "serve/signal_loop.h"
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
+#include "transport/http_listener.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -77,14 +79,13 @@
   int Run() {
     StartListeners();
     m_control.Start();
-    asio::co_spawn(m_context, HandleSignals(MakeSignalHooks()), asio::detached);
+    SpawnLoop(m_context.get_executor(), "handle signals",
+              [this] { return HandleSignals(MakeSignalHooks()); });
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
-    std::thread traffic_thread = StartThread([this] {
-      const auto guard = asio::make_work_guard(m_worker.Context());
-      m_worker.Context().run();
-    });
-    m_context.run();
+    std::thread traffic_thread =
+        StartThread([this] { RunEventLoop(m_worker.Context(), "traffic"); });
+    RunEventLoop(m_context, "control");
     m_worker.Context().stop();
     traffic_thread.join();
     LogEvent(Event::kStopped, {{"reason", m_stop_reason}});
@@ -120,30 +121,28 @@
     callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
     callers.memory = m_worker.Memory();
-    asio::co_spawn(m_worker.Context(),
-                   ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
-                   asio::detached);
+    const auto traffic = m_worker.Context().get_executor();
+    StartHttp(traffic, "serve callers", m_caller_acceptor, callers);
     if (m_peer_acceptor) {
-      asio::co_spawn(m_worker.Context(),
-                     m_worker.Links().Serve(m_peer_acceptor), asio::detached);
+      SpawnLoop(
+          traffic, "serve peers",
+          [this] { return m_worker.Links().Serve(m_peer_acceptor); },
+          WhenClosed(m_peer_acceptor));
     }
     HttpServerHooks readiness;
     readiness.memory = m_worker.Memory();
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
-    asio::co_spawn(
-        m_context,
-        ServeHttp(m_readiness_acceptor, HttpServerLimits(), readiness),
-        asio::detached);
+    StartHttp(m_context.get_executor(), "serve readiness", m_readiness_acceptor,
+              readiness);
     HttpServerHooks metrics;
     metrics.memory = m_worker.Memory();
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
-    asio::co_spawn(m_context,
-                   ServeHttp(m_metrics_acceptor, HttpServerLimits(), metrics),
-                   asio::detached);
+    StartHttp(m_context.get_executor(), "serve metrics", m_metrics_acceptor,
+              metrics);
   }
 
   Awaitable<void> HandleReadiness(HttpExchange& exchange) {
@@ -175,7 +174,7 @@
     hooks.stop = [this](const std::string& signal) {
       if (m_stopping.exchange(true)) return false;
       m_stop_reason = signal;
-      asio::co_spawn(m_context, Stop(), asio::detached);
+      Spawn(m_context.get_executor(), "stop", Stop());
       return true;
     };
     return hooks;
@@ -184,6 +183,9 @@
   Awaitable<void> Stop() {
     const auto started = SteadyClock::now();
     LogEvent(Event::kDraining, {{"reason", m_stop_reason}});
+    // From the start, so that a failure of this task does not prevent the stop.
+    Spawn(m_context.get_executor(), "end of stop",
+          EndWithoutFinalReport(m_settings.stop_timeout - kExitReserve));
     const Milliseconds drain_timeout =
         m_settings.stop_timeout - kFinalReportReserve;
     asio::post(m_worker.Context(), [this, end = started + drain_timeout] {
@@ -197,8 +199,10 @@
           m_worker.Idle().Count() > 0;
     };
     m_closing_idle = true;
-    asio::post(m_worker.Context(),
-               [acceptor = m_caller_acceptor] { acceptor->close(); });
+    asio::post(m_worker.Context(), [acceptor = m_caller_acceptor] {
+      error_code ignored;
+      acceptor->close(ignored);
+    });
     bool ended_requests = false;
     while (co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
       const Milliseconds elapsed = ElapsedSince(started);
@@ -212,9 +216,6 @@
       }
       co_await SleepFor(kDrainPollInterval);
     }
-    const Milliseconds left =
-        m_settings.stop_timeout - kExitReserve - ElapsedSince(started);
-    asio::co_spawn(m_context, EndWithoutFinalReport(left), asio::detached);
     co_await m_control.Leave();
     m_context.stop();
   }
--- a/src/serve/gateway_lost_configuration.cc
+++ b/src/serve/gateway_lost_configuration.cc
@@ -2,6 +2,7 @@
 
 #include "cowslipknot/events.h"
 #include "serve/gateway_control_plane.h"
+#include "transport/event_loop.h"
 
 /// A configuration that the store lost when it was restored from a copy:
 /// instances that have it in force pass it on to those that read an older one.
@@ -20,6 +21,7 @@
 /// the interval at which it looks.
 constexpr Milliseconds kFirstExchangeTimeout(1000);
 constexpr Milliseconds kFirstExchangePoll(5);
+constexpr std::string_view kAskTask = "ask for configuration";
 
 /// Whether a row of the store replaces one of the same configuration version:
 /// a peer sent that, or the store lost it and has the version anew.
@@ -39,9 +41,15 @@
     m_configuration_row.position = row.position;
     if (row.value == m_configuration_row.value) return;
   }
-  m_configuration_row = row;
-  m_configuration = std::make_shared<const Configuration>(std::move(decoded));
-  m_routes = std::make_shared<const RouteTable>(*m_configuration);
+  // Built first, so that an exception leaves the former configuration whole.
+  StoreRow in_force_row = row;
+  auto configuration =
+      std::make_shared<const Configuration>(std::move(decoded));
+  auto routes = std::make_shared<const RouteTable>(*configuration);
+  m_configuration_row = std::move(in_force_row);
+  m_configuration = std::move(configuration);
+  m_routes = std::move(routes);
+  m_publication_due = true;
   m_relay.OnConfigurationInForce(m_configuration->version);
   LogEvent(Event::kRevisionInForce,
            {{"revision", std::to_string(m_configuration->version)},
@@ -80,7 +88,7 @@
   }
   later.resize(std::min(later.size(), kPeersAsked));
   for (auto& peer : later)
-    asio::co_spawn(m_context, AskForConfiguration(peer), asio::detached);
+    Spawn(m_context.get_executor(), kAskTask, AskForConfiguration(peer));
 }
 
 Awaitable<void> ControlPlane::AskBeforeConfirming(StoreEra era) {
@@ -99,7 +107,8 @@
   for (const auto& peer : SamplePeers(kPeersAskedFirst)) {
     ++pending->peers;
     asio::co_spawn(m_context, AskForConfiguration(peer),
-                   [pending](const std::exception_ptr&) {
+                   [pending](const std::exception_ptr& failure) {
+                     if (failure) RecordTaskFailure(kAskTask, failure);
                      if (--pending->peers == 0) pending->answered.cancel();
                    });
   }
--- a/src/serve/prompt_guard.cc
+++ b/src/serve/prompt_guard.cc
@@ -10,6 +10,7 @@
 #include "cowslipknot/coordination/rendezvous.h"
 #include "cowslipknot/events.h"
 #include "transport/connect_check.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot::gateway {
 namespace {
@@ -50,7 +51,8 @@
     m_links.SetHandler(
         kind, [this](const PeerFrame& frame) { return OnNotice(frame); });
   }
-  asio::co_spawn(m_executor, ExchangeEvidence(), asio::detached);
+  SpawnLoop(m_executor, "exchange prompt evidence",
+            [this] { return ExchangeEvidence(); });
 }
 
 Result<void> PromptGuard::Admit(const RequestId& request,
@@ -85,8 +87,7 @@
   const ServerBoot boot{server.id, server.started_ms};
   const auto known = m_quarantine.RecordBreakOff(boot, parts, TimeSinceBoot());
   if (known == PromptQuarantine::BreakOff::kNew) {
-    asio::co_spawn(m_executor, CheckServer(boot, server.address),
-                   asio::detached);
+    Spawn(m_executor, "check server", CheckServer(boot, server.address));
   } else if (known == PromptQuarantine::BreakOff::kConfirmed) {
     AnnounceCrash(boot);
   }
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -9,6 +9,8 @@
 #include "serve/server_start.h"
 #include "serve/signal_loop.h"
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
+#include "transport/http_listener.h"
 
 namespace cowslipknot {
 namespace {
@@ -62,12 +64,10 @@
     StartServing();
     std::vector<std::thread> threads;
     for (const auto& worker : m_workers) {
-      threads.push_back(StartThread([&worker] {
-        const auto guard = asio::make_work_guard(worker->Context());
-        worker->Context().run();
-      }));
+      threads.push_back(StartThread(
+          [&worker] { RunEventLoop(worker->Context(), "traffic"); }));
     }
-    m_control.Context().run();
+    RunEventLoop(m_control.Context(), "control");
     for (const auto& worker : m_workers) worker->Context().stop();
     for (auto& thread : threads) thread.join();
     LogEvent(Event::kStopped, {{"reason", m_stop_reason}});
@@ -92,9 +92,8 @@
       hooks.no_more_requests = [this] { return m_closing_idle.load(); };
       hooks.idle = worker.Idle();
       hooks.requests_in_progress = worker.RequestsInProgress();
-      asio::co_spawn(worker.Context(),
-                     ServeHttp(m_caller_acceptors[i], limits, hooks),
-                     asio::detached);
+      StartHttp(worker.Executor(), "serve callers", m_caller_acceptors[i],
+                hooks, limits);
     }
     HttpServerHooks hooks;
     hooks.handle = [this](HttpExchange& exchange) {
@@ -103,12 +102,12 @@
     hooks.make_error_response = [](const Error& error) {
       return ErrorResponse(error);
     };
-    asio::co_spawn(m_control.Context(), ServeHttp(m_operators, limits, hooks),
-                   asio::detached);
+    const auto control = m_control.Context().get_executor();
+    StartHttp(control, "serve operators", m_operators, hooks, limits);
     m_control.Start(m_peers);
-    asio::co_spawn(m_control.Context(), HandleSignals(MakeSignalHooks()),
-                   asio::detached);
-    asio::co_spawn(m_control.Context(), LogWhenReady(), asio::detached);
+    SpawnLoop(control, "handle signals",
+              [this] { return HandleSignals(MakeSignalHooks()); });
+    Spawn(control, "log when ready", LogWhenReady());
     LogEvent(Event::kStarted,
              {{"callers", FormatEndpoint(m_settings.callers)}});
   }
@@ -137,7 +136,8 @@
   bool BeginDrain(const std::string& reason) {
     if (m_draining.exchange(true)) return false;
     m_stop_reason = reason;
-    asio::co_spawn(m_control.Context(), Drain(), asio::detached);
+    Spawn(m_control.Context().get_executor(), "drain", Drain(),
+          [this] { m_control.Context().stop(); });
     return true;
   }
 
@@ -185,8 +185,10 @@
 
   void CloseCallerListeners() {
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
-      asio::post(m_workers[i]->Executor(),
-                 [acceptor = m_caller_acceptors[i]] { acceptor->close(); });
+      asio::post(m_workers[i]->Executor(), [acceptor = m_caller_acceptors[i]] {
+        error_code ignored;
+        acceptor->close(ignored);
+      });
     }
   }
 
