Do not count an instance's lack of descriptors against its servers

Seen: with RLIMIT_NOFILE 256 and 200 callers at once, connecting to a server failed with "Too many open files", and the attempt was logged and counted as the server's failure (3001). Enough of these eject every server of an instance.

Cause: HttpClient returned kConnectFailed for each error of a connect, whoever was the reason. RecordUnreachable, the move evidence and the crash check of `server_checked` took it for the server's.

Now EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL are kDescriptorsExhausted (2010): the longest idle connection to a server is closed and the connect is tried once more; then another server is tried, or the request is refused as not run. The server's record is left alone, in `gateway` and `serve`. An event (562), at most once a second, says so. HttpClient can be given a bound on its connections, which it keeps in the same way.

Why it works: the error is told apart where it is made, and no other code maps an error of a connect to a server.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -51,6 +51,7 @@
   kQuarantineTrial = 522,
   kQuarantineEnded = 523,
   kRetryWithheld = 524,
+  kDescriptorsExhausted = 562,
   kMoveStep = 600,
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -29,6 +29,7 @@
   kDeadlinePassed = 2007,
   kPromptQuarantined = 2008,
   kMemoryExhausted = 2009,
+  kDescriptorsExhausted = 2010,
   kConnectFailed = 3001,
   kBackendFailed = 3002,
   kBackendMalformed = 3003,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -95,6 +95,9 @@
     {Event::kRetryWithheld, "warn", "retry_withheld",
      "a request is not sent to another server, since its prompt may have "
      "crashed the last ones"},
+    {Event::kDescriptorsExhausted, "warn", "descriptors_exhausted",
+     "a connection could not be opened for lack of a resource of this "
+     "instance"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -40,6 +40,8 @@
      "a part of the prompt crashed several backend servers"},
     {ResultCode::kMemoryExhausted, "memory_exhausted", 503,
      "the instance has no memory left for the request body"},
+    {ResultCode::kDescriptorsExhausted, "descriptors_exhausted", 503,
+     "the instance cannot open another connection to a backend server"},
     {ResultCode::kConnectFailed, "connect_failed", 502,
      "could not connect to a backend server"},
     {ResultCode::kBackendFailed, "backend_failed", 502,
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -352,12 +352,10 @@
     co_return;
   }
   if (!may_have_run) {
-    if (error.code == ResultCode::kDeadlinePassed) {
-      error.code = ResultCode::kNoServer;
-    }
     m_retry_after = NoServerRetryDelay();
     error.execution = Execution::kNotRun;
-    error.code = ResultCode::kNoServer;
+    if (error.code != ResultCode::kDescriptorsExhausted)
+      error.code = ResultCode::kNoServer;
     co_await Reject(error);
     co_return;
   }
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -87,10 +87,12 @@
 }
 
 void Call::RecordAttemptFailure(const Backend& server, const Error& error) {
-  const bool ran = error.code != ResultCode::kBackendRefused &&
+  const bool server_to_blame = error.code != ResultCode::kDescriptorsExhausted;
+  const bool ran = server_to_blame &&
+                   error.code != ResultCode::kBackendRefused &&
                    error.code != ResultCode::kConnectFailed;
   if (ran) m_worker.Evidence().OnEnd(m_tracked_attempt, true, TimeSinceBoot());
-  server.state->RecordFailure(TimeSinceBoot());
+  if (server_to_blame) server.state->RecordFailure(TimeSinceBoot());
   const bool unreachable = error.code == ResultCode::kConnectFailed ||
                            error.code == ResultCode::kBackendTimeout;
   if (unreachable) server.state->RecordUnreachable(TimeSinceBoot());
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -17,6 +17,7 @@
     case ResultCode::kBackendMalformed:
     case ResultCode::kBackendTimeout:
     case ResultCode::kBackendRefused:
+    case ResultCode::kDescriptorsExhausted:
     case ResultCode::kNoServer:
       return true;
     default:
@@ -244,11 +245,14 @@
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
   const bool failed = !outcome && !m_cancelled && !m_handed_over;
-  RecordAttempt(*attempt.server.load, !failed, NowWall());
+  const bool lacks_descriptor =
+      !outcome && outcome.error().code == ResultCode::kDescriptorsExhausted;
+  if (!lacks_descriptor)
+    RecordAttempt(*attempt.server.load, !failed, NowWall());
   const bool refused =
       !outcome && outcome.error().code == ResultCode::kBackendRefused;
   if (m_cancelled || m_handed_over) CancelOnEngine(attempt);
-  if (!m_cancelled && !m_handed_over && !refused) {
+  if (!m_cancelled && !m_handed_over && !refused && !lacks_descriptor) {
     RecordEvidence(attempt, failed);
   }
   if (failed) {
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -131,8 +131,11 @@
                     Execution::kUnknown);
     }
     const bool failed = !answer || answer->result_int() >= 500;
-    RecordAttempt(*choice.server.load, !failed, NowWall());
-    if (!refused) {
+    const bool lacks_descriptor =
+        !answer && answer.error().code == ResultCode::kDescriptorsExhausted;
+    if (!lacks_descriptor)
+      RecordAttempt(*choice.server.load, !failed, NowWall());
+    if (!refused && !lacks_descriptor) {
       RecordMoveEvidence(
           m_worker.Evidence(), choice.version, m_request.route.name, failed,
           ElapsedSince(started) > m_request.route.first_token_target);
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -5,6 +5,7 @@
 
 #include "cowslipknot/events.h"
 #include "transport/endpoint.h"
+#include "transport/local_shortage.h"
 
 namespace cowslipknot {
 namespace {
@@ -124,10 +125,12 @@
   stream->socket().open(source->protocol(), bind_error);
   if (!bind_error) stream->socket().bind(*source, bind_error);
   if (bind_error) {
+    LogDescriptorsExhausted(peer, bind_error.message());
     co_return Fail(ResultCode::kPeerUnreachable, bind_error.message());
   }
   stream->expires_after(timeout);
   auto [error] = co_await stream->async_connect(*address, kAsTuple);
+  if (IsLocalShortage(error)) LogDescriptorsExhausted(peer, error.message());
   if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
   stream->socket().set_option(tcp::no_delay(true), error);
   if (!ResetOnClose(stream->socket())) {
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "transport/endpoint.h"
+#include "transport/local_shortage.h"
 
 namespace cowslipknot {
 namespace {
@@ -20,13 +21,21 @@
 }  // namespace
 
 struct HttpClient::Connection {
-  Connection(const asio::any_io_executor& executor, Endpoint peer)
-      : stream(executor), endpoint(std::move(peer)) {}
+  Connection(const asio::any_io_executor& executor, Endpoint peer,
+             std::shared_ptr<std::size_t> counter)
+      : stream(executor), endpoint(std::move(peer)), count(std::move(counter)) {
+    ++*count;
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection() { --*count; }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   Endpoint endpoint;
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
+  std::shared_ptr<std::size_t> count;
 };
 
 namespace {
@@ -213,9 +222,10 @@
 }  // namespace
 
 std::shared_ptr<HttpClient> HttpClient::Create(asio::any_io_executor executor,
-                                               ByteCount max_response) {
+                                               ByteCount max_response,
+                                               std::size_t max_connections) {
   return std::shared_ptr<HttpClient>(
-      new HttpClient(std::move(executor), max_response));
+      new HttpClient(std::move(executor), max_response, max_connections));
 }
 
 void HttpClient::ReturnToPool(ConnectionPtr connection) {
@@ -245,6 +255,41 @@
   return nullptr;
 }
 
+bool HttpClient::CloseLongestIdle() {
+  auto longest = m_idle.end();
+  for (auto idle = m_idle.begin(); idle != m_idle.end(); ++idle) {
+    if (idle->second.empty()) continue;
+    const bool longer =
+        longest == m_idle.end() ||
+        idle->second.front()->idle_since < longest->second.front()->idle_since;
+    if (longer) longest = idle;
+  }
+  if (longest == m_idle.end()) return false;
+  longest->second.pop_front();
+  return true;
+}
+
+Awaitable<Result<void>> HttpClient::OpenSocket(ConnectionPtr connection) {
+  const Endpoint& endpoint = connection->endpoint;
+  const auto address = ToTcpEndpoint(endpoint);
+  if (!address) co_return tl::make_unexpected(address.error());
+  auto [error] = co_await connection->stream.async_connect(*address, kAsTuple);
+  if (IsLocalShortage(error)) {
+    connection->stream.close();
+    co_return FailForShortage(endpoint, error.message());
+  }
+  if (error) {
+    co_return Fail(ResultCode::kConnectFailed,
+                   FormatEndpoint(endpoint) + ": " + error.message());
+  }
+  connection->stream.socket().set_option(tcp::no_delay(true), error);
+  if (!ResetOnClose(connection->stream.socket())) {
+    co_return Fail(ResultCode::kConnectFailed,
+                   FormatEndpoint(endpoint) + ": cannot be reset on close");
+  }
+  co_return Result<void>();
+}
+
 Awaitable<Result<HttpClient::ConnectionPtr>> HttpClient::Connect(
     const Endpoint& endpoint, const CallOptions& options, Deadline deadline,
     CallProgress& progress) {
@@ -254,26 +299,25 @@
   }
   progress.reused_connection = connection != nullptr;
   if (!connection) {
-    connection = std::make_shared<Connection>(m_executor, endpoint);
+    while (*m_connections >= m_max_connections && CloseLongestIdle()) {
+    }
+    if (*m_connections >= m_max_connections)
+      co_return FailForShortage(endpoint, "all connections are in use");
+    connection =
+        std::make_shared<Connection>(m_executor, endpoint, m_connections);
   }
   progress.abort = [weak = std::weak_ptr<Connection>(connection)] {
     if (const auto held = weak.lock()) held->stream.close();
   };
   if (progress.reused_connection) co_return connection;
-  const auto address = ToTcpEndpoint(endpoint);
-  if (!address) co_return tl::make_unexpected(address.error());
   connection->stream.expires_at(std::min(
       deadline, std::chrono::steady_clock::now() + options.connect_timeout));
-  auto [error] = co_await connection->stream.async_connect(*address, kAsTuple);
-  if (error) {
-    co_return Fail(ResultCode::kConnectFailed,
-                   FormatEndpoint(endpoint) + ": " + error.message());
-  }
-  connection->stream.socket().set_option(tcp::no_delay(true), error);
-  if (!ResetOnClose(connection->stream.socket())) {
-    co_return Fail(ResultCode::kConnectFailed,
-                   FormatEndpoint(endpoint) + ": cannot be reset on close");
-  }
+  auto opened = co_await OpenSocket(connection);
+  const bool lacks_descriptor =
+      !opened && opened.error().code == ResultCode::kDescriptorsExhausted;
+  if (lacks_descriptor && CloseLongestIdle())
+    opened = co_await OpenSocket(connection);
+  if (!opened) co_return tl::make_unexpected(opened.error());
   co_return connection;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -81,9 +82,11 @@
 /// that the call cannot arrive later.
 class HttpClient : public std::enable_shared_from_this<HttpClient> {
  public:
-  /// @param max_response  largest response body that is accepted
-  static std::shared_ptr<HttpClient> Create(asio::any_io_executor executor,
-                                            ByteCount max_response);
+  /// @param max_response     largest response body that is accepted
+  /// @param max_connections  with the idle ones, which are closed first
+  static std::shared_ptr<HttpClient> Create(
+      asio::any_io_executor executor, ByteCount max_response,
+      std::size_t max_connections = std::numeric_limits<std::size_t>::max());
 
   /// Sends a request and reads the complete response within `timeout`.
   Awaitable<Result<HttpResponse>> Call(Endpoint endpoint, HttpRequest request,
@@ -103,14 +106,20 @@
   /// Closes idle connections to an endpoint.
   void CloseIdle(const Endpoint& endpoint);
 
+  /// Open connections, also idle ones.
+  std::size_t ConnectionCount() const { return *m_connections; }
+
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
   /// Adds a connection to the pool.
   void ReturnToPool(ConnectionPtr connection);
 
  private:
-  HttpClient(asio::any_io_executor executor, ByteCount max_response)
-      : m_executor(std::move(executor)), m_max_response(max_response) {}
+  HttpClient(asio::any_io_executor executor, ByteCount max_response,
+             std::size_t max_connections)
+      : m_executor(std::move(executor)),
+        m_max_response(max_response),
+        m_max_connections(max_connections) {}
 
   using Deadline = std::chrono::steady_clock::time_point;
 
@@ -118,6 +127,12 @@
                                            const CallOptions& options,
                                            Deadline deadline,
                                            CallProgress& progress);
+  /// @return kDescriptorsExhausted if this process, not the server, is the
+  /// reason of a failure
+  Awaitable<Result<void>> OpenSocket(ConnectionPtr connection);
+  /// Closes the connection that has been idle longest.
+  /// @return false if none is idle
+  bool CloseLongestIdle();
   ConnectionPtr TakeIdle(const Endpoint& endpoint, const CallOptions& options);
   Awaitable<Result<ConnectionPtr>> SendRequest(const Endpoint& endpoint,
                                                HttpRequest& request,
@@ -127,6 +142,8 @@
 
   asio::any_io_executor m_executor;
   ByteCount m_max_response;
+  std::size_t m_max_connections;
+  std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
   std::map<Endpoint, std::deque<ConnectionPtr>> m_idle;
 };
 
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -1,5 +1,7 @@
 #include "transport/http_client.h"
 
+#include <sys/resource.h>
+
 #include "transport/endpoint.h"
 #include "unit_test.h"
 
@@ -150,3 +152,85 @@
   cr_expect_eq(call.error->execution, Execution::kNotRun);
   cr_expect(server.received.empty());
 }
+
+namespace {
+
+/// Answers each request on each connection until the callers close.
+Awaitable<void> AnswerAll(tcp::acceptor& acceptor) {
+  while (true) {
+    auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+    if (error) co_return;
+    auto answer = [](tcp::socket connection) -> Awaitable<void> {
+      const std::string response =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      std::array<char, 4096> bytes;
+      while (true) {
+        auto [failed, size] =
+            co_await connection.async_read_some(asio::buffer(bytes), kAsTuple);
+        if (failed) co_return;
+        co_await asio::async_write(connection, asio::buffer(response),
+                                   kAsTuple);
+      }
+    };
+    asio::co_spawn(acceptor.get_executor(), answer(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+CallEnd CallAndRun(asio::io_context& context,
+                   const std::shared_ptr<HttpClient>& client,
+                   const Endpoint& server) {
+  CallEnd call;
+  context.restart();
+  asio::co_spawn(
+      context,
+      CallOnce(client, server, WithTimeout(Milliseconds(500), Reuse::kAllowed),
+               call),
+      asio::detached);
+  context.run_for(Milliseconds(100));
+  return call;
+}
+
+}  // namespace
+
+// Guards against idle connections to one server that keep others from being
+// reached.
+Test(http_client, idle_connections_are_closed_before_a_call_is_refused) {
+  asio::io_context context;
+  auto first = ListenOnLoopback(context, 8);
+  auto second = ListenOnLoopback(context, 8);
+  asio::co_spawn(context, AnswerAll(first), asio::detached);
+  asio::co_spawn(context, AnswerAll(second), asio::detached);
+  const auto client =
+      HttpClient::Create(context.get_executor(), kMaxResponse, 1);
+  for (const auto* server : {&first, &second, &first}) {
+    const CallEnd call = CallAndRun(context, client, AddressOf(*server));
+    cr_expect_not(call.error.has_value());
+    cr_expect_eq(client->ConnectionCount(), 1);
+  }
+}
+
+// Guards against blaming a server for a descriptor that this process lacks.
+Test(http_client, a_lack_of_descriptors_is_not_a_failure_of_the_server) {
+  asio::io_context context;
+  auto acceptor = ListenOnLoopback(context, 8);
+  const auto client =
+      HttpClient::Create(context.get_executor(), kMaxResponse, 0);
+  const CallEnd bounded = CallAndRun(context, client, AddressOf(acceptor));
+  cr_assert(bounded.error.has_value());
+  cr_expect_eq(bounded.error->code, ResultCode::kDescriptorsExhausted);
+  cr_expect_eq(bounded.error->execution, Execution::kNotRun);
+
+  const auto unbounded =
+      HttpClient::Create(context.get_executor(), kMaxResponse);
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  const rlim_t before = std::exchange(limit.rlim_cur, 3);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  const CallEnd call = CallAndRun(context, unbounded, AddressOf(acceptor));
+  limit.rlim_cur = before;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  cr_assert(call.error.has_value());
+  cr_expect_eq(call.error->code, ResultCode::kDescriptorsExhausted);
+  cr_expect_eq(unbounded->ConnectionCount(), 0);
+}
