Bound the connections that an instance accepts

Seen: 300 connections that send nothing, to any of the listeners of an instance with RLIMIT_NOFILE 256, kept it from serving: callers waited for 15 s and longer, the readiness and metrics addresses did not answer, and no log line said why.

Cause: nothing bounded the number of connections, and `limits.descriptors` was read and never used. Whoever connects can take all descriptors; what is accepted last, and what the instance opens itself, to servers, store and peers, gets none. A failed accept was retried after 20 ms without a line.

Now the lower of `limits.descriptors` and RLIMIT_NOFILE is divided (transport/connection_limit): half for callers, a quarter for servers, an eighth for peers, 32 for each of the others. Above a listener's part the connection that has been idle longest is closed, as the idle timeout would; none that waited for less than 250 ms, since the next request is likely to be on its way. While none is, accepting pauses, and resumes when a connection ends. connection_limit_reached (560) and accept_failed (561) appear at most once a second for each action, and cowslipknot_connection_limit_total counts them. The same in `serve`, divided by its traffic threads; it has no setting, so RLIMIT_NOFILE alone counts.

Why it works: what callers and peers can take is bounded below what the process may open, so connections that the instance opens find a descriptor.

Command: cd tests/platform && python3 -m unittest descriptor_limit_test

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -51,6 +51,8 @@
   kQuarantineTrial = 522,
   kQuarantineEnded = 523,
   kRetryWithheld = 524,
+  kConnectionLimitReached = 560,
+  kAcceptFailed = 561,
   kDescriptorsExhausted = 562,
   kMoveStep = 600,
   kMoveRolledBack = 601,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -95,6 +95,11 @@
     {Event::kRetryWithheld, "warn", "retry_withheld",
      "a request is not sent to another server, since its prompt may have "
      "crashed the last ones"},
+    {Event::kConnectionLimitReached, "warn", "connection_limit_reached",
+     "a listener holds as many connections as its part of the descriptors "
+     "allows; its longest idle one is closed, or accepting pauses"},
+    {Event::kAcceptFailed, "warn", "accept_failed",
+     "a connection could not be accepted"},
     {Event::kDescriptorsExhausted, "warn", "descriptors_exhausted",
      "a connection could not be opened for lack of a resource of this "
      "instance"},
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -108,12 +108,15 @@
   asio::co_spawn(executor, m_gossip->Run(), asio::detached);
   asio::co_spawn(executor, PollPlatform(), asio::detached);
   asio::co_spawn(executor, StepMoves(), asio::detached);
+  const std::size_t descriptors = AvailableDescriptors(kUnlimitedConnections);
+  const auto limit = std::make_shared<ConnectionLimit>(
+      "peers", DivideDescriptors(descriptors).peers);
   asio::co_spawn(
       executor,
       ServeFrames(
           std::move(peers),
           [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
-          m_served_traffic),
+          m_served_traffic, nullptr, limit),
       asio::detached);
 }
 
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -115,6 +115,7 @@
     callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
     callers.memory = m_worker.Memory();
+    callers.connections = m_worker.CallerConnections();
     asio::co_spawn(m_worker.Context(),
                    ServeHttp(m_caller_acceptor, HttpServerLimits(), callers),
                    asio::detached);
@@ -124,6 +125,8 @@
     }
     HttpServerHooks readiness;
     readiness.memory = m_worker.Memory();
+    readiness.connections =
+        std::make_shared<ConnectionLimit>("readiness", kOperatorConnections);
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
@@ -133,6 +136,8 @@
         asio::detached);
     HttpServerHooks metrics;
     metrics.memory = m_worker.Memory();
+    metrics.connections =
+        std::make_shared<ConnectionLimit>("metrics", kOperatorConnections);
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -38,9 +38,14 @@
       m_adapter(adapter),
       m_memory(std::make_shared<MemoryBudget>(
           ByteCount(settings.max_memory.Count() / kReceivedFraction))),
+      m_connection_shares(
+          DivideDescriptors(AvailableDescriptors(settings.max_descriptors))),
+      m_caller_connections(std::make_shared<ConnectionLimit>(
+          "callers", m_connection_shares.callers)),
       m_http(HttpClient::Create(
           m_context.get_executor(),
-          ByteCount(settings.max_memory.Count() / kMaxResponseFraction))),
+          ByteCount(settings.max_memory.Count() / kMaxResponseFraction),
+          m_connection_shares.servers)),
       m_quota(settings.quota),
       m_links(m_context.get_executor(), settings, m_memory),
       m_quota_peers(m_links, settings),
@@ -50,6 +55,10 @@
                 RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
                            settings.node.Text().size())) {
+  m_caller_connections->SetObserver([this](LimitAction action) {
+    m_metrics.Add("cowslipknot_connection_limit_total",
+                  FormatLabel("action", Describe(action)));
+  });
   m_links.SetHandler(wire::Kind::PromptSent, [this](const PeerFrame& frame) {
     return OnPromptSent(frame);
   });
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -67,6 +67,10 @@
   /// Bounds what this instance holds of callers' requests, servers' responses
   /// and other instances' frames.
   const std::shared_ptr<MemoryBudget>& Memory() const { return m_memory; }
+  /// Bounds the connections of callers.
+  const std::shared_ptr<ConnectionLimit>& CallerConnections() const {
+    return m_caller_connections;
+  }
   MetricSet& Metrics() { return m_metrics; }
   QuotaLimiter& Quota() { return m_quota; }
   PeerLinks& Links() { return m_links; }
@@ -140,6 +144,8 @@
   const PlatformAdapter& m_adapter;
   asio::io_context m_context{1};
   std::shared_ptr<MemoryBudget> m_memory;
+  ConnectionShares m_connection_shares;
+  std::shared_ptr<ConnectionLimit> m_caller_connections;
   std::shared_ptr<HttpClient> m_http;
   SnapshotPtr m_snapshot = std::make_shared<Snapshot>();
   MetricSet m_metrics;
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -72,10 +72,14 @@
 }
 
 Awaitable<void> PeerLinks::Serve(std::shared_ptr<tcp::acceptor> acceptor) {
+  const std::size_t descriptors =
+      AvailableDescriptors(m_settings.max_descriptors);
+  auto limit = std::make_shared<ConnectionLimit>(
+      "peers", DivideDescriptors(descriptors).peers);
   co_await ServeFrames(
       std::move(acceptor),
       [this](const FrameBytes& bytes) { return HandleFrame(bytes); }, m_traffic,
-      m_memory);
+      m_memory, std::move(limit));
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -85,6 +85,7 @@
       hooks.no_more_requests = [this] { return m_closing_idle.load(); };
       hooks.idle = worker.Idle();
       hooks.requests_in_progress = worker.RequestsInProgress();
+      hooks.connections = worker.CallerConnections();
       asio::co_spawn(worker.Context(),
                      ServeHttp(m_caller_acceptors[i], limits, hooks),
                      asio::detached);
@@ -96,6 +97,8 @@
     hooks.make_error_response = [](const Error& error) {
       return ErrorResponse(error);
     };
+    hooks.connections =
+        std::make_shared<ConnectionLimit>("operators", kOperatorConnections);
     asio::co_spawn(m_control.Context(), ServeHttp(m_operators, limits, hooks),
                    asio::detached);
     m_control.Start(m_peers);
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -15,6 +15,12 @@
 constexpr std::size_t kMaxFinishedRuns = 256;
 constexpr ByteCount kMaxResponse(16 << 20);
 
+/// The connections that one traffic thread may hold.
+ConnectionShares ShareOfThread(const Settings& settings) {
+  const std::size_t descriptors = AvailableDescriptors(kUnlimitedConnections);
+  return DivideDescriptors(descriptors / settings.traffic_threads);
+}
+
 }  // namespace
 
 AdmissionTicket::~AdmissionTicket() {
@@ -25,11 +31,19 @@
                const ControlHooks& hooks)
     : m_settings(settings),
       m_hooks(hooks),
-      m_http(HttpClient::Create(m_context.get_executor(), kMaxResponse)),
+      m_caller_connections(std::make_shared<ConnectionLimit>(
+          "callers", ShareOfThread(settings).callers)),
+      m_http(HttpClient::Create(m_context.get_executor(), kMaxResponse,
+                                ShareOfThread(settings).servers)),
       m_random(settings.seed + index + 1),
       m_retries(kRetryShare, kRetryReserve),
       m_queue(TokenCount(settings.in_flight_tokens.Count() /
-                         settings.traffic_threads)) {}
+                         settings.traffic_threads)) {
+  m_caller_connections->SetObserver([this](LimitAction action) {
+    m_metrics.Add("cowslipknot_connection_limit_total",
+                  FormatLabel("action", Describe(action)));
+  });
+}
 
 UnitDraw Worker::Draw() {
   return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -112,6 +112,10 @@
 
   /// Connections of callers that wait for a request.
   std::shared_ptr<ConnectionSet> Idle() { return m_idle; }
+  /// Bounds the connections of callers.
+  const std::shared_ptr<ConnectionLimit>& CallerConnections() const {
+    return m_caller_connections;
+  }
   /// Number of requests that are being read or answered.
   std::shared_ptr<std::size_t> RequestsInProgress() {
     return m_requests_in_progress;
@@ -125,6 +129,7 @@
   const Settings& m_settings;
   const ControlHooks& m_hooks;
   asio::io_context m_context{1};
+  std::shared_ptr<ConnectionLimit> m_caller_connections;
   std::shared_ptr<HttpClient> m_http;
   FleetSnapshotPtr m_snapshot = std::make_shared<FleetSnapshot>();
   std::mt19937_64 m_random;
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -84,11 +84,15 @@
 Awaitable<void> ServePeerConnection(beast::tcp_stream stream,
                                     FrameHandler handler,
                                     std::shared_ptr<LinkTraffic> traffic,
-                                    std::shared_ptr<MemoryBudget> budget) {
+                                    std::shared_ptr<MemoryBudget> budget,
+                                    std::shared_ptr<ConnectionSet> idle,
+                                    ConnectionLimit::Slot /*slot*/) {
   while (true) {
     MemoryReservation memory(budget);
     stream.expires_after(kServerIdleTimeout);
+    idle->Add(stream);
     const auto length = co_await ReadLength(stream);
+    idle->Remove(stream);
     Result<FrameBytes> frame =
         length ? Result<FrameBytes>() : tl::make_unexpected(length.error());
     if (length) {
@@ -200,22 +204,25 @@
 Awaitable<void> ServeFrames(std::shared_ptr<tcp::acceptor> acceptor,
                             FrameHandler handler,
                             std::shared_ptr<LinkTraffic> traffic,
-                            std::shared_ptr<MemoryBudget> memory) {
+                            std::shared_ptr<MemoryBudget> memory,
+                            std::shared_ptr<ConnectionLimit> limit) {
   const auto executor = co_await asio::this_coro::executor;
-  while (acceptor->is_open()) {
-    auto [error, socket] = co_await acceptor->async_accept(kAsTuple);
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) {
-      co_await SleepFor(Milliseconds(20));
-      continue;
-    }
+  const auto idle = std::make_shared<ConnectionSet>();
+  if (!limit)
+    limit = std::make_shared<ConnectionLimit>("peers", kUnlimitedConnections);
+  ConnectionHandler serve = [executor, handler, traffic, memory, idle](
+                                tcp::socket socket,
+                                ConnectionLimit::Slot slot) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    asio::co_spawn(executor,
-                   ServePeerConnection(beast::tcp_stream(std::move(socket)),
-                                       handler, traffic, memory),
-                   asio::detached);
-  }
+    asio::co_spawn(
+        executor,
+        ServePeerConnection(beast::tcp_stream(std::move(socket)), handler,
+                            traffic, memory, idle, std::move(slot)),
+        asio::detached);
+  };
+  co_await AcceptConnections(std::move(acceptor), std::move(limit), idle,
+                             std::move(serve));
 }
 
 }  // namespace cowslipknot
--- a/src/transport/frame_link.h
+++ b/src/transport/frame_link.h
@@ -12,6 +12,7 @@
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
 #include "transport/asio.h"
+#include "transport/connection_limit.h"
 
 /// Length-prefixed frames over TCP between instances.
 ///
@@ -73,11 +74,14 @@
 using FrameHandler =
     std::function<Awaitable<FrameBytes>(const FrameBytes& frame)>;
 
-/// Accepts peer connections until the acceptor is closed.
+/// Accepts peer connections until the acceptor is closed. At the limit, the
+/// longest idle one is closed; the peer repeats a frame that crosses this.
 /// @param memory  bounds the frames of all connections; may be null
+/// @param limit   bounds the number of connections; may be null
 Awaitable<void> ServeFrames(std::shared_ptr<tcp::acceptor> acceptor,
                             FrameHandler handler,
                             std::shared_ptr<LinkTraffic> traffic,
-                            std::shared_ptr<MemoryBudget> memory = nullptr);
+                            std::shared_ptr<MemoryBudget> memory = nullptr,
+                            std::shared_ptr<ConnectionLimit> limit = nullptr);
 
 }  // namespace cowslipknot
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -2,19 +2,15 @@
 
 #include <sys/socket.h>
 
-#include <array>
 #include <exception>
 #include <optional>
 
 #include "cowslipknot/events.h"
+#include "transport/graceful_close.h"
 
 namespace cowslipknot {
 namespace {
 
-/// How long a closing connection waits for the peer to close its side, which
-/// takes a round trip.
-constexpr Milliseconds kLingerTimeout(150);
-constexpr Milliseconds kAcceptRetryDelay(20);
 constexpr std::size_t kReadBytes = 16 << 10;
 /// A request body and its copy in an attempt.
 constexpr std::uint64_t kBodyCopies = 2;
@@ -276,23 +272,6 @@
   co_return error_code();
 }
 
-/// Closes a connection so that the peer receives all that was written. Without
-/// reading until the peer closes, bytes still in transit from the peer would
-/// cause a connection reset.
-Awaitable<void> CloseGracefully(beast::tcp_stream& stream) {
-  error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  std::array<char, 4096> discarded;
-  // The timer of the stream does not end reads that complete at once.
-  const SteadyTime deadline = std::chrono::steady_clock::now() + kLingerTimeout;
-  stream.expires_at(deadline);
-  while (std::chrono::steady_clock::now() < deadline) {
-    auto [error, size] =
-        co_await stream.async_read_some(asio::buffer(discarded), kAsTuple);
-    if (error) co_return;
-  }
-}
-
 /// Handles a request. An exception of the handler ends the exchange with an
 /// error response, or without one if a response has begun.
 Awaitable<void> HandleExchange(Exchange& exchange,
@@ -333,10 +312,13 @@
   std::shared_ptr<std::size_t> m_count;
 };
 
+/// @param counted  keeps a shutdown from ending before the connection is known
+///                 to wait for a request
 Awaitable<void> ServeConnection(StreamPtr stream, HttpServerLimits limits,
-                                HttpServerHooks hooks) {
+                                HttpServerHooks hooks,
+                                ConnectionLimit::Slot /*slot*/,
+                                std::unique_ptr<InProgressCount> counted) {
   beast::flat_buffer buffer;
-  std::optional<InProgressCount> counted;
   while (true) {
     counted.reset();
     if (hooks.limits) limits = hooks.limits();
@@ -344,7 +326,7 @@
     // A request that crosses the close is not read, which tells the peer that
     // it was not accepted.
     if (!arrived) co_return;
-    counted.emplace(hooks);
+    counted = std::make_unique<InProgressCount>(hooks);
     // The configuration may have changed while the connection was idle.
     if (hooks.limits) limits = hooks.limits();
     MemoryReservation memory(hooks.memory);
@@ -375,21 +357,25 @@
 Awaitable<void> ServeHttp(std::shared_ptr<tcp::acceptor> acceptor,
                           HttpServerLimits limits, HttpServerHooks hooks) {
   const auto executor = co_await asio::this_coro::executor;
-  while (acceptor->is_open()) {
-    auto [error, socket] = co_await acceptor->async_accept(kAsTuple);
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) {
-      co_await SleepFor(kAcceptRetryDelay);
-      continue;
-    }
+  if (!hooks.idle) hooks.idle = std::make_shared<ConnectionSet>();
+  auto limit = hooks.connections;
+  if (!limit)
+    limit = std::make_shared<ConnectionLimit>("", kUnlimitedConnections);
+  const auto idle = hooks.idle;
+  ConnectionHandler serve = [executor, limits, hooks](
+                                tcp::socket socket,
+                                ConnectionLimit::Slot slot) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     asio::co_spawn(
         executor,
         ServeConnection(std::make_shared<beast::tcp_stream>(std::move(socket)),
-                        limits, hooks),
+                        limits, hooks, std::move(slot),
+                        std::make_unique<InProgressCount>(hooks)),
         asio::detached);
-  }
+  };
+  co_await AcceptConnections(std::move(acceptor), std::move(limit), idle,
+                             std::move(serve));
 }
 
 }  // namespace cowslipknot
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -3,13 +3,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "base/memory_budget.h"
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
 #include "transport/asio.h"
+#include "transport/connection_limit.h"
+#include "transport/connection_set.h"
 #include "transport/http_client.h"
 
 namespace cowslipknot {
@@ -43,21 +44,6 @@
   virtual void OnPeerDisconnect(std::function<void()> on_disconnect) = 0;
 };
 
-/// Connections that wait for input.
-class ConnectionSet {
- public:
-  void Add(beast::tcp_stream& stream) { m_streams.insert(&stream); }
-  void Remove(beast::tcp_stream& stream) { m_streams.erase(&stream); }
-  /// Ends their waits.
-  void CancelAll() {
-    for (auto* stream : m_streams) stream->cancel();
-  }
-  std::size_t Count() const { return m_streams.size(); }
-
- private:
-  std::set<beast::tcp_stream*> m_streams;
-};
-
 /// Callbacks of the server.
 struct HttpServerHooks {
   std::function<Awaitable<void>(HttpExchange&)> handle;
@@ -82,6 +68,8 @@
   std::shared_ptr<std::size_t> requests_in_progress;
   /// Bounds the request bodies of all connections; may be null.
   std::shared_ptr<MemoryBudget> memory;
+  /// Bounds the number of connections; may be null.
+  std::shared_ptr<ConnectionLimit> connections;
 };
 
 /// Accepts connections until the acceptor is closed.
--- a/tests/platform/descriptor_limit_test.py
+++ b/tests/platform/descriptor_limit_test.py
@@ -2,15 +2,17 @@
 
 import http.client
 import resource
+import socket
 import threading
 import time
 import unittest
 
-from configuration_documents import configuration, services
+from configuration_documents import configuration, route, routes, services
 from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
 DESCRIPTORS = 256  # of the gateway
+MANY = 300
 SERVED_S = 3.0
 LIMITS = {"max_header_bytes": 8192, "max_body_bytes": 100000, "header_timeout_ms": 20000,
           "idle_timeout_ms": 30000}
@@ -37,6 +39,17 @@
         eventually(gateway.ready)
         return gateway
 
+    def hold(self, port, count=MANY, data=b""):
+        """Opens connections and leaves them open until they are closed or the test ends."""
+        held = []
+        for _ in range(count):
+            connection = socket.create_connection(("127.0.0.1", port), timeout=10)
+            self.addCleanup(connection.close)
+            if data:
+                connection.sendall(data)
+            held.append(connection)
+        return held
+
     def assert_serves(self, gateway, request="last", path="/once/x"):
         started = time.monotonic()
         status, headers, body = gateway.call(path, request_id=request)
@@ -48,6 +61,36 @@
         return [event for event in gateway.log_events() if event["name"] == name
                 and all(event[key] == value for key, value in fields.items())]
 
+    # Guards against idle callers that leave no descriptor for others, the servers, the store
+    # and the readiness check.
+    def test_idle_callers_do_not_keep_an_instance_from_serving(self):
+        gateway = self.start()
+        self.hold(gateway.port)
+        time.sleep(0.5)
+        for number in range(10):
+            self.assert_serves(gateway, f"r{number}")
+        self.assertTrue(gateway.ready())
+        self.publish(2, route_list=routes() + [route("new", "/new/", "safe", "plain")])
+        eventually(lambda: gateway.call("/new/x", "n1")[0] == 200)
+        self.assertEqual(self.logged(gateway, "attempt_failed"), [])
+        self.assertTrue(self.logged(gateway, "connection_limit_reached", action="idle_closed"))
+        self.assertIn('cowslipknot_connection_limit_total{action="idle_closed"}',
+                      gateway.metrics())
+
+    # Guards against accepting that stops without a log line, and does not resume at once.
+    def test_accepting_pauses_while_no_connection_is_idle(self):
+        gateway = self.start()
+        held = self.hold(gateway.port, data=b"POST /once/x HTTP/1.1\r\nHost: h")
+        eventually(lambda: self.logged(gateway, "connection_limit_reached",
+                                       action="accept_paused"))
+        self.assertTrue(gateway.ready())
+        paused = len(self.logged(gateway, "connection_limit_reached"))
+        time.sleep(2)
+        self.assertLessEqual(len(self.logged(gateway, "connection_limit_reached")), paused + 3)
+        for connection in held:
+            connection.close()
+        self.assert_serves(gateway)
+
     # Guards against counting a connection that this instance lacks the descriptor for against
     # its server, until no server is left.
     def test_requests_beyond_the_descriptors_do_not_count_against_servers(self):
@@ -76,6 +119,25 @@
             backend.answer_pause_s = 0.0
         self.assert_serves(gateway)
 
+    def assert_serves_beside_connections_to(self, name):
+        gateway = self.start()
+        self.hold(getattr(gateway, name))
+        time.sleep(0.5)
+        self.assert_serves(gateway)
+        eventually(gateway.ready)
+        self.assertTrue(gateway.metrics())
+
+    # Guards against connections of other instances, or to the readiness and metrics
+    # addresses, that leave no descriptor for callers.
+    def test_connections_of_peers_leave_descriptors(self):
+        self.assert_serves_beside_connections_to("peers_port")
+
+    def test_connections_to_the_readiness_check_leave_descriptors(self):
+        self.assert_serves_beside_connections_to("ready_port")
+
+    def test_connections_to_the_metrics_leave_descriptors(self):
+        self.assert_serves_beside_connections_to("metrics_port")
+
 
 if __name__ == "__main__":
     unittest.main()
