Serve what a closing listener has in its queue

Seen: callers that connected and sent a whole request shortly before a planned stop closed the listener got a reset, although their operating system had told them that the connection was accepted (LOST).

Cause: closing a listening socket resets each connection that the process has not accepted yet. There are many when the process did not run for a moment. With SO_REUSEPORT a successor does not take them over: the kernel has chosen the listener when the connection was opened.

CloseListener accepts until there is nothing left, then closes. The requests are served, or refused as not run, as others late in a stop. `serve` has the same, per traffic thread.

Not run: `serve` as a process has no test of its own for this.

What remains: a connection that arrives between the last accept and the close, some microseconds, is still reset; only the kernel could move it to a successor.

Command: cd tests/platform && python3 -m unittest connection_loss_test

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -211,7 +211,9 @@
     };
     m_closing_idle = true;
     asio::post(m_worker.Context(),
-               [acceptor = m_caller_acceptor] { acceptor->close(); });
+               [this] { m_worker.CallerConnections()->CloseListener(); });
+    // A connection that is being accepted at this moment counts from now on.
+    co_await SleepFor(kDrainPollInterval);
     bool ended_requests = false;
     while (co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
       const Milliseconds elapsed = ElapsedSince(started);
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -130,6 +130,8 @@
       // instance is not ready.
       co_await SleepFor(m_settings.drain_grace);
       CloseCallerListeners();
+      // A connection that is being accepted at this moment counts from now on.
+      co_await SleepFor(kDrainPollInterval);
       m_closing_idle = true;
       const Milliseconds handover_delay =
           m_settings.drain_timeout - m_settings.hand_over_margin;
@@ -165,9 +167,11 @@
   }
 
   void CloseCallerListeners() {
-    for (std::size_t i = 0; i < m_workers.size(); ++i) {
-      asio::post(m_workers[i]->Executor(),
-                 [acceptor = m_caller_acceptors[i]] { acceptor->close(); });
+    for (const auto& worker : m_workers) {
+      asio::post(worker->Executor(),
+                 [connections = worker->CallerConnections()] {
+                   connections->CloseListener();
+                 });
     }
   }
 
