--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -112,6 +112,14 @@
     {Event::kTaskFailed, "error", "task_failed", "an exception ended a task"},
     {Event::kCallbackFailed, "error", "callback_failed",
      "an exception left a callback of an event loop, which goes on"},
+    {Event::kConnectionLimitReached, "warn", "connection_limit_reached",
+     "a listener holds as many connections as its part of the descriptors "
+     "allows; its longest idle one is closed, or accepting pauses"},
+    {Event::kAcceptFailed, "warn", "accept_failed",
+     "a connection could not be accepted"},
+    {Event::kDescriptorsExhausted, "warn", "descriptors_exhausted",
+     "a connection could not be opened for lack of a resource of this "
+     "instance"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -109,10 +109,13 @@
   SpawnLoop(executor, "gossip", [this] { return m_gossip->Run(); });
   SpawnLoop(executor, "poll platform", [this] { return PollPlatform(); });
   SpawnLoop(executor, "step moves", [this] { return StepMoves(); });
-  auto serve = [this, peers] {
+  const std::size_t descriptors = AvailableDescriptors(kUnlimitedConnections);
+  const auto limit = std::make_shared<ConnectionLimit>(
+      "peers", DivideDescriptors(descriptors).peers);
+  auto serve = [this, peers, limit] {
     return ServeFrames(
         peers, [this](const FrameBytes& bytes) { return HandleFrame(bytes); },
-        m_served_traffic);
+        m_served_traffic, nullptr, limit);
   };
   SpawnLoop(executor, "serve peers", serve, WhenClosed(peers));
 }
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -121,6 +121,7 @@
     callers.reading = m_worker.Reading();
     callers.requests_in_progress = m_worker.RequestsInProgress();
     callers.memory = m_worker.Memory();
+    callers.connections = m_worker.CallerConnections();
     const auto traffic = m_worker.Context().get_executor();
     StartHttp(traffic, "serve callers", m_caller_acceptor, callers);
     if (m_peer_acceptor) {
@@ -131,6 +132,8 @@
     }
     HttpServerHooks readiness;
     readiness.memory = m_worker.Memory();
+    readiness.connections =
+        std::make_shared<ConnectionLimit>("readiness", kOperatorConnections);
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
@@ -138,6 +141,8 @@
               readiness);
     HttpServerHooks metrics;
     metrics.memory = m_worker.Memory();
+    metrics.connections =
+        std::make_shared<ConnectionLimit>("metrics", kOperatorConnections);
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
@@ -199,10 +204,10 @@
           m_worker.Idle().Count() > 0;
     };
     m_closing_idle = true;
-    asio::post(m_worker.Context(), [acceptor = m_caller_acceptor] {
-      error_code ignored;
-      acceptor->close(ignored);
-    });
+    asio::post(m_worker.Context(),
+               [this] { m_worker.CallerConnections()->CloseListener(); });
+    // A connection that is being accepted at this moment counts from now on.
+    co_await SleepFor(kDrainPollInterval);
     bool ended_requests = false;
     while (co_await RunOn(m_worker.Context().get_executor(), close_idle())) {
       const Milliseconds elapsed = ElapsedSince(started);
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -92,6 +92,7 @@
       hooks.no_more_requests = [this] { return m_closing_idle.load(); };
       hooks.idle = worker.Idle();
       hooks.requests_in_progress = worker.RequestsInProgress();
+      hooks.connections = worker.CallerConnections();
       StartHttp(worker.Executor(), "serve callers", m_caller_acceptors[i],
                 hooks, limits);
     }
@@ -102,6 +103,8 @@
     hooks.make_error_response = [](const Error& error) {
       return ErrorResponse(error);
     };
+    hooks.connections =
+        std::make_shared<ConnectionLimit>("operators", kOperatorConnections);
     const auto control = m_control.Context().get_executor();
     StartHttp(control, "serve operators", m_operators, hooks, limits);
     m_control.Start(m_peers);
@@ -149,6 +152,8 @@
       // instance is not ready.
       co_await SleepFor(m_settings.drain_grace);
       CloseCallerListeners();
+      // A connection that is being accepted at this moment counts from now on.
+      co_await SleepFor(kDrainPollInterval);
       m_closing_idle = true;
       const Milliseconds handover_delay =
           m_settings.drain_timeout - m_settings.hand_over_margin;
@@ -184,11 +189,11 @@
   }
 
   void CloseCallerListeners() {
-    for (std::size_t i = 0; i < m_workers.size(); ++i) {
-      asio::post(m_workers[i]->Executor(), [acceptor = m_caller_acceptors[i]] {
-        error_code ignored;
-        acceptor->close(ignored);
-      });
+    for (const auto& worker : m_workers) {
+      asio::post(worker->Executor(),
+                 [connections = worker->CallerConnections()] {
+                   connections->CloseListener();
+                 });
     }
   }
 
--- a/src/transport/frame_link.cc
+++ b/src/transport/frame_link.cc
@@ -6,6 +6,7 @@
 #include "cowslipknot/events.h"
 #include "transport/endpoint.h"
 #include "transport/event_loop.h"
+#include "transport/local_shortage.h"
 
 namespace cowslipknot {
 namespace {
@@ -84,11 +85,15 @@
 Awaitable<void> ServePeerConnection(beast::tcp_stream stream,
                                     FrameHandler handler,
                                     std::shared_ptr<LinkTraffic> traffic,
-                                    std::shared_ptr<MemoryBudget> budget) {
+                                    std::shared_ptr<MemoryBudget> budget,
+                                    std::shared_ptr<ConnectionSet> idle,
+                                    ConnectionLimit::Slot /*slot*/) {
   while (true) {
     MemoryReservation memory(budget);
     stream.expires_after(kServerIdleTimeout);
+    idle->Add(stream);
     const auto length = co_await ReadLength(stream);
+    idle->Remove(stream);
     Result<FrameBytes> frame =
         length ? Result<FrameBytes>() : tl::make_unexpected(length.error());
     if (length) {
@@ -125,10 +130,12 @@
   stream->socket().open(source->protocol(), bind_error);
   if (!bind_error) stream->socket().bind(*source, bind_error);
   if (bind_error) {
+    LogDescriptorsExhausted(peer, bind_error.message());
     co_return Fail(ResultCode::kPeerUnreachable, bind_error.message());
   }
   stream->expires_after(timeout);
   auto [error] = co_await stream->async_connect(*address, kAsTuple);
+  if (IsLocalShortage(error)) LogDescriptorsExhausted(peer, error.message());
   if (error) co_return Fail(ResultCode::kPeerUnreachable, error.message());
   stream->socket().set_option(tcp::no_delay(true), error);
   if (!ResetOnClose(stream->socket())) {
@@ -198,25 +205,27 @@
 Awaitable<void> ServeFrames(std::shared_ptr<tcp::acceptor> acceptor,
                             FrameHandler handler,
                             std::shared_ptr<LinkTraffic> traffic,
-                            std::shared_ptr<MemoryBudget> memory) {
+                            std::shared_ptr<MemoryBudget> memory,
+                            std::shared_ptr<ConnectionLimit> limit) {
   const auto executor = co_await asio::this_coro::executor;
-  while (acceptor->is_open()) {
-    auto [error, socket] = co_await acceptor->async_accept(kAsTuple);
-    if (error == asio::error::operation_aborted) co_return;
-    if (error) {
-      co_await SleepFor(Milliseconds(20));
-      continue;
-    }
+  const auto idle = std::make_shared<ConnectionSet>();
+  if (!limit)
+    limit = std::make_shared<ConnectionLimit>("peers", kUnlimitedConnections);
+  ConnectionHandler serve = [executor, handler, traffic, memory, idle](
+                                tcp::socket socket,
+                                ConnectionLimit::Slot slot) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     try {
       Spawn(executor, "peer connection",
             ServePeerConnection(beast::tcp_stream(std::move(socket)), handler,
-                                traffic, memory));
+                                traffic, memory, idle, std::move(slot)));
     } catch (...) {
       RecordTaskFailure("peer connection", std::current_exception());
     }
-  }
+  };
+  co_await AcceptConnections(std::move(acceptor), std::move(limit), idle,
+                             std::move(serve));
 }
 
 }  // namespace cowslipknot
