--- a/include/cowslipknot/ids.h
+++ b/include/cowslipknot/ids.h
@@ -54,6 +54,7 @@
 using ByteCount = Quantity<struct ByteCountTag>;
 using Revision = Quantity<struct RevisionTag>;        ///< of the configuration
 using Incarnation = Quantity<struct IncarnationTag>;  ///< of a node or server
+using RequestRate = Quantity<struct RequestRateTag, double>;  ///< a second
 using Epoch = Quantity<struct EpochTag>;  ///< of a lease; its fencing token
 /// Milliseconds since the Unix epoch.
 using WallTime = Quantity<struct WallTimeTag, std::int64_t>;
--- /dev/null
+++ b/src/serve/limit_codec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+
+#include "cowslipknot/coordination/server_limit.h"
+#include "cowslipknot/result.h"
+#include "protocol/peer_frame.h"
+
+/// Packs statements of servers' limits into frames.
+namespace cowslipknot {
+
+/// A process of a server.
+struct ServerStart {
+  ServerId server;
+  std::int64_t started_ms = 0;
+};
+
+struct ReceivedLimit {
+  ServerStart start;
+  LimitStatement statement;
+};
+
+/// Times become ages, since instances share no clock.
+std::unique_ptr<wire::LimitStatementT> PackLimit(
+    const ServerStart& start, const LimitStatement& statement,
+    LimitStatement::Time now);
+
+/// @return kBadFrame if a value is out of range
+Result<ReceivedLimit> UnpackLimit(const wire::LimitStatementT& packed,
+                                  LimitStatement::Time now);
+
+}  // namespace cowslipknot
