Send a limited server only the requests that all instances may send it together

Callers saw nothing; servers that named a limit got more than one and a half times of it, from all instances together. Cause: no code read the header, and no instance knew what the others send. Now the limit is decoded in platform/, bounded, and kept for each start of a server. A request to a limited server needs a permit of the server's granter (PermitGranter); an instance without one uses the other servers, or refuses the request at once, with a time to come back at which the limits leave room. Why this works: a request without a permit is not sent, and the permits of all granters together stay within the tolerance. Command: python3 -m unittest server_limit_test (in tests/platform)

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -91,6 +92,17 @@
   }
   bool IsPaused(Time now) const { return now < m_paused_until; }
   Time PausedUntil() const { return m_paused_until; }
+  /// Records the limit that the server names; none if it names none.
+  void RecordLimit(std::optional<RequestRate> limit) {
+    m_limit = limit;
+    if (!limit) m_withheld_until = Time(0);
+  }
+  const std::optional<RequestRate>& Limit() const { return m_limit; }
+  /// Records that a limited server gets no request until a time, since no
+  /// permit is expected before.
+  void Withhold(Time until) { m_withheld_until = until; }
+  bool IsWithheld(Time now) const { return m_limit && now < m_withheld_until; }
+  Time WithheldUntil() const { return m_withheld_until; }
   /// Whether the server is ejected.
   bool IsEjected(Time now) const { return now < m_ejected_until; }
 
@@ -126,6 +138,8 @@
   std::uint32_t m_consecutive_unreachable = 0;
   Time m_ejected_until{0};
   Time m_paused_until{0};
+  std::optional<RequestRate> m_limit;
+  Time m_withheld_until{0};
   bool m_leaving = false;
 };
 
@@ -142,6 +156,7 @@
   std::vector<PromptPart> parts;  ///< the last part is unique to the request
   Milliseconds latency_target{1000};  ///< time to first event or response
   std::vector<ServerId> tried;        ///< not selected again
+  bool excludes_limited = false;      ///< servers that name a limit
 };
 
 struct PlacementContext {
--- a/include/cowslipknot/gateway/server_pause.h
+++ b/include/cowslipknot/gateway/server_pause.h
@@ -11,9 +11,11 @@
 
 /// Returns after what time a caller should repeat a request for which no server
 /// was usable, as SpreadReturn() does.
-/// @param usual  the time when not all servers pause
+/// @param usual  the time when a server neither pauses nor is withheld
+/// @param earliest  not before this time, if all are limited or pause
 Milliseconds CallerRetryDelay(const std::vector<Backend>& backends,
                               std::chrono::nanoseconds now, Milliseconds usual,
-                              UnitDraw draw);
+                              UnitDraw draw,
+                              Milliseconds earliest = Milliseconds(0));
 
 }  // namespace cowslipknot::gateway
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -206,6 +206,8 @@
                                  id) != request.tried.end();
     const BackendState& state = *backends[i].state;
     if (tried || state.IsLeaving() || state.IsPaused(context.now)) continue;
+    if (state.IsWithheld(context.now)) continue;
+    if (request.excludes_limited && state.Limit()) continue;
     const bool is_ejected = state.IsEjected(context.now);
     (is_ejected ? ejected : usable).push_back(i);
   }
--- a/src/coordination/server_pause.cc
+++ b/src/coordination/server_pause.cc
@@ -62,16 +62,20 @@
 
 Milliseconds CallerRetryDelay(const std::vector<Backend>& backends,
                               std::chrono::nanoseconds now, Milliseconds usual,
-                              UnitDraw draw) {
+                              UnitDraw draw, Milliseconds earliest) {
   std::optional<std::chrono::nanoseconds> first_end;
   for (const auto& backend : backends) {
-    if (backend.state->IsLeaving()) continue;
-    if (!backend.state->IsPaused(now)) return usual;
-    const auto end = backend.state->PausedUntil();
+    const BackendState& state = *backend.state;
+    if (state.IsLeaving()) continue;
+    if (!state.IsPaused(now) && !state.Limit()) return usual;
+    const auto end =
+        std::max({now, state.PausedUntil(), state.WithheldUntil()});
     first_end = std::min(first_end.value_or(end), end);
   }
   if (!first_end) return usual;
-  return SpreadReturn(*first_end - now, usual, draw);
+  const auto left =
+      std::max<std::chrono::nanoseconds>(*first_end - now, earliest);
+  return SpreadReturn(left, usual, draw);
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -49,6 +49,9 @@
   /// Time in seconds for which a server that has no capacity wants no request;
   /// as stated, NaN if it is not a number.
   std::optional<double> retry_after_s;
+  /// Requests a second that the addressed server takes from all instances
+  /// together; as stated, NaN if it is not a number.
+  std::optional<double> limit_per_s;
 };
 
 /// A row of the platform's store.
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 
 #include "cowslipknot/events.h"
-#include "cowslipknot/gateway/server_pause.h"
 #include "serve/error_response.h"
 #include "serve/request_admission.h"
 
@@ -19,9 +18,6 @@
 /// repeated has a lower limit.
 constexpr Milliseconds kNonRepeatableMaxIdle(2000);
 constexpr Milliseconds kMaxIdle(8000);
-/// Retry-After when no server accepted the request. By then, the servers that
-/// rejected it have usually finished some of their other work.
-constexpr Milliseconds kNoServerRetryDelay(400);
 /// The request is rejected after this many attempts that were not executed.
 constexpr std::uint32_t kMaxRejections = 3;
 /// Time between attempts to resume a stream that no server accepts now.
@@ -93,65 +89,6 @@
   return XXH3_64bits(m_request.id.Text().data(), m_request.id.Text().size());
 }
 
-bool Call::HasOtherServer() const {
-  const SnapshotPtr latest = m_worker.GetSnapshot();
-  const auto servers =
-      latest->servers.find(PickService(*m_route, RequestHash()));
-  if (servers == latest->servers.end()) return false;
-  const auto now = TimeSinceBoot();
-  return std::any_of(servers->second.begin(), servers->second.end(),
-                     [this, now](const Backend& server) {
-                       const auto excluded =
-                           std::find(m_excluded_servers.begin(),
-                                     m_excluded_servers.end(), server.entry.id);
-                       return excluded == m_excluded_servers.end() &&
-                              !server.state->IsEjected(now) &&
-                              !server.state->IsLeaving() &&
-                              !server.state->IsPaused(now);
-                     });
-}
-
-Result<Backend> Call::ChooseServer() {
-  const SnapshotPtr latest = m_worker.GetSnapshot();
-  const std::uint64_t hash = RequestHash();
-  const ServiceId& service = PickService(*m_route, hash);
-  const auto servers = latest->servers.find(service);
-  if (servers == latest->servers.end()) {
-    return Fail(ResultCode::kNoServer, service.Text());
-  }
-  PlacementRequest request;
-  request.prompt = m_request.prompt.value_or(TokenCount(0));
-  request.parts = m_request.prompt_parts;
-  request.latency_target = m_route->latency_target;
-  request.tried = m_excluded_servers;
-  PlacementContext context;
-  context.domain = m_worker.GetSettings().domain;
-  context.now = TimeSinceBoot();
-  context.instances_in_domain = latest->instances_in_domain;
-  context.draw = m_worker.Draw();
-  const std::vector<Backend>& candidates =
-      ServersOfVersion(*latest, service, servers->second, hash);
-  const auto placement = SelectBackend(request, candidates, context);
-  if (!placement) return tl::make_unexpected(placement.error());
-  m_placement = *placement;
-  return candidates[placement->index];
-}
-
-const std::vector<Backend>& Call::ServersOfVersion(
-    const Snapshot& latest, const ServiceId& service,
-    const std::vector<Backend>& servers, std::uint64_t hash) {
-  m_move_key = MoveId();
-  const auto found = latest.moves.find(service);
-  if (found == latest.moves.end()) return servers;
-  const MovedService& moved = found->second;
-  if (moved.IsUndecided()) m_move_key = EvidenceKey(moved.move);
-  m_new_version = moved.move.order.to;
-  const bool to_new =
-      RoutesToNewVersion(moved.move, hash, !m_tried_servers.empty());
-  const auto& chosen = to_new ? moved.new_servers : moved.old_servers;
-  return chosen.empty() ? servers : chosen;
-}
-
 HttpRequest Call::BuildAttemptRequest(const Backend& server) const {
   HttpRequest request = m_exchange.Request();
   request.version(11);
@@ -168,16 +105,6 @@
   return request;
 }
 
-bool Call::WasTried(const ServerId& server) const {
-  return std::find(m_tried_servers.begin(), m_tried_servers.end(), server) !=
-         m_tried_servers.end();
-}
-
-bool Call::TrySpendRetry() {
-  const bool repeats_request = !m_tried_servers.empty() && m_reached_server;
-  return !repeats_request || m_worker.Retries().TrySpend();
-}
-
 Awaitable<void> Call::WaitToResume() {
   m_excluded_servers.clear();
   co_await SleepFor(std::min(kResumeRetryDelay, TimeLeft()));
@@ -197,7 +124,8 @@
       co_return;
     }
     if (!m_tried_servers.empty() && !MayRetryPrompt()) break;
-    const auto server = ChooseServer();
+    const auto server = co_await AcquireServer();
+    if (IsAborted() || TimeLeft().count() == 0) continue;
     if (!server && m_tried_servers.empty()) last = server.error();
     if (!server || !TrySpendRetry()) {
       if (!m_streaming) break;
@@ -309,15 +237,6 @@
   return false;
 }
 
-Milliseconds Call::NoServerRetryDelay() {
-  const SnapshotPtr latest = m_worker.GetSnapshot();
-  const auto servers =
-      latest->servers.find(PickService(*m_route, RequestHash()));
-  if (servers == latest->servers.end()) return kNoServerRetryDelay;
-  return CallerRetryDelay(servers->second, TimeSinceBoot(), kNoServerRetryDelay,
-                          m_worker.Draw());
-}
-
 ResponseUse Call::Classify(const http::response_header<>& header) const {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
   ResponseHead head;
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -37,31 +37,14 @@
   Milliseconds TimeLeft() const;
   std::uint64_t RequestHash() const;
   bool IsModelCall() const { return m_request.prompt.has_value(); }
-  /// Chooses a server from the latest snapshot, which may differ from the one
-  /// used to admit the request.
-  Result<Backend> ChooseServer();
-  /// Whether the request's service has a server that is neither excluded nor
-  /// ejected.
-  bool HasOtherServer() const;
-  /// Returns the servers of the version that the service's move assigns to this
-  /// request, or all servers if that version has none.
-  const std::vector<Backend>& ServersOfVersion(
-      const Snapshot& latest, const ServiceId& service,
-      const std::vector<Backend>& servers, std::uint64_t hash);
   HttpRequest BuildAttemptRequest(const Backend& server) const;
   Awaitable<void> RunAttemptLoop();
-  /// Whether the chosen server may be sent another attempt by the retry budget.
-  bool TrySpendRetry();
-  bool WasTried(const ServerId& server) const;
   /// Waits before a stream that has begun is offered to the servers again.
   Awaitable<void> WaitToResume();
   Awaitable<AttemptOutcome> RunAttempt(const Backend& server, Error& error);
   /// Whether a response on the attempt's connection answers this request; logs
   /// one that does not.
   bool IsOwn(const http::response_header<>& header) const;
-  /// Returns after what time the caller should repeat its request when no
-  /// server was usable.
-  Milliseconds NoServerRetryDelay();
   ResponseUse Classify(const http::response_header<>& header) const;
   /// Ends the attempt in progress because the caller has disconnected or the
   /// instance stops.
@@ -77,6 +60,31 @@
   Awaitable<void> SendResponse(HttpResponse& response);
   void LogResponseNotSent();
 
+  // Choice of servers: gateway_call_servers.cc.
+  /// Chooses a server from the latest snapshot, which may differ from the one
+  /// used to admit the request.
+  Result<Backend> ChooseServer();
+  /// Whether the request's service has a server that is neither excluded nor
+  /// ejected.
+  bool HasOtherServer() const;
+  /// Returns the servers of the version that the service's move assigns to this
+  /// request, or all servers if that version has none.
+  const std::vector<Backend>& ServersOfVersion(
+      const Snapshot& latest, const ServiceId& service,
+      const std::vector<Backend>& servers, std::uint64_t hash);
+  /// Chooses a server that may be sent the request now. Servers that name a
+  /// limit and grant no permit are left out; the others need not wait for them.
+  Awaitable<Result<Backend>> AcquireServer();
+  /// Whether the next attempt repeats one that may have reached a server.
+  bool RepeatsRequest() const;
+  bool MaySpendRetry() const;
+  /// Whether the chosen server may be sent another attempt by the retry budget.
+  bool TrySpendRetry();
+  bool WasTried(const ServerId& server) const;
+  /// Returns after what time the caller should repeat its request when no
+  /// server was usable.
+  Milliseconds NoServerRetryDelay();
+
   // Responses: gateway_response.cc.
   Awaitable<Result<std::string>> ReadBody(ResponseStream& stream);
   /// Forwards a response after its body has been read completely.
@@ -126,6 +134,7 @@
   /// Records what a response says of its server's state.
   void RecordServerNotices(const Backend& server,
                            const http::response_header<>& header);
+  void RecordLimit(const Backend& server, const BackendResponse& response);
   void RecordRequestStart();
   /// Adds the prompt's estimated prefill time to the service's load.
   void RecordPromptLoad(const Backend& server);
@@ -149,6 +158,7 @@
   std::uint64_t m_tracked_attempt = 0;       ///< latest, in the evidence
   std::vector<ServerId> m_tried_servers;     ///< in order; may repeat
   std::vector<ServerId> m_excluded_servers;  ///< not chosen for now
+  std::uint32_t m_permit_requests = 0;       ///< for the next attempt
   std::uint32_t m_executed = 0;  ///< attempts that may have been executed
   EventSplitter m_events;
   MemoryReservation m_event_memory;  ///< of a partial event
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -135,12 +135,34 @@
                          ElapsedMsSince(begun) / batch_slots, TimeSinceBoot());
 }
 
+void Call::RecordLimit(const Backend& server, const BackendResponse& response) {
+  LimitStatement statement;
+  statement.sent = m_prompt_sent;
+  statement.read = m_progress.header_read_at;
+  if (!response.limit_per_s) {
+    // Only the process that ran the request says that there is no limit.
+    if (response.is_signed) m_worker.Permits().OnStatement(server, statement);
+    return;
+  }
+  const auto reading = BoundLimit(*response.limit_per_s);
+  if (reading) {
+    statement.limit = reading->limit;
+    m_worker.Permits().OnStatement(server, statement);
+  }
+  if (reading && !reading->is_adjusted) return;
+  LogEvent(reading ? Event::kLimitAdjusted : Event::kLimitUnreadable,
+           {{"server", server.entry.id.Text()},
+            {"request", m_request.id.Text()},
+            {"stated_per_s", std::to_string(*response.limit_per_s)}});
+}
+
 void Call::RecordServerNotices(const Backend& server,
                                const http::response_header<>& header) {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
   if (response.is_leaving) {
     m_worker.OnLeavingResponse(server, m_progress.header_read_at);
   }
+  RecordLimit(server, response);
   if (!response.retry_after_s) return;
   const ServerPause pause = BoundPause(*response.retry_after_s);
   server.state->RecordPause(TimeSinceBoot() + pause.length);
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -253,6 +253,7 @@
     const bool other = instance.peers && instance.peers != m_settings.peers;
     if (other) snapshot->peers.push_back(*instance.peers);
   }
+  snapshot->known_instances = {serving, m_coordinator.HasRecentPredecessor()};
   const auto in_domain = std::count_if(
       serving.begin(), serving.end(), [this](const InstanceSummary& instance) {
         return instance.domain == m_settings.domain;
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -44,6 +44,7 @@
       m_quota(settings.quota),
       m_links(m_context.get_executor(), settings, m_memory),
       m_quota_peers(m_links, settings),
+      m_permits(m_links, m_context.get_executor(), settings, m_metrics),
       m_prompts(m_links, m_context.get_executor(), settings,
                 [this] { return m_snapshot->peers; }),
       m_retries(settings.retry_ratio * kRetryRatioFraction,
@@ -62,6 +63,7 @@
     for (const auto& server : servers)
       m_backend_states[server.entry.id] = server.state;
   }
+  m_permits.Update(m_snapshot->known_instances, m_snapshot->servers);
   for (const auto& [workspace, share] : m_snapshot->quota_shares) {
     m_quota.SetShare(workspace, share);
   }
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -20,6 +20,7 @@
 #include "protocol/platform_adapter.h"
 #include "serve/prompt_guard.h"
 #include "serve/quota_peers.h"
+#include "serve/server_permits.h"
 #include "serve/stop_schedule.h"
 #include "transport/http_server.h"
 
@@ -48,7 +49,8 @@
   std::map<WorkspaceId, std::vector<Endpoint>> quota_lenders;
   std::map<ServiceId, MovedService> moves;
   std::vector<Endpoint> peers;  ///< other instances
-  std::size_t instances = 1;    ///< gateway instances, including this one
+  KnownInstances known_instances;
+  std::size_t instances = 1;  ///< gateway instances, including this one
   std::size_t instances_in_domain = 1;
 };
 
@@ -71,6 +73,7 @@
   QuotaLimiter& Quota() { return m_quota; }
   PeerLinks& Links() { return m_links; }
   QuotaPeers& GetQuotaPeers() { return m_quota_peers; }
+  ServerPermits& Permits() { return m_permits; }
   PromptGuard& Prompts() { return m_prompts; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
@@ -146,6 +149,7 @@
   QuotaLimiter m_quota;
   PeerLinks m_links;
   QuotaPeers m_quota_peers;
+  ServerPermits m_permits;
   PromptGuard m_prompts;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
   UsageLedger m_usage;
