Log an odd limit once in a while, not in each answer

What an operator would see: a server that states a limit that is not a number does so in each of its answers, at the full rate, and its lines push others out of the log. Cause: each answer was logged. Now as for unreadable rows: once in 10 s a server. Also unit tests of the header's forms, of the choice without limited servers, and of the time at which callers return.

--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -150,6 +150,7 @@
     m_worker.Permits().OnStatement(server, statement);
   }
   if (reading && !reading->is_adjusted) return;
+  if (!m_worker.Permits().ShouldLogOddLimit(server.entry.id)) return;
   LogEvent(reading ? Event::kLimitAdjusted : Event::kLimitUnreadable,
            {{"server", server.entry.id.Text()},
             {"request", m_request.id.Text()},
--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -174,6 +174,10 @@
   if (Apply(start, *tracked, statement)) Tell(start, *tracked);
 }
 
+bool ServerPermits::ShouldLogOddLimit(const ServerId& server) {
+  return m_odd_limits.ShouldLog(server.Text(), TimeSinceBoot());
+}
+
 PeerFrame ServerPermits::BuildNotice(const ServerStart& start,
                                      const LimitStatement& statement) const {
   PeerFrame frame;
--- a/src/serve/server_permits.h
+++ b/src/serve/server_permits.h
@@ -13,6 +13,7 @@
 #include "cowslipknot/gateway/settings.h"
 #include "serve/limit_codec.h"
 #include "serve/peer_links.h"
+#include "serve/row_log_filter.h"
 
 namespace cowslipknot::gateway {
 
@@ -43,6 +44,10 @@
   /// Applies what a server's answer said of its limit.
   void OnStatement(const Backend& server, const LimitStatement& statement);
 
+  /// Whether to log that a server stated an unusable limit, since it may do so
+  /// in each answer.
+  bool ShouldLogOddLimit(const ServerId& server);
+
   /// Obtains a permit to send one request. Withholds the server from further
   /// requests until it is worth asking again if there is none.
   /// @return whether the request may be sent
@@ -107,6 +112,7 @@
   std::map<ServerId, Tracked> m_tracked;  ///< that name or named a limit
   std::map<Endpoint, Time> m_backoff_until;
   std::map<ServiceId, ReturnQueue> m_returns;
+  RowLogFilter m_odd_limits;
 };
 
 }  // namespace cowslipknot::gateway
--- a/tests/platform/server_limit_test.py
+++ b/tests/platform/server_limit_test.py
@@ -196,20 +196,22 @@
         self.assertEqual(set(load.results), {200})
 
     def test_odd_limits_are_logged_and_bounded(self):
-        limited, _ = self.start_backends(2)
+        backends = self.start_backends(5)
         gateway, = self.start_gateways(1)
-        for value, name in (("-3", "limit_adjusted"), ("inf", "limit_adjusted"),
-                            ("nan", "limit_unreadable"), ("soon", "limit_unreadable")):
-            with self.subTest(value=value):
-                self.limit([limited], value)
-                before = len([event for event in gateway.log_events()
-                              if event["name"] == name])
-                load = self.load([gateway])
-                eventually(lambda name=name, before=before: len(
-                    [event for event in gateway.log_events()
-                     if event["name"] == name]) > before)
-                load.stop()
-                self.assertEqual(set(load.results), {200})
+        odd = {"b0": ("-3", "limit_adjusted"), "b1": ("inf", "limit_adjusted"),
+               "b2": ("nan", "limit_unreadable"), "b3": ("soon", "limit_unreadable")}
+        for backend in backends[:4]:
+            self.limit([backend], odd[backend.name][0])
+        load = self.load([gateway])
+        eventually(lambda: min(len(backend.arrivals) for backend in backends[1:]) > 20
+                   and backends[0].arrivals)
+        load.stop()
+        self.assertEqual(set(load.results), {200})
+        # Once each, whatever the rate of the answers.
+        logged = [(event["server"], event["name"]) for event in gateway.log_events()
+                  if event["name"].startswith("limit_")]
+        self.assertEqual(sorted(logged), sorted(
+            (name, event) for name, (_, event) in odd.items()))
 
     # Guards against an unreadable value that ends a limit.
     def test_unreadable_limit_keeps_the_one_known(self):
--- a/tests/unit/gateway_server_pause_test.cc
+++ b/tests/unit/gateway_server_pause_test.cc
@@ -85,6 +85,41 @@
   cr_expect_geq((last - first).count(), 900);
 }
 
+// Guards against requests for a limited server that gets none for now.
+Test(server_pause, a_withheld_server_is_not_selected_until_its_limit_ends) {
+  const auto backends = MakeBackends(1);
+  BackendState& state = *backends[0].state;
+  state.RecordLimit(RequestRate(2));
+  cr_expect(IsSelectable(backends, kNow));
+  state.Withhold(kNow + std::chrono::seconds(1));
+  cr_expect_not(IsSelectable(backends, kNow));
+  cr_expect(IsSelectable(backends, kNow + std::chrono::seconds(1)));
+  state.RecordLimit(std::nullopt);
+  cr_expect(IsSelectable(backends, kNow));
+}
+
+Test(server_pause, a_limited_server_can_be_left_out) {
+  const auto backends = MakeBackends(2);
+  backends[0].state->RecordLimit(RequestRate(2));
+  PlacementRequest request;
+  request.excludes_limited = true;
+  const auto selected = SelectBackend(request, backends, PlacementContext());
+  cr_expect_eq(selected->index, 1);
+}
+
+Test(server_pause, callers_return_when_limited_servers_have_room) {
+  const auto backends = MakeBackends(2);
+  for (const auto& backend : backends)
+    backend.state->RecordLimit(RequestRate(2));
+  const Milliseconds earliest(1500);
+  const auto delay = CallerRetryDelay(backends, kNow, kUsual, 0, earliest);
+  cr_expect_eq(delay.count(), 1500);
+  backends[0].state->Withhold(kNow + std::chrono::seconds(1));
+  cr_expect_eq(CallerRetryDelay(backends, kNow, kUsual, 0).count(), 0);
+  backends[1].state->Withhold(kNow + std::chrono::seconds(2));
+  cr_expect_eq(CallerRetryDelay(backends, kNow, kUsual, 0).count(), 1000);
+}
+
 Test(server_pause, callers_return_as_usual_while_a_server_does_not_pause) {
   const auto backends = MakeBackends(2);
   cr_expect(CallerRetryDelay({}, kNow, kUsual, 0.5) == kUsual);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -133,6 +133,26 @@
   cr_expect(platform::DecodeBackendResponse(misdirected).not_executed);
 }
 
+Test(platform_headers, a_limit_is_absent_a_number_or_unreadable) {
+  http::response_header<> header;
+  const auto decode = [&header](const char* text) {
+    header.set("Server-Limit", text);
+    return *platform::DecodeBackendResponse(header).limit_per_s;
+  };
+  cr_expect_not(
+      platform::DecodeBackendResponse(header).limit_per_s.has_value());
+  cr_expect_eq(decode("1.25"), 1.25);
+  cr_expect_eq(decode(" 3 "), 3);
+  cr_expect_eq(decode("-2"), -2);
+  cr_expect(std::isinf(decode("inf")));
+  for (const char* text : {"", "nan", "soon", "2/s", "2,5"})
+    cr_expect(std::isnan(decode(text)), "%s", text);
+  // A server other than the one addressed says nothing of that one.
+  header.result(http::status::misdirected_request);
+  cr_expect_not(
+      platform::DecodeBackendResponse(header).limit_per_s.has_value());
+}
+
 Test(platform_documents, a_configuration_is_decoded) {
   const auto configuration = platform::DecodeConfiguration(kConfiguration);
   cr_assert(configuration.has_value());
