Let one request at a time wait for a permit of a limited server

Callers saw: while the instance that grants a server's permits was paused or cut off, all requests that chose the server within 60 ms waited that long, and for the substitute as long again, before they went to another server. Cause: the server was left out only once the first of them had failed. While a request asks for a permit, others now take the other servers; above 20 a second they ask side by side. Why this works: the time for which the server is left out covers both timeouts, and ends with the answer. Command: python3 -m unittest server_limit_test -k one_request_at

--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -19,6 +19,9 @@
 /// set of instances.
 constexpr Milliseconds kGranterHandoverDelay(4000);
 constexpr Milliseconds kNoticeTimeout(250);
+/// Up to this limit, one request asks for a permit at a time. Others would
+/// mostly be denied, and all would wait for a granter that does not respond.
+constexpr RequestRate kMaxSerialLimit(20);
 
 std::string FormatLimit(const LimitStatement& statement) {
   return statement.limit ? std::to_string(statement.limit->Count()) : "";
@@ -227,12 +230,15 @@
   if (tracked == nullptr || !tracked->statement.limit) co_return true;
   if (tracked->held.Take(TimeSinceBoot())) co_return true;
   const auto asked_at = TimeSinceBoot();
+  const bool asks_alone = *tracked->statement.limit <= kMaxSerialLimit;
+  if (asks_alone) tracked->state->Withhold(asked_at + 2 * kAskTimeout);
   const auto answer = co_await AskGranters(start);
   tracked = Find(start);
   if (tracked == nullptr || !tracked->statement.limit) co_return true;
   const auto now = TimeSinceBoot();
   if (answer && answer->permits > 0) {
     CountPermit(*tracked, "granted");
+    if (asks_alone) tracked->state->Withhold(Time(0));
     tracked->held.Add(answer->permits, asked_at);
     if (tracked->held.Take(now)) co_return true;
   }
--- a/tests/platform/server_limit_test.py
+++ b/tests/platform/server_limit_test.py
@@ -266,6 +266,24 @@
         # The substitutes grant a part meanwhile.
         self.assertGreater(len(self.arrivals(limited, paused + 1, resumed)), 2)
 
+    # Guards against all callers waiting for a granter that does not respond.
+    def test_one_request_at_a_time_waits_for_a_paused_granter(self):
+        self.start_backends(2)[0].limit = "4"
+        gateways = self.start_gateways(2)
+        load = self.load(gateways, callers=8)
+        granter = self.granter_of("b0", gateways)
+        asker = next(gateway for gateway in gateways if gateway is not granter)
+        time.sleep(1)
+        granter.child.send_signal(signal.SIGSTOP)
+        self.addCleanup(granter.child.send_signal, signal.SIGCONT)
+        time.sleep(5)
+        waits = [event for event in asker.log_events()
+                 if event["name"] == "permit_granter_unresponsive"]
+        granter.child.send_signal(signal.SIGCONT)
+        load.stop()
+        self.assertTrue(waits)
+        self.assertLessEqual(len(waits), 7)  # one each second, and two more
+
     # Guards against an instance that starts and does not know of the limit.
     def test_instance_that_starts_keeps_to_the_limit(self):
         limited, _ = self.start_backends(2)
