--- a/tests/unit/http_server_failure_test.cc
+++ b/tests/unit/http_server_failure_test.cc
@@ -85,6 +85,7 @@
   hooks.handle = FragileHandler(may_copy);
   asio::co_spawn(context, ServeHttp(acceptor, HttpServerLimits(), hooks),
                  asio::detached);
+  context.poll();  // the listener has started
   std::string first;
   std::string second;
   *may_copy = false;
