Soak: end gateway processes from outside

Change: faults of a generator of their own (existing seeds keep their schedule): signals in series, beside SIGTERM and 0 to 30 ms after a start; a log that is a pipe whose reader stalls or ends; a settings file replaced in two writes while the process starts; the callers' address taken for up to 2 s; more idle connections than descriptors. Processes move to files of their own. The check `own_ends` judges each end by its code and the signals sent before: 0 after SIGTERM, or SIGKILL. A signal that ends a process before its main is allowed, since no code of the process can act then: the processor time at the signal is compared with that of a whole `--help`, which does not depend on the load. New check `stop_times`: exit within stop_s after SIGTERM. Signals and log faults excuse nothing; a lack of descriptors excuses only requests that no server got.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import signal
 
 # Timing bounds apply to a gateway once it has had no fault for this long.
 FAULT_FREE_PERIOD_S = 4.0
@@ -21,11 +22,30 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 PAUSE_GRACE_S = 0.5  # after a 503 with Retry-After, requests may still be under way
 MAX_REQUESTS_IN_PAUSE = 2  # from one gateway
-INTERRUPTIONS = {"stop", "kill", "pause", "kill_all", "stop_half"}  # of a gateway process
+PLANNED_STOPS = {"stop", "signals_stop", "stop_half"}
+INTERRUPTIONS = PLANNED_STOPS | {  # of a gateway process
+    "kill", "pause", "kill_all", "signals_start", "settings_rewritten", "address_taken"}
+HARMLESS_FAULTS = {"signals", "log_closed", "log_stalled"}  # these excuse nothing
 LINK_FAULTS = {"link_cut", "link_silent", "link_one_way", "link_delay", "link_reset"}
 AT_MOST_ONCE_KINDS = ("once", "stream1")
 
 
+@dataclasses.dataclass(frozen=True)
+class Signal:
+    """A signal that was sent to a gateway process."""
+    number: int
+    time: float
+    may_precede_main: bool = False  # of the process, which could not handle it then
+
+
+@dataclasses.dataclass(frozen=True)
+class Exit:
+    """An end of a gateway process. The code is negative if a signal ended it."""
+    gateway: str
+    code: int
+    signals: list
+
+
 @dataclasses.dataclass
 class Record:
     """The observations of a soak run."""
@@ -38,7 +58,7 @@
     changes: list  # (index, time begun, time acknowledged)
     usage: list  # usage reports to the cloud in order of arrival
     scale: list  # capacity orders to the cloud in order of arrival
-    own_ends: list  # (gateway, exit code) of processes that exited unexpectedly
+    exits: list  # ends of gateway processes
     disconnects: dict  # request id: time at which a server noticed that its caller disconnected
     bounds: dict
     limit: dict
@@ -51,11 +71,15 @@
         self.by_id = {call.request: call for call in self.calls}
 
     def overlaps_fault(self, targets, start, end, kinds=None):
-        """Whether a fault, of these kinds if they are given, on any of the targets or on
-        "world" overlaps the time span."""
-        return any((target in targets or target == "world")
-                   and begun <= end and over >= start and (kinds is None or kind in kinds)
-                   for target, kind, begun, over in self.fault_periods)
+        """Whether a fault that may do harm, of these kinds if they are given, on any of the
+        targets or on "world" overlaps the time span."""
+        found = self.harmful_kinds(targets, start, end)
+        return bool(found if kinds is None else found & kinds)
+
+    def harmful_kinds(self, targets, start, end):
+        return {kind for target, kind, begun, over in self.fault_periods
+                if (target in targets or target == "world")
+                and begun <= end and over >= start and kind not in HARMLESS_FAULTS}
 
     def was_fault_free(self, gateway, moment):
         return not self.overlaps_fault({gateway}, moment - FAULT_FREE_PERIOD_S, moment)
@@ -240,10 +264,10 @@
 def check_stops(record):
     """A planned stop interrupts no request."""
     violations = []
-    planned = {"stop", "reload", "bad_settings", "stop_half"}
+    planned = PLANNED_STOPS | HARMLESS_FAULTS | {"reload", "bad_settings"}
     unplanned_faults = [period for period in record.fault_periods if period[1] not in planned]
     for target, kind, start, _ in record.fault_periods:
-        if kind not in ("stop", "stop_half"):
+        if kind not in PLANNED_STOPS:
             continue
         for call in record.calls:
             at_target = target in (call.gateway, "world")
@@ -274,8 +298,9 @@
         runs = record.runs.get(call.request, [])
         disturbed = {call.gateway} | {slot_of(run["server"]) for run in runs}
         faulty = any(run["fault"] not in ("", "silent") for run in runs)
-        if not faulty and not record.overlaps_fault(
-                disturbed, call.sent - FAULT_FREE_PERIOD_S, call.ended):
+        kinds = record.harmful_kinds(disturbed, call.sent - FAULT_FREE_PERIOD_S, call.ended)
+        # A process that lacks descriptors may close idle connections, not pending requests.
+        if not faulty and (not kinds or (runs and kinds == {"few_descriptors"})):
             violations.append(f"{call} got no complete answer; executed by {runs}")
     return violations
 
@@ -325,7 +350,32 @@
 
 
 def check_own_ends(record):
-    return [f"{name} exited unexpectedly with code {code}" for name, code in record.own_ends]
+    """A process ends only by SIGKILL, and in order after SIGTERM. Before its main has begun,
+    no code of it can keep any signal from ending it."""
+    violations = []
+    for end in record.exits:
+        numbers = {sent.number for sent in end.signals}
+        expected = (
+            (signal.SIGKILL in numbers and end.code == -signal.SIGKILL)
+            or (signal.SIGTERM in numbers and end.code == 0)
+            or any(sent.may_precede_main and sent.number == -end.code for sent in end.signals))
+        if not expected:
+            last = [(int(sent.number), round(sent.time, 3)) for sent in end.signals[-3:]]
+            violations.append(f"{end.gateway} exited unexpectedly with code {end.code}; last "
+                              f"signals: {last}")
+    return violations
+
+
+def check_stop_times(record):
+    """A process that is not paused exits within stop_s after SIGTERM."""
+    violations = []
+    for end in record.exits:
+        stops = [sent.time for sent in end.signals if sent.number == signal.SIGTERM]
+        kills = [sent.time for sent in end.signals if sent.number == signal.SIGKILL]
+        late = stops and kills and kills[0] - stops[0] > record.bounds["stop_s"]
+        if late and not record.overlaps_fault({end.gateway}, stops[0], kills[0], {"pause"}):
+            violations.append(f"{end.gateway} still ran {kills[0] - stops[0]:.1f} s after SIGTERM")
+    return violations
 
 
 def check_recovery(record):
@@ -344,4 +394,5 @@
     check_at_most_once, check_refusals, check_answers, check_attempts,
     check_configuration, check_keys, check_drains, check_leaving_answers,
     check_pauses, check_duties, check_stops, check_lost,
-    check_limits, check_time_limits, check_abandoned, check_own_ends, check_recovery)}
+    check_limits, check_time_limits, check_abandoned, check_own_ends,
+    check_stop_times, check_recovery)}
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -1,29 +1,25 @@
 """The processes and fakes of a soak run, and the injection of faults into them."""
 
+import contextlib
 import json
-import pathlib
 import signal
 import subprocess
-import sys
 import threading
 import time
 import urllib.request
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "tests" / "platform"))
+from process_faults import ProcessFaults
+from processes import GatewayInstance, SupervisedGateway, measure_main_cpu_s
 
-import fakes  # noqa: E402
-from configuration_documents import (  # noqa: E402
-    configuration, route, routes, services, tenant)
-from gateway_process import (  # noqa: E402
-    BINARY, Gateway, eventually, free_port, set_port_range)
+import fakes
+from configuration_documents import configuration, route, routes, services, tenant
+from gateway_process import BINARY, eventually, free_port, set_port_range
 
 # Bounds in the settings of the gateways, also used by the checks.
 BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
           "lease_ms": 3000, "usage_window_s": 2, "usage_due_s": 6,
           "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 2000}
 LIMIT = {"rate_per_s": 600, "burst": 3000}  # tokens, of tenant "limited"
-RESTART_DELAY_S = 0.3  # between the exit of a process and its next start
 RESTORE_REWRITE_S = 0.5  # until the operator and the servers have written theirs again
 REGISTRATION_EXPIRY_S = 2.0  # time until a crashed server's registration is removed
 EVENTS_PER_STREAM = 6
@@ -32,8 +28,6 @@
 MODEL_SERVER_SLOTS = 8
 STORE_DELAY_S = 0.3  # below the 0.9 s timeout of a store call
 LOST_ANSWER_COUNT = 4  # consecutive store transactions that stay unanswered
-READY_TIMEOUT_S = 5.0  # a started process is ready within about two seconds
-READINESS_PROBE_INTERVAL_S = 0.25  # after two failed probes an instance leaves the rotation
 PROBE_SERVICES = 3
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
@@ -67,47 +61,6 @@
                  tenant("limited", LIMITED_KEY, **LIMIT)])
 
 
-class GatewayInstance:
-    """A gateway instance whose process is restarted after it has exited."""
-
-    def __init__(self, environment, name):
-        self.environment = environment
-        self.name = name
-        self.gateway = Gateway(environment.store, environment.cloud, name=name, bounds=BOUNDS,
-                               port=environment.caller_ports[name],
-                               store_address=environment.links[f"store-{name}"])
-        self.valid_settings = self.gateway.settings.read_text(encoding="utf-8")
-        self.forwarded_address = environment.links[f"callers-{name}"]
-        self.boot = 0
-        self.expected_exit = False
-        self.own_ends = []  # exit codes of processes that received no signal to exit
-        self.in_rotation = False
-        self.stopping = False
-
-    def send_signal(self, number):
-        if self.gateway.child.poll() is None:
-            self.expected_exit |= number in (signal.SIGTERM, signal.SIGKILL)
-            self.gateway.child.send_signal(number)
-
-    def supervise(self):
-        """Restarts the process after an exit and probes its readiness, as a platform does."""
-        misses = 0
-        while not self.stopping:
-            code = self.gateway.child.poll()
-            if code is not None:
-                if not self.expected_exit:
-                    self.own_ends.append(code)
-                time.sleep(RESTART_DELAY_S)
-                if self.stopping:
-                    return
-                self.boot += 1
-                self.expected_exit = False
-                self.gateway.start()
-            misses = 0 if self.gateway.ready() else misses + 1
-            self.in_rotation = misses < 2
-            time.sleep(READINESS_PROBE_INTERVAL_S)
-
-
 class SoakEnvironment:
     """All processes and fakes of a soak run, on loopback. Use as a context manager."""
 
@@ -129,6 +82,7 @@
         self.slot_locks = {slot: threading.Lock() for slot in self.slots}
         self.forwarder = None
         self.instances = {}
+        self.process_faults = ProcessFaults(BOUNDS, instance_count, self.fault_period)
         self.threads = []
 
     def _start(self):
@@ -140,8 +94,12 @@
             self.backends[f"probe{n}"] = backend
             self._write_registration(backend.name, backend.registration(f"probe{n}"))
         self.change_configuration()
+        main_cpu_s = measure_main_cpu_s()
         for name in self.names:
-            self.instances[name] = GatewayInstance(self, name)
+            gateway = SupervisedGateway(
+                self.store, self.cloud, name=name, bounds=BOUNDS, port=self.caller_ports[name],
+                store_address=self.links[f"store-{name}"], main_cpu_s=main_cpu_s)
+            self.instances[name] = GatewayInstance(name, gateway, self.links[f"callers-{name}"])
         for instance in self.instances.values():
             thread = threading.Thread(target=instance.supervise, daemon=True)
             thread.start()
@@ -233,61 +191,30 @@
         return len(self.changes) - 1
 
     # Faults --------------------------------------------------------------
-    def apply(self, fault):
-        """Injects a fault and reverts it; returns when it has ended."""
-        start = time.monotonic()
-        period = [fault.target, fault.kind, start, float("inf")]
+    @contextlib.contextmanager
+    def fault_period(self, target, kind):
+        period = [target, kind, time.monotonic(), float("inf")]
         self.fault_periods.append(period)
-        if fault.target in self.instances:
-            self._inject_instance_fault(self.instances[fault.target], fault)
-        elif fault.target in self.slots:
-            self._inject_backend_fault(fault.target, fault)
-        else:
-            self._inject_environment_fault(fault)
+        yield
         period[3] = time.monotonic()
 
+    def apply(self, fault):
+        """Injects a fault and reverts it; returns when it has ended."""
+        with self.fault_period(fault.target, fault.kind):
+            if fault.target in self.instances:
+                self._inject_instance_fault(self.instances[fault.target], fault)
+            elif fault.target in self.slots:
+                self._inject_backend_fault(fault.target, fault)
+            else:
+                self._inject_environment_fault(fault)
+
     def _inject_instance_fault(self, instance, fault):
-        kind = fault.kind
-        if kind == "stop":
-            self._stop(instance)
-        elif kind == "kill":
-            instance.send_signal(signal.SIGKILL)
-            self._wait_until_ready(instance)
-        elif kind == "pause":
-            child = instance.gateway.child
-            instance.send_signal(signal.SIGSTOP)
-            time.sleep(fault.for_s)
-            if child.poll() is None:
-                child.send_signal(signal.SIGCONT)
-        elif kind == "reload":
-            instance.send_signal(signal.SIGHUP)
-        elif kind == "bad_settings":
-            path = instance.gateway.settings
-            path.write_text("[node]\nname = 7\n", encoding="utf-8")
-            instance.send_signal(signal.SIGHUP)
-            time.sleep(0.3)
-            path.write_text(instance.valid_settings, encoding="utf-8")
-            instance.send_signal(signal.SIGHUP)
+        if fault.kind in self.process_faults.by_kind:
+            self.process_faults.inject(instance, fault)
         else:
-            side, mode = kind.split("_", 1)
+            side, mode = fault.kind.split("_", 1)
             self._inject_link_fault(f"{side}-{instance.name}", mode, fault.for_s)
 
-    def _stop(self, instance):
-        """Sends SIGTERM, and SIGKILL if the process has not exited within stop_s."""
-        child = instance.gateway.child
-        instance.send_signal(signal.SIGTERM)
-        try:
-            child.wait(timeout=BOUNDS["stop_s"])
-        except subprocess.TimeoutExpired:
-            child.send_signal(signal.SIGKILL)
-            child.wait()
-        self._wait_until_ready(instance)
-
-    def _wait_until_ready(self, instance):
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not instance.gateway.ready() and time.monotonic() < deadline:
-            time.sleep(0.1)
-
     def _inject_link_fault(self, link, mode, for_s):
         self.set_links({link: mode})
         if mode not in ("silent", "reset"):
@@ -378,10 +305,10 @@
             for instance in self.instances.values():
                 instance.send_signal(signal.SIGKILL)
             for instance in self.instances.values():
-                self._wait_until_ready(instance)
+                instance.wait_until_ready()
         else:  # "stop_half": planned stops of half of the instances
             chosen = list(self.instances.values())[::2]
-            stops = [threading.Thread(target=self._stop, args=(instance,))
+            stops = [threading.Thread(target=self.process_faults.stop, args=(instance,))
                      for instance in chosen]
             for stop in stops:
                 stop.start()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -25,6 +25,12 @@
 # a seed determines as before.
 NOTICE_FAULT_WEIGHTS = {"says_leaving": 1, "wants_none": 1}
 MEAN_NOTICE_INTERVAL_S = 4.0
+# What ends processes from outside, or keeps them from starting; drawn apart as well.
+PROCESS_FAULT_WEIGHTS = {
+    "signals": 3, "signals_stop": 2, "signals_start": 2, "log_closed": 1, "log_stalled": 2,
+    "settings_rewritten": 2, "address_taken": 2, "few_descriptors": 2,
+}
+MEAN_PROCESS_FAULT_INTERVAL_S = 3.0
 RESTORE_PROBABILITY = 0.5  # that the store is restored from a copy in a run
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
@@ -62,16 +68,25 @@
         faults.append(Fault(at_s, _draw_weighted(rng, kinds), target, for_s))
 
 
-def draw_notices(rng, seconds, backends):
-    """Returns the notices that servers begin to give in their answers."""
-    notices = []
-    at_s = rng.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
+def _draw_series(rng, seconds, weights, mean_interval_s, targets):
+    faults = []
+    at_s = rng.expovariate(1 / mean_interval_s)
     while at_s < seconds - 0.5:
         for_s = min(rng.uniform(*FAULT_DURATION_S), seconds - at_s)
-        notices.append(Fault(at_s, _draw_weighted(rng, NOTICE_FAULT_WEIGHTS),
-                             rng.choice(backends), for_s))
-        at_s += rng.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
-    return notices
+        faults.append(Fault(at_s, _draw_weighted(rng, weights), rng.choice(targets), for_s))
+        at_s += rng.expovariate(1 / mean_interval_s)
+    return faults
+
+
+def draw_notices(rng, seconds, backends):
+    """Returns the notices that servers begin to give in their answers."""
+    return _draw_series(rng, seconds, NOTICE_FAULT_WEIGHTS, MEAN_NOTICE_INTERVAL_S, backends)
+
+
+def draw_process_faults(rng, seconds, gateways):
+    """Returns faults at the border of gateway processes."""
+    return _draw_series(rng, seconds, PROCESS_FAULT_WEIGHTS, MEAN_PROCESS_FAULT_INTERVAL_S,
+                        gateways)
 
 
 def draw_restore(rng, seconds):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,8 @@
 from environment import (
     BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
-from schedule import draw_changes, draw_faults, draw_notices, draw_restore
+from schedule import (
+    draw_changes, draw_faults, draw_notices, draw_process_faults, draw_restore)
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
@@ -101,19 +102,20 @@
                 for backend in environment.all_backends()},
         usage=list(environment.cloud.usage),
         scale=list(environment.cloud.scale),
-        own_ends=[(instance.name, code) for instance in environment.instances.values()
-                  for code in instance.own_ends],
+        exits=[end for instance in environment.instances.values()
+               for end in instance.exits],
         disconnects=disconnects, bounds=BOUNDS, limit=LIMIT, recovered=recovered,
         limited_key=LIMITED_KEY,
         removed_by={key_of(index): index + 1 for index, _, _ in environment.changes},
         probe_services=PROBE_SERVICES)
 
 
-def save_logs(environment, seed, faults):
+def save_logs(environment, seed, faults, violations):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     for instance in environment.instances.values():
         shutil.copy(instance.gateway.log_path, folder / f"{instance.name}.log")
     (folder / "faults").write_text("\n".join(map(str, faults)), encoding="utf-8")
+    (folder / "violations").write_text(json.dumps(violations, indent=1), encoding="utf-8")
     return folder
 
 
@@ -129,6 +131,8 @@
             faults += draw_notices(random.Random(f"{seed}/notices"), seconds,
                                    sorted(environment.slots))
             faults += draw_restore(random.Random(f"{seed}/restore"), seconds)
+            faults += draw_process_faults(random.Random(f"{seed}/processes"), seconds,
+                                          environment.names)
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
@@ -150,7 +154,7 @@
         for name, found in violations.items():
             print(f"VIOLATION {name} ({len(found)}): {found[0]}", flush=True)
         if violations:
-            print(f"logs: {save_logs(environment, seed, faults)}", flush=True)
+            print(f"logs: {save_logs(environment, seed, faults, violations)}", flush=True)
         return not violations
 
 
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -1,7 +1,10 @@
 """Tests that each check of the soak reports a violation and accepts a valid record."""
 
+import os
 import pathlib
 import random
+import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -13,6 +16,7 @@
 
 import checks  # noqa: E402
 import environment  # noqa: E402
+import processes  # noqa: E402
 import schedule  # noqa: E402
 import soak  # noqa: E402
 from callers import Call  # noqa: E402
@@ -36,7 +40,7 @@
 def record(calls=(), **fields):
     values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
               "pauses": {}, "changes": [], "usage": [],
-              "scale": [], "own_ends": [], "disconnects": {}, "bounds": BOUNDS,
+              "scale": [], "exits": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
     values.update(fields)
@@ -183,8 +187,42 @@
                     record(abandoned_calls, disconnects={f"r{n}": 100.3 for n in range(4)}),
                     record(abandoned_calls, disconnects={f"r{n}": 101.0 for n in range(4)}))
 
+    def exit_after(self, code, *signals):
+        return record(exits=[checks.Exit("gw0", code, list(signals))])
+
     def test_no_process_exits_unexpectedly(self):
-        self.expect(checks.check_own_ends, record(), record(own_ends=[("gw0", 1)]))
+        check = checks.check_own_ends
+        stopped = checks.Signal(signal.SIGTERM, 100.0)
+        self.expect(check, record(), self.exit_after(1))
+        self.expect(check, self.exit_after(0, stopped), self.exit_after(0))
+        self.expect(check, self.exit_after(-9, checks.Signal(signal.SIGKILL, 100.0)),
+                    self.exit_after(-9, stopped))
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM,
+                       signal.SIGTERM):
+            self.expect(check, self.exit_after(-number, checks.Signal(number, 100.0, True)),
+                        self.exit_after(-number, checks.Signal(number, 100.0)))
+        for code in (1, 3, -signal.SIGPIPE, -signal.SIGABRT):
+            self.assertNotEqual(check(self.exit_after(code, stopped)), [])
+
+    def test_stopped_process_exits_in_time(self):
+        def killed_at(time, *faults):
+            ended = self.exit_after(-9, checks.Signal(signal.SIGTERM, 100.0),
+                                    checks.Signal(signal.SIGKILL, time))
+            ended.fault_periods = list(faults)
+            return ended
+        self.expect(checks.check_stop_times, killed_at(107.9), killed_at(108.1))
+        self.expect(checks.check_stop_times, killed_at(108.1, ("gw0", "pause", 101.0, 102.0)),
+                    killed_at(108.1, ("gw0", "store_cut", 101.0, 102.0)))
+
+    def test_harmless_faults_excuse_no_lost_request(self):
+        cut = call(whole=False)
+        for kind in sorted(checks.HARMLESS_FAULTS):
+            self.expect(checks.check_lost,
+                        record([cut], fault_periods=[("gw0", "kill", 99.0, 101.0)]),
+                        record([cut], fault_periods=[("gw0", kind, 99.0, 101.0)]))
+        exhausted = [("gw0", "few_descriptors", 99.0, 101.0)]
+        self.expect(checks.check_lost, record([cut], fault_periods=exhausted),
+                    record([cut], fault_periods=exhausted, runs={"r1": [run()]}))
 
     def test_requests_are_served_after_recovery(self):
         self.expect(checks.check_recovery, record([call()]),
@@ -214,6 +252,28 @@
         self.assertIsNotNone(failing.forwarder.returncode)
 
 
+class ProcessesTest(unittest.TestCase):
+    def test_signal_is_recorded_with_whether_it_may_precede_main(self):
+        for main_cpu_s, may_precede_main in ((0.0, False), (60.0, True)):
+            child = processes.Process(["sleep", "60"], main_cpu_s)
+            child.send_signal(signal.SIGTERM)
+            child.wait()
+            child.send_signal(signal.SIGKILL)  # not sent: the process has ended
+            self.assertEqual([(sent.number, sent.may_precede_main) for sent in child.signals],
+                             [(signal.SIGTERM, may_precede_main)])
+
+    def test_closed_log_reader_ends_a_writer(self):
+        with tempfile.TemporaryFile() as file:
+            output, log = os.pipe()
+            child = subprocess.Popen(["sh", "-c", "while :; do echo x; done"], stdout=log)
+            os.close(log)
+            reader = processes.LogReader(output, file)
+            reader.pause()
+            time.sleep(0.1)
+            reader.close()
+            self.assertEqual(child.wait(timeout=5), -signal.SIGPIPE)
+
+
 class FaultsTest(unittest.TestCase):
     # Guards against an overlapping fault that takes the invalid settings for the valid ones.
     def test_overlapping_bad_settings_leave_the_valid_file(self):
@@ -239,10 +299,13 @@
         self.assertNotEqual(draw(1), draw(2))
         notices = schedule.draw_notices(random.Random(1), 30, ["plain0"])
         self.assertEqual({notice.kind for notice in notices}, {"says_leaving", "wants_none"})
+        outside = [fault for seed in range(8) for fault in schedule.draw_process_faults(
+            random.Random(seed), 30, ["gw0"])]
+        self.assertEqual({fault.kind for fault in outside}, set(schedule.PROCESS_FAULT_WEIGHTS))
         restores = [restore for seed in range(8)
                     for restore in schedule.draw_restore(random.Random(seed), 30)]
         self.assertTrue(0 < len(restores) < 8)
-        for fault in draw(1) + notices + restores:
+        for fault in draw(1) + notices + outside + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
