Soak: servers name limits for all gateways together

Change: in half of the runs two servers, or all servers of a service, name 0.5 to 5 requests a second from early on, change it and end it (a generator of its own). `server_limits`: in each 4 s that begin 3 s or more after the first answer that names it, the requests of gateways that have passed on such an answer half a second before stay within 1.5 x the limit + 5; a gateway that was interrupted or cut off counts not. The gateway of a request is the one that its caller sent it to. `limited_refusals`: while all servers of a service name limits, what none of them gets is refused within 0.5 s (slo_ms of the routes) and with Retry-After. The unit tests say up to which limit the callers' load shows such a system.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -396,6 +396,7 @@
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
+        self.limit = ""  # requests a second that it names in each answer
         self.wants_none_until = 0.0  # answers 503 with the rest of this time until then
         self.requests = []  # ids of all requests that arrived
         self.arrivals = []  # (request id, time) of those that were meant for it
@@ -456,6 +457,8 @@
     def end_headers(self):
         if self.server.owner.leaving:
             self.send_header("Server-Leaving", "1")
+        if self.server.owner.limit:
+            self.send_header("Server-Limit", self.server.owner.limit)
         if self.status == 503 and self.server.owner.retry_after:
             self.send_header("Retry-After", self.server.owner.retry_after)
         super().end_headers()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -37,6 +37,7 @@
     correct: bool = False
     signature: str = ""
     execution: str = ""
+    retry_after: str = ""
     answered: float = 0.0  # when the response header was received
     abandoned: float = 0.0  # when the caller closed the connection early; or 0
 
@@ -120,6 +121,7 @@
             call.status = answer.status
             call.signature = answer.headers["Cowslipknot-Server-Signature"] or ""
             call.execution = answer.headers["X-Execution"] or ""
+            call.retry_after = answer.headers["Retry-After"] or ""
             if prompt and call.status == 200 and self.rng.random() < ABANDONED_SHARE:
                 answer.read(1)
                 call.abandoned = time.monotonic()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,11 +5,12 @@
 """
 
 import collections
-import dataclasses
 import signal
 
-# Timing bounds apply to a gateway once it has had no fault for this long.
-FAULT_FREE_PERIOD_S = 4.0
+from limit_checks import check_limited_refusals, check_server_limits
+from record import (
+    FAULT_FREE_PERIOD_S, HARMLESS_FAULTS, INTERRUPTIONS, LINK_FAULTS, PLANNED_STOPS, slot_of)
+
 # A process must not use an older version again this long after it used a newer one.
 VERSION_CHANGE_GRACE_S = 0.25
 RESUME_GRACE_S = 0.3  # a paused sender's call may arrive this long after it resumes
@@ -22,73 +23,9 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 PAUSE_GRACE_S = 0.5  # after a 503 with Retry-After, requests may still be under way
 MAX_REQUESTS_IN_PAUSE = 2  # from one gateway
-PLANNED_STOPS = {"stop", "signals_stop", "stop_half"}
-INTERRUPTIONS = PLANNED_STOPS | {  # of a gateway process
-    "kill", "pause", "kill_all", "signals_start", "settings_rewritten", "address_taken"}
-HARMLESS_FAULTS = {"signals", "log_closed", "log_stalled"}  # these excuse nothing
-LINK_FAULTS = {"link_cut", "link_silent", "link_one_way", "link_delay", "link_reset"}
 AT_MOST_ONCE_KINDS = ("once", "stream1")
 
 
-@dataclasses.dataclass(frozen=True)
-class Signal:
-    """A signal that was sent to a gateway process."""
-    number: int
-    time: float
-    may_precede_main: bool = False  # of the process, which could not handle it then
-
-
-@dataclasses.dataclass(frozen=True)
-class Exit:
-    """An end of a gateway process. The code is negative if a signal ended it."""
-    gateway: str
-    code: int
-    signals: list
-
-
-@dataclasses.dataclass
-class Record:
-    """The observations of a soak run."""
-    calls: list
-    runs: dict  # request id: [{"server", "time", "fault"}]
-    fault_periods: list  # (target, kind, start, end)
-    drains: list  # (server, time)
-    arrivals: dict  # server: [(request id, time)]
-    pauses: dict  # server: [(request id, time of a 503 with Retry-After, end of that time)]
-    changes: list  # (index, time begun, time acknowledged)
-    usage: list  # usage reports to the cloud in order of arrival
-    scale: list  # capacity orders to the cloud in order of arrival
-    exits: list  # ends of gateway processes
-    disconnects: dict  # request id: time at which a server noticed that its caller disconnected
-    bounds: dict
-    limit: dict
-    recovered: float  # time at which all gateways were ready after the last fault; or 0
-    removed_by: dict  # key: index of the configuration version that revokes it
-    limited_key: str
-    probe_services: int
-
-    def __post_init__(self):
-        self.by_id = {call.request: call for call in self.calls}
-
-    def overlaps_fault(self, targets, start, end, kinds=None):
-        """Whether a fault that may do harm, of these kinds if they are given, on any of the
-        targets or on "world" overlaps the time span."""
-        found = self.harmful_kinds(targets, start, end)
-        return bool(found if kinds is None else found & kinds)
-
-    def harmful_kinds(self, targets, start, end):
-        return {kind for target, kind, begun, over in self.fault_periods
-                if (target in targets or target == "world")
-                and begun <= end and over >= start and kind not in HARMLESS_FAULTS}
-
-    def was_fault_free(self, gateway, moment):
-        return not self.overlaps_fault({gateway}, moment - FAULT_FREE_PERIOD_S, moment)
-
-
-def slot_of(server):
-    return server.rsplit("-", 1)[0]
-
-
 def check_at_most_once(record):
     return [f"{request} was executed {len(runs)} times: {runs}"
             for request, runs in record.runs.items()
@@ -393,6 +330,6 @@
 CHECKS = {check.__name__.removeprefix("check_"): check for check in (
     check_at_most_once, check_refusals, check_answers, check_attempts,
     check_configuration, check_keys, check_drains, check_leaving_answers,
-    check_pauses, check_duties, check_stops, check_lost,
-    check_limits, check_time_limits, check_abandoned, check_own_ends,
+    check_pauses, check_server_limits, check_limited_refusals, check_duties, check_stops,
+    check_lost, check_limits, check_time_limits, check_abandoned, check_own_ends,
     check_stop_times, check_recovery)}
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -1,7 +1,9 @@
 """The processes and fakes of a soak run, and the injection of faults into them."""
 
+import collections
 import contextlib
 import json
+import random
 import signal
 import subprocess
 import threading
@@ -29,6 +31,8 @@
 STORE_DELAY_S = 0.3  # below the 0.9 s timeout of a store call
 LOST_ANSWER_COUNT = 4  # consecutive store transactions that stay unanswered
 PROBE_SERVICES = 3
+NAMED_LIMITS = (0.5, 5.0)  # requests a second that a server names
+NAMED_LIMIT_INTERVAL_S = (2.0, 6.0)  # between two changes of it
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
 
@@ -75,6 +79,7 @@
         self.generation = 0
         self.fault_periods = []  # (target, kind, start, end)
         self.drains = []  # (server, time at which the store acknowledged it)
+        self.limits = collections.defaultdict(list)  # server: [(time, limit named, or 0)]
         self.changes = []  # (index, time begun, time acknowledged)
         self.names = [f"gw{n}" for n in range(instance_count)]
         self.slots = {f"plain{n}": "plain" for n in range(plains)}
@@ -203,6 +208,8 @@
         with self.fault_period(fault.target, fault.kind):
             if fault.target in self.instances:
                 self._inject_instance_fault(self.instances[fault.target], fault)
+            elif fault.kind == "names_limit":
+                self._name_limits(fault)
             elif fault.target in self.slots:
                 self._inject_backend_fault(fault.target, fault)
             else:
@@ -239,6 +246,25 @@
         else:
             self._replace_backend(slot, kind)
 
+    def _name_limits(self, fault):
+        """The target, a slot or all slots of a service, names limits that change."""
+        rng = random.Random(fault.at_s)
+        slots = [slot for slot, service in self.slots.items() if fault.target in (slot, service)]
+        end = time.monotonic() + fault.for_s
+        while (left_s := end - time.monotonic()) > 0:
+            for slot in slots:
+                self._name_limit(slot, NAMED_LIMITS[0] * (
+                    NAMED_LIMITS[1] / NAMED_LIMITS[0]) ** rng.random())
+            time.sleep(min(left_s, rng.uniform(*NAMED_LIMIT_INTERVAL_S)))
+        for slot in slots:
+            self._name_limit(slot, 0)
+
+    def _name_limit(self, slot, limit):
+        with self.lock:
+            backend = self.backends[slot]
+            self.limits[backend.name].append((time.monotonic(), limit))
+            backend.limit = f"{limit:.3f}" if limit else ""
+
     def _replace_backend(self, slot, kind):
         with self.slot_locks[slot]:
             self._replace_locked(slot, kind)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,7 +11,7 @@
 import threading
 import time
 
-from checks import Exit, Signal
+from record import Exit, Signal
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "platform"))
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -31,6 +31,9 @@
     "settings_rewritten": 2, "address_taken": 2, "few_descriptors": 2,
 }
 MEAN_PROCESS_FAULT_INTERVAL_S = 3.0
+# Limits that servers name for all instances together; drawn apart as well.
+LIMIT_PROBABILITY = 0.5  # that some servers name one in a run
+LIMIT_COUNT = 2
 RESTORE_PROBABILITY = 0.5  # that the store is restored from a copy in a run
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
@@ -89,6 +92,16 @@
                         gateways)
 
 
+def draw_limits(rng, seconds, targets):
+    """Returns the times for which a server, or all servers of a service, name limits. They
+    are long, since a limit binds only after some seconds and over some seconds."""
+    if rng.random() >= LIMIT_PROBABILITY:
+        return []
+    starts = sorted(rng.uniform(0, seconds / 4) for _ in range(LIMIT_COUNT))
+    return [Fault(at_s, "names_limit", rng.choice(targets),
+                  rng.uniform(0.8, 1.0) * (seconds - at_s)) for at_s in starts]
+
+
 def draw_restore(rng, seconds):
     """Returns a restore of the store from a copy that is taken `for_s` before it, or none."""
     if rng.random() >= RESTORE_PROBABILITY:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,17 +20,19 @@
 import traceback
 
 from callers import CALLER_COUNT, Caller
-from checks import CHECKS, RECOVERY_TIMEOUT_S, Record
+from checks import CHECKS, RECOVERY_TIMEOUT_S
 from environment import (
     BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
+from record import Record
 from schedule import (
-    draw_changes, draw_faults, draw_notices, draw_process_faults, draw_restore)
+    draw_changes, draw_faults, draw_limits, draw_notices, draw_process_faults, draw_restore)
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
 FIRST_PORT = 26000  # above the ports of the other tests
 LAST_PORT = 31999  # below the ephemeral range
+LIMITED_SERVICES = ["plain", "model"] * 2  # each as likely as two of its servers
 SEEDS_PATH = pathlib.Path(__file__).parent / "seeds.txt"
 
 
@@ -100,6 +102,7 @@
                   for backend in environment.all_backends()},
         pauses={backend.name: list(backend.pauses)
                 for backend in environment.all_backends()},
+        limits={name: list(named) for name, named in environment.limits.items()},
         usage=list(environment.cloud.usage),
         scale=list(environment.cloud.scale),
         exits=[end for instance in environment.instances.values()
@@ -133,6 +136,8 @@
             faults += draw_restore(random.Random(f"{seed}/restore"), seconds)
             faults += draw_process_faults(random.Random(f"{seed}/processes"), seconds,
                                           environment.names)
+            faults += draw_limits(random.Random(f"{seed}/limits"), seconds,
+                                  sorted(environment.slots) + LIMITED_SERVICES)
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -16,10 +16,12 @@
 
 import checks  # noqa: E402
 import environment  # noqa: E402
+import limit_checks  # noqa: E402
 import processes  # noqa: E402
 import schedule  # noqa: E402
 import soak  # noqa: E402
 from callers import Call  # noqa: E402
+from record import HARMLESS_FAULTS, Exit, Record, Signal  # noqa: E402
 
 BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
           "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 100}
@@ -39,12 +41,12 @@
 
 def record(calls=(), **fields):
     values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
-              "pauses": {}, "changes": [], "usage": [],
+              "pauses": {}, "limits": {}, "changes": [], "usage": [],
               "scale": [], "exits": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
     values.update(fields)
-    return checks.Record(calls=list(calls), **values)
+    return Record(calls=list(calls), **values)
 
 
 def usage_report(window=1, epoch=1, holder="gw0", time=1.0, **counts):
@@ -151,6 +153,51 @@
         self.expect(check, after(100.7, 101.0, 101.9, faults=[("plain0", "link_cut", 99, 101)]),
                     after(100.7, 101.0, 101.9, faults=[("gw0", "store_cut", 99, 101)]))
 
+    def load(self, rate, *limits, faults=(), gateways=2, **fields):
+        """A server that names its first limit at 100.0 and gets this many requests a second
+        until 112.0 from the gateways in turn."""
+        times = [100.0 + number / rate for number in range(int(12 * rate))]
+        calls = [call(f"r{number}", sent=time, answered=time, gateway=f"gw{number % gateways}",
+                      **fields) for number, time in enumerate(times)]
+        return record(calls, fault_periods=faults, limits={"plain0-1": list(limits)},
+                      runs={call.request: [run(time=call.sent + 0.01)] for call in calls},
+                      arrivals={"plain0-1": [(call.request, call.sent + 0.01)
+                                             for call in calls]})
+
+    def test_server_gets_no_more_than_the_limit_that_it_names(self):
+        check = checks.check_server_limits
+        # The callers send a plain server about 8 requests a second and a model server 5, so
+        # that limits up to 4.3 and 2.4 a second show a system that reads none.
+        for rate, shown, hidden in ((8, 4.3, 4.7), (5, 2.4, 2.7)):
+            self.expect(check, self.load(rate, (100.0, hidden)), self.load(rate, (100.0, shown)))
+        self.expect(check, self.load(8, (100.0, 4.7)), self.load(8, (100.0, 4.7), (104.0, 2.0)))
+        self.expect(check, self.load(8, (100.0, 2.0), (106.9, 0)),
+                    self.load(8, (100.0, 2.0), (107.5, 0)))
+        self.expect(check, self.load(8, (100.0, 2.0), (103.0, 0), (106.0, 2.0)),
+                    self.load(8, (100.0, 2.0), (103.0, 3.0), (106.0, 2.0)))
+
+    def test_limit_binds_gateways_that_know_it_and_are_in_touch(self):
+        check = checks.check_server_limits
+        limited = self.load(8, (100.0, 2.0))
+        self.expect(check, self.load(8, (100.0, 2.0), signature=""), limited)
+        kills = [(gateway, "kill", 105.0, 106.0) for gateway in ("gw0", "gw1")]
+        restored = ("world", "store_restored", 100.0, 112.0)
+        self.expect(check, self.load(8, (100.0, 2.0), faults=kills),
+                    self.load(8, (100.0, 2.0), faults=kills[1:], gateways=1))
+        self.expect(check, self.load(8, (100.0, 2.0), faults=[("plain0", "link_delay", 104, 109)]),
+                    self.load(8, (100.0, 2.0), faults=[restored]))
+
+    def test_requests_beyond_all_limits_are_refused_at_once(self):
+        def refused(seconds, retry_after="1", status=503, target="plain"):
+            calls = [call(f"r{number}", status=status, signature="", sent=104.0,
+                          ended=104.0 + seconds, retry_after=retry_after)
+                     for number in range(limit_checks.MAX_LATE_REFUSALS + 1)]
+            return record(calls, fault_periods=[(target, "names_limit", 100.0, 110.0)])
+        check = checks.check_limited_refusals
+        self.expect(check, refused(0.4), refused(0.6))
+        self.expect(check, refused(0.6, target="plain0"), refused(3.0, "", status=504))
+        self.expect(check, refused(0.4), refused(0.4, ""))
+
     def test_window_has_one_count_and_epoch_one_holder(self):
         self.expect(checks.check_duties, record(usage=[usage_report(a=1), usage_report(a=1)]),
                     record(usage=[usage_report(a=1), usage_report(a=2)]))
@@ -188,26 +235,26 @@
                     record(abandoned_calls, disconnects={f"r{n}": 101.0 for n in range(4)}))
 
     def exit_after(self, code, *signals):
-        return record(exits=[checks.Exit("gw0", code, list(signals))])
+        return record(exits=[Exit("gw0", code, list(signals))])
 
     def test_no_process_exits_unexpectedly(self):
         check = checks.check_own_ends
-        stopped = checks.Signal(signal.SIGTERM, 100.0)
+        stopped = Signal(signal.SIGTERM, 100.0)
         self.expect(check, record(), self.exit_after(1))
         self.expect(check, self.exit_after(0, stopped), self.exit_after(0))
-        self.expect(check, self.exit_after(-9, checks.Signal(signal.SIGKILL, 100.0)),
+        self.expect(check, self.exit_after(-9, Signal(signal.SIGKILL, 100.0)),
                     self.exit_after(-9, stopped))
         for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGALRM,
                        signal.SIGTERM):
-            self.expect(check, self.exit_after(-number, checks.Signal(number, 100.0, True)),
-                        self.exit_after(-number, checks.Signal(number, 100.0)))
+            self.expect(check, self.exit_after(-number, Signal(number, 100.0, True)),
+                        self.exit_after(-number, Signal(number, 100.0)))
         for code in (1, 3, -signal.SIGPIPE, -signal.SIGABRT):
             self.assertNotEqual(check(self.exit_after(code, stopped)), [])
 
     def test_stopped_process_exits_in_time(self):
         def killed_at(time, *faults):
-            ended = self.exit_after(-9, checks.Signal(signal.SIGTERM, 100.0),
-                                    checks.Signal(signal.SIGKILL, time))
+            ended = self.exit_after(-9, Signal(signal.SIGTERM, 100.0),
+                                    Signal(signal.SIGKILL, time))
             ended.fault_periods = list(faults)
             return ended
         self.expect(checks.check_stop_times, killed_at(107.9), killed_at(108.1))
@@ -216,7 +263,7 @@
 
     def test_harmless_faults_excuse_no_lost_request(self):
         cut = call(whole=False)
-        for kind in sorted(checks.HARMLESS_FAULTS):
+        for kind in sorted(HARMLESS_FAULTS):
             self.expect(checks.check_lost,
                         record([cut], fault_periods=[("gw0", "kill", 99.0, 101.0)]),
                         record([cut], fault_periods=[("gw0", kind, 99.0, 101.0)]))
@@ -302,10 +349,13 @@
         outside = [fault for seed in range(8) for fault in schedule.draw_process_faults(
             random.Random(seed), 30, ["gw0"])]
         self.assertEqual({fault.kind for fault in outside}, set(schedule.PROCESS_FAULT_WEIGHTS))
+        limits = [fault for seed in range(8) for fault in schedule.draw_limits(
+            random.Random(seed), 30, ["plain"])]
+        self.assertTrue(0 < len(limits) < 16)
         restores = [restore for seed in range(8)
                     for restore in schedule.draw_restore(random.Random(seed), 30)]
         self.assertTrue(0 < len(restores) < 8)
-        for fault in draw(1) + notices + outside + restores:
+        for fault in draw(1) + notices + outside + limits + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
