Failure case: servers of serve name a limit for all instances

Change: fault `limit` of fake_engine and fake_plain_service, sent as X-Limit in each answer (as X-Leaving stands for Server-Leaving there), event named_limit in the history, check check_server_limits, case server_limits: limits of some servers that fall, of all servers of a pool (the rest is refused within 0.5 s, with Retry-After), and their end.

--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -10,6 +10,7 @@
                           run_under_load, send_raw, standard_checks)
 from checker import Violation, check_at_most_once
 from cluster import Cluster, http_json, wait_until
+from server_limit_cases import server_limits
 from server_notice_cases import hand_over_in_pause, leaving_answers, paused_server
 
 # Entry instances ---------------------------------------------------------
@@ -515,7 +516,8 @@
     kill_entry, die_in_reclaim, hand_over, planned_stops, stop_while_reading, freeze_entry,
     kill_engine,
     freeze_engine, silent_connections, cut_answers, lost_end_marks, reclaim_domain,
-    refusing_server, leaving_answers, paused_server, hand_over_in_pause, reset_filings,
+    refusing_server, leaving_answers, paused_server, hand_over_in_pause, server_limits,
+    reset_filings,
     platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
     move_bad, move_bad_late, move_slow, move_controller_killed, move_in_outage,
--- a/tests/failure/checker.py
+++ b/tests/failure/checker.py
@@ -5,6 +5,10 @@
 
 MAX_LEAVING_DISPATCH_MS = 3000
 MAX_REVISION_DELAY_MS = 5000
+LIMIT_WINDOW_MS = 4000
+LIMIT_CONTACT_MS = 3000  # from its first answer that names a limit until a server is held to it
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 
 
 class Violation:
@@ -110,6 +114,43 @@
     return violations, longest_ms
 
 
+def check_server_limits(history):
+    """A server gets no more requests than it says that it takes from all instances together.
+
+    Event "named_limit" marks the first answer that names a limit, or that names none again.
+    Returns (violations, highest share of the requests allowed that a server got).
+    """
+    steps = collections.defaultdict(list)
+    arrivals = collections.defaultdict(list)
+    for event in sorted(history, key=lambda e: e["time_ms"]):
+        if event["what"] == "named_limit":
+            steps[event["server"]].append((event["time_ms"], float(event["limit"] or 0)))
+        elif event["what"] in ("dispatch", "execute"):
+            arrivals[event["server"]].append(event)
+    violations = []
+    highest = 0.0
+    for server, named in steps.items():
+        for end_event in arrivals[server]:
+            end = end_event["time_ms"]
+            start = end - LIMIT_WINDOW_MS
+            gaps = [time for time, limit in named if not limit and time <= end]
+            first = min((time for time, limit in named if limit and
+                         time > max(gaps, default=float("-inf"))), default=end)
+            if start < first + LIMIT_CONTACT_MS:
+                continue
+            times = [time for time, _ in named] + [end]
+            allowed = LIMIT_SLACK + LIMIT_FACTOR * sum(
+                limit / 1000 * max(0, min(over, end) - max(time, start))
+                for (time, limit), over in zip(named, times[1:]))
+            window = [e for e in arrivals[server] if start <= e["time_ms"] <= end]
+            highest = max(highest, len(window) / allowed)
+            if len(window) > allowed:
+                violations.append(Violation(
+                    "server_limit", f"{server} got {len(window)} requests in "
+                    f"{LIMIT_WINDOW_MS} ms; its limits allow {allowed:.1f}", window[-1:]))
+    return violations, highest
+
+
 def check_revisions(accepted, events_by_node, unreachable=()):
     """Revisions only increase, and reachable nodes apply each within the limit.
 
--- a/tests/failure/checker_test.py
+++ b/tests/failure/checker_test.py
@@ -58,6 +58,22 @@
         self.assertEqual(["leaving"], rules(violations))
         self.assertEqual(3001, longest_ms)
 
+    def test_reports_requests_beyond_the_limits_that_a_server_names(self):
+        def rules_of(*named, rate=8):
+            history = [event("named_limit", time_ms, server="s", limit=limit)
+                       for time_ms, limit in named]
+            history += [event("dispatch", number * 1000 // rate, server="s")
+                        for number in range(10 * rate)]
+            return set(rules(checker.check_server_limits(history)[0]))
+        self.assertEqual({"server_limit"}, rules_of((0, "4.2")))
+        self.assertEqual(set(), rules_of((0, "4.7")))
+        self.assertEqual({"server_limit"}, rules_of((0, "2.4"), rate=5))
+        self.assertEqual(set(), rules_of((3500, "2")))
+        self.assertEqual({"server_limit"}, rules_of((0, "4.7"), (5000, "1")))
+        self.assertEqual(set(), rules_of((0, "2"), (6500, "")))
+        self.assertEqual(set(), rules_of((0, "2"), (3000, ""), (4000, "2")))
+        self.assertEqual({"server_limit"}, rules_of((0, "2"), (7500, "")))
+
     def test_reports_decreasing_and_late_revisions(self):
         def in_force(time_ms, revision):
             return {"name": "revision_in_force", "time_ms": time_ms, "revision": revision}
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -49,6 +49,9 @@
   if (faults.contains("says_leaving")) {
     m_says_leaving = faults.at("says_leaving").as_bool();
   }
+  if (faults.contains("limit")) {
+    m_limit = std::string(faults.at("limit").as_string());
+  }
   if (faults.contains("pauses")) {
     m_pauses = faults.at("pauses").to_number<std::int64_t>();
   }
@@ -58,6 +61,11 @@
 }
 
 void Notices::AddTo(HttpResponse& answer) {
+  if (!m_limit.empty()) answer.set("X-Limit", m_limit);
+  if (m_limit != m_said_limit) {
+    m_said_limit = m_limit;
+    m_history.Write("named_limit", {{"server", m_server}, {"limit", m_limit}});
+  }
   if (!m_says_leaving) return;
   answer.set("X-Leaving", "1");
   if (m_said_leaving) return;
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -36,8 +36,9 @@
 };
 
 /// What a server says of itself in its answers, as set by its faults:
-/// "says_leaving" marks each answer, "pauses" refuses that many requests and
-/// asks for none for "pause_s", which is sent as it is.
+/// "says_leaving" marks each answer, "limit" names a limit in each answer until
+/// it is empty, "pauses" refuses that many requests and asks for none for
+/// "pause_s". Limit and pause are sent as they are.
 class Notices {
  public:
   Notices(std::string server, History& history)
@@ -53,6 +54,8 @@
   History& m_history;
   bool m_says_leaving = false;
   bool m_said_leaving = false;
+  std::string m_limit;       ///< in requests a second
+  std::string m_said_limit;  ///< in the last answer
   std::int64_t m_pauses = 0;
   std::string m_pause_s;
 };
