--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -3,19 +3,15 @@
 // injected faults.
 #include <xxhash.h>
 
-#include <deque>
-#include <set>
-
 #include "base/endpoint_text.h"
 #include "fake_server.h"
+#include "prefix_cache.h"
 
 namespace cowslipknot::fakes {
 namespace {
 
 namespace json = boost::json;
 
-constexpr std::size_t kCharsPerToken = 4;
-constexpr std::size_t kBlockChars = 64;
 constexpr Milliseconds kTickInterval(5);
 constexpr Milliseconds kDetachTimeout(3000);  ///< for streams without readers
 
@@ -53,9 +49,8 @@
         m_prefill_rate(arguments.Number("prefill-rate", 8000)),
         m_decode_ms(arguments.Number("decode-ms", 10)),
         m_decode_ms_per_stream(arguments.Number("decode-ms-per-stream", 0.2)),
-        m_cache_blocks(
-            static_cast<std::size_t>(arguments.Integer("cache-tokens", 64000) *
-                                     kCharsPerToken / kBlockChars)),
+        m_cache(
+            static_cast<std::size_t>(arguments.Integer("cache-tokens", 64000))),
         m_fail_every(arguments.Integer("fail-every", 0)),
         m_fail_after(arguments.Integer("fail-after", 0)),
         m_fail_above(arguments.Integer("fail-above", 0)),
@@ -176,8 +171,8 @@
     if (body.contains("max_tokens")) {
       stream->total_tokens = body.at("max_tokens").to_number<std::size_t>();
     }
-    const std::size_t cached = UpdatePrefixCache(prompt);
-    std::size_t uncached = prompt.size() / kCharsPerToken;
+    const std::size_t cached = m_cache.Add(prompt);
+    std::size_t uncached = prompt.size() / PrefixCache::kCharsPerToken;
     uncached -= std::min(uncached, cached);
     if (body.contains("continue_from")) {
       stream->first_token =
@@ -190,29 +185,6 @@
     return stream;
   }
 
-  /// Adds the prompt's blocks to the prefix cache and evicts the oldest blocks.
-  /// @return number of leading prompt tokens that were cached
-  std::size_t UpdatePrefixCache(const std::string& prompt) {
-    std::size_t cached_tokens = 0;
-    bool hit = true;
-    std::uint64_t chain_hash = 0;
-    for (std::size_t offset = 0; offset + kBlockChars <= prompt.size();
-         offset += kBlockChars) {
-      chain_hash =
-          XXH3_64bits_withSeed(prompt.data() + offset, kBlockChars, chain_hash);
-      hit = hit && m_cache.contains(chain_hash);
-      if (hit) cached_tokens += kBlockChars / kCharsPerToken;
-      if (m_cache.insert(chain_hash).second) {
-        m_cache_order.push_back(chain_hash);
-      }
-    }
-    while (m_cache_order.size() > m_cache_blocks) {
-      m_cache.erase(m_cache_order.front());
-      m_cache_order.pop_front();
-    }
-    return cached_tokens;
-  }
-
   std::uint64_t PendingPrefillTokens() const {
     double sum = 0;
     for (const auto& [id, stream] : m_streams) {
@@ -368,7 +340,7 @@
   double m_prefill_rate;  ///< tokens per second
   double m_decode_ms;
   double m_decode_ms_per_stream;
-  std::size_t m_cache_blocks;
+  PrefixCache m_cache;
   std::int64_t m_fail_every;
   std::int64_t m_fail_after;
   std::int64_t m_fail_above;
@@ -382,8 +354,6 @@
   std::string m_previous_id;
   std::int64_t m_requests = 0;
   std::map<std::string, StreamPtr> m_streams;
-  std::set<std::uint64_t> m_cache;
-  std::deque<std::uint64_t> m_cache_order;
 };
 
 }  // namespace
