Soak: prepare a start while no other start can happen

Cause: a fault killed the process that it saw; when that one had ended before, the supervisor started the next one before the address was taken. Two such faults of one instance could also overlap. Command: python3 -m unittest discover -s tests/soak -p '*_test.py'

--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -122,7 +122,7 @@
 
     def address_taken(self, instance, fault):
         """Another socket listens on the callers' address when the process starts."""
-        with socket.socket() as other:
+        with instance.address_lock, socket.socket() as other:
             with self._restarted(instance):
                 other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 other.bind(("127.0.0.1", instance.gateway.port))
@@ -144,11 +144,11 @@
     @contextlib.contextmanager
     def _restarted(self, instance):
         """Kills a process, lets the caller prepare the next start and waits for it."""
-        boot = instance.boot
-        child = instance.gateway.child
-        child.send_signal(signal.SIGKILL)
-        child.wait()
-        yield
+        with instance.start_lock:
+            boot = instance.boot
+            instance.send_signal(signal.SIGKILL)
+            instance.gateway.child.wait()
+            yield
         instance.wait_until_restarted(boot)
 
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -144,6 +144,8 @@
         self.valid_settings = gateway.settings.read_text(encoding="utf-8")
         self.forwarded_address = forwarded_address
         self.boot = 0
+        self.start_lock = threading.Lock()  # held while the next start must wait
+        self.address_lock = threading.Lock()  # held while another socket has the address
         self.exits = []
         self.in_rotation = False
         self.stopping = False
@@ -161,8 +163,9 @@
                 time.sleep(RESTART_DELAY_S)
                 if self.stopping:
                     return
-                self.boot += 1
-                self.gateway.start()
+                with self.start_lock:
+                    self.boot += 1
+                    self.gateway.start()
             misses = 0 if self.gateway.ready() else misses + 1
             self.in_rotation = misses < 2
             time.sleep(READINESS_PROBE_INTERVAL_S)
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -337,6 +338,56 @@
             self.assertEqual(path.read_text(encoding="utf-8"), "valid")
 
 
+    # Guards against a process that starts before its next start is prepared.
+    def test_overlapping_faults_take_an_address_in_turn(self):
+        soak_environment = environment.SoakEnvironment(instance_count=1)
+        port = environment.free_port()
+        instance = processes.GatewayInstance("gw0", FakeGateway(port), "")
+        soak_environment.instances["gw0"] = instance
+        supervisor = threading.Thread(target=instance.supervise)
+        supervisor.start()
+        faults = [schedule.Fault(at_s, "address_taken", "gw0", 0.3)
+                  for at_s in (0.0, 0.05, 0.2, 0.45)]
+        errors = []
+        self.addCleanup(setattr, threading, "excepthook", threading.excepthook)
+        threading.excepthook = errors.append
+        soak.inject_faults(soak_environment, faults, [], time.monotonic())
+        instance.stopping = True
+        supervisor.join()
+        instance.gateway.child.kill()
+        instance.gateway.child.wait()
+        self.assertEqual(errors, [])
+
+
+class FakeGateway:
+    """A process that listens on its port once it is free."""
+
+    LISTEN = """
+import socket, sys, time
+while True:
+    listener = socket.socket()
+    try:
+        listener.bind(("127.0.0.1", int(sys.argv[1])))
+        break
+    except OSError:
+        time.sleep(0.01)
+listener.listen()
+time.sleep(60)
+"""
+
+    def __init__(self, port):
+        self.port = port
+        self.settings = pathlib.Path(os.devnull)
+        self.start()
+
+    def start(self):
+        self.child = processes.Process([sys.executable, "-c", self.LISTEN, str(self.port)], 0.0)
+
+    def ready(self):
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", self.port)) == 0
+
+
 class ScheduleTest(unittest.TestCase):
     def test_seed_determines_faults_which_end_in_time(self):
         def draw(seed):
