Keep the limits that backend servers of serve name for all instances

Callers saw: a server that named a limit (X-Limit) got two to three times as many requests as it takes, from all instances together. Now an answer's head is decoded (src/protocol/server_notices), statements and granters are kept on the control thread (src/serve/permit_exchange), with the same pure modules as in the gateway (permit_granter, server_limit). A traffic thread that has chosen a limited server obtains a permit there; without one the server is withheld, and another is chosen, those without a limit first. While all servers of a pool pause or are withheld, requests are refused at once, as with pauses. A resumed stream needs a permit; a cancellation does not, since it frees the server. Why this works: a request without a permit is not sent, and the permits of all granters together stay within the tolerance (property in permit_granter_test.cc). The case is in the short set now.

--- a/include/cowslipknot/coordination/choose_server.h
+++ b/include/cowslipknot/coordination/choose_server.h
@@ -40,6 +40,7 @@
   /// Servers already tried for this request; they are not selected again.
   std::vector<ServerId> tried;
   std::size_t entry_instances = 1;  ///< instances that send to the same servers
+  bool unlimited_only = false;      ///< exclude servers that require a permit
 };
 
 /// The selected server and the estimates behind the selection.
--- a/include/cowslipknot/coordination/server_pause.h
+++ b/include/cowslipknot/coordination/server_pause.h
@@ -33,8 +33,12 @@
 void RecordPause(ServerLoad& load, std::chrono::nanoseconds until);
 bool IsPaused(const ServerLoad& load, std::chrono::nanoseconds now);
 
-/// When the first pause ends if all servers of a pool that do not leave pause;
-/// nothing if one of them does not, or there are none.
+/// Whether a server may not be sent a request now, because it pauses or because
+/// no permit for it is to be had.
+bool IsUnavailable(const ServerLoad& load, std::chrono::nanoseconds now);
+
+/// When the first server becomes available if all servers of a pool that do not
+/// leave are not; nothing if one of them is, or there are none.
 std::optional<std::chrono::nanoseconds> FirstPauseEnd(
     const std::vector<ServerView>& servers, std::chrono::nanoseconds now);
 
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,11 @@
   std::atomic<std::int64_t> ejected_until_ms{0};
   std::atomic<std::int64_t> paused_until_ns{0};  ///< in TimeSinceBoot()
   std::atomic<bool> leaving{false};  ///< the server said so in an answer
+  /// Whether the server names a limit on its requests from all instances, so
+  /// that each one needs a permit.
+  std::atomic<bool> limited{false};
+  /// Until when no permit is to be had, in TimeSinceBoot().
+  std::atomic<std::int64_t> withheld_until_ns{0};
 };
 
 /// A backend server and its shared load counters.
@@ -92,6 +98,9 @@
     return m_records;
   }
 
+  /// A listed server; nothing if there is none of this id.
+  std::optional<ServerView> Find(const ServerId& id) const;
+
   /// Servers that may take new work, by pool.
   std::map<PoolId, std::vector<ServerView>> Available() const;
 
--- a/src/coordination/choose_server.cc
+++ b/src/coordination/choose_server.cc
@@ -42,8 +42,8 @@
          now.Count();
 }
 
-/// Indices of the untried servers that neither leave nor pause, without ejected
-/// ones unless more than half are ejected.
+/// Indices of the untried servers that neither leave nor are unavailable,
+/// without ejected ones unless more than half are ejected.
 std::vector<std::size_t> UsableServers(const std::vector<ServerView>& servers,
                                        const ChoiceContext& context) {
   std::vector<std::size_t> usable;
@@ -53,7 +53,10 @@
     const bool tried = std::find(context.tried.begin(), context.tried.end(),
                                  id) != context.tried.end();
     const ServerLoad& load = *servers[i].load;
-    if (tried || load.leaving || IsPaused(load, context.since_boot)) continue;
+    const bool excluded = tried || load.leaving ||
+                          IsUnavailable(load, context.since_boot) ||
+                          (context.unlimited_only && load.limited);
+    if (excluded) continue;
     untried.push_back(i);
     if (!IsEjected(servers[i], context.now)) usable.push_back(i);
   }
--- a/src/coordination/server_pause.cc
+++ b/src/coordination/server_pause.cc
@@ -44,12 +44,18 @@
   return now.count() < load.paused_until_ns;
 }
 
+bool IsUnavailable(const ServerLoad& load, std::chrono::nanoseconds now) {
+  return IsPaused(load, now) || now.count() < load.withheld_until_ns;
+}
+
 std::optional<std::chrono::nanoseconds> FirstPauseEnd(
     const std::vector<ServerView>& servers, std::chrono::nanoseconds now) {
   std::optional<std::chrono::nanoseconds> first_end;
   for (const auto& server : servers) {
     if (server.load->leaving) continue;
-    const std::chrono::nanoseconds end(server.load->paused_until_ns.load());
+    const std::chrono::nanoseconds end(
+        std::max(server.load->paused_until_ns.load(),
+                 server.load->withheld_until_ns.load()));
     if (end <= now) return std::nullopt;
     first_end = std::min(first_end.value_or(end), end);
   }
--- a/src/protocol/server_notices.cc
+++ b/src/protocol/server_notices.cc
@@ -6,6 +6,16 @@
 namespace cowslipknot {
 namespace {
 
+/// @return NaN if the text is no number
+double ParseNumber(std::string_view text) {
+  double number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size())
+    return std::numeric_limits<double>::quiet_NaN();
+  return number;
+}
+
 /// @return none if there is no such field or the status is another
 std::optional<double> ParseRetryAfter(const http::response_header<>& header) {
   const auto field = header.find(http::field::retry_after);
@@ -13,13 +23,13 @@
       field == header.end()) {
     return std::nullopt;
   }
-  const std::string_view text = field->value();
-  double seconds = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), seconds);
-  if (error != std::errc() || end != text.data() + text.size())
-    return std::numeric_limits<double>::quiet_NaN();
-  return seconds;
+  return ParseNumber(field->value());
+}
+
+std::optional<double> ParseLimit(const http::response_header<>& header) {
+  const auto field = header.find("X-Limit");
+  if (field == header.end()) return std::nullopt;
+  return ParseNumber(field->value());
 }
 
 }  // namespace
@@ -29,8 +39,10 @@
   ServerNotices notices;
   const std::string_view answered = header["X-Request-Id"];
   if (!answered.empty() && answered != id) return notices;
+  notices.answers_request = answered == id;
   notices.is_leaving = header.find("X-Leaving") != header.end();
   notices.retry_after_s = ParseRetryAfter(header);
+  notices.limit_per_s = ParseLimit(header);
   return notices;
 }
 
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -68,13 +68,25 @@
   ServerSelection selection;
 };
 
-Result<ServerChoice> ChooseForService(Worker& worker, const Route& route,
-                                      const RequestId& request,
-                                      const RequestCost& cost,
-                                      const std::vector<ServerId>& tried);
+/// A request that is to be sent to a server of a route's service.
+struct ServiceRequest {
+  Route route;
+  RequestId id;
+  RequestCost cost;
+  std::vector<ServerId> tried;  ///< servers that are not chosen again
+};
+
+/// Selects a server, which may require a permit.
+Result<ServerChoice> ChooseForService(Worker& worker,
+                                      const ServiceRequest& request);
+
+/// Selects a server and obtains the permit to send it one request. Servers
+/// without a limit are preferred once two permits were denied.
+Awaitable<Result<ServerChoice>> ChooseWithPermit(Worker& worker,
+                                                 ServiceRequest request);
 
 /// The time after which a caller should repeat a request that found no server,
-/// if all servers of its pool pause.
+/// if no server of its pool may be sent one now.
 std::optional<Milliseconds> RetryDelayOfPause(Worker& worker,
                                               const ServiceId& service,
                                               const RequestId& request);
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -68,13 +68,14 @@
   m_backups = std::make_unique<RequestBackups>(
       settings, *m_gossip,
       [this](const Descriptor& descriptor) { StartTakenOverRun(descriptor); });
+  m_permits = MakePermitExchange();
   BuildHooks();
 }
 
 void Control::BuildHooks() {
   const auto executor = m_context.get_executor();
   m_hooks.executor = executor;
-  m_hooks.claims = m_claims.get();
+  BuildPermitHooks();
   m_hooks.on_leaving_answer = [this, executor](
                                   const ServerId& id, Incarnation incarnation,
                                   std::chrono::nanoseconds read_at) {
@@ -126,6 +127,7 @@
   snapshot->domain = m_settings.domain;
   snapshot->servers = m_fleet.Available();
   snapshot->rolled_back = m_moves->RolledBackMoves();
+  m_permits->Update();
   snapshot->members = m_gossip->Members().LiveCount();
   snapshot->draining = m_draining;
   snapshot->instances_known = m_instances_known;
@@ -160,6 +162,7 @@
 }
 
 void Control::OnRecord(const GossipRecord& record, const NodeId& sender) {
+  m_permits->Update();
   if (record.key == kRevisionKey) {
     m_highest_known_revision =
         std::max(m_highest_known_revision, Revision(record.version));
@@ -303,6 +306,7 @@
     }
     const auto pause = std::chrono::duration_cast<Milliseconds>(
         m_settings.platform_poll_interval * jitter(m_random));
+    m_permits->Update();
     co_await SleepFor(pause);
   }
 }
@@ -359,6 +363,10 @@
     case wire::Kind::Lookup:
       answer = co_await m_backups->Handle(*frame);
       break;
+    case wire::Kind::AskPermit:
+    case wire::Kind::ServerLimits:
+      answer = m_permits->Handle(*frame);
+      break;
     default:
       co_return FrameBytes();
   }
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -7,6 +7,7 @@
 #include "coordination/configuration_manager.h"
 #include "coordination/gossip_node.h"
 #include "coordination/move_controller.h"
+#include "serve/permit_exchange.h"
 #include "serve/request_backups.h"
 #include "serve/worker.h"
 
@@ -62,6 +63,8 @@
 
  private:
   void BuildHooks();
+  std::unique_ptr<PermitExchange> MakePermitExchange();
+  void BuildPermitHooks();
   void PublishSnapshot();
   void OnRecord(const GossipRecord& record, const NodeId& sender);
   bool AcceptsRecord(const GossipRecord& record) const;
@@ -98,6 +101,7 @@
   std::unique_ptr<ConfigurationManager> m_configuration_manager;
   std::unique_ptr<MoveController> m_moves;
   std::unique_ptr<RequestBackups> m_backups;
+  std::unique_ptr<PermitExchange> m_permits;
   std::shared_ptr<LinkTraffic> m_served_traffic =
       std::make_shared<LinkTraffic>();
   std::mt19937_64 m_random;
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -201,18 +201,19 @@
   return m_tried.empty() && !sent;
 }
 
-Result<void> ModelRun::SelectServer(Attempt& attempt) {
+Awaitable<Result<void>> ModelRun::SelectServer(Attempt& attempt) {
   RequestCost cost = m_request.cost;
   m_worker.MatchPrefix(cost);
-  auto choice = ChooseForService(m_worker, m_route, m_id, cost, m_tried);
-  if (!choice) return tl::make_unexpected(choice.error());
+  ServiceRequest request{m_route, m_id, cost, m_tried};
+  auto choice = co_await ChooseWithPermit(m_worker, std::move(request));
+  if (!choice) co_return tl::make_unexpected(choice.error());
   const bool first_selection =
       m_tried.empty() && m_chunks.empty() && !m_taken_over;
   const bool interactive = m_route.request_class == RequestClass::kInteractive;
   if (first_selection && interactive &&
       CannotMeetTarget(choice->selection, *choice->server.load,
                        m_route.first_token_target)) {
-    return Fail(ResultCode::kTargetUnreachable);
+    co_return Fail(ResultCode::kTargetUnreachable);
   }
   attempt.server = std::move(choice->server);
   attempt.choice = std::move(choice->version);
@@ -223,12 +224,12 @@
   m_tried.push_back(attempt.server.record.id);
   m_server = attempt.server.record.id;
   m_worker.RecordPrefix(cost, m_server);
-  return {};
+  co_return Result<void>();
 }
 
 Awaitable<Result<void>> ModelRun::RunAttempt(const TraceContext& parent) {
   Attempt attempt;
-  const auto selected = SelectServer(attempt);
+  const auto selected = co_await SelectServer(attempt);
   if (!selected) co_return tl::make_unexpected(selected.error());
   Span span("attempt", parent, m_worker.Random(), m_worker.Hooks().trace);
   span.SetAttribute("server", m_server.Text());
@@ -239,6 +240,7 @@
   request.set("X-Priority",
               m_route.request_class == RequestClass::kInteractive ? "1" : "0");
   CallProgress progress;
+  const auto sent_at = TimeSinceBoot();
   auto opened = co_await m_worker.Http().Open(
       attempt.server.record.address, std::move(request),
       WithTimeout(m_route.stall_timeout, Reuse::kAllowed), progress);
@@ -249,8 +251,9 @@
     }
     outcome = tl::make_unexpected(opened.error());
   } else {
-    m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
-                                 attempt.id, progress.header_read_at);
+    m_worker.RecordServerNotices(
+        attempt.server, (*opened)->Header(),
+        {attempt.id, sent_at, progress.header_read_at});
     outcome = CheckEngineHeader((*opened)->Header(), attempt.id);
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
@@ -285,12 +288,13 @@
                    std::string id) -> Awaitable<void> {
     HttpRequest request(http::verb::delete_, "/v1/streams/" + id, 11);
     CallProgress progress;
+    const auto sent_at = TimeSinceBoot();
     const auto answer = co_await run->m_worker.Http().Call(
         server.record.address, std::move(request), kCancelTimeout,
         Reuse::kAllowed, progress);
     if (!answer) co_return;
-    run->m_worker.RecordServerNotices(server, answer->base(), id,
-                                      progress.header_read_at);
+    run->m_worker.RecordServerNotices(server, answer->base(),
+                                      {id, sent_at, progress.header_read_at});
   };
   Spawn(m_worker.Executor(), "cancel attempt",
         cancel(shared_from_this(), attempt.server, attempt.id));
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -77,7 +77,7 @@
   /// Records the time to first token of an attempt as a measurement of the
   /// server's speed.
   void RecordFirstOutput(Attempt& attempt);
-  Result<void> SelectServer(Attempt& attempt);
+  Awaitable<Result<void>> SelectServer(Attempt& attempt);
   /// Whether the run ends because no server can take it soon. One that has
   /// output, or that a peer has accepted, waits for the end of a pause.
   bool EndsForLackOfServers(const Error& error, bool sent);
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -79,7 +79,7 @@
       if (HasCompleteAnswer()) co_return Result<void>();
       const bool may_reconnect =
           !IsDisabled(m_worker.GetSettings(), "silent_links") &&
-          !IsPaused(*attempt.server.load, TimeSinceBoot()) &&
+          !IsUnavailable(*attempt.server.load, TimeSinceBoot()) &&
           ElapsedSince(m_started) < m_route.timeout;
       if (!may_reconnect) co_return tl::make_unexpected(data.error());
       stream.reset();
@@ -122,17 +122,24 @@
   const bool no_progress = attempt.last_resume_position == m_chunks.size();
   attempt.last_resume_position = m_chunks.size();
   if (no_progress) co_await SleepFor(kRetryDelay);
+  const bool permitted = co_await m_worker.AcquirePermit(attempt.server);
+  if (!permitted) {
+    co_return Fail(ResultCode::kBackendFailed,
+                   "the server's limit leaves no room to resume the stream",
+                   Execution::kUnknown);
+  }
   HttpRequest request(
       http::verb::get,
       "/v1/streams/" + attempt.id + "?from=" + std::to_string(m_chunks.size()),
       11);
   CallProgress progress;
+  const auto sent_at = TimeSinceBoot();
   auto opened = co_await m_worker.Http().Open(
       attempt.server.record.address, std::move(request),
       WithTimeout(m_route.stall_timeout, Reuse::kNewOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
-  m_worker.RecordServerNotices(attempt.server, (*opened)->Header(), attempt.id,
-                               progress.header_read_at);
+  m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
+                               {attempt.id, sent_at, progress.header_read_at});
   const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
   if (!checked) {
     co_return Fail(ResultCode::kBackendFailed, "the stream no longer exists",
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -84,9 +84,8 @@
     return wire;
   }
 
-  Result<ServerChoice> Choose() {
-    return ChooseForService(m_worker, m_request.route, m_request.id,
-                            RequestCost(), m_tried);
+  ServiceRequest MakeServiceRequest() const {
+    return {m_request.route, m_request.id, RequestCost(), m_tried};
   }
 
   bool AllPause() {
@@ -104,9 +103,10 @@
     const Endpoint address = choice.server.record.address;
     const auto started = SteadyClock::now();
     CallProgress progress;
+    AnsweredRequest answered{m_request.id.Text(), TimeSinceBoot()};
     progress.on_header = [&](const http::response_header<>& header) {
-      m_worker.RecordServerNotices(choice.server, header, m_request.id.Text(),
-                                   progress.header_read_at);
+      answered.read_at = progress.header_read_at;
+      m_worker.RecordServerNotices(choice.server, header, answered);
     };
     auto answer = co_await m_worker.Http().Call(
         address, BuildRequest(span.Context()), TimeLeft(), reuse, progress);
@@ -154,7 +154,8 @@
     m_worker.Retries().RecordRequest();
     bool sent = false;
     while (true) {
-      auto choice = Choose();
+      const auto choice =
+          co_await ChooseWithPermit(m_worker, MakeServiceRequest());
       if (!choice && m_tried.empty()) {
         co_return tl::make_unexpected(choice.error());
       }
@@ -206,8 +207,8 @@
     if (m_request.idempotency_key.empty()) {
       co_return Fail(ResultCode::kMissingIdempotencyKey);
     }
-    const auto choice = Choose();
-    if (!choice) co_return tl::make_unexpected(choice.error());
+    const auto available = ChooseForService(m_worker, MakeServiceRequest());
+    if (!available) co_return tl::make_unexpected(available.error());
     const Claim claim = BuildClaim();
     Span span("claim", m_request.parent, m_worker.Random(),
               m_worker.Hooks().trace);
@@ -240,7 +241,8 @@
         FinishClaim(std::move(stored), std::nullopt);
         co_return Fail(ResultCode::kDeadlinePassed);
       }
-      const auto choice = Choose();
+      const auto choice =
+          co_await ChooseWithPermit(m_worker, MakeServiceRequest());
       if (!choice && AllPause()) {
         FinishClaim(std::move(stored), std::nullopt);
         co_return tl::make_unexpected(choice.error());
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -77,32 +77,68 @@
 
 void Worker::RecordServerNotices(const ServerView& server,
                                  const http::response_header<>& header,
-                                 std::string_view id,
-                                 std::chrono::nanoseconds read_at) {
-  const ServerNotices notices = DecodeServerNotices(header, id);
+                                 const AnsweredRequest& request) {
+  const ServerNotices notices = DecodeServerNotices(header, request.id);
   if (notices.retry_after_s)
-    PauseServer(server, *notices.retry_after_s, id, read_at);
+    PauseServer(server, *notices.retry_after_s, request);
+  if (notices.answers_request)
+    RecordLimit(server, notices.limit_per_s, request);
   if (!notices.is_leaving || IsDisabled(m_settings, "leaving")) return;
   if (!RecordLeaving(*server.load)) return;
   m_metrics.Add("cowslipknot_server_leavings_total",
                 FormatLabel("pool", server.record.pool.Text()));
   m_hooks.on_leaving_answer(server.record.id, server.record.incarnation,
-                            read_at);
+                            request.read_at);
+}
+
+void Worker::RecordLimit(const ServerView& server,
+                         const std::optional<double>& limit_per_s,
+                         const AnsweredRequest& request) {
+  LimitStatement statement;
+  statement.sent = request.sent_at;
+  statement.read = request.read_at;
+  if (limit_per_s) {
+    const auto reading = BoundLimit(*limit_per_s);
+    const bool is_odd = !reading || reading->is_adjusted;
+    if (is_odd &&
+        m_odd_limits.ShouldLog(server.record.id.Text(), TimeSinceBoot())) {
+      LogEvent(reading ? Event::kLimitAdjusted : Event::kLimitUnreadable,
+               {{"server", server.record.id.Text()},
+                {"request", std::string(request.id)},
+                {"stated_per_s", std::to_string(*limit_per_s)}});
+    }
+    if (!reading) return;
+    statement.limit = reading->limit;
+    server.load->limited = true;
+  } else if (!server.load->limited) {
+    return;
+  }
+  m_hooks.on_limit_statement(server.record.id, server.record.incarnation,
+                             statement);
+}
+
+Awaitable<bool> Worker::AcquirePermit(ServerView server) {
+  if (!server.load->limited) co_return true;
+  const bool permitted = co_await m_hooks.acquire_permit(
+      server.record.id, server.record.incarnation);
+  m_metrics.Add("cowslipknot_server_permits_total",
+                FormatLabel("pool", server.record.pool.Text()) + "," +
+                    FormatLabel("outcome", permitted ? "granted" : "denied"));
+  co_return permitted;
 }
 
 void Worker::PauseServer(const ServerView& server, double seconds,
-                         std::string_view request,
-                         std::chrono::nanoseconds read_at) {
+                         const AnsweredRequest& request) {
   const ServerPause pause = BoundPause(seconds);
   RecordPause(*server.load, TimeSinceBoot() + pause.length);
   m_metrics.Add("cowslipknot_server_pauses_total",
                 FormatLabel("pool", server.record.pool.Text()));
   LogEvent(pause.is_adjusted ? Event::kPauseAdjusted : Event::kServerPaused,
            {{"server", server.record.id.Text()},
-            {"request", std::string(request)},
+            {"request", std::string(request.id)},
             {"stated_s", std::to_string(seconds)},
             {"pause_ms", std::to_string(pause.length.count())},
-            {"age_ms", FormatAgeMs(read_at)}});
+            {"age_ms", FormatAgeMs(request.read_at)}});
 }
 
 void Worker::MatchPrefix(RequestCost& cost) const {
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -13,8 +13,10 @@
 #include "cowslipknot/coordination/fair_queue.h"
 #include "cowslipknot/coordination/move_decision.h"
 #include "cowslipknot/coordination/retry_budget.h"
+#include "cowslipknot/coordination/server_limit.h"
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/fleet.h"
+#include "serve/row_log_filter.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 
@@ -33,6 +35,12 @@
   std::function<void(const ServerId&, Incarnation,
                      std::chrono::nanoseconds read_at)>
       on_leaving_answer;
+  /// Called with what an answer said of its server's limit, if the server names
+  /// one or did.
+  std::function<void(const ServerId&, Incarnation, const LimitStatement&)>
+      on_limit_statement;
+  /// Obtains a permit to send one request to a server that names a limit.
+  std::function<Awaitable<bool>(ServerId, Incarnation)> acquire_permit;
   /// Sends a backup of a request to a peer; used once a stop or
   /// reclaim is announced.
   std::function<Awaitable<bool>(std::shared_ptr<ModelRun>)> back_up;
@@ -47,6 +55,13 @@
   SpanSink trace;
 };
 
+/// A request whose answer's head was read; times are in TimeSinceBoot().
+struct AnsweredRequest {
+  std::string_view id;  ///< sent with the request
+  std::chrono::nanoseconds sent_at{0};
+  std::chrono::nanoseconds read_at{0};
+};
+
 /// Admission of one request. Releases its tokens when destroyed.
 class AdmissionTicket {
  public:
@@ -94,11 +109,13 @@
   std::map<MoveId, MoveEvidence>& Evidence() { return m_evidence; }
 
   /// Takes notice of what the head of a server's answer says of the server.
-  /// @param id  sent with the request
   void RecordServerNotices(const ServerView& server,
                            const http::response_header<>& header,
-                           std::string_view id,
-                           std::chrono::nanoseconds read_at);
+                           const AnsweredRequest& request);
+
+  /// Obtains a permit to send one request to a server, if that names a limit.
+  /// @return whether the request may be sent
+  Awaitable<bool> AcquirePermit(ServerView server);
 
   /// Fills in the length of the longest prefix of the prompt that this thread
   /// has sent before, and the server that it was last sent to.
@@ -124,7 +141,10 @@
  private:
   void EvictFinishedRuns();
   void PauseServer(const ServerView& server, double seconds,
-                   std::string_view request, std::chrono::nanoseconds read_at);
+                   const AnsweredRequest& request);
+  void RecordLimit(const ServerView& server,
+                   const std::optional<double>& limit_per_s,
+                   const AnsweredRequest& request);
 
   const Settings& m_settings;
   const ControlHooks& m_hooks;
@@ -149,6 +169,7 @@
   std::deque<std::uint64_t> m_block_insertion_order;
   std::map<RequestId, std::shared_ptr<ModelRun>> m_runs;
   std::deque<RequestId> m_run_order;
+  gateway::RowLogFilter m_odd_limits;
 };
 
 }  // namespace cowslipknot
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -48,6 +48,12 @@
   return m_leaving.insert(LeavingKey(id, incarnation)).second;
 }
 
+std::optional<ServerView> Fleet::Find(const ServerId& id) const {
+  const auto known = m_records.find(id);
+  if (known == m_records.end()) return std::nullopt;
+  return ServerView{known->second, m_loads.at(id)};
+}
+
 std::map<PoolId, std::vector<ServerView>> Fleet::Available() const {
   std::map<PoolId, std::vector<ServerView>> available;
   for (const auto& [id, record] : m_records) {
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -530,7 +530,7 @@
     "reset_filings", "platform_outage", "lost_answers", "cut_domain", "operator_race",
     "stale_configuration", "fresh_in_outage", "move_bad", "freeze_entry",
     "freeze_engine", "refusing_server", "leaving_answers", "paused_server",
-    "hand_over_in_pause", "move_operator_takes_back",
+    "hand_over_in_pause", "server_limits", "move_operator_takes_back",
     "killed_between_requests", "bad_input"]
 
 # The mechanism without which each case fails.
