--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -105,7 +105,7 @@
   };
 }
 
-void Control::Start(std::shared_ptr<tcp::acceptor> peers) {
+void Control::Start(const std::shared_ptr<tcp::acceptor>& peers) {
   const auto executor = m_context.get_executor();
   SpawnLoop(executor, "gossip", [this] { return m_gossip->Run(); });
   SpawnLoop(executor, "poll platform", [this] { return PollPlatform(); });
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -26,7 +26,7 @@
   const ControlHooks& Hooks() const { return m_hooks; }
 
   /// Starts the background loops. Call once all workers exist.
-  void Start(std::shared_ptr<tcp::acceptor> peers);
+  void Start(const std::shared_ptr<tcp::acceptor>& peers);
 
   /// Announces that this instance is draining and backs up requests in flight
   /// to peers.
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -129,7 +129,7 @@
 
 void ModelRun::Start(TraceContext parent) {
   // Readers wait for the end of the run.
-  Spawn(m_worker.Executor(), "run", Execute(parent),
+  Spawn(m_worker.Executor(), "run", Execute(std::move(parent)),
         [self = shared_from_this()] {
           self->Finish(Error{ResultCode::kInternal, "the run failed",
                              Execution::kUnknown});
