Bound the memory of callers' headers and ordinary buffers

Seen: 1,500 connections that had each sent 64,500 bytes of a header of at most 64 KB took 110 MB of an instance with memory_mb = 64; one that exceeds its memory is killed on the users' machines (FAULT), with all its requests (LOST).

Cause: the budget of received bytes counts bodies, frames and responses. Headers were bounded by connection only, and the number of connections by descriptors only. At 4,000 connections headers of 64 KB exceed 260 MB.

A kept connection gives a large buffer back. Callers' connections are at most as many as half of the memory has place for, at 64 KB each: 2,048 with 260 MB and 4,100 descriptors, as before this commit; 512 with 64 MB.

Not bounded here: `serve` has no setting for its memory.

Command: cd tests/platform && python3 -m unittest memory_bound_test

--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -11,6 +11,11 @@
 /// Received data that all connections may hold, as a fraction of the process's
 /// memory. The rest is for buffers of ordinary size and the process itself.
 constexpr std::uint64_t kReceivedFraction = 4;
+/// Memory that the ordinary buffers of callers' connections may take, as a
+/// fraction of the process's, and what those of one connection take: a request
+/// as it is read, parsed and sent on.
+constexpr std::uint64_t kConnectionsFraction = 2;
+constexpr std::uint64_t kConnectionBytes = 64 << 10;
 /// Instances that may have been added without being known here.
 constexpr double kUnseenInstances = 4;
 /// Fractions of the retry slack and ratio that are used. The rest of the slack
@@ -41,7 +46,10 @@
       m_connection_shares(
           DivideDescriptors(AvailableDescriptors(settings.max_descriptors))),
       m_caller_connections(std::make_shared<ConnectionLimit>(
-          "callers", m_connection_shares.callers)),
+          "callers",
+          std::min<std::size_t>(m_connection_shares.callers,
+                                settings.max_memory.Count() /
+                                    kConnectionsFraction / kConnectionBytes))),
       m_http(HttpClient::Create(
           m_context.get_executor(),
           ByteCount(settings.max_memory.Count() / kMaxResponseFraction),
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -7,14 +7,11 @@
 
 #include "cowslipknot/events.h"
 #include "transport/graceful_close.h"
+#include "transport/request_reader.h"
 
 namespace cowslipknot {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 << 10;
-/// A request body and its copy in an attempt.
-constexpr std::uint64_t kBodyCopies = 2;
-
 using StreamPtr = std::shared_ptr<beast::tcp_stream>;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -186,7 +183,8 @@
 bool ReadArrived(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
   error_code error;
   stream.socket().non_blocking(true, error);
-  buffer.commit(stream.socket().read_some(buffer.prepare(kReadBytes), error));
+  buffer.commit(
+      stream.socket().read_some(buffer.prepare(kRequestReadBytes), error));
   return buffer.size() > 0;
 }
 
@@ -227,51 +225,6 @@
   }
 }
 
-/// Whether the framing of a message determines unambiguously where it ends. The
-/// parser has already rejected contradictory lengths, but it treats a message
-/// with an unknown transfer coding as one without a body.
-bool HasUnambiguousFraming(const http::request_header<>& header) {
-  const auto codings = header.equal_range(http::field::transfer_encoding);
-  const auto count = std::distance(codings.first, codings.second);
-  if (count == 0) return true;
-  if (count > 1 || header.version() < 11) return false;
-  return beast::iequals(codings.first->value(), "chunked") &&
-         header.find(http::field::content_length) == header.end();
-}
-
-Awaitable<error_code> ReadRequest(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    http::request_parser<http::string_body>& parser,
-    const HttpServerLimits& limits, MemoryReservation& memory) {
-  // The parser waits for a whole header, size line of a chunk or trailer, but
-  // limits only the header.
-  buffer.max_size(std::max(buffer.size(), limits.max_header_size.Count()) +
-                  kReadBytes);
-  parser.header_limit(
-      static_cast<std::uint32_t>(limits.max_header_size.Count()));
-  parser.body_limit(limits.max_body_size.Count());
-  stream.expires_after(limits.read_timeout);
-  auto [error, size] =
-      co_await http::async_read_header(stream, buffer, parser, kAsTuple);
-  if (error) co_return error;
-  if (!HasUnambiguousFraming(parser.get())) {
-    co_return make_error_code(http::error::bad_transfer_encoding);
-  }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> proceed(http::status::continue_, 11);
-    auto [failed, sent] = co_await http::async_write(stream, proceed, kAsTuple);
-    if (failed) co_return failed;
-  }
-  while (!parser.is_done()) {
-    auto [body_error, body_size] =
-        co_await http::async_read_some(stream, buffer, parser, kAsTuple);
-    if (body_error) co_return body_error;
-    if (!memory.Resize(parser.get().body().size() * kBodyCopies))
-      co_return make_error_code(asio::error::no_memory);
-  }
-  co_return error_code();
-}
-
 /// Handles a request. An exception of the handler ends the exchange with an
 /// error response, or without one if a response has begun.
 Awaitable<void> HandleExchange(Exchange& exchange,
@@ -321,6 +274,7 @@
   beast::flat_buffer buffer;
   while (true) {
     counted.reset();
+    if (buffer.capacity() > kRequestReadBytes) buffer.shrink_to_fit();
     if (hooks.limits) limits = hooks.limits();
     const bool arrived = co_await WaitForRequest(stream, buffer, limits, hooks);
     // A request that crosses the close is not read, which tells the peer that
--- a/tests/platform/memory_bound_test.py
+++ b/tests/platform/memory_bound_test.py
@@ -21,6 +21,8 @@
 HOLD_S = 1.5
 CLOSED_S = 1.0
 BLOCK = b"x" * 65536
+CONNECTIONS = 1500
+HEADER_BYTES = 64 << 10
 
 
 class HeldBody:
@@ -142,6 +144,38 @@
                           if run["headers"]["Cowslipknot-Request-Id"] != "last"], [])
         self.assert_bounded(gateway)
 
+    # Guards against headers, each within its bound, and ordinary buffers of many connections
+    # taking all memory.
+    def assert_connections_leave_memory(self, beginning):
+        self.store.put("op", "config", configuration(2, limits={
+            "max_header_bytes": HEADER_BYTES, "max_body_bytes": MAX_BODY_BYTES,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 5000}))
+        gateway = self.start()
+        callers = []
+        for _ in range(CONNECTIONS):
+            caller = socket.create_connection(("127.0.0.1", gateway.port), timeout=5)
+            self.addCleanup(caller.close)
+            try:
+                caller.sendall(beginning)
+            except OSError:
+                pass  # it was rejected
+            callers.append(caller)
+        time.sleep(HOLD_S)
+        self.assertLess(gateway.peak_memory_mb(), MEMORY_MB)
+        for caller in callers:
+            caller.close()
+        self.assert_bounded(gateway)
+
+    def test_headers_of_many_connections_leave_memory(self):
+        self.assert_connections_leave_memory(
+            b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Filler: " +
+            b"x" * (HEADER_BYTES - 1000))
+
+    def test_ordinary_bodies_of_many_connections_leave_memory(self):
+        self.assert_connections_leave_memory(
+            b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 16000\r\n\r\n" +
+            b"x" * 15900)
+
     # Guards against other instances' frames, each within its bound, taking all memory.
     def test_frames_that_do_not_end_leave_memory(self):
         gateway = self.start()
