Leave real-time signals alone for which a library has a handler

All real-time signals were blocked; a profiler or a preloaded library may use one for threads of its own, which would then not be interrupted. Not shown by a run: a library that is disturbed.

--- a/src/base/process_signals.cc
+++ b/src/base/process_signals.cc
@@ -17,21 +17,28 @@
 constexpr int kIgnoredSignals[] = {SIGPIPE, SIGXFSZ, SIGTTIN, SIGTTOU};
 
 sigset_t g_initial_mask;
+sigset_t g_server_signals;
 
-}  // namespace
+/// Whether no library or tool that was loaded before uses a signal.
+bool IsUnused(int number) {
+  struct sigaction action {};
+  return ::sigaction(number, nullptr, &action) == 0 &&
+         (action.sa_handler == SIG_DFL || action.sa_handler == SIG_IGN);
+}
 
-sigset_t MessageSignals() {
+sigset_t StandardMessageSignals() {
   sigset_t set;
   sigemptyset(&set);
   for (const int number : kMessageSignals) sigaddset(&set, number);
-  for (int number = SIGRTMIN; number <= SIGRTMAX; ++number) {
-    sigaddset(&set, number);
-  }
   return set;
 }
 
+}  // namespace
+
+sigset_t MessageSignals() { return g_server_signals; }
+
 void BlockMessageSignals() {
-  const sigset_t set = MessageSignals();
+  const sigset_t set = StandardMessageSignals();
   pthread_sigmask(SIG_BLOCK, &set, &g_initial_mask);
 }
 
@@ -42,8 +49,11 @@
 void PrepareServerSignals() {
   for (const int number : kIgnoredSignals) std::signal(number, SIG_IGN);
   for (const int number : kMessageSignals) std::signal(number, SIG_DFL);
-  const sigset_t messages = MessageSignals();
-  pthread_sigmask(SIG_SETMASK, &messages, nullptr);
+  g_server_signals = StandardMessageSignals();
+  for (int number = SIGRTMIN; number <= SIGRTMAX; ++number) {
+    if (IsUnused(number)) sigaddset(&g_server_signals, number);
+  }
+  pthread_sigmask(SIG_SETMASK, &g_server_signals, nullptr);
 }
 
 bool IsStopSignal(int number) { return number == SIGTERM || number == SIGINT; }
--- a/src/base/process_signals.h
+++ b/src/base/process_signals.h
@@ -17,12 +17,14 @@
   std::int64_t sender = 0;  ///< process that sent it; 0 for the kernel
 };
 
-/// The signals that are messages, without those that report a fault of the
-/// process, ask for a core dump (SIGQUIT) or belong to the C library.
+/// The signals that are messages to a server, once it is prepared: without
+/// those that report a fault of the process, ask for a core dump (SIGQUIT) or
+/// belong to the C library, and real-time signals for which another library or
+/// tool has a handler.
 sigset_t MessageSignals();
 
-/// Blocks the message signals, so that they stay pending until a server reads
-/// them. Threads inherit this. May run before static constructors.
+/// Blocks the standard message signals, so that they stay pending until a
+/// server reads them. Threads inherit this. May run before static constructors.
 void BlockMessageSignals();
 
 /// Restores the signal mask from before BlockMessageSignals(), for commands
