Leave SIGQUIT ignored where the parent ignores it

The handler for last lines took an ignored signal for one with the default action. process_ends_test: 22 of 22.

--- a/src/base/last_words.cc
+++ b/src/base/last_words.cc
@@ -132,8 +132,10 @@
     struct sigaction current {};
     ::sigaction(number, nullptr, &current);
     // A sanitizer may have installed a handler of its own.
+    // Whether SIGQUIT ends a process is the parent's to say.
     const bool is_default =
-        current.sa_handler == SIG_DFL || current.sa_handler == SIG_IGN;
+        current.sa_handler == SIG_DFL ||
+        (current.sa_handler == SIG_IGN && number != SIGQUIT);
     if (is_default) ::sigaction(number, &action, nullptr);
     sigaddset(&unblocked, number);
   }
