Keep no pointer to a timer that has ended

Reachable by an exception that destroys the accept loop, and likely at the end of `serve`. The pointer is a weak one now. Unit tests connection_limit/*: all pass; the case itself has no test in the suite (open).

--- a/src/transport/connection_limit.cc
+++ b/src/transport/connection_limit.cc
@@ -79,15 +79,15 @@
 ConnectionLimit::Slot::~Slot() {
   if (!m_limit) return;
   --m_limit->m_open;
-  if (m_limit->m_waiting != nullptr) m_limit->m_waiting->cancel();
+  if (const auto waiting = m_limit->m_waiting.lock()) waiting->cancel();
 }
 
 Awaitable<void> ConnectionLimit::WaitForEnd(Milliseconds timeout) {
   const auto self = shared_from_this();
-  asio::steady_timer timer(co_await asio::this_coro::executor, timeout);
-  m_waiting = &timer;
-  co_await timer.async_wait(kAsTuple);
-  m_waiting = nullptr;
+  const auto executor = co_await asio::this_coro::executor;
+  const auto timer = std::make_shared<asio::steady_timer>(executor, timeout);
+  m_waiting = timer;
+  co_await timer->async_wait(kAsTuple);
 }
 
 void ConnectionLimit::Record(LimitAction action, const std::string& detail) {
--- a/src/transport/connection_limit.h
+++ b/src/transport/connection_limit.h
@@ -91,7 +91,7 @@
   std::string m_listener;
   std::size_t m_max;
   std::size_t m_open = 0;
-  asio::steady_timer* m_waiting = nullptr;
+  std::weak_ptr<asio::steady_timer> m_waiting;
   std::map<LimitAction, LogInterval> m_logs;
   std::function<void(LimitAction)> m_observer;
   std::function<void()> m_close;
