--- a/src/transport/connection_limit.cc
+++ b/src/transport/connection_limit.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "cowslipknot/events.h"
+#include "transport/event_loop.h"
 
 namespace cowslipknot {
 namespace {
@@ -109,7 +110,11 @@
                                   ConnectionHandler serve) {
   limit->SetCloseHandler([acceptor, weak = std::weak_ptr(limit), serve] {
     const auto held = weak.lock();
-    if (held && acceptor->is_open()) AcceptQueued(*acceptor, *held, serve);
+    try {
+      if (held && acceptor->is_open()) AcceptQueued(*acceptor, *held, serve);
+    } catch (...) {
+      RecordTaskFailure("close listener", std::current_exception());
+    }
     error_code ignored;
     acceptor->close(ignored);
   });
