Answer health checks beside connections that send slowly

A load balancer would see: 33 connections to the readiness port with one byte each silence it for 60 s, and a healthy instance leaves the rotation; the same at the metrics and operators' listeners. Cause: their connections are limited to 32, and one that is being read did not count as idle.

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -132,8 +132,7 @@
     }
     HttpServerHooks readiness;
     readiness.memory = m_worker.Memory();
-    readiness.connections =
-        std::make_shared<ConnectionLimit>("readiness", kOperatorConnections);
+    LimitOperatorConnections(readiness, "readiness");
     readiness.handle = [this](HttpExchange& exchange) {
       return HandleReadiness(exchange);
     };
@@ -141,8 +140,7 @@
               readiness);
     HttpServerHooks metrics;
     metrics.memory = m_worker.Memory();
-    metrics.connections =
-        std::make_shared<ConnectionLimit>("metrics", kOperatorConnections);
+    LimitOperatorConnections(metrics, "metrics");
     metrics.handle = [this](HttpExchange& exchange) {
       return HandleMetrics(exchange);
     };
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -103,8 +103,7 @@
     hooks.make_error_response = [](const Error& error) {
       return ErrorResponse(error);
     };
-    hooks.connections =
-        std::make_shared<ConnectionLimit>("operators", kOperatorConnections);
+    LimitOperatorConnections(hooks, "operators");
     const auto control = m_control.Context().get_executor();
     StartHttp(control, "serve operators", m_operators, hooks, limits);
     m_control.Start(m_peers);
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -4,6 +4,14 @@
 
 namespace cowslipknot {
 
+void LimitOperatorConnections(HttpServerHooks& hooks,
+                              const std::string& listener) {
+  hooks.connections =
+      std::make_shared<ConnectionLimit>(listener, kOperatorConnections);
+  hooks.idle = std::make_shared<ConnectionSet>();
+  hooks.reading = hooks.idle;
+}
+
 void StartHttp(const asio::any_io_executor& executor, std::string_view name,
                const std::shared_ptr<tcp::acceptor>& acceptor,
                const HttpServerHooks& hooks, const HttpServerLimits& limits) {
