--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -194,16 +194,19 @@
     m_registry.OnRead(sent_at);
     m_relay.OnRegistrationsRead(sent_at);
     const auto before = m_registry.UsableServers();
+    // Until what was read is published, also if an exception restarts the loop.
+    const bool was_due = std::exchange(m_publication_due, true);
     bool changed = ApplyServers(*rows, cursor.is_full_read);
     if (changed && m_servers_known)
       AnnounceLeavingServers(FindRemovedServers(before));
     changed = m_registry.Expire(TimeSinceBoot(), m_servers_position) || changed;
     ScheduleLapse();
     RelayServers();
-    if (changed || !m_servers_known || m_publication_due) {
+    if (changed || !m_servers_known || was_due) {
       m_servers_known = true;
       Publish();
     }
+    m_publication_due = false;
     co_await SleepFor(StoreRelay::RegistrationsInterval(m_settings));
   }
 }
