Let a stop that cannot begin be asked for again

The state changes once the task is started, `serve` has a task that ends a failed drain in time, and the gateway's begins before anything else.

--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -175,9 +175,11 @@
       });
     };
     hooks.stop = [this](const std::string& signal) {
-      if (m_stopping.exchange(true)) return false;
+      if (m_stopping) return false;
       m_stop_reason = signal;
+      // If that fails for lack of memory, the next signal is tried.
       Spawn(m_context.get_executor(), "stop", Stop());
+      m_stopping = true;
       return true;
     };
     return hooks;
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -17,6 +17,8 @@
 
 constexpr Milliseconds kDrainPollInterval(50);
 constexpr Milliseconds kReadyPollInterval(50);
+/// For leaving the cluster after the drain.
+constexpr Milliseconds kEndReserve(7000);
 
 /// One running instance: its threads and listeners, and their shutdown.
 class Instance {
@@ -136,13 +138,22 @@
 
   /// Call on the control thread. Further calls have no effect and return false.
   bool BeginDrain(const std::string& reason) {
-    if (m_draining.exchange(true)) return false;
+    if (m_draining) return false;
     m_stop_reason = reason;
-    Spawn(m_control.Context().get_executor(), "drain", Drain(),
-          [this] { m_control.Context().stop(); });
+    const auto control = m_control.Context().get_executor();
+    // If that fails for lack of memory, the next request to stop is tried.
+    Spawn(control, "end of drain", EndDrain());
+    m_draining = true;
+    Spawn(control, "drain", Drain());
     return true;
   }
 
+  /// Ends the process in time, also if the drain fails.
+  Awaitable<void> EndDrain() {
+    co_await SleepFor(m_settings.drain_timeout + kEndReserve);
+    m_control.Context().stop();
+  }
+
   Awaitable<void> Drain() {
     const auto started = SteadyClock::now();
     if (!IsDisabled(m_settings, "drain")) {
