--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -16,6 +16,7 @@
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/objects.h"
 #include "serve/serve.h"
+#include "serve/server_start.h"
 
 namespace cowslipknot {
 namespace {
@@ -32,10 +33,8 @@
   return answer == "y" || answer == "yes";
 }
 
-int RunServe(const Options& options) {
-  if (options.config.empty()) {
-    return PrintUsageError("serve requires --config FILE");
-  }
+/// @return an exit code or kReadSettingsAgain
+int ReadAndRunServe(const Options& options) {
   auto text = ReadFile(options.config);
   if (!options.check) {
     StartLog({});
@@ -56,6 +55,15 @@
   return Serve(*settings, options.config);
 }
 
+int RunServe(const Options& options) {
+  if (options.config.empty()) {
+    return PrintUsageError("serve requires --config FILE");
+  }
+  int exit_code = kReadSettingsAgain;
+  while (exit_code == kReadSettingsAgain) exit_code = ReadAndRunServe(options);
+  return exit_code;
+}
+
 /// Reads and validates the object file that the command names. On failure,
 /// prints the problems and sets `exit_code`.
 std::optional<std::string> LoadObjects(const Options& options, int& exit_code) {
--- a/src/cli/gateway_commands.cc
+++ b/src/cli/gateway_commands.cc
@@ -7,6 +7,7 @@
 #include "cli/server_settings.h"
 #include "cowslipknot/events.h"
 #include "serve/fleet_status.h"
+#include "serve/server_start.h"
 #include "transport/event_loop.h"
 
 namespace cowslipknot {
@@ -34,6 +35,29 @@
   return PrintUsageError(options.command + " requires --config FILE");
 }
 
+/// @return an exit code or kReadSettingsAgain
+int ReadAndRunGateway(const Options& options,
+                      const gateway::PlatformAdapterFactory& make_adapter) {
+  auto text = ReadFile(options.config);
+  if (!options.check) {
+    StartLog({}, LogTarget::kStandardOutput);
+    const auto check = [&options](const std::string& content) {
+      const auto parsed = gateway::ParseSettings(content, options.config);
+      return parsed ? std::vector<ObjectProblem>() : parsed.error();
+    };
+    const auto stopped = ReadServerSettings(options.config, check, text);
+    if (stopped) return *stopped;
+  }
+  int exit_code = kExitOk;
+  const auto settings = ParseGatewaySettings(options, text, exit_code);
+  if (!settings) return exit_code;
+  if (options.check) {
+    std::cout << options.config << ": ok\n";
+    return kExitOk;
+  }
+  return gateway::Serve(*settings, options.config, make_adapter);
+}
+
 }  // namespace
 
 int RunFleet(const Options& options,
@@ -63,24 +87,10 @@
 int RunGateway(const Options& options,
                const gateway::PlatformAdapterFactory& make_adapter) {
   if (options.config.empty()) return PrintMissingConfig(options);
-  auto text = ReadFile(options.config);
-  if (!options.check) {
-    StartLog({}, LogTarget::kStandardOutput);
-    const auto check = [&options](const std::string& content) {
-      const auto parsed = gateway::ParseSettings(content, options.config);
-      return parsed ? std::vector<ObjectProblem>() : parsed.error();
-    };
-    const auto stopped = ReadServerSettings(options.config, check, text);
-    if (stopped) return *stopped;
-  }
-  int exit_code = kExitOk;
-  const auto settings = ParseGatewaySettings(options, text, exit_code);
-  if (!settings) return exit_code;
-  if (options.check) {
-    std::cout << options.config << ": ok\n";
-    return kExitOk;
-  }
-  return gateway::Serve(*settings, options.config, make_adapter);
+  int exit_code = kReadSettingsAgain;
+  while (exit_code == kReadSettingsAgain)
+    exit_code = ReadAndRunGateway(options, make_adapter);
+  return exit_code;
 }
 
 }  // namespace cowslipknot
--- a/src/serve/gateway.cc
+++ b/src/serve/gateway.cc
@@ -187,10 +187,10 @@
 
   Awaitable<void> Stop() {
     const auto started = SteadyClock::now();
-    LogEvent(Event::kDraining, {{"reason", m_stop_reason}});
     // From the start, so that a failure of this task does not prevent the stop.
     Spawn(m_context.get_executor(), "end of stop",
           EndWithoutFinalReport(m_settings.stop_timeout - kExitReserve));
+    LogEvent(Event::kDraining, {{"reason", m_stop_reason}});
     const Milliseconds drain_timeout =
         m_settings.stop_timeout - kFinalReportReserve;
     asio::post(m_worker.Context(), [this, end = started + drain_timeout] {
@@ -256,7 +256,7 @@
   Instance instance(settings, path, make_adapter);
   const auto exit_code =
       OpenWhenAvailable([&instance] { return instance.OpenListeners(); },
-                        [&instance] { instance.CloseListeners(); });
+                        [&instance] { instance.CloseListeners(); }, path);
   if (exit_code) return *exit_code;
   const int code = instance.Run();
   // No state is left to save. Destroying open connections and the logger's
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -228,7 +228,7 @@
   Instance instance(settings, path);
   const auto exit_code =
       OpenWhenAvailable([&instance] { return instance.OpenListeners(); },
-                        [&instance] { instance.CloseListeners(); });
+                        [&instance] { instance.CloseListeners(); }, path);
   if (exit_code) return *exit_code;
   return instance.Run();
 }
--- a/src/serve/server_start.cc
+++ b/src/serve/server_start.cc
@@ -1,6 +1,7 @@
 #include "serve/server_start.h"
 
 #include <cstdlib>
+#include <filesystem>
 #include <system_error>
 #include <utility>
 
@@ -17,10 +18,19 @@
 constexpr Milliseconds kOpenRetryDelay(200);
 constexpr Milliseconds kWaitLogInterval(10000);
 
+/// When a file was last written, as far as that can be told.
+std::filesystem::file_time_type LastChange(const std::string& path) {
+  std::error_code error;
+  const auto time = std::filesystem::last_write_time(path, error);
+  return error ? std::filesystem::file_time_type() : time;
+}
+
 }  // namespace
 
 std::optional<int> OpenWhenAvailable(const std::function<Result<void>()>& open,
-                                     const std::function<void()>& close) {
+                                     const std::function<void()>& close,
+                                     const std::string& settings_path) {
+  const auto read_at = LastChange(settings_path);
   std::optional<SteadyClock::time_point> logged_at;
   Milliseconds delay(0);
   while (true) {
@@ -28,6 +38,7 @@
       LogEvent(Event::kStopped, {{"reason", DescribeSignal(*signal)}});
       return kExitStopped;
     }
+    if (LastChange(settings_path) != read_at) return kReadSettingsAgain;
     const auto opened = open();
     if (opened) return std::nullopt;
     close();
--- a/tests/platform/process_ends_test.py
+++ b/tests/platform/process_ends_test.py
@@ -291,6 +291,21 @@
             self.assertLess(time.monotonic() - began, 2)
         self.for_each_server(check)
 
+    # Guards against a wait that goes on with settings that were corrected meanwhile.
+    def test_a_start_that_waits_takes_the_settings_that_were_corrected(self):
+        def check(server):
+            server.settings.write_text(
+                server.settings_text.replace(f"127.0.0.1:{server.ports['callers']}",
+                                             f"192.0.2.1:{server.ports['callers']}"),
+                encoding="utf-8")
+            server.start()
+            server.wait_for("start_waiting")
+            server.settings.write_text(server.settings_text, encoding="utf-8")
+            server.wait_for("started")
+            server.send(signal.SIGTERM)
+            self.assert_stopped(server, "SIGTERM from process")
+        self.for_each_server(check)
+
     # Guards against an end without a log line, and against a wait that cannot help.
     def test_an_address_that_no_wait_makes_usable_ends_the_start_with_a_log_line(self):
         def check(server):
