--- a/tests/unit/permit_granter_test.cc
+++ b/tests/unit/permit_granter_test.cc
@@ -20,6 +20,7 @@
 
 std::vector<PermitInstance> MakeInstances(int count, int domains) {
   std::vector<PermitInstance> instances;
+  instances.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     instances.push_back({NodeId("n" + std::to_string(i)),
                          DomainId("d" + std::to_string(i % domains))});
