Remember the limit of a server whose registration lapses for a moment

Cause: its state went with the registration, and the new one knew no limit until the first answer. It is kept for 60 s for the same process of the server and applied again. Also from the review: an instance that accepts no frames grants only its part to itself (was the whole limit at each; no test), and a notice that is sent again states its ages anew (by reading).

--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -20,6 +20,9 @@
 /// set of instances.
 constexpr Milliseconds kGranterHandoverDelay(4000);
 constexpr Milliseconds kNoticeTimeout(250);
+/// For how long the limit of a server that is not registered is remembered. A
+/// registration may lapse for a moment.
+constexpr std::chrono::seconds kRemovedServerMemory(60);
 /// Up to this limit, one request asks for a permit at a time. Others would
 /// mostly be denied, and all would wait for a granter that does not respond.
 constexpr RequestRate kMaxSerialLimit(20);
@@ -52,11 +55,10 @@
     for (const auto& backend : backends)
       m_registered[backend.entry.id] = backend;
   }
-  std::erase_if(m_tracked, [this](const auto& item) {
-    const auto found = m_registered.find(item.first);
-    return found == m_registered.end() ||
-           found->second.entry.started_ms != item.second.started_ms;
-  });
+  for (auto item = m_tracked.begin(); item != m_tracked.end();) {
+    const bool keeps = KeepsTrack(item->first, item->second);
+    item = keeps ? std::next(item) : m_tracked.erase(item);
+  }
   std::erase_if(m_returns, [&servers](const auto& item) {
     return !servers.contains(item.first);
   });
@@ -67,7 +69,8 @@
   m_peers.clear();
   for (const auto& instance : m_serving) {
     const bool is_self = instance.node == m_settings.node;
-    if (!instance.peers && !is_self) continue;
+    // An instance that accepts no frames grants its own part to itself.
+    if (m_settings.peers ? !instance.peers : !is_self) continue;
     granters.push_back({instance.node, instance.domain});
     if (is_self) continue;
     m_addresses[instance.node] = *instance.peers;
@@ -89,6 +92,23 @@
   TellNewInstances(before);
 }
 
+bool ServerPermits::KeepsTrack(const ServerId& server, Tracked& tracked) const {
+  const auto now = TimeSinceBoot();
+  const auto found = m_registered.find(server);
+  if (found == m_registered.end()) {
+    tracked.removed_at = tracked.removed_at.value_or(now);
+    return now - *tracked.removed_at < kRemovedServerMemory;
+  }
+  const Backend& backend = found->second;
+  if (backend.entry.started_ms != tracked.started_ms) return false;
+  tracked.removed_at.reset();
+  if (tracked.state != backend.state) {
+    tracked.state = backend.state;
+    tracked.state->RecordLimit(tracked.statement.limit);
+  }
+  return true;
+}
+
 void ServerPermits::TellNewInstances(
     const std::vector<InstanceSummary>& before) {
   const std::set<InstanceSummary> known(before.begin(), before.end());
@@ -135,7 +155,8 @@
                   .main = {},
                   .substitute = {},
                   .held = {},
-                  .ask_main_from = Time(0)};
+                  .ask_main_from = Time(0),
+                  .removed_at = {}};
   AssignGranters(start.server, tracked, m_instances_changed);
   return &m_tracked.insert_or_assign(start.server, std::move(tracked))
               .first->second;
@@ -191,21 +212,23 @@
 }
 
 void ServerPermits::Tell(const ServerStart& start, const Tracked& tracked) {
-  PeerFrame frame = BuildNotice(start, tracked.statement);
   const auto granter =
       tracked.main ? m_addresses.find(*tracked.main) : m_addresses.end();
   if (granter == m_addresses.end()) {
-    m_links.Broadcast(m_peers, frame);
+    m_links.Broadcast(m_peers, BuildNotice(start, tracked.statement));
     return;
   }
   Spawn(m_executor, "tell permit granter",
-        TellGranter(granter->second, std::move(frame)));
+        TellGranter(granter->second, start, tracked.statement));
 }
 
-Awaitable<void> ServerPermits::TellGranter(Endpoint granter, PeerFrame frame) {
-  const auto answer =
-      co_await m_links.Call(std::move(granter), frame, kNoticeTimeout);
-  if (!answer) m_links.Broadcast(m_peers, frame);
+Awaitable<void> ServerPermits::TellGranter(Endpoint granter, ServerStart start,
+                                           LimitStatement statement) {
+  PeerFrame notice = BuildNotice(start, statement);
+  const auto answer = co_await m_links.Call(std::move(granter),
+                                            std::move(notice), kNoticeTimeout);
+  // Ages in a frame count from when it is built.
+  if (!answer) m_links.Broadcast(m_peers, BuildNotice(start, statement));
 }
 
 PeerFrame ServerPermits::OnServerLimits(const PeerFrame& frame) {
@@ -313,8 +336,9 @@
                                                  GranterRole role,
                                                  const NodeId& asker) {
   if (!tracked.statement.limit) return std::nullopt;
-  const double share =
+  double share =
       role == GranterRole::kSubstitute ? SubstituteShare(m_instances) : 1;
+  if (!m_settings.peers) share /= static_cast<double>(m_serving.size());
   return tracked.granter.Ask(role, asker, *tracked.statement.limit, share,
                              TimeSinceBoot());
 }
--- a/src/serve/server_permits.h
+++ b/src/serve/server_permits.h
@@ -69,6 +69,7 @@
     std::optional<NodeId> substitute;  ///< of this instance's domain
     HeldPermits held;
     Time ask_main_from{0};
+    std::optional<Time> removed_at;  ///< if the server is not registered
   };
 
   /// The server's state, created when it is registered and has none.
@@ -81,7 +82,11 @@
   /// Tells the other instances that a limit began or ended: by way of the main
   /// granter, so that its frames suffice if many instances notice it.
   void Tell(const ServerStart& start, const Tracked& tracked);
-  Awaitable<void> TellGranter(Endpoint granter, PeerFrame frame);
+  Awaitable<void> TellGranter(Endpoint granter, ServerStart start,
+                              LimitStatement statement);
+  /// Connects the state with the server's registration.
+  /// @return false if the server has another process, or is gone for good
+  bool KeepsTrack(const ServerId& server, Tracked& tracked) const;
   void TellNewInstances(const std::vector<InstanceSummary>& before);
   PeerFrame BuildNotice(const ServerStart& start,
                         const LimitStatement& statement) const;
--- a/tests/platform/server_limit_test.py
+++ b/tests/platform/server_limit_test.py
@@ -284,6 +284,24 @@
         self.assertTrue(waits)
         self.assertLessEqual(len(waits), 7)  # one each second, and two more
 
+    # Guards against a limit that is forgotten when a registration lapses for a moment.
+    def test_limit_outlives_a_registration_that_lapses(self):
+        limited, _ = self.start_backends(2)
+        limited.answer_pause_s = 0.6
+        gateways = self.start_gateways(6, domains=2)
+        named = self.limit([limited], "2")
+        load = self.load(gateways, callers=6)
+        time.sleep(5)
+        row = self.store.get("servers", "b0")
+        self.store.delete("servers", "b0")
+        time.sleep(1)
+        self.store.put("servers", "b0", row)
+        returned = time.monotonic()
+        time.sleep(5)
+        load.stop()
+        self.assert_within(limited, 2, named)
+        self.assertTrue(self.arrivals(limited, returned + 1))
+
     # Guards against an instance that starts and does not know of the limit.
     def test_instance_that_starts_keeps_to_the_limit(self):
         limited, _ = self.start_backends(2)
