Keep limits in serve across lapses, and charge no server for a missing permit

The state is kept for 60 s and follows the new load. By reading: a denied permit for a stream to be resumed counted as a failure of the server; the stream waits for a permit for as long as a server may be silent. A run that was cancelled meanwhile is not sent. A limit counts without the request's id, as a pause does; only its end needs the id. An instance that knew only itself waits before it grants.

--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -207,6 +207,8 @@
   ServiceRequest request{m_route, m_id, cost, m_tried};
   auto choice = co_await ChooseWithPermit(m_worker, std::move(request));
   if (!choice) co_return tl::make_unexpected(choice.error());
+  if (m_cancelled || m_finished)
+    co_return Fail(ResultCode::kDraining, "cancelled");
   const bool first_selection =
       m_tried.empty() && m_chunks.empty() && !m_taken_over;
   const bool interactive = m_route.request_class == RequestClass::kInteractive;
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -69,6 +69,9 @@
   Awaitable<Result<void>> ReadAnswer(Attempt& attempt,
                                      std::unique_ptr<ResponseStream> stream);
   Awaitable<Result<void>> ReconnectStream(Attempt& attempt);
+  /// Waits for a permit to resume a stream, for as long as a server may be
+  /// silent.
+  Awaitable<bool> WaitForPermit(ServerView server);
   Result<bool> ApplyEvents(Attempt& attempt, std::string_view bytes,
                            SseParser& parser);
   /// Whether every token was received: the finish reason comes with the last
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -79,7 +79,7 @@
       if (HasCompleteAnswer()) co_return Result<void>();
       const bool may_reconnect =
           !IsDisabled(m_worker.GetSettings(), "silent_links") &&
-          !IsUnavailable(*attempt.server.load, TimeSinceBoot()) &&
+          !IsPaused(*attempt.server.load, TimeSinceBoot()) &&
           ElapsedSince(m_started) < m_route.timeout;
       if (!may_reconnect) co_return tl::make_unexpected(data.error());
       stream.reset();
@@ -118,11 +118,22 @@
   co_return Result<void>();
 }
 
+Awaitable<bool> ModelRun::WaitForPermit(ServerView server) {
+  const auto started = SteadyClock::now();
+  while (!m_cancelled && !m_finished) {
+    const bool permitted = co_await m_worker.AcquirePermit(server);
+    if (permitted) co_return true;
+    if (ElapsedSince(started) >= m_route.stall_timeout) break;
+    co_await SleepFor(kRetryDelay);
+  }
+  co_return false;
+}
+
 Awaitable<Result<void>> ModelRun::ReconnectStream(Attempt& attempt) {
   const bool no_progress = attempt.last_resume_position == m_chunks.size();
   attempt.last_resume_position = m_chunks.size();
   if (no_progress) co_await SleepFor(kRetryDelay);
-  const bool permitted = co_await m_worker.AcquirePermit(attempt.server);
+  const bool permitted = co_await WaitForPermit(attempt.server);
   if (!permitted) {
     co_return Fail(ResultCode::kBackendFailed,
                    "the server's limit leaves no room to resume the stream",
--- a/src/serve/permit_exchange.cc
+++ b/src/serve/permit_exchange.cc
@@ -20,6 +20,9 @@
 constexpr RequestRate kMaxSerialLimit(20);
 /// Longest time until a granter or its substitute has answered.
 constexpr Milliseconds kMaxAskTime(120);
+/// For how long the limit of a server that is not listed is remembered. A
+/// server may leave the list for a moment.
+constexpr std::chrono::seconds kRemovedServerMemory(60);
 constexpr std::uint64_t kMaxWaitMs = 10000;
 constexpr std::uint64_t kMaxPermits = 1000;
 
@@ -37,16 +40,38 @@
       m_hooks(std::move(hooks)) {}
 
 void PermitExchange::Update() {
-  std::erase_if(m_tracked, [this](const auto& item) {
-    const auto server = m_hooks.find_server(item.first);
-    return !server || StartOf(*server) != item.second.started_ms;
-  });
+  for (auto item = m_tracked.begin(); item != m_tracked.end();) {
+    const bool keeps = KeepsTrack(item->first, item->second);
+    item = keeps ? std::next(item) : m_tracked.erase(item);
+  }
   std::vector<PermitInstance> instances = m_hooks.instances();
   std::sort(instances.begin(), instances.end());
   if (instances == m_instances) return;
+  const bool knew_none = m_instances.size() <= 1;
   m_instances = std::move(instances);
   m_instances_changed = TimeSinceBoot();
-  for (auto& [server, tracked] : m_tracked) AssignGranters(server, tracked);
+  for (auto& [server, tracked] : m_tracked) {
+    // Others may have granted while this instance knew only itself.
+    if (knew_none)
+      tracked.granter.SetRole(GranterRole::kNone, m_instances_changed);
+    AssignGranters(server, tracked);
+  }
+}
+
+bool PermitExchange::KeepsTrack(const ServerId& id, Tracked& tracked) const {
+  const auto now = TimeSinceBoot();
+  const auto server = m_hooks.find_server(id);
+  if (!server) {
+    tracked.removed_at = tracked.removed_at.value_or(now);
+    return now - *tracked.removed_at < kRemovedServerMemory;
+  }
+  if (StartOf(*server) != tracked.started_ms) return false;
+  tracked.removed_at.reset();
+  if (tracked.load != server->load) {
+    tracked.load = server->load;
+    tracked.load->limited = tracked.statement.limit.has_value();
+  }
+  return true;
 }
 
 PermitExchange::Tracked* PermitExchange::Find(const ServerStart& start) {
@@ -67,7 +92,8 @@
                   .main = {},
                   .substitute = {},
                   .held = {},
-                  .ask_main_from = Time(0)};
+                  .ask_main_from = Time(0),
+                  .removed_at = {}};
   AssignGranters(start.server, tracked);
   return &m_tracked.insert_or_assign(start.server, std::move(tracked))
               .first->second;
--- a/src/serve/permit_exchange.h
+++ b/src/serve/permit_exchange.h
@@ -58,8 +58,12 @@
     std::optional<NodeId> substitute;  ///< of this instance's domain
     HeldPermits held;
     Time ask_main_from{0};
+    std::optional<Time> removed_at;  ///< if the server is not listed
   };
 
+  /// Connects the state with the server that is listed.
+  /// @return false if the server has another process, or is gone for good
+  bool KeepsTrack(const ServerId& id, Tracked& tracked) const;
   Tracked* Find(const ServerStart& start);
   /// The server's state, created when the server is listed and has none.
   Tracked* Track(const ServerStart& start);
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -81,8 +81,7 @@
   const ServerNotices notices = DecodeServerNotices(header, request.id);
   if (notices.retry_after_s)
     PauseServer(server, *notices.retry_after_s, request);
-  if (notices.answers_request)
-    RecordLimit(server, notices.limit_per_s, request);
+  RecordLimit(server, notices, request);
   if (!notices.is_leaving || IsDisabled(m_settings, "leaving")) return;
   if (!RecordLeaving(*server.load)) return;
   m_metrics.Add("cowslipknot_server_leavings_total",
@@ -91,9 +90,11 @@
                             request.read_at);
 }
 
-void Worker::RecordLimit(const ServerView& server,
-                         const std::optional<double>& limit_per_s,
+void Worker::RecordLimit(const ServerView& server, const ServerNotices& notices,
                          const AnsweredRequest& request) {
+  const std::optional<double>& limit_per_s = notices.limit_per_s;
+  // Only the process that has the request can say that there is no limit.
+  const bool is_of_request = notices.answers_request;
   LimitStatement statement;
   statement.sent = request.sent_at;
   statement.read = request.read_at;
@@ -109,8 +110,7 @@
     }
     if (!reading) return;
     statement.limit = reading->limit;
-    server.load->limited = true;
-  } else if (!server.load->limited) {
+  } else if (!server.load->limited || !is_of_request) {
     return;
   }
   m_hooks.on_limit_statement(server.record.id, server.record.incarnation,
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -23,6 +23,7 @@
 namespace cowslipknot {
 
 class ModelRun;
+struct ServerNotices;
 class ClaimWriter;
 
 /// Operations that the traffic threads request from the control thread. Every
@@ -142,8 +143,7 @@
   void EvictFinishedRuns();
   void PauseServer(const ServerView& server, double seconds,
                    const AnsweredRequest& request);
-  void RecordLimit(const ServerView& server,
-                   const std::optional<double>& limit_per_s,
+  void RecordLimit(const ServerView& server, const ServerNotices& notices,
                    const AnsweredRequest& request);
 
   const Settings& m_settings;
