Let two runs of the tests use ports of their own

The ports of the failure cases are fixed and overlap those of the process tests of another run, and all listeners share ports (SO_REUSEPORT), so that callers of one run reach the other's processes. TEST_PORT_OFFSET moves the ports of the process tests, the soak and the failure cases. Without it nothing changes.

--- a/tests/failure/run.py
+++ b/tests/failure/run.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import sys
 import time
@@ -10,7 +11,8 @@
 from cases import CASES, MECHANISM_BY_CASE, SHORT_CASES
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-FIRST_BASE_PORT = 12000
+PORT_OFFSET = int(os.environ.get("TEST_PORT_OFFSET", "0"))  # of a second run of the tests
+FIRST_BASE_PORT = max(2000, 12000 + PORT_OFFSET)
 BASE_PORT_STEP = 2500
 
 
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -14,8 +14,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BINARY = ROOT / os.environ.get("BUILD_DIR", "build") / "cowslipknot"
-FIRST_PORT = 20000  # below the ephemeral range and the ports of the soak
-LAST_PORT = 25999
+# Keeps two runs of the tests on one machine apart; at most 0, at least -18000.
+PORT_OFFSET = int(os.environ.get("TEST_PORT_OFFSET", "0"))
+FIRST_PORT = 20000 + PORT_OFFSET  # below the ephemeral range and the ports of the soak
+LAST_PORT = 25999 + PORT_OFFSET
 WAIT_TIMEOUT_S = 20
 
 _ports = {"first": FIRST_PORT, "last": LAST_PORT,
--- a/tests/platform/gateway_process_test.py
+++ b/tests/platform/gateway_process_test.py
@@ -9,7 +9,7 @@
 
 import gateway_process
 
-PORT = 25900  # not reached by the tests' own walk through the ports
+PORT = gateway_process.LAST_PORT - 99  # not reached by the tests' own walk through the ports
 RESERVE = ("import sys, gateway_process as g; g._ports['next'] = int(sys.argv[1]); "
            "print(g.free_port(), flush=True); sys.stdin.read()")
 
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -15,7 +15,8 @@
 
 import fakes
 from configuration_documents import configuration, route, routes, services, tenant
-from gateway_process import BINARY, eventually, free_port, set_port_range
+from gateway_process import (  # noqa: E402
+    BINARY, PORT_OFFSET, eventually, free_port, set_port_range)
 
 # Bounds in the settings of the gateways, also used by the checks.
 BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 from callers import CALLER_COUNT, Caller
 from checks import CHECKS, RECOVERY_TIMEOUT_S
 from environment import (
-    BOUNDS, LIMIT, LIMITED_KEY, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
+    BOUNDS, LIMIT, LIMITED_KEY, PORT_OFFSET, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
 from record import Record
 from schedule import (
@@ -30,8 +30,8 @@
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
-FIRST_PORT = 26000  # above the ports of the other tests
-LAST_PORT = 31999  # below the ephemeral range
+FIRST_PORT = 26000 + PORT_OFFSET  # above the ports of the other tests
+LAST_PORT = 31999 + PORT_OFFSET  # below the ephemeral range
 LIMITED_SERVICES = ["plain", "model"] * 2  # each as likely as two of its servers
 SEEDS_PATH = pathlib.Path(__file__).parent / "seeds.txt"
 
