Show that the copy of a refusal makes a request run twice

The fake server can send a refusal again: with it, while the connection idles, when the next request has arrived, or half and half; 400, 421, 429 and 503, with a body, chunked, twice, and before it closes.

On (x86-64) 28 subtests of 3 tests fail: an unsafe request that its caller repeats with its id, as 'not run' allows, ran 2 or 3 times.

Command: python3 -m unittest copied_refusal_test (in tests/platform)

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -354,6 +354,33 @@
         self.holds = holds
 
 
+class CopiedRefusal:
+    """Refuses a request without executing it, and sends the same refusal again.
+
+    `when` the copies are sent: "at_once" with the refusal, "idle" a moment later, "late" when
+    the next request on the connection has arrived, "split" half of them idle and half late.
+    """
+
+    IDLE_DELAY_S = 0.03
+
+    def __init__(self, status=503, when="late", copies=1, body=b"", chunked=False,
+                 closes=False):
+        self.status = status
+        self.when = when
+        self.copies = copies
+        self.body = body
+        self.chunked = chunked
+        self.closes = closes  # the connection after the copies
+
+    def encode(self, request):
+        head = (f"HTTP/1.1 {self.status} Refused\r\nCowslipknot-Not-Executed: 1\r\n"
+                f"Cowslipknot-Request-Id: {request}\r\n").encode()
+        if not self.chunked:
+            return head + b"Content-Length: %d\r\n\r\n" % len(self.body) + self.body
+        chunk = b"%x\r\n" % len(self.body) + self.body + b"\r\n" if self.body else b""
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+
+
 class Backend:
     """A backend server. `pending_faults` holds the faults of the next requests, in order:
 
@@ -383,7 +410,8 @@
     "repeat": sends the second event once more after the third,
     "unframed", "unframed_cut", "unframed_reset": an answer with neither a length nor chunks;
     complete, ended inside an event, or reset at the end of one,
-    a RawAnswer: executes the request, sends these bytes and closes, resets or waits.
+    a RawAnswer: executes the request, sends these bytes and closes, resets or waits,
+    a CopiedRefusal: see there.
 
     `answer_pause_s` is the time until an answer that is no stream.
     """
@@ -474,6 +502,12 @@
         body = self.read_body()
         request = self.headers["Cowslipknot-Request-Id"]
         backend.requests.append(request)
+        if self.copies_due:
+            self.send_raw(self.copies_due)
+            self.copies_due = b""
+            if self.closes_after_copies:
+                self.close_connection = True
+                return
         if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
@@ -490,6 +524,9 @@
             self.send_endless_body(503, {"Cowslipknot-Request-Id": request,
                                          "Cowslipknot-Not-Executed": "1"})
             return
+        if isinstance(fault, CopiedRefusal):
+            self.send_copied_refusal(fault, request)
+            return
         if fault in ("reject", "reject_twice"):
             if fault == "reject_twice":
                 self.late_copy = LATE_COPIES["late_refusal"].replace(
@@ -567,6 +604,22 @@
         self.close_connection = True
 
     late_copy = b""  # sent before the next answer of this connection
+    copies_due = b""  # sent when the next request on this connection has arrived
+    closes_after_copies = False
+
+    def send_copied_refusal(self, fault, request):
+        refusal = fault.encode(request)
+        copies = refusal * fault.copies
+        self.closes_after_copies = fault.closes
+        if fault.when == "at_once":
+            self.send_raw(refusal + copies)
+            return
+        self.send_raw(refusal)
+        idle = {"late": 0, "idle": len(copies), "split": len(copies) // 2}[fault.when]
+        self.copies_due = copies[idle:]
+        if idle > 0:
+            time.sleep(CopiedRefusal.IDLE_DELAY_S)
+            self.send_raw(copies[:idle])
 
     def send_raw(self, data):
         self.wfile.write(data)
