Carry a request of one id at most once on a connection

What callers saw: a request that must run once ran twice. Cause: a server may repeat a refusal, with its id, when the same request is under way again on the connection. Within a call the second attempt used a new connection; between two calls with one id nothing remembered what the pooled connection had carried, so the copy was taken for the refusal of the request that was running. Class: what was learned from one answer on a connection is applied to another one. Ruled out: a false 'not sent': first_byte_sent is set before the first write, a lack of descriptors is reported before it, and the client resends nothing by itself (by reading). Change: a pooled connection remembers the hashes of the ids that it has carried, is passed over for a request with one of them, and ends after 1000. Any copy then bears an id that is not under way, and is skipped. So the special case of repeated attempts is gone: they may use other pooled connections. Where answers name no request (store, cloud), a connection ends with an answer that is no success, since a copied 412 would make an applied write count as rejected. Test changed: test_invalid_settings_file_disturbs_no_request sent id r1 twice by accident and checks that no connection is opened; its requests now have ids of their own.

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -152,7 +152,6 @@
 
 Awaitable<AttemptOutcome> Call::RunAttempt(const Backend& server,
                                            Error& error) {
-  const bool is_repeat = WasTried(server.entry.id);
   m_tried_servers.push_back(server.entry.id);
   m_excluded_servers.push_back(server.entry.id);
   m_events.DiscardPartialEvent();
@@ -167,9 +166,7 @@
   CallOptions options;
   options.timeout = TimeLeft();
   options.connect_timeout = kConnectTimeout;
-  // On a connection that an earlier attempt has used, a late copy of its
-  // response could not be told from the response to this one.
-  if (is_repeat) options.reuse = Reuse::kNewOnly;
+  options.request_id = m_request.id.Text();
   options.max_idle = m_route->Repeatable() ? kMaxIdle : kNonRepeatableMaxIdle;
   options.is_own_response = [this](const http::response_header<>& header) {
     return IsOwn(header);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -80,7 +80,6 @@
   bool MaySpendRetry() const;
   /// Whether the chosen server may be sent another attempt by the retry budget.
   bool TrySpendRetry();
-  bool WasTried(const ServerId& server) const;
   /// Returns after what time the caller should repeat its request when no
   /// server was usable.
   Milliseconds NoServerRetryDelay();
--- a/src/serve/gateway_call_servers.cc
+++ b/src/serve/gateway_call_servers.cc
@@ -76,11 +76,6 @@
   return chosen.empty() ? servers : chosen;
 }
 
-bool Call::WasTried(const ServerId& server) const {
-  return std::find(m_tried_servers.begin(), m_tried_servers.end(), server) !=
-         m_tried_servers.end();
-}
-
 Awaitable<Result<Backend>> Call::AcquireServer() {
   m_permit_requests = 0;
   while (true) {
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,8 +1,11 @@
 #include "transport/http_client.h"
 
 #include <sys/socket.h>
+#include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
+#include <vector>
 
 #include "base/clock.h"
 #include "transport/endpoint.h"
@@ -17,6 +20,13 @@
 /// Bounds what the parser asks to keep until it has read the end of a header, a
 /// chunk's size line or a trailer; it limits only headers itself.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + (4 << 10);
+/// Bounds the ids that a connection remembers; then it is closed.
+constexpr std::size_t kMaxRequestsPerConnection = 1000;
+
+/// Two ids with one hash only cost a connection.
+std::uint64_t HashOf(const std::string& request_id) {
+  return XXH3_64bits(request_id.data(), request_id.size());
+}
 
 }  // namespace
 
@@ -30,12 +40,33 @@
   Connection& operator=(const Connection&) = delete;
   ~Connection() { --*count; }
 
+  /// Whether a response to an earlier request could be taken for the response
+  /// to a request with this id.
+  bool HasCarried(const std::string& request_id) const {
+    return !request_id.empty() &&
+           std::ranges::find(carried, HashOf(request_id)) != carried.end();
+  }
+
+  void RecordRequest(const std::string& request_id) {
+    if (!request_id.empty()) carried.push_back(HashOf(request_id));
+  }
+
+  /// Whether the peer may still send another response that a later request
+  /// could not tell from its own.
+  bool IsAmbiguousAfter(const http::response_header<>& header,
+                        bool names_request) const {
+    if (names_request) return carried.size() >= kMaxRequestsPerConnection;
+    return http::to_status_class(header.result()) !=
+           http::status_class::successful;
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   Endpoint endpoint;
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
   std::shared_ptr<std::size_t> count;
+  std::vector<std::uint64_t> carried;  ///< hashes of the requests' ids
 };
 
 namespace {
@@ -121,10 +152,12 @@
 class PooledResponseStream : public ResponseStream {
  public:
   PooledResponseStream(std::weak_ptr<HttpClient> client,
-                       HttpClient::ConnectionPtr connection, ByteCount max_body)
+                       HttpClient::ConnectionPtr connection, ByteCount max_body,
+                       bool names_request)
       : m_client(std::move(client)),
         m_connection(std::move(connection)),
-        m_max_body(max_body) {}
+        m_max_body(max_body),
+        m_names_request(names_request) {}
 
   /// Reads the response header. Skips interim responses and responses to
   /// earlier calls.
@@ -204,7 +237,9 @@
   void ReleaseConnection() {
     const auto client = m_client.lock();
     if (!m_connection || !client) return;
-    const bool clean = m_connection->buffer.size() == 0;
+    const bool clean =
+        m_connection->buffer.size() == 0 &&
+        !m_connection->IsAmbiguousAfter(Header(), m_names_request);
     if (clean && m_parser->get().keep_alive()) {
       const auto limit = ReusableIdleTime(Header());
       if (limit) m_connection->idle_timeout = *limit;
@@ -216,6 +251,7 @@
   std::weak_ptr<HttpClient> m_client;
   HttpClient::ConnectionPtr m_connection;
   ByteCount m_max_body;
+  bool m_names_request;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
 };
 
@@ -244,9 +280,10 @@
                                                const CallOptions& options) {
   auto& idle = m_idle[endpoint];
   const auto now = std::chrono::steady_clock::now();
-  while (!idle.empty()) {
-    ConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (idle[i]->HasCarried(options.request_id)) continue;
+    ConnectionPtr connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     const auto limit = std::min<std::chrono::milliseconds>(
         options.max_idle, connection->idle_timeout);
     if (now - connection->idle_since > limit) continue;
@@ -335,6 +372,7 @@
     co_return Fail(ResultCode::kDeadlinePassed, "while connecting");
   }
   progress.first_byte_sent = true;
+  connection->RecordRequest(options.request_id);
   connection->stream.expires_at(deadline);
   auto [error, size] =
       co_await http::async_write(connection->stream, request, kAsTuple);
@@ -350,7 +388,8 @@
       co_await SendRequest(endpoint, request, options, deadline, progress);
   if (!sent) co_return tl::make_unexpected(sent.error());
   auto stream = std::make_unique<PooledResponseStream>(
-      weak_from_this(), std::move(*sent), m_max_response);
+      weak_from_this(), std::move(*sent), m_max_response,
+      !options.request_id.empty());
   const error_code error = co_await stream->ReadHeader(options, deadline);
   if (error) co_return MakeCallError(error, progress);
   progress.response_started = true;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -44,6 +44,13 @@
   /// their end and discarded, because a server may send a late response to an
   /// earlier call.
   std::function<bool(const http::response_header<>&)> is_own_response;
+  /// Names the request in its response; empty if responses name none.
+  ///
+  /// A connection carries only one request of each id, so that no response to
+  /// an earlier one can be taken for the response to this one. Where responses
+  /// name no request, a connection is not used again after one that reports a
+  /// failure: the peer may repeat it.
+  std::string request_id;
   /// Asked right before the first byte is sent; may be empty. Otherwise the
   /// call fails without being sent.
   std::function<bool()> may_send;
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -517,7 +517,7 @@
         gateway.settings.write_text("[node]\nname = 7\n", encoding="utf-8")
         statuses = []
         sender = threading.Thread(target=lambda: statuses.extend(
-            gateway.call("/safe/x", request_id=f"r{number}")[0] for number in range(10)))
+            gateway.call("/safe/x", request_id=f"n{number}")[0] for number in range(10)))
         sender.start()
         reloads = 0
         while sender.is_alive():
