Tell copied answers apart in the attempts of serve

Cause: calls to plain services and engines used pooled connections without comparing ids before an answer was taken. A late copy failed the attempt, and left the own answer to the next call; a leaving server's refusal without an id, or an engine's status without one, counted for whatever request was waiting, which was then told that it had not run, or that it was malformed. Change: attempts name their request to the HTTP client, so that a connection carries it once, and skip answers to other requests on a used connection. A refusal or status without an id on such a connection promises nothing.

--- a/src/protocol/server_notices.cc
+++ b/src/protocol/server_notices.cc
@@ -6,6 +6,8 @@
 namespace cowslipknot {
 namespace {
 
+constexpr char kRequestId[] = "X-Request-Id";
+
 /// @return NaN if the text is no number
 double ParseNumber(std::string_view text) {
   double number = 0;
@@ -34,12 +36,17 @@
 
 }  // namespace
 
+bool AnswersOtherRequest(const http::response_header<>& header,
+                         std::string_view id) {
+  const std::string_view answered = header[kRequestId];
+  return !answered.empty() && answered != id;
+}
+
 ServerNotices DecodeServerNotices(const http::response_header<>& header,
                                   std::string_view id) {
   ServerNotices notices;
-  const std::string_view answered = header["X-Request-Id"];
-  if (!answered.empty() && answered != id) return notices;
-  notices.answers_request = answered == id;
+  if (AnswersOtherRequest(header, id)) return notices;
+  notices.answers_request = header[kRequestId] == id;
   notices.is_leaving = header.find("X-Leaving") != header.end();
   notices.retry_after_s = ParseRetryAfter(header);
   notices.limit_per_s = ParseLimit(header);
--- a/src/protocol/server_notices.h
+++ b/src/protocol/server_notices.h
@@ -20,6 +20,10 @@
   std::optional<double> limit_per_s;
 };
 
+/// Whether an answer carries an id, and that of another request than `id`.
+bool AnswersOtherRequest(const http::response_header<>& header,
+                         std::string_view id);
+
 /// @param id  sent with the request; an answer that carries another one was
 ///            meant for another request and says nothing
 ServerNotices DecodeServerNotices(const http::response_header<>& header,
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -56,10 +56,19 @@
 /// server, or that follows a resumed stream without new output.
 constexpr Milliseconds kRetryDelay(100);
 
+/// Options of a call whose answer carries the id of the request. On a
+/// connection that has carried earlier requests, an answer to another one is
+/// skipped, since the own one follows.
+/// @param progress  of the call; outlives it
+CallOptions IdentifiedCall(std::string request, Milliseconds timeout,
+                           Reuse reuse, const CallProgress& progress);
+
 /// Maps the status of an engine's response, and an X-Request-Id that does not
-/// match the attempt, to an Error.
+/// match the attempt, to an Error. A status without an id says nothing of the
+/// attempt if an earlier request of the connection may have caused it.
 Result<void> CheckEngineHeader(const http::response_header<>& header,
-                               const std::string& attempt);
+                               const std::string& attempt,
+                               const CallProgress& progress);
 
 /// The server and version selected for the next attempt to call a service.
 struct ServerChoice {
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -245,7 +245,9 @@
   const auto sent_at = TimeSinceBoot();
   auto opened = co_await m_worker.Http().Open(
       attempt.server.record.address, std::move(request),
-      WithTimeout(m_route.stall_timeout, Reuse::kAllowed), progress);
+      IdentifiedCall(attempt.id, m_route.stall_timeout, Reuse::kAllowed,
+                     progress),
+      progress);
   Result<void> outcome;
   if (!opened) {
     if (progress.reused_connection) {
@@ -256,7 +258,7 @@
     m_worker.RecordServerNotices(
         attempt.server, (*opened)->Header(),
         {attempt.id, sent_at, progress.header_read_at});
-    outcome = CheckEngineHeader((*opened)->Header(), attempt.id);
+    outcome = CheckEngineHeader((*opened)->Header(), attempt.id, progress);
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
   const bool failed = !outcome && !m_cancelled && !m_handed_over;
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -8,8 +8,17 @@
 namespace cowslipknot {
 
 Result<void> CheckEngineHeader(const http::response_header<>& header,
-                               const std::string& attempt) {
+                               const std::string& attempt,
+                               const CallProgress& progress) {
   const auto status = header.result_int();
+  const bool is_ambiguous =
+      progress.reused_connection &&
+      !DecodeServerNotices(header, attempt).answers_request;
+  if (is_ambiguous) {
+    return Fail(ResultCode::kBackendMalformed,
+                "response on a used connection carries no id",
+                Execution::kUnknown);
+  }
   if (status == 200) {
     if (header["X-Request-Id"] != attempt) {
       return Fail(ResultCode::kBackendMalformed,
@@ -151,7 +160,8 @@
   if (!opened) co_return tl::make_unexpected(opened.error());
   m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
                                {attempt.id, sent_at, progress.header_read_at});
-  const auto checked = CheckEngineHeader((*opened)->Header(), attempt.id);
+  const auto checked =
+      CheckEngineHeader((*opened)->Header(), attempt.id, progress);
   if (!checked) {
     co_return Fail(ResultCode::kBackendFailed, "the stream no longer exists",
                    Execution::kUnknown);
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -21,10 +21,14 @@
     http::field::accept_language, http::field::if_match,
     http::field::if_none_match};
 
-/// A server that is leaving rejects requests without executing them.
-bool IsLeavingRefusal(const HttpResponse& response, const RequestId& id) {
+/// A server that is leaving rejects requests without executing them. An answer
+/// without an id may be a copy of one to an earlier request of its connection.
+bool IsLeavingRefusal(const HttpResponse& response, const RequestId& id,
+                      const CallProgress& progress) {
+  const auto notices = DecodeServerNotices(response.base(), id.Text());
   return response.result() == http::status::service_unavailable &&
-         DecodeServerNotices(response.base(), id.Text()).is_leaving;
+         notices.is_leaving &&
+         (notices.answers_request || !progress.reused_connection);
 }
 
 /// The response to one attempt, and how far the request was sent.
@@ -108,13 +112,16 @@
       answered.read_at = progress.header_read_at;
       m_worker.RecordServerNotices(choice.server, header, answered);
     };
+    CallOptions options =
+        IdentifiedCall(m_request.id.Text(), TimeLeft(), reuse, progress);
     auto answer = co_await m_worker.Http().Call(
-        address, BuildRequest(span.Context()), TimeLeft(), reuse, progress);
+        address, BuildRequest(span.Context()), std::move(options), progress);
     if (!answer && progress.reused_connection) {
       m_worker.Http().CloseIdle(address);
     }
     progress.on_header = nullptr;
-    const bool refused = answer && IsLeavingRefusal(*answer, m_request.id);
+    const bool refused =
+        answer && IsLeavingRefusal(*answer, m_request.id, progress);
     if (refused) {
       answer = Fail(ResultCode::kBackendRefused, "the server is leaving");
       progress.first_byte_sent = false;
