Show that a request which crashes servers reaches one after the other

Plain servers of the fakes can end when they begin to run a request, and are back after 2 s as a new boot. Three gateways get the request in turn.

Command: python3 -m unittest crashing_request_test (in tests/platform)

--- /dev/null
+++ b/tests/platform/crashing_request_test.py
@@ -0,0 +1,136 @@
+"""Tests gateways against requests that crash the servers that begin to run them."""
+
+import http.client
+import threading
+import time
+import unittest
+
+import fakes
+from configuration_documents import configuration
+from gateway_process import eventually
+from platform_test_case import PlatformTestCase
+
+GATEWAYS = 3
+SERVERS = 12
+CRASHING = b"crashes"
+BACK_AFTER_S = 2  # a crashed server is back as a new process at its address
+CONTACT_S = 3
+MAX_LATER = 3  # requests that reach servers later than CONTACT_S after the third crash
+RUN_S = 9
+PAUSE_S = 0.25
+LAST_SOUND = 30
+# Of the last sound requests: crashed servers are back, and nothing crashes more of them.
+MIN_SERVED = 0.95
+
+
+class CrashingServers:
+    """Plain servers that end when they run CRASHING, and return after BACK_AFTER_S."""
+
+    def __init__(self, store, count, crashes_on=CRASHING):
+        self.store = store
+        self.crashes_on = crashes_on
+        self.crashes = []  # times
+        self.boots = 0
+        self.lock = threading.Lock()
+        self.ended = False
+        self.timers = []
+        self.backends = []  # of all boots
+        for _ in range(count):
+            self.boot(0)
+
+    def boot(self, port):
+        with self.lock:
+            if self.ended:
+                return
+            self.boots += 1
+            name = f"b{self.boots}"
+            backend = fakes.Backend(name, answer_pause_s=0.02, port=port)
+            backend.crashes_on_body = self.crashes_on
+            backend.on_crash = lambda: self.record_crash(backend)
+            self.backends.append(backend)
+        self.store.put("servers", name, backend.registration("plain", born=self.boots))
+
+    def record_crash(self, backend):
+        port = backend.server.server_address[1]
+        with self.lock:
+            self.crashes.append(time.monotonic())
+            timer = threading.Timer(BACK_AFTER_S, self.come_back, (backend, port))
+            timer.daemon = True
+            self.timers.append(timer)
+        timer.start()
+
+    def come_back(self, backend, port):
+        self.store.delete("servers", backend.name)
+        self.boot(port)
+
+    def stop(self):
+        with self.lock:
+            self.ended = True
+        for timer in self.timers:
+            timer.cancel()
+        for backend in self.backends:
+            backend.server.stop()
+
+    def arrivals(self, body):
+        """Times at which servers began to run requests with this body."""
+        return sorted(run["time"] for backend in self.backends for run in backend.runs
+                      if run["body"] == body)
+
+
+class CrashingRequestTest(PlatformTestCase):
+    def setUp(self):
+        super().setUp()
+        self.store.put("op", "config", configuration())
+        self.servers = CrashingServers(self.store, SERVERS)
+        self.addCleanup(self.servers.stop)
+        self.gateways = [self.start_gateway(name=f"gw{number}") for number in range(GATEWAYS)]
+        eventually(lambda: all(gateway.known_instances() >= GATEWAYS
+                               for gateway in self.gateways))
+        self.sent = 0
+
+    def send(self, gateway, path, body):
+        """Returns the status, or 0 for a connection that ended."""
+        self.sent += 1
+        try:
+            return gateway.call(path, request_id=f"r{self.sent}", body=body)[0]
+        except (http.client.HTTPException, OSError):
+            return 0
+
+    def send_in_turn(self, path, seconds=RUN_S):
+        """Sends the crashing request at each gateway in turn, with sound ones beside it.
+
+        Returns the statuses of the sound ones, and of the last crashing ones."""
+        sound, crashing = [], []
+        end = time.monotonic() + seconds
+        number = 0
+        while time.monotonic() < end:
+            gateway = self.gateways[number % GATEWAYS]
+            crashing.append(self.send(gateway, path, CRASHING))
+            sound.append(self.send(gateway, path, b"sound %d" % number))
+            sound.append(self.send(gateway, path, b"polled"))
+            number += 1
+            time.sleep(PAUSE_S)
+        return sound, crashing
+
+    def assert_kept_from_servers(self, path):
+        sound, crashing = self.send_in_turn(path)
+        crashes = self.servers.crashes
+        self.assertGreaterEqual(len(crashes), 3)
+        later = [at for at in self.servers.arrivals(CRASHING) if at > crashes[2] + CONTACT_S]
+        self.assertLessEqual(len(later), MAX_LATER, f"{len(crashes)} servers crashed")
+        served = sound[-LAST_SOUND:].count(200) / LAST_SOUND
+        self.assertGreaterEqual(served, MIN_SERVED, sound)
+        # It is refused at once, and was not run.
+        self.assertEqual(set(crashing[-3:]), {503})
+
+    # Guards against BUDGET of issue 39: a request that crashes the servers that run it was
+    # sent to one server after the other, whichever instance it came to.
+    def test_safe_request_that_crashes_servers_is_kept_from_them(self):
+        self.assert_kept_from_servers("/safe/x")
+
+    def test_unsafe_request_that_crashes_servers_is_kept_from_them(self):
+        self.assert_kept_from_servers("/once/x")
+
+
+if __name__ == "__main__":
+    unittest.main()
