Quarantine whole requests that crash servers, like parts of prompts

Cause: crashes were counted by the shared parts of prompts only. A request without parts, or one whose parts are sound, was suspected by nothing, so it was sent on and retried. Class: work that ends those who take it, whatever carries it. Change: one decision, renamed CrashQuarantine, has two kinds of suspects: parts of prompts and whole requests (method, host, target, key, body, prompt). Any complete answer clears a request; of a model call only a success, as before. Requests that the same crashes speak against are held from one crash more, since nothing tells them apart. A request that has crashed six servers gets no further trial. Before a repeat, a call waits until it is known whether its servers crashed, so that broken links withhold nothing. Completions of suspects are kept beside their crashes, evidence in use is dropped last, and what is sent at once is bounded, so a caller cannot make instances forget. Crashes of a moment share one notice. Observability: attempt_failed has request_hash, as the events of the quarantine.

--- /dev/null
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cowslipknot/ids.h"
+
+/// Finds what crashes the backend servers that run it, parts of prompts and
+/// whole requests, and keeps requests with it from the servers.
+namespace cowslipknot {
+
+/// What a server may have crashed on.
+struct SuspectId {
+  enum class Kind : std::uint8_t {
+    kPromptPart,  ///< a part of a prompt that several requests may have
+    kRequest,     ///< a request that its caller may repeat
+  };
+  Kind kind = Kind::kPromptPart;
+  std::uint64_t value = 0;
+  auto operator<=>(const SuspectId&) const = default;
+};
+
+/// All suspects of one request.
+using Suspects = std::vector<SuspectId>;
+
+/// The suspect that a request is as a whole.
+/// @param fields  all that stays the same when its caller repeats it, always in
+///                the same order
+SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields);
+
+/// One process of a backend server.
+struct ServerBoot {
+  ServerId server;
+  std::int64_t started_ms = 0;
+  auto operator<=>(const ServerBoot&) const = default;
+};
+
+/// What an instance tells the others. Times are in TimeSinceBoot() of the
+/// instance that holds the object.
+struct CrashEvidence {
+  using Time = std::chrono::nanoseconds;
+  /// A crash, with the suspects of the requests that were being answered.
+  struct Crash {
+    ServerBoot boot;
+    Time at{0};
+    std::set<SuspectId> suspects;
+  };
+  std::vector<Crash> crashes;
+  /// When the latest request with a suspect was sent whose answer was
+  /// completed.
+  std::map<SuspectId, Time> completions;
+
+  bool Empty() const { return crashes.empty() && completions.empty(); }
+};
+
+/// Suspects that several crashes have in common and that no completed answer
+/// had since.
+///
+/// They are parts of prompts, and hold requests that have all of them; or they
+/// are requests, which are all held. There is more than one only if no request
+/// told them apart.
+struct Quarantine {
+  Suspects suspects;
+  std::size_t crashes = 0;
+  std::chrono::nanoseconds last_crash{0};
+
+  /// Whether a request with these suspects is held.
+  bool Holds(const Suspects& request) const;
+};
+
+/// Times at which things were last used. Forgets the longest unused ones.
+class RecentTimes {
+ public:
+  using Time = std::chrono::nanoseconds;
+  /// @param capacity  the latest ones that are kept at least
+  explicit RecentTimes(std::size_t capacity) : m_capacity(capacity) {}
+
+  /// Zero if unknown.
+  Time Get(std::uint64_t key) const;
+  /// Keeps the later of two times.
+  void Set(std::uint64_t key, Time time);
+
+ private:
+  std::size_t m_capacity;
+  /// When the first map is full it replaces the second one.
+  std::unordered_map<std::uint64_t, Time> m_latest;
+  std::unordered_map<std::uint64_t, Time> m_older;
+};
+
+/// Decides which requests may be sent, from crashes and completed answers.
+///
+/// A crash ends all requests of a server, most of which did not cause it. A
+/// suspect is judged by the crashes since its last completed answer, the one
+/// with the most crashes is quarantined, and its crashes no longer count
+/// against the others. Crashes that follow each other closely count once,
+/// since they may have another cause, such as the loss of a failure domain.
+///
+/// Pure: the time is an argument. Not thread-safe.
+class CrashQuarantine {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  CrashQuarantine();
+
+  enum class Verdict : std::uint8_t {
+    kSend,
+    kTrial,  ///< send this one request to learn whether it still crashes
+    kRefuse,
+  };
+  struct Decision {
+    Verdict verdict = Verdict::kSend;
+    Milliseconds until_trial{0};  ///< kRefuse: when the next trial is due
+    Quarantine quarantine;        ///< kTrial and kRefuse: the reason
+  };
+
+  /// Records an answer that was completed.
+  void RecordCompletion(const Suspects& suspects, Time sent);
+  /// What is known of the server whose answer broke off.
+  enum class BreakOff : std::uint8_t {
+    kNew,        ///< the first one; the caller checks whether it has crashed
+    kPending,    ///< being checked
+    kConfirmed,  ///< it has crashed
+  };
+  /// Records an answer that broke off. ConfirmCrash() or DiscardCrash() follows
+  /// the first one of a server.
+  BreakOff RecordBreakOff(const ServerBoot& boot, const Suspects& suspects,
+                          Time now);
+  void ConfirmCrash(const ServerBoot& boot);
+  void DiscardCrash(const ServerBoot& boot);
+
+  /// @param runs_trials  whether this instance runs the trials of a quarantine;
+  ///                     at most one instance should
+  Decision Decide(const Suspects& suspects, Time now,
+                  const std::function<bool(const Quarantine&)>& runs_trials);
+  /// Whether a request whose answer broke off may be sent to another server:
+  /// not if it is quarantined, or has a suspect that was never answered
+  /// completely and that two crashes have in common.
+  bool MayRetry(const Suspects& suspects) const;
+
+  /// Whether it is not known yet if a server crashed whose answer to a request
+  /// with one of the suspects broke off.
+  bool IsCheckPending(const Suspects& suspects) const;
+
+  /// Evidence of all confirmed crashes, the latest ones if there are many.
+  CrashEvidence Export() const;
+  /// The same for some crashes.
+  CrashEvidence Export(const std::set<ServerBoot>& boots) const;
+  /// Evidence of the quarantined suspects only.
+  CrashEvidence ExportQuarantined() const;
+  /// Adds the evidence of another instance. Idempotent and commutative.
+  void Merge(const CrashEvidence& evidence);
+
+  const std::vector<Quarantine>& Active() const { return m_quarantines; }
+  bool HasCrashes() const { return !m_crashes.empty(); }
+
+ private:
+  struct Crash {
+    Time at{0};
+    std::set<SuspectId> suspects;
+    bool confirmed = false;
+  };
+  using CrashMap = std::map<ServerBoot, Crash>;
+  using CrashList = std::vector<const CrashMap::value_type*>;
+
+  /// Zero if no answer to a request with the suspect is known to be complete.
+  Time LastCompletion(const SuspectId& suspect) const;
+  void SetCompletion(const SuspectId& suspect, Time sent);
+  RecentTimes& CompletionsOf(SuspectId::Kind kind);
+  const RecentTimes& CompletionsOf(SuspectId::Kind kind) const;
+  bool IsQuarantined(const SuspectId& suspect) const;
+  void AddSuspect(Crash& crash, const SuspectId& suspect);
+  /// Makes room for another crash.
+  void DropOldestCrash();
+  void EraseCrash(CrashMap::iterator crash);
+  void Recompute();
+  std::optional<Quarantine> FindWorst(const CrashList& unexplained) const;
+  CrashList ConfirmedCrashes() const;
+  CrashEvidence ExportCrashes(const CrashList& crashes) const;
+
+  CrashMap m_crashes;
+  /// Last completions of the suspects in m_crashes, so that other requests
+  /// cannot displace them.
+  std::map<SuspectId, Time> m_suspect_completions;
+  RecentTimes m_part_completions;
+  RecentTimes m_request_completions;
+  std::vector<Quarantine> m_quarantines;
+  std::map<Suspects, Time> m_trials;  ///< when the last one was sent
+};
+
+/// Text of the evidence, for other instances and for the store. Times are
+/// encoded as ages. Instances of earlier versions ignore whole requests. An
+/// unreadable text decodes to empty evidence.
+std::string EncodeCrashEvidence(const CrashEvidence& evidence,
+                                CrashEvidence::Time now);
+CrashEvidence DecodeCrashEvidence(std::string_view text,
+                                  CrashEvidence::Time now);
+
+}  // namespace cowslipknot
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -48,7 +48,7 @@
   std::map<ServiceId, double> busy;
   UsageLedger usage;
   std::string evidence;  ///< about moves, encoded by EncodeEvidence()
-  /// About quarantined prompt parts, encoded by EncodePromptEvidence(). In the
+  /// About quarantined prompt parts, encoded by EncodeCrashEvidence(). In the
   /// lease holder's report only, so that it survives all processes.
   std::string prompt_evidence;
 };
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -97,16 +97,15 @@
     {Event::kServerChecked, "info", "server_checked",
      "a server whose answer broke off was checked for a crash"},
     {Event::kPromptQuarantined, "warn", "prompt_quarantined",
-     "parts of prompts crashed several servers; requests with all of them are "
-     "rejected"},
+     "requests, or parts of prompts, crashed several servers; these requests, "
+     "or those with all of the parts, are rejected"},
     {Event::kQuarantineTrial, "info", "quarantine_trial",
-     "a request with quarantined parts is sent to learn whether they still "
-     "crash servers"},
+     "a quarantined request is sent to learn whether it still crashes servers"},
     {Event::kQuarantineEnded, "info", "quarantine_ended",
-     "requests with these parts are no longer rejected"},
+     "these requests, or those with these parts, are no longer rejected"},
     {Event::kRetryWithheld, "warn", "retry_withheld",
-     "a request is not sent to another server, since its prompt may have "
-     "crashed the last ones"},
+     "a request is not sent to another server, since it may have crashed the "
+     "last ones"},
     {Event::kLoopRestarted, "error", "loop_restarted",
      "a loop failed or ended, and starts again"},
     {Event::kTaskFailed, "error", "task_failed", "an exception ended a task"},
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -37,7 +37,7 @@
     {ResultCode::kDeadlinePassed, "deadline_passed", 504,
      "the deadline passed before the request was sent"},
     {ResultCode::kPromptQuarantined, "prompt_quarantined", 503,
-     "a part of the prompt crashed several backend servers"},
+     "the request, or a part of its prompt, crashed several backend servers"},
     {ResultCode::kMemoryExhausted, "memory_exhausted", 503,
      "the instance has no memory left for the request body"},
     {ResultCode::kDescriptorsExhausted, "descriptors_exhausted", 503,
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -57,6 +57,7 @@
   AdmissionResult admission =
       co_await AdmitRequest(m_worker, *m_snapshot, m_exchange.Request());
   m_request = std::move(admission.request);
+  m_suspects = std::move(admission.suspects);
   m_route = admission.route;
   m_workspace = admission.workspace;
   m_retry_after = admission.retry_after;
@@ -123,7 +124,7 @@
       co_await RejectForStop();
       co_return;
     }
-    if (!m_tried_servers.empty() && !MayRetryPrompt()) break;
+    if (!m_tried_servers.empty() && !co_await MayRepeat()) break;
     const auto server = co_await AcquireServer();
     if (IsAborted() || TimeLeft().count() == 0) continue;
     if (!server && m_tried_servers.empty()) last = server.error();
@@ -134,7 +135,7 @@
     }
     const Backend& chosen = *server;
     const AttemptOutcome end = co_await RunAttempt(chosen, last);
-    RecordPromptBreakOff(chosen, end, last);
+    RecordBreakOff(chosen, end, last);
     if (end == AttemptOutcome::kAnswered) co_return;
     if (end == AttemptOutcome::kNotExecuted) {
       if (++rejections % kMaxRejections != 0) continue;
@@ -172,7 +173,7 @@
     return IsOwn(header);
   };
   const auto started = SteadyClock::now();
-  m_prompt_sent = TimeSinceBoot();
+  m_attempt_sent = TimeSinceBoot();
   m_tracked_attempt = TrackAttempt(server);
   const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
   m_progress = CallProgress();
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -111,12 +111,15 @@
   Awaitable<bool> WriteEvents(ResponseStream& stream,
                               const std::string& events);
 
-  // Evidence about prompts: gateway_call_prompts.cc.
+  // Evidence about crashes: gateway_call_crashes.cc.
   void OnResponseHeader(const http::response_header<>& header);
-  void RecordPromptCompletion();
-  void RecordPromptBreakOff(const Backend& server, AttemptOutcome end,
-                            const Error& error);
-  bool MayRetryPrompt() const;
+  void RecordCompletion();
+  void RecordBreakOff(const Backend& server, AttemptOutcome end,
+                      const Error& error);
+  /// Whether the request may be sent to another server after an attempt. Waits
+  /// until it is known whether the servers of earlier attempts crashed, if that
+  /// decides.
+  Awaitable<bool> MayRepeat();
 
   // Logs and metrics: gateway_call_metrics.cc.
   void RecordOutcome(const std::string& outcome);
@@ -169,10 +172,11 @@
   bool m_start_recorded = false;
   bool m_caller_gone = false;
   bool m_stopped = false;  ///< the instance ends its requests
-  std::chrono::nanoseconds m_prompt_sent{0};  ///< in TimeSinceBoot(), latest
-  /// Whether the response shows, once it is complete, that the prompt crashes
+  Suspects m_suspects;
+  std::chrono::nanoseconds m_attempt_sent{0};  ///< in TimeSinceBoot(), latest
+  /// Whether the response shows, once it is complete, that the request crashes
   /// no server.
-  bool m_shows_harmless_prompt = false;
+  bool m_shows_harmless = false;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -15,6 +15,13 @@
 /// Parts of a prompt that are logged.
 constexpr std::size_t kMaxLoggedParts = 8;
 
+/// The whole request, as in the events of a quarantine.
+std::string FormatHash(const SuspectId& request) {
+  std::ostringstream text;
+  text << std::hex << request.value;
+  return text.str();
+}
+
 /// The ids of the parts that other requests may share: all but the last one.
 std::string FormatSharedParts(const std::vector<PromptPart>& parts) {
   std::ostringstream text;
@@ -104,6 +111,7 @@
             {"attempt", std::to_string(m_tried_servers.size())},
             {"answer_begun", m_progress.response_started ? "true" : "false"},
             {"parts", FormatSharedParts(m_request.prompt_parts)},
+            {"request_hash", FormatHash(m_suspects.back())},
             {"detail", error.detail}});
 }
 
@@ -139,7 +147,7 @@
 
 void Call::RecordLimit(const Backend& server, const BackendResponse& response) {
   LimitStatement statement;
-  statement.sent = m_prompt_sent;
+  statement.sent = m_attempt_sent;
   statement.read = m_progress.header_read_at;
   if (!response.limit_per_s) {
     // Only the process that ran the request says that there is no limit.
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -65,7 +65,7 @@
   Awaitable<void> WriteReportsOfFollowers();
   /// Passes the quarantined prompt parts in the reports on to the traffic
   /// thread, for a process that no peer could tell of them.
-  void ImportPromptEvidence();
+  void ImportCrashEvidence();
   /// Exchanges evidence with the other instances directly while a move is
   /// undecided, so that a bad version gets no requests until the next reports.
   Awaitable<void> ExchangeMoveEvidence();
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -49,7 +49,7 @@
 /// demand counts as at least the mean demand of the other instances.
 constexpr Milliseconds kDemandWarmupPeriod(4000);
 /// Age until which a process takes prompt evidence from the reports.
-constexpr Milliseconds kPromptEvidenceImportPeriod(10000);
+constexpr Milliseconds kCrashEvidenceImportPeriod(10000);
 
 }  // namespace
 
@@ -154,7 +154,7 @@
   input.busy = worker.Load().BusyServers(TimeSinceBoot());
   input.usage = std::exchange(worker.Usage(), UsageLedger());
   input.evidence = worker.Evidence().Collect(TimeSinceBoot());
-  input.prompt_evidence = worker.Prompts().ExportQuarantined();
+  input.prompt_evidence = worker.Crashes().ExportQuarantined();
   co_return input;
 }
 
@@ -179,7 +179,7 @@
     if (exchanged) {
       RefreshFleet();
       UpdateFromFleet();
-      ImportPromptEvidence();
+      ImportCrashEvidence();
       AskPeersForConfiguration();
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
@@ -188,9 +188,9 @@
   }
 }
 
-void ControlPlane::ImportPromptEvidence() {
+void ControlPlane::ImportCrashEvidence() {
   // Later the instances tell each other.
-  if (TimeSinceBoot() - m_started_at > kPromptEvidenceImportPeriod) return;
+  if (TimeSinceBoot() - m_started_at > kCrashEvidenceImportPeriod) return;
   const std::int64_t now = m_coordinator.SharedNowMs().value_or(0);
   for (const auto* report : m_coordinator.Instances().All()) {
     if (report->prompt_evidence.empty()) continue;
@@ -198,7 +198,7 @@
     const Milliseconds age(
         is_dated ? std::max<std::int64_t>(0, now - report->as_of_ms) : 0);
     asio::post(m_worker.Context(), [this, age, text = report->prompt_evidence] {
-      m_worker.Prompts().Import(text, age);
+      m_worker.Crashes().Import(text, age);
     });
   }
 }
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -58,7 +58,7 @@
       m_links(m_context.get_executor(), settings, m_memory),
       m_quota_peers(m_links, settings),
       m_permits(m_links, m_context.get_executor(), settings, m_metrics),
-      m_prompts(m_links, m_context.get_executor(), settings,
+      m_crashes(m_links, m_context.get_executor(), settings,
                 [this] { return m_snapshot->peers; }),
       m_retries(settings.retry_ratio * kRetryRatioFraction,
                 RetryReserve(settings)),
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -18,7 +18,7 @@
 #include "cowslipknot/gateway/usage.h"
 #include "cowslipknot/gateway/version_evidence.h"
 #include "protocol/platform_adapter.h"
-#include "serve/prompt_guard.h"
+#include "serve/crash_guard.h"
 #include "serve/quota_peers.h"
 #include "serve/server_permits.h"
 #include "serve/stop_schedule.h"
@@ -78,7 +78,7 @@
   PeerLinks& Links() { return m_links; }
   QuotaPeers& GetQuotaPeers() { return m_quota_peers; }
   ServerPermits& Permits() { return m_permits; }
-  PromptGuard& Prompts() { return m_prompts; }
+  CrashGuard& Crashes() { return m_crashes; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
@@ -156,7 +156,7 @@
   PeerLinks m_links;
   QuotaPeers m_quota_peers;
   ServerPermits m_permits;
-  PromptGuard m_prompts;
+  CrashGuard m_crashes;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
   UsageLedger m_usage;
   LoadMeter m_load;
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -66,12 +66,11 @@
   Reject(admission, ResultCode::kDraining, {}, kStopRetryDelay);
 }
 
-/// Rejects a prompt that would crash a server. Its quota is not charged.
-void CheckPrompt(Worker& worker, AdmissionResult& admission) {
+/// Rejects a request that would crash a server. Its quota is not charged.
+void CheckSuspects(Worker& worker, AdmissionResult& admission) {
   Milliseconds until_trial{0};
-  const auto admitted = worker.Prompts().Admit(
-      admission.request.id, SharedPartsOf(admission.request.prompt_parts),
-      until_trial);
+  const auto admitted = worker.Crashes().Admit(admission.request.id,
+                                               admission.suspects, until_trial);
   if (admitted) return;
   Reject(admission, admitted.error().code, admitted.error().detail,
          until_trial);
@@ -98,6 +97,7 @@
     co_return admission;
   }
   admission.request = std::move(*request);
+  admission.suspects = SuspectsOf(admission.request, http);
   if (!snapshot.configuration) {
     Reject(admission, ResultCode::kNoConfiguration, {},
            kNoConfigurationRetryDelay);
@@ -120,7 +120,7 @@
   admission.response_timeout = std::min(deadline - kAnswerMargin, timeout);
   Authorize(worker, *snapshot.configuration, admission);
   if (!admission.rejection) CheckStop(worker, admission);
-  if (!admission.rejection) CheckPrompt(worker, admission);
+  if (!admission.rejection) CheckSuspects(worker, admission);
   if (!admission.rejection) co_await Charge(worker, admission);
   co_return admission;
 }
--- a/src/serve/request_admission.h
+++ b/src/serve/request_admission.h
@@ -14,6 +14,7 @@
 /// configuration snapshot that the request was admitted with.
 struct AdmissionResult {
   CallerRequest request;
+  Suspects suspects;
   const Route* route = nullptr;
   const Workspace* workspace = nullptr;  ///< null on public routes
   Milliseconds response_timeout{0};      ///< time until the response is due
--- /dev/null
+++ b/tests/unit/crash_quarantine_test.cc
@@ -0,0 +1,381 @@
+#include "cowslipknot/coordination/crash_quarantine.h"
+
+#include <rapidcheck.h>
+
+#include "unit_test.h"
+
+using namespace cowslipknot;
+
+namespace {
+
+using Time = CrashQuarantine::Time;
+using Verdict = CrashQuarantine::Verdict;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Time kStart = seconds(100);
+constexpr SuspectId Part(std::uint64_t value) {
+  return {SuspectId::Kind::kPromptPart, value};
+}
+
+constexpr SuspectId Request(std::uint64_t value) {
+  return {SuspectId::Kind::kRequest, value};
+}
+
+constexpr SuspectId kCommon = Part(1);  ///< first in all prompts of a route
+constexpr SuspectId kBad = Part(2);     ///< crashes servers
+constexpr SuspectId kOther = Part(3);
+
+ServerBoot Boot(int number) {
+  return {ServerId("s" + std::to_string(number)), number};
+}
+
+bool NoTrials(const Quarantine&) { return false; }
+bool RunTrials(const Quarantine&) { return true; }
+
+void Crash(CrashQuarantine& quarantine, int server, const Suspects& parts,
+           Time at) {
+  quarantine.RecordBreakOff(Boot(server), parts, at);
+  quarantine.ConfirmCrash(Boot(server));
+}
+
+/// Crashes one second apart by the bad part, the last one at kStart + `count`
+/// seconds.
+void CrashTimes(CrashQuarantine& quarantine, int count) {
+  for (int i = 1; i <= count; ++i)
+    Crash(quarantine, i, {kCommon, kBad}, kStart + seconds(i));
+}
+
+bool IsRefused(CrashQuarantine& quarantine, const Suspects& parts,
+               Time now = kStart + seconds(10)) {
+  return quarantine.Decide(parts, now, NoTrials).verdict == Verdict::kRefuse;
+}
+
+}  // namespace
+
+// Guards against servers that crash one after the other: nothing connected
+// their crashes with the prompts that they were answering.
+Test(crash_quarantine, a_part_that_three_crashes_share_is_refused) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon, kOther}, kStart);
+  CrashTimes(quarantine, 2);
+  cr_expect_not(IsRefused(quarantine, {kCommon, kBad}));
+  CrashTimes(quarantine, 3);
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect(IsRefused(quarantine, {kOther, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+  cr_expect_not(IsRefused(quarantine, {kCommon}));
+}
+
+Test(crash_quarantine, parts_that_no_answer_tells_apart_are_refused_together) {
+  CrashQuarantine quarantine;
+  CrashTimes(quarantine, 3);
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+  quarantine.RecordCompletion({kCommon}, kStart + seconds(4));
+  cr_expect(IsRefused(quarantine, {kOther, kBad}));
+}
+
+Test(crash_quarantine, requests_that_ran_beside_the_cause_are_not_refused) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 12; ++i) {
+    Crash(quarantine, i, {kCommon, kBad}, kStart + seconds(i));
+    Crash(quarantine, i, {kCommon, kOther}, kStart + seconds(i));
+  }
+  quarantine.RecordCompletion({kCommon, kOther}, kStart + seconds(2));
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}, kStart + seconds(13)));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}, kStart + seconds(13)));
+}
+
+Test(crash_quarantine, servers_that_crash_together_condemn_no_common_part) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon}, kStart);
+  for (int i = 1; i <= 20; ++i)
+    Crash(quarantine, i, {kCommon, kOther}, kStart + milliseconds(5 * i));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+}
+
+// Guards against a series of crashes so fast that most of them are not counted.
+Test(crash_quarantine, a_fast_series_of_crashes_counts_in_full) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon}, kStart);
+  for (int i = 1; i <= 3; ++i)
+    Crash(quarantine, i, {kCommon, kBad}, kStart + milliseconds(70 * i));
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon}));
+}
+
+Test(crash_quarantine, new_parts_at_servers_lost_together_are_not_refused) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 6; ++i)
+    Crash(quarantine, i, {kCommon, kOther}, kStart + milliseconds(5 * i));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+}
+
+Test(crash_quarantine, connections_that_break_without_a_crash_do_not_count) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 20; ++i) {
+    quarantine.RecordBreakOff(Boot(i), {kCommon, kBad}, kStart + seconds(i));
+    quarantine.DiscardCrash(Boot(i));
+  }
+  cr_expect_not(IsRefused(quarantine, {kCommon, kBad}, kStart + seconds(30)));
+  cr_expect(quarantine.MayRetry({kCommon, kBad}));
+}
+
+Test(crash_quarantine, a_part_that_was_harmless_before_is_refused_later) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon, kBad}, kStart);
+  CrashTimes(quarantine, 4);
+  quarantine.RecordCompletion({kCommon}, kStart + seconds(4));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kBad}));
+  CrashTimes(quarantine, 5);
+  quarantine.RecordCompletion({kCommon}, kStart + seconds(5));
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon}));
+}
+
+Test(crash_quarantine, a_request_that_crashed_two_servers_is_not_retried) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon}, kStart);
+  quarantine.RecordBreakOff(Boot(1), {kCommon, kBad}, kStart + seconds(1));
+  cr_expect(quarantine.MayRetry({kCommon, kBad}));
+  quarantine.RecordBreakOff(Boot(2), {kCommon, kBad}, kStart + seconds(2));
+  cr_expect_not(quarantine.MayRetry({kCommon, kBad}));
+  cr_expect(quarantine.MayRetry({kCommon, kOther}));
+}
+
+Test(crash_quarantine, a_waiting_request_is_not_sent_after_the_verdict) {
+  CrashQuarantine quarantine;
+  quarantine.RecordCompletion({kCommon, kBad}, kStart);
+  CrashTimes(quarantine, 5);
+  quarantine.RecordCompletion({kCommon}, kStart + seconds(5));
+  cr_expect_not(quarantine.MayRetry({kCommon, kBad}));
+  cr_expect(quarantine.MayRetry({kCommon, kOther}));
+}
+
+Test(crash_quarantine, one_trial_follows_each_growing_delay) {
+  CrashQuarantine quarantine;
+  CrashTimes(quarantine, 3);
+  const Suspects parts{kCommon, kBad};
+  const Time last_crash = kStart + seconds(3);
+  const auto verdict = [&](Time now) {
+    return quarantine.Decide(parts, now, RunTrials).verdict;
+  };
+  cr_expect(verdict(last_crash + seconds(59)) == Verdict::kRefuse);
+  cr_expect(verdict(last_crash + seconds(60)) == Verdict::kTrial);
+  cr_expect(verdict(last_crash + seconds(61)) == Verdict::kRefuse);
+  const Time second_crash = last_crash + seconds(62);
+  Crash(quarantine, 9, parts, second_crash);
+  cr_expect(verdict(second_crash + seconds(119)) == Verdict::kRefuse);
+  cr_expect(verdict(second_crash + seconds(120)) == Verdict::kTrial);
+  quarantine.RecordCompletion(parts, second_crash + seconds(120));
+  cr_expect(verdict(second_crash + seconds(121)) == Verdict::kSend);
+  cr_expect(quarantine.Active().empty());
+}
+
+Test(crash_quarantine, an_instance_that_runs_no_trials_refuses) {
+  CrashQuarantine quarantine;
+  CrashTimes(quarantine, 3);
+  const auto decision =
+      quarantine.Decide({kCommon, kBad}, kStart + minutes(10), NoTrials);
+  cr_expect(decision.verdict == Verdict::kRefuse);
+  cr_expect_gt(decision.until_trial.count(), 0);
+}
+
+// Guards against instances that each see too few crashes for a verdict.
+Test(crash_quarantine, instances_share_their_evidence) {
+  std::vector<CrashQuarantine> instances(3);
+  for (int i = 0; i < 3; ++i)
+    Crash(instances[i], i, {kCommon, kBad}, kStart + seconds(i));
+  instances[0].RecordCompletion({kCommon}, kStart + seconds(2));
+  for (const auto& sender : instances) {
+    for (auto& receiver : instances) receiver.Merge(sender.Export());
+  }
+  for (auto& instance : instances) {
+    cr_expect(IsRefused(instance, {kOther, kBad}));
+    cr_expect_not(IsRefused(instance, {kCommon, kOther}));
+  }
+}
+
+Test(crash_quarantine, evidence_survives_encoding) {
+  CrashQuarantine sender;
+  CrashTimes(sender, 3);
+  sender.RecordCompletion({kCommon}, kStart + seconds(3));
+  const Time now = kStart + seconds(10);
+  const std::string text = EncodeCrashEvidence(sender.Export(), now);
+  const Time other_clock = seconds(5000);
+  CrashQuarantine receiver;
+  receiver.Merge(DecodeCrashEvidence(text, other_clock));
+  cr_expect(IsRefused(receiver, {kOther, kBad}, other_clock));
+  cr_expect_not(IsRefused(receiver, {kCommon}, other_clock));
+  cr_expect(EncodeCrashEvidence(receiver.Export(), other_clock) == text);
+}
+
+Test(crash_quarantine, unreadable_evidence_is_ignored) {
+  for (const char* text :
+       {"", "{", "[]", "{\"crashes\":[{}],\"completions\":{}}",
+        "{\"crashes\":[],\"completions\":{\"x\":1}}"}) {
+    cr_expect(DecodeCrashEvidence(text, kStart).Empty(), "%s", text);
+  }
+}
+
+Test(crash_quarantine, merging_twice_or_in_any_order_changes_nothing) {
+  const bool holds = rc::check([] {
+    std::vector<CrashEvidence> pieces;
+    const int count = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < count; ++i) {
+      CrashEvidence piece;
+      piece.crashes.push_back(
+          {Boot(*rc::gen::inRange(0, 5)),
+           kStart + seconds(*rc::gen::inRange(0, 20)),
+           {Part(*rc::gen::inRange<std::uint64_t>(1, 5)), kBad}});
+      piece.completions[Part(*rc::gen::inRange<std::uint64_t>(1, 5))] =
+          kStart + seconds(*rc::gen::inRange(0, 20));
+      pieces.push_back(piece);
+    }
+    CrashQuarantine forward;
+    CrashQuarantine backward;
+    for (const auto& piece : pieces) forward.Merge(piece);
+    for (const auto& piece : pieces) forward.Merge(piece);
+    for (auto piece = pieces.rbegin(); piece != pieces.rend(); ++piece)
+      backward.Merge(*piece);
+    const Time now = kStart + seconds(30);
+    RC_ASSERT(EncodeCrashEvidence(forward.Export(), now) ==
+              EncodeCrashEvidence(backward.Export(), now));
+    RC_ASSERT(forward.Active().size() == backward.Active().size());
+  });
+  cr_expect(holds);
+}
+
+Test(crash_quarantine, memory_is_bounded) {
+  CrashQuarantine quarantine;
+  for (int i = 0; i < 1000; ++i) {
+    Suspects parts;
+    for (std::uint64_t part = 0; part < 300; ++part)
+      parts.push_back(Part(1000 + 1000 * static_cast<std::uint64_t>(i) + part));
+    Crash(quarantine, i, parts, kStart + seconds(i));
+  }
+  const auto evidence = quarantine.Export();
+  cr_expect_leq(evidence.crashes.size(), 64);
+  for (const auto& crash : evidence.crashes)
+    cr_expect_leq(crash.suspects.size(), 256);
+}
+
+namespace {
+
+constexpr SuspectId kCrashing = Request(1);
+constexpr SuspectId kSound = Request(2);
+
+/// Crashes by one request, a second apart, the last one at kStart + `last`.
+void CrashByRequest(CrashQuarantine& quarantine, int first, int last,
+                    const Suspects& suspects = {kCrashing}) {
+  for (int i = first; i <= last; ++i)
+    Crash(quarantine, i, suspects, kStart + seconds(i));
+}
+
+}  // namespace
+
+// Guards against BUDGET of issue 39: a request without shared parts was sent to
+// one server after the other.
+Test(crash_quarantine, a_request_that_crashed_three_servers_is_refused) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 2);
+  cr_expect_not(IsRefused(quarantine, {kCrashing}));
+  CrashByRequest(quarantine, 3, 3);
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+  cr_expect_not(IsRefused(quarantine, {kSound}));
+}
+
+Test(crash_quarantine, a_request_beside_the_cause_is_not_refused) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 3, {kCrashing, kSound});
+  cr_expect_not(IsRefused(quarantine, {kSound}), "nothing tells them apart");
+  CrashByRequest(quarantine, 4, 4);
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+  cr_expect_not(IsRefused(quarantine, {kSound}));
+}
+
+Test(crash_quarantine, requests_that_nothing_tells_apart_are_all_refused) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 4, {kCrashing, kSound});
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+  cr_expect(IsRefused(quarantine, {kSound}));
+  quarantine.RecordCompletion({kSound}, kStart + seconds(5));
+  cr_expect_not(IsRefused(quarantine, {kSound}));
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+}
+
+Test(crash_quarantine, a_request_answered_since_is_not_refused) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 20; ++i) {
+    Crash(quarantine, i, {kSound}, kStart + seconds(i));
+    quarantine.RecordCompletion({kSound}, kStart + seconds(i) + seconds(1) / 2);
+  }
+  cr_expect_not(IsRefused(quarantine, {kSound}, kStart + seconds(21)));
+}
+
+// Guards against a part that is condemned by the crashes of one request, which
+// its caller repeats, and against one that is not when others follow.
+Test(crash_quarantine, a_part_of_one_request_is_refused_once_others_crash) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 3, {kBad, kCrashing});
+  cr_expect(IsRefused(quarantine, {kBad, kCrashing}));
+  cr_expect_not(IsRefused(quarantine, {kBad, kSound}));
+  CrashByRequest(quarantine, 4, 4, {kBad, kSound});
+  cr_expect(IsRefused(quarantine, {kBad, Request(9)}));
+}
+
+Test(crash_quarantine, trials_of_a_request_cost_a_bounded_number_of_servers) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 3);
+  Time now = kStart + seconds(3);
+  int trials = 0;
+  for (; now < kStart + std::chrono::hours(48); now += minutes(1)) {
+    const auto decision = quarantine.Decide({kCrashing}, now, RunTrials);
+    if (decision.verdict != Verdict::kTrial) continue;
+    ++trials;
+    Crash(quarantine, 100 + trials, {kCrashing}, now + seconds(1));
+  }
+  cr_expect_eq(trials, 3);
+  cr_expect(IsRefused(quarantine, {kCrashing}, now));
+}
+
+// Guards against instances that forget since a caller sends many requests.
+Test(crash_quarantine, other_requests_displace_no_evidence) {
+  CrashQuarantine quarantine;
+  Crash(quarantine, 1, {kCrashing, kSound}, kStart + seconds(1));
+  quarantine.RecordCompletion({kSound}, kStart + seconds(2));
+  for (std::uint64_t i = 0; i < 100000; ++i)
+    quarantine.RecordCompletion({Request(1000 + i)}, kStart + seconds(2));
+  CrashByRequest(quarantine, 3, 4, {kCrashing, kSound});
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+  cr_expect_not(IsRefused(quarantine, {kSound}));
+  for (int i = 100; i < 1000; ++i) {
+    const auto number = static_cast<std::uint64_t>(i);
+    Crash(quarantine, i, {Request(number)}, kStart + seconds(i));
+  }
+  cr_expect(IsRefused(quarantine, {kCrashing}, kStart + seconds(1001)));
+}
+
+Test(crash_quarantine, a_request_is_told_by_all_its_fields) {
+  const SuspectId request = IdentifyRequest({"POST", "/a", "key", "body"});
+  cr_expect(request == IdentifyRequest({"POST", "/a", "key", "body"}));
+  cr_expect(request != IdentifyRequest({"POST", "/a", "key", "other"}));
+  cr_expect(request != IdentifyRequest({"POST", "/ak", "ey", "body"}));
+  cr_expect(request != IdentifyRequest({"POST", "/a", "key", "body", ""}));
+}
+
+Test(crash_quarantine, evidence_of_requests_survives_encoding) {
+  CrashQuarantine sender;
+  CrashByRequest(sender, 1, 3, {kCommon, kCrashing, kSound});
+  sender.RecordCompletion({kCommon, kSound}, kStart + seconds(4));
+  const Time now = kStart + seconds(10);
+  for (const auto& evidence : {sender.Export(), sender.ExportQuarantined()}) {
+    CrashQuarantine receiver;
+    receiver.Merge(
+        DecodeCrashEvidence(EncodeCrashEvidence(evidence, now), now));
+    cr_expect(IsRefused(receiver, {kCrashing}));
+    cr_expect_not(IsRefused(receiver, {kCommon, kSound}));
+  }
+}
--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -2,7 +2,7 @@
 
 #include "coordination/move_controller.h"
 #include "cowslipknot/coordination/lease.h"
-#include "cowslipknot/gateway/prompt_quarantine.h"
+#include "cowslipknot/coordination/crash_quarantine.h"
 #include "cowslipknot/gateway/usage.h"
 #include "cowslipknot/gateway/version_move.h"
 #include "serve/row_log_filter.h"
@@ -87,17 +87,17 @@
 
 Test(odd_rows, ages_of_prompt_evidence_stay_in_range) {
   constexpr std::chrono::hours kNow{1};
-  cr_assert_eq(DecodePromptEvidence(kPrompts, kNow).crashes.size(), 1u);
+  cr_assert_eq(DecodeCrashEvidence(kPrompts, kNow).crashes.size(), 1u);
   for (const std::string age :
        {"9223372036854775807", "-9223372036854775808"}) {
-    const auto evidence = DecodePromptEvidence(
+    const auto evidence = DecodeCrashEvidence(
         Replaced(kPrompts, "\"age_ms\":2", "\"age_ms\":" + age), kNow);
     cr_assert_eq(evidence.crashes.size(), 1u);
     cr_expect(evidence.crashes[0].at.count() > 0);
     cr_expect(evidence.crashes[0].at <= kNow);
   }
   for (const std::string age : {"1e308", "null", "[]"}) {
-    cr_expect(DecodePromptEvidence(
+    cr_expect(DecodeCrashEvidence(
                   Replaced(kPrompts, "\"age_ms\":2", "\"age_ms\":" + age), kNow)
                   .crashes.empty());
   }
@@ -126,7 +126,7 @@
       if (const auto report = DecodeReport(mutated)) EncodeReport(*report);
       if (const auto move = DecodeMove(mutated)) EncodeMove(*move);
       DecodeCounts(mutated);
-      DecodePromptEvidence(mutated, std::chrono::hours(1));
+      DecodeCrashEvidence(mutated, std::chrono::hours(1));
       DecodeLease(mutated);
       DecodeEvidence(mutated);
     }
