Test requests that crash servers beside faults of instances and servers

CrashingServers moves into a module of its own, with callers that repeat a request and the count that BUDGET makes; the fakes can end in the middle of a stream or some time after a run has begun, and tell bodies by how they begin.

Unit tests: a completed trial ends the quarantine at all instances, one under way admits no other request.

--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -1,21 +1,16 @@
 """Tests gateways against requests that crash the servers that begin to run them."""
 
 import http.client
-import threading
 import time
 import unittest
 
-import fakes
 from configuration_documents import configuration
+from crashing_servers import CONTACT_S, CRASHING, MAX_LATER, CrashingServers
 from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
 GATEWAYS = 3
 SERVERS = 12
-CRASHING = b"crashes"
-BACK_AFTER_S = 2  # a crashed server is back as a new process at its address
-CONTACT_S = 3
-MAX_LATER = 3  # requests that reach servers later than CONTACT_S after the third crash
 RUN_S = 9
 PAUSE_S = 0.25
 LAST_SOUND = 30
@@ -23,60 +18,6 @@
 MIN_SERVED = 0.95
 
 
-class CrashingServers:
-    """Plain servers that end when they run CRASHING, and return after BACK_AFTER_S."""
-
-    def __init__(self, store, count, crashes_on=CRASHING):
-        self.store = store
-        self.crashes_on = crashes_on
-        self.crashes = []  # times
-        self.boots = 0
-        self.lock = threading.Lock()
-        self.ended = False
-        self.timers = []
-        self.backends = []  # of all boots
-        for _ in range(count):
-            self.boot(0)
-
-    def boot(self, port):
-        with self.lock:
-            if self.ended:
-                return
-            self.boots += 1
-            name = f"b{self.boots}"
-            backend = fakes.Backend(name, answer_pause_s=0.02, port=port)
-            backend.crashes_on_body = self.crashes_on
-            backend.on_crash = lambda: self.record_crash(backend)
-            self.backends.append(backend)
-        self.store.put("servers", name, backend.registration("plain", born=self.boots))
-
-    def record_crash(self, backend):
-        port = backend.server.server_address[1]
-        with self.lock:
-            self.crashes.append(time.monotonic())
-            timer = threading.Timer(BACK_AFTER_S, self.come_back, (backend, port))
-            timer.daemon = True
-            self.timers.append(timer)
-        timer.start()
-
-    def come_back(self, backend, port):
-        self.store.delete("servers", backend.name)
-        self.boot(port)
-
-    def stop(self):
-        with self.lock:
-            self.ended = True
-        for timer in self.timers:
-            timer.cancel()
-        for backend in self.backends:
-            backend.server.stop()
-
-    def arrivals(self, body):
-        """Times at which servers began to run requests with this body."""
-        return sorted(run["time"] for backend in self.backends for run in backend.runs
-                      if run["body"] == body)
-
-
 class CrashingRequestTest(PlatformTestCase):
     def setUp(self):
         super().setUp()
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -424,8 +424,10 @@
         self.silence_s = 1.2
         self.pending_faults = []
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
-        self.crashes_on_body = None  # the server ends when it begins to run such a request
-        self.on_crash = None  # called then
+        self.crashes_on_body = None  # the server ends when it runs a body that begins so
+        self.crash_pause_s = 0.0  # between the beginning of that run and the end
+        self.crash_after_events = 0  # of a stream, which are sent before the end
+        self.on_crash = None  # called then with the body
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
         self.limit = ""  # requests a second that it names in each answer
@@ -541,11 +543,8 @@
                              "body": body, "headers": dict(self.headers),
                              "time": time.monotonic(), "fault": fault,
                              "leaving": backend.leaving})
-        if body == backend.crashes_on_body:
-            self.close_connection = True
-            backend.server.kill()
-            if backend.on_crash:
-                backend.on_crash()
+        if backend.crashes_on_body and body.startswith(backend.crashes_on_body):
+            self.crash(body)
             return
         if self.late_copy:
             self.send_raw(self.late_copy)
@@ -602,6 +601,25 @@
             time.sleep(backend.answer_pause_s)
             self.send(200, b"echo:" + body, signed_headers)
 
+    def crash(self, body):
+        backend = self.server.owner
+        time.sleep(backend.crash_pause_s)
+        if backend.crash_after_events:
+            self.send_response(200)
+            self.send_header("Cowslipknot-Request-Id", self.headers["Cowslipknot-Request-Id"])
+            self.send_header("Cowslipknot-Server-Signature", f"sig-{backend.name}")
+            self.send_header("Content-Type", "text/event-stream")
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            first = int(self.headers.get("Last-Event-Id") or 0) + 1
+            for number in range(first, first + backend.crash_after_events):
+                self.chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
+            time.sleep(0.01)  # until the events are read
+        self.close_connection = True
+        backend.server.kill()
+        if backend.on_crash:
+            backend.on_crash(body)
+
     def wait_until_disconnected(self, request):
         self.connection.settimeout(10)
         try:
--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -358,6 +358,46 @@
   cr_expect(IsRefused(quarantine, {kCrashing}, kStart + seconds(1001)));
 }
 
+// Guards against an instance that refuses what another one's trial has shown to
+// be sound, and against a request that is held for its old crashes.
+Test(crash_quarantine, a_completed_trial_ends_a_quarantine_at_all_instances) {
+  CrashQuarantine trier;
+  CrashByRequest(trier, 1, 3);
+  CrashQuarantine other;
+  other.Merge(trier.Export());
+  const Time trial = kStart + seconds(63);
+  cr_assert(trier.Decide({kCrashing}, trial, RunTrials).verdict ==
+            Verdict::kTrial);
+  cr_expect(IsRefused(trier, {kCrashing}, trial + seconds(1)));
+  trier.RecordCompletion({kCrashing}, trial);
+  other.Merge(trier.Export());
+  for (auto* instance : {&trier, &other}) {
+    cr_expect_not(IsRefused(*instance, {kCrashing}, trial + seconds(1)));
+    cr_expect(instance->MayRetry({kCrashing}));
+    for (int i = 100; i < 104; ++i)
+      Crash(*instance, i, {kCrashing}, trial + seconds(i));
+    cr_expect_not(IsRefused(*instance, {kCrashing}, trial + seconds(104)));
+    Crash(*instance, 104, {kCrashing}, trial + seconds(104));
+    cr_expect(IsRefused(*instance, {kCrashing}, trial + seconds(105)));
+  }
+}
+
+// Guards against trials at each instance, and against a trial that others take
+// for the end of the quarantine while it runs.
+Test(crash_quarantine, a_trial_under_way_admits_no_other_request) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 3);
+  const Time trial = kStart + seconds(63);
+  cr_assert(quarantine.Decide({kCrashing}, trial, RunTrials).verdict ==
+            Verdict::kTrial);
+  for (int i = 0; i < 59; ++i) {
+    const auto decision =
+        quarantine.Decide({kCrashing}, trial + seconds(i), RunTrials);
+    cr_expect(decision.verdict == Verdict::kRefuse);
+    cr_expect_gt(decision.until_trial.count(), 0);
+  }
+}
+
 Test(crash_quarantine, a_request_is_told_by_all_its_fields) {
   const SuspectId request = IdentifyRequest({"POST", "/a", "key", "body"});
   cr_expect(request == IdentifyRequest({"POST", "/a", "key", "body"}));
