Show that the port in the Host field hides a request that crashes servers

A client names the port of the instance that it calls in Host, unless it is 80; routes ignore port and case. A request is told by Host as received, so five instances took one request for five, and each let it crash three servers.

Command: python3 -m unittest crashing_request_faults_test (in tests/platform)

--- a/tests/platform/crashing_request_faults_test.py
+++ b/tests/platform/crashing_request_faults_test.py
@@ -355,6 +355,18 @@
               f"{sum(len(caller.answers) for caller in crashing)} crashing requests")
         self.assertEqual(after.count(200), len(after))
 
+    # Requests that differ in what is no part of them ------------------------------
+
+    # Guards against a request that each instance takes for another one, since its caller names
+    # the address of the instance beside the host.
+    def test_port_and_case_of_the_host_tell_no_requests_apart(self):
+        self.start(gateways=5)
+        for number in range(15):
+            gateway = self.gateways[number % 5]
+            send(gateway, "/once/x", f"{gateway.name}.{number}", CRASHING,
+                 Host=("h.example", "H.Example")[number % 2] + f":{gateway.port}")
+            time.sleep(0.6)
+        self.assert_budget()
 
 
 class LinkedStoreHandler(fakes.StoreHandler):
