PROPOSED FIX: Tell requests by the host of their route

Cause: the Host field as received was part of what names a request; it holds the address of the instance that is called, and its case is free. Change: the host of the route that was found takes its place, the same at all instances. Class: what changes from one copy to the next is part of the name of a request.

Command: python3 -m unittest crashing_request_faults_test (in tests/platform)

--- a/src/serve/crash_guard.cc
+++ b/src/serve/crash_guard.cc
@@ -54,7 +54,8 @@
 
 }  // namespace
 
-Suspects SuspectsOf(const CallerRequest& request, const HttpRequest& http) {
+Suspects SuspectsOf(const CallerRequest& request, const Route& route,
+                    const HttpRequest& http) {
   Suspects suspects;
   std::string parts;
   for (const auto& part : request.prompt_parts) {
@@ -64,8 +65,8 @@
   // The last part belongs to the request alone.
   if (!suspects.empty()) suspects.pop_back();
   suspects.push_back(
-      IdentifyRequest({http.method_string(), http[http::field::host],
-                       http.target(), request.api_key, http.body(), parts}));
+      IdentifyRequest({http.method_string(), route.host, http.target(),
+                       request.api_key, http.body(), parts}));
   return suspects;
 }
 
--- a/src/serve/crash_guard.h
+++ b/src/serve/crash_guard.h
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "cowslipknot/coordination/crash_quarantine.h"
+#include "cowslipknot/gateway/routes.h"
 #include "cowslipknot/gateway/settings.h"
 #include "protocol/platform_adapter.h"
 #include "serve/peer_links.h"
@@ -14,8 +15,11 @@
 /// Suspects of a request: the parts of its prompt that other requests may
 /// share, which are all but the last one, and the request itself, as its caller
 /// would repeat it.
+/// @param route  names the host; what the caller names may hold the address of
+///               an instance
 /// @param http  as received from the caller
-Suspects SuspectsOf(const CallerRequest& request, const HttpRequest& http);
+Suspects SuspectsOf(const CallerRequest& request, const Route& route,
+                    const HttpRequest& http);
 
 /// Feeds the crash quarantine: checks servers whose answers broke off, and
 /// exchanges evidence with the other instances. Used on the traffic thread
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -97,7 +97,6 @@
     co_return admission;
   }
   admission.request = std::move(*request);
-  admission.suspects = SuspectsOf(admission.request, http);
   if (!snapshot.configuration) {
     Reject(admission, ResultCode::kNoConfiguration, {},
            kNoConfigurationRetryDelay);
@@ -115,6 +114,7 @@
     }
     co_return admission;
   }
+  admission.suspects = SuspectsOf(admission.request, *admission.route, http);
   const Milliseconds timeout = admission.route->timeout;
   const Milliseconds deadline = admission.request.deadline.value_or(timeout);
   admission.response_timeout = std::min(deadline - kAnswerMargin, timeout);
