Show that broken connections displace the crashes of a request

Break-offs that are still being checked count towards the bound on crashes, so 64 links that break within the 50 to 300 ms of a check push out what is known of real crashes, and a request is not refused after its third.

--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -358,6 +358,17 @@
   cr_expect(IsRefused(quarantine, {kCrashing}, kStart + seconds(1001)));
 }
 
+// Guards against crashes that are forgotten since connections break.
+Test(crash_quarantine, connections_that_break_displace_no_crash) {
+  CrashQuarantine quarantine;
+  CrashByRequest(quarantine, 1, 2);
+  for (int i = 100; i < 200; ++i)
+    quarantine.RecordBreakOff(Boot(i), {kSound}, kStart + seconds(2));
+  for (int i = 100; i < 200; ++i) quarantine.DiscardCrash(Boot(i));
+  CrashByRequest(quarantine, 3, 3);
+  cr_expect(IsRefused(quarantine, {kCrashing}));
+}
+
 // Guards against an instance that refuses what another one's trial has shown to
 // be sound, and against a request that is held for its old crashes.
 Test(crash_quarantine, a_completed_trial_ends_a_quarantine_at_all_instances) {
