PROPOSED FIX: Let break-offs under check displace no crash

Cause: one bound held both crashes and answers that only broke off, and dropped the oldest crash for each break-off, before it was known whether its server had crashed. Change: each kind is bounded by itself; a crash counts once it is confirmed. Before: connections_that_break_displace_no_crash failed.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -180,8 +180,10 @@
   const RecentTimes& CompletionsOf(SuspectId::Kind kind) const;
   bool IsQuarantined(const SuspectId& suspect) const;
   void AddSuspect(Crash& crash, const SuspectId& suspect);
-  /// Makes room for another crash.
-  void DropOldestCrash();
+  /// Makes room for another crash, confirmed or not. Break-offs that turn out
+  /// to be no crashes displace none.
+  void DropOldestCrash(bool confirmed);
+  void MarkConfirmed(Crash& crash);
   void EraseCrash(CrashMap::iterator crash);
   void Recompute();
   std::optional<Quarantine> FindWorst(const CrashList& unexplained) const;
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -181,17 +181,27 @@
   m_suspect_completions.try_emplace(suspect, LastCompletion(suspect));
 }
 
-void CrashQuarantine::DropOldestCrash() {
-  if (m_crashes.size() < kMaxCrashes) return;
-  const auto rank = [this](const auto& item) {
+void CrashQuarantine::DropOldestCrash(bool confirmed) {
+  const auto is_alike = [confirmed](const auto& item) {
+    return item.second.confirmed == confirmed;
+  };
+  const auto alike = std::ranges::count_if(m_crashes, is_alike);
+  if (static_cast<std::size_t>(alike) < kMaxCrashes) return;
+  const auto rank = [&](const auto& item) {
     const bool explains = std::ranges::any_of(
         item.second.suspects,
         [this](const auto& suspect) { return IsQuarantined(suspect); });
-    return std::tuple(explains, item.second.at);
+    return std::tuple(!is_alike(item), explains, item.second.at);
   };
   EraseCrash(std::ranges::min_element(m_crashes, {}, rank));
 }
 
+void CrashQuarantine::MarkConfirmed(Crash& crash) {
+  if (crash.confirmed) return;
+  DropOldestCrash(true);
+  crash.confirmed = true;
+}
+
 void CrashQuarantine::EraseCrash(CrashMap::iterator crash) {
   const std::set<SuspectId> dropped = std::move(crash->second.suspects);
   m_crashes.erase(crash);
@@ -209,7 +219,7 @@
 CrashQuarantine::BreakOff CrashQuarantine::RecordBreakOff(
     const ServerBoot& boot, const Suspects& suspects, Time now) {
   const bool is_new = !m_crashes.contains(boot);
-  if (is_new) DropOldestCrash();
+  if (is_new) DropOldestCrash(false);
   Crash& crash = m_crashes[boot];
   if (is_new) crash.at = now;
   for (const auto& suspect : suspects) AddSuspect(crash, suspect);
@@ -222,7 +232,7 @@
 void CrashQuarantine::ConfirmCrash(const ServerBoot& boot) {
   const auto found = m_crashes.find(boot);
   if (found == m_crashes.end()) return;
-  found->second.confirmed = true;
+  MarkConfirmed(found->second);
   Recompute();
 }
 
@@ -395,10 +405,9 @@
 void CrashQuarantine::Merge(const CrashEvidence& evidence) {
   for (const auto& received : evidence.crashes) {
     const bool is_new = !m_crashes.contains(received.boot);
-    if (is_new) DropOldestCrash();
     Crash& crash = m_crashes[received.boot];
     crash.at = is_new ? received.at : std::min(crash.at, received.at);
-    crash.confirmed = true;
+    MarkConfirmed(crash);
     for (const auto& suspect : received.suspects) AddSuspect(crash, suspect);
   }
   for (const auto& [suspect, sent] : evidence.completions)
