--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -358,6 +358,36 @@
   cr_expect(IsRefused(quarantine, {kCrashing}, kStart + seconds(1001)));
 }
 
+// Guards against a verdict that is dropped for later ones, so that its request
+// comes to servers again.
+Test(crash_quarantine, a_quarantined_request_is_displaced_by_no_others) {
+  CrashQuarantine quarantine;
+  for (int i = 0; i < 90; ++i) {
+    const auto request = static_cast<std::uint64_t>(i / 3);
+    Crash(quarantine, i, {Request(request)}, kStart + seconds(i));
+  }
+  for (std::uint64_t request = 0; request < 30; ++request) {
+    cr_expect(IsRefused(quarantine, {Request(request)}, kStart + seconds(91)),
+              "request %d", static_cast<int>(request));
+  }
+}
+
+// Guards against a caller that repeats so many requests in turn that crashes of
+// one are forgotten before it comes again.
+Test(crash_quarantine, many_requests_that_crash_servers_in_turn_are_refused) {
+  CrashQuarantine quarantine;
+  constexpr int kRequests = 100;
+  int crashes = 0;
+  for (int i = 0; i < 6 * kRequests; ++i) {
+    const Suspects suspects{Request(static_cast<std::uint64_t>(i % kRequests))};
+    const Time now = kStart + milliseconds(200 * i);
+    if (IsRefused(quarantine, suspects, now)) continue;
+    Crash(quarantine, i, suspects, now);
+    ++crashes;
+  }
+  cr_expect_eq(crashes, 3 * kRequests);
+}
+
 // Guards against crashes that are forgotten since connections break.
 Test(crash_quarantine, connections_that_break_displace_no_crash) {
   CrashQuarantine quarantine;
