Let answers without framing show that what they had is harmless

Cause: the end of an unframed body may also be a crash, so such an answer never counted as complete. A part that all prompts of a route share was in every crash and never cleared; with one crash of another cause it had more crashes than the part that did it, and the trial's answer could not clear it either. Fix: an unframed answer that ended whole (each event complete) counts once its server still accepts connections 50 ms later, the delay with which a broken answer is checked. One check for all answers of a server in 250 ms, so at most one more connection for each answer, which ended one of its own. An answer whose server doesn't accept then counts for nothing, as before. Why it works: a process that crashes closes its listener with its connections, so that one that listens 50 ms after an answer's end was not ended by that answer; the crash that the case counts stays before the completion in time. Limits: a server that is back within 50 ms counts as running, as it does for a broken answer; a crash that ends an unframed answer at an event's end is still not counted against it. Test: prompt_quarantine_test test_unframed_answers_show_that_a_part_is_harmless; it also checks that the part that crashes servers is refused.

--- a/src/serve/crash_guard.cc
+++ b/src/serve/crash_guard.cc
@@ -20,6 +20,10 @@
 constexpr Milliseconds kCheckDelay(50);
 /// A server that accepts no connection within this time has crashed.
 constexpr Milliseconds kCheckTimeout(250);
+/// Interval of the checks of one server while unframed answers end there, and
+/// the suspects that one check decides on.
+constexpr Milliseconds kCompletionCheckInterval(250);
+constexpr std::size_t kMaxUncheckedSuspects = 1024;
 /// Interval at which evidence is exchanged while there is any, and during
 /// startup.
 constexpr Milliseconds kExchangeInterval(1000);
@@ -116,6 +120,23 @@
   if (!m_logged.empty()) LogChanges();
 }
 
+void CrashGuard::OnUnframedEnd(const ServerEntry& server,
+                               const Suspects& suspects,
+                               std::chrono::nanoseconds sent) {
+  const ServerBoot boot{server.id, server.started_ms};
+  const auto [known, is_new] = m_unchecked.try_emplace(boot);
+  for (const auto& suspect : suspects) {
+    if (known->second.size() >= kMaxUncheckedSuspects) break;
+    auto& latest = known->second[suspect];
+    latest = std::max(latest, sent);
+  }
+  if (is_new) {
+    Spawn(m_executor, "check completions",
+          CheckCompletions(boot, server.address),
+          [this, boot] { m_unchecked.erase(boot); });
+  }
+}
+
 void CrashGuard::OnBreakOff(const ServerEntry& server,
                             const Suspects& suspects) {
   const ServerBoot boot{server.id, server.started_ms};
@@ -142,6 +163,21 @@
   AnnounceCrash(boot);
 }
 
+Awaitable<void> CrashGuard::CheckCompletions(ServerBoot boot,
+                                             Endpoint address) {
+  while (true) {
+    const auto ended = std::exchange(m_unchecked[boot], {});
+    co_await SleepFor(kCheckDelay);
+    const bool accepts = co_await AcceptsConnections(address, kCheckTimeout);
+    if (accepts) {
+      for (const auto& [suspect, sent] : ended) OnCompleted({suspect}, sent);
+    }
+    co_await SleepFor(kCompletionCheckInterval);
+    if (m_unchecked[boot].empty()) break;
+  }
+  m_unchecked.erase(boot);
+}
+
 void CrashGuard::AnnounceCrash(const ServerBoot& boot) {
   LogChanges();
   const bool is_first = m_unannounced.empty();
--- a/src/serve/crash_guard.h
+++ b/src/serve/crash_guard.h
@@ -44,6 +44,10 @@
   }
   /// Records an answer that was complete.
   void OnCompleted(const Suspects& suspects, std::chrono::nanoseconds sent);
+  /// Records an answer that ended with its connection. It was complete if the
+  /// server still runs.
+  void OnUnframedEnd(const ServerEntry& server, const Suspects& suspects,
+                     std::chrono::nanoseconds sent);
   /// Records that a connection ended in the middle of an exchange.
   void OnBreakOff(const ServerEntry& server, const Suspects& suspects);
 
@@ -56,6 +60,7 @@
   /// All evidence; empty if there is none.
   std::string Export() const;
   Awaitable<void> CheckServer(ServerBoot boot, Endpoint address);
+  Awaitable<void> CheckCompletions(ServerBoot boot, Endpoint address);
   void AnnounceCrash(const ServerBoot& boot);
   Awaitable<void> AnnounceCrashes();
   Awaitable<void> ExchangeEvidence();
@@ -70,6 +75,10 @@
   const Settings& m_settings;
   Peers m_peers;
   CrashQuarantine m_quarantine;
+  /// When requests were sent that are complete if their server still runs.
+  using UncheckedCompletions = std::map<SuspectId, std::chrono::nanoseconds>;
+  /// Of the servers that are being checked.
+  std::map<ServerBoot, UncheckedCompletions> m_unchecked;
   std::set<ServerBoot> m_unannounced;
   std::set<Suspects> m_logged;  ///< quarantines, as last logged
   std::chrono::nanoseconds m_started_at;
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -19,6 +19,15 @@
   kFailed,       ///< the request may have been executed
 };
 
+/// What a response shows, once it is complete, of its request.
+enum class ResponseEvidence : std::uint8_t {
+  kNone,
+  kHarmless,  ///< the request crashes no server
+  /// The same if the server still runs: without framing, a crash may also have
+  /// ended the body.
+  kHarmlessIfServerRuns,
+};
+
 /// Handles one caller's request, from its header to the end of the response.
 /// Used on the traffic thread only.
 class Call {
@@ -113,7 +122,7 @@
 
   // Evidence about crashes: gateway_call_crashes.cc.
   void OnResponseHeader(const http::response_header<>& header);
-  void RecordCompletion();
+  void RecordCompletion(const Backend& server);
   void RecordBreakOff(const Backend& server, AttemptOutcome end,
                       const Error& error);
   /// Whether the request may be sent to another server after an attempt. Waits
@@ -174,9 +183,7 @@
   bool m_stopped = false;  ///< the instance ends its requests
   Suspects m_suspects;
   std::chrono::nanoseconds m_attempt_sent{0};  ///< in TimeSinceBoot(), latest
-  /// Whether the response shows, once it is complete, that the request crashes
-  /// no server.
-  bool m_shows_harmless = false;
+  ResponseEvidence m_response_evidence = ResponseEvidence::kNone;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -8,16 +8,19 @@
 /// Time between questions whether a server has crashed.
 constexpr Milliseconds kCheckPollInterval(20);
 
-/// Whether a complete response with this header shows that its request crashes
-/// no server. The end of a body without framing may also be a crash, and a
-/// model server may fail before it begins to answer the prompt.
-bool ShowsHarmless(const http::response_header<>& header, bool is_model_call) {
+/// What a complete response with this header shows. A model server may fail
+/// before it begins to answer the prompt.
+ResponseEvidence EvidenceOf(const http::response_header<>& header,
+                            bool is_model_call) {
+  if (is_model_call && http::to_status_class(header.result()) !=
+                           http::status_class::successful) {
+    return ResponseEvidence::kNone;
+  }
   const bool is_framed =
       header.find(http::field::content_length) != header.end() ||
       header.find(http::field::transfer_encoding) != header.end();
-  return is_framed &&
-         (!is_model_call || http::to_status_class(header.result()) ==
-                                http::status_class::successful);
+  return is_framed ? ResponseEvidence::kHarmless
+                   : ResponseEvidence::kHarmlessIfServerRuns;
 }
 
 /// Whether the connection ended in the middle of the exchange.
@@ -30,12 +33,16 @@
 }  // namespace
 
 void Call::OnResponseHeader(const http::response_header<>& header) {
-  m_shows_harmless = ShowsHarmless(header, IsModelCall());
+  m_response_evidence = EvidenceOf(header, IsModelCall());
 }
 
-void Call::RecordCompletion() {
-  if (!m_shows_harmless) return;
-  m_worker.Crashes().OnCompleted(m_suspects, m_attempt_sent);
+void Call::RecordCompletion(const Backend& server) {
+  CrashGuard& crashes = m_worker.Crashes();
+  if (m_response_evidence == ResponseEvidence::kHarmless) {
+    crashes.OnCompleted(m_suspects, m_attempt_sent);
+  } else if (m_response_evidence == ResponseEvidence::kHarmlessIfServerRuns) {
+    crashes.OnUnframedEnd(server.entry, m_suspects, m_attempt_sent);
+  }
 }
 
 void Call::RecordBreakOff(const Backend& server, AttemptOutcome end,
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -78,7 +78,7 @@
   response.body() = std::move(*body);
   const bool failed = response.result_int() >= 500;
   m_worker.Evidence().OnEnd(m_tracked_attempt, failed, TimeSinceBoot());
-  RecordCompletion();
+  RecordCompletion(server);
   if (failed) {
     server.state->RecordFailure(TimeSinceBoot());
   } else {
@@ -201,7 +201,7 @@
   }
   server.state->RecordSuccess();
   m_worker.Evidence().OnEnd(m_tracked_attempt, false, TimeSinceBoot());
-  RecordCompletion();
+  RecordCompletion(server);
   if (!m_streaming && !co_await WriteEvents(stream, std::string())) {
     co_return AttemptOutcome::kAnswered;
   }
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -423,6 +423,7 @@
         self.answer_pause_s = answer_pause_s
         self.silence_s = 1.2
         self.pending_faults = []
+        self.usual_fault = ""  # of the requests after those
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.crashes_on_body = None  # the server ends when it begins to run such a request
         self.on_crash = None  # called then
@@ -521,7 +522,7 @@
                                     "Cowslipknot-Not-Executed": "1",
                                     "Retry-After": f"{backend.wants_none_until - now:.3f}"})
             return
-        fault = backend.pending_faults.pop(0) if backend.pending_faults else ""
+        fault = backend.pending_faults.pop(0) if backend.pending_faults else backend.usual_fault
         if fault == "endless_refusal":
             self.send_endless_body(503, {"Cowslipknot-Request-Id": request,
                                          "Cowslipknot-Not-Executed": "1"})
@@ -665,6 +666,8 @@
         self.send_response(200)
         for name, value in signed_headers.items():
             self.send_header(name, value)
+        if self.crashes():
+            return
         self.end_headers()
         self.close_connection = True
         if self.path.startswith("/stream"):
@@ -683,14 +686,23 @@
             time.sleep(0.05)  # until the pieces are read
             reset_client(self)
 
+    def crashes(self):
+        """Ends the server if the request's prompt does so; returns whether it did."""
+        backend = self.server.owner
+        if not backend.crashes_on or backend.crashes_on not in prompt_parts(self.headers):
+            return False
+        self.close_connection = True
+        backend.server.kill()
+        if backend.on_crash:
+            backend.on_crash()
+        return True
+
     def stream(self, signed_headers, fault, request):
         backend = self.server.owner
         self.send_response(200)
         for name, value in signed_headers.items():
             self.send_header(name, value)
-        if backend.crashes_on and backend.crashes_on in prompt_parts(self.headers):
-            backend.server.kill()
-            self.close_connection = True
+        if self.crashes():
             return
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
--- a/tests/platform/prompt_quarantine_test.py
+++ b/tests/platform/prompt_quarantine_test.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from configuration_documents import configuration
+from configuration_documents import configuration, route
 from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
@@ -120,6 +120,46 @@
         for gateway in self.gateways:
             self.assertFalse(self.events(gateway, "prompt_quarantined"))
 
+    def crash_one_server(self, part):
+        """Sends a request that crashes the server to which it comes, and only that one."""
+        crashed = []
+
+        def crash():
+            crashed.append(True)
+            self.set_crashes_on(None)
+        for backend in self.backends:
+            backend.on_crash = crash
+        self.set_crashes_on(part)
+        self.send(self.gateways[0], FIRST_PART, part)
+        self.assertEqual(len(crashed), 1)
+        time.sleep(CHECK_S)
+
+    def set_crashes_on(self, part):
+        for backend in self.backends:
+            backend.crashes_on = part
+
+    # Guards against LOST of review/3: answers without framing never showed that a part is
+    # harmless, so that a crash of another cause condemned the part that all prompts share.
+    def test_unframed_answers_show_that_a_part_is_harmless(self):
+        self.store.put("op", "config", configuration(version=2, route_list=[
+            route("stream", "/stream/", "streaming", "model", max_attempts=1)]))
+        time.sleep(CONTACT_S)
+        for backend in self.backends:
+            backend.usual_fault = "unframed"
+        self.crash_one_server(FIRST_PART)
+        for gateway in self.gateways:
+            self.assertEqual(self.send(gateway, FIRST_PART), 200)
+        time.sleep(CHECK_S)
+        self.crash_one_server(CRASHING_PART)
+        self.crash_one_server(CRASHING_PART)
+        for gateway in self.gateways:
+            self.assertEqual(self.send(gateway, FIRST_PART), 200, gateway.history("prompt_"))
+        self.crash_one_server(CRASHING_PART)
+        for gateway in self.gateways:
+            eventually(lambda gateway=gateway: self.events(gateway, "prompt_quarantined"))
+            self.assertEqual(self.send(gateway, FIRST_PART, CRASHING_PART), 503)
+            self.assertEqual(self.send(gateway, FIRST_PART), 200)
+
 
 if __name__ == "__main__":
     unittest.main()
