PROPOSED FIX: Keep the crashes of many requests

Cause: the bound on what is kept was one on crashes, 64, as each could have 256 suspects. A crash by a plain request has one or a few, so that room was unused. Change: at most 512 crashes, with 16384 suspects in all, as many as before. A verdict is computed on evidence that is collected once, of suspects with three crashes or more, from which explained crashes are taken; results are the same. What remains: beyond 170 requests with three crashes each it forgets as before.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -182,11 +182,10 @@
   void AddSuspect(Crash& crash, const SuspectId& suspect);
   /// Makes room for another crash, confirmed or not. Break-offs that turn out
   /// to be no crashes displace none.
-  void DropOldestCrash(bool confirmed);
+  void DropOldestCrashes(bool confirmed);
   void MarkConfirmed(Crash& crash);
   void EraseCrash(CrashMap::iterator crash);
   void Recompute();
-  std::optional<Quarantine> FindWorst(const CrashList& unexplained) const;
   CrashList ConfirmedCrashes() const;
   CrashEvidence ExportCrashes(const CrashList& crashes) const;
 
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -33,8 +33,9 @@
 /// more servers than it is worth. Parts belong to many requests.
 constexpr std::size_t kMaxCrashesOfRequest = 6;
 /// Bounds of the memory used.
-constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxCrashes = 512;
 constexpr std::size_t kMaxSuspectsPerCrash = 256;
+constexpr std::size_t kMaxSuspects = 16384;  ///< of all crashes
 constexpr std::size_t kMaxPartCompletions = 4096;
 constexpr std::size_t kMaxRequestCompletions = 8192;
 /// Bounds the evidence that is sent at once.
@@ -86,6 +87,33 @@
   return is_ambiguous ? needed + kCrashesToTellApart : needed;
 }
 
+using SuspectGroups = std::map<SuspectId, SuspectGroup>;
+
+void CountCrash(SuspectGroups& evidence, const SuspectId& suspect, Time at,
+                Time last_completion) {
+  if (at <= last_completion) return;
+  SuspectGroup& against = evidence[suspect];
+  against.kind = suspect.kind;
+  against.crashes.push_back(at);
+  against.completed_before = last_completion.count() > 0;
+}
+
+/// Erases suspects with too few crashes for any verdict.
+void EraseWeak(SuspectGroups& evidence) {
+  std::erase_if(evidence, [](const auto& item) {
+    return item.second.crashes.size() < kMinCrashes;
+  });
+}
+
+/// Takes a crash with a known cause out of what speaks against a suspect.
+void DiscountCrash(SuspectGroups& evidence, const SuspectId& suspect, Time at) {
+  const auto found = evidence.find(suspect);
+  if (found == evidence.end()) return;
+  auto& crashes = found->second.crashes;
+  const auto position = std::ranges::find(crashes, at);
+  if (position != crashes.end()) crashes.erase(position);
+}
+
 /// Orders groups by how likely they are the cause. Of equal ones, a request is
 /// held before the parts that it may share with others.
 auto RankOf(const SuspectGroup& group) {
@@ -93,6 +121,23 @@
                     group.kind == SuspectId::Kind::kRequest);
 }
 
+std::optional<Quarantine> FindWorst(const SuspectGroups& evidence) {
+  const auto is_less = [](const SuspectGroup* a, const SuspectGroup* b) {
+    return *a < *b;
+  };
+  std::map<const SuspectGroup*, Suspects, decltype(is_less)> groups(is_less);
+  for (const auto& [suspect, group] : evidence)
+    groups[&group].push_back(suspect);
+  std::erase_if(groups, [](const auto& item) {
+    const auto& [group, members] = item;
+    return CountSpaced(*group) < CrashesNeeded(*group, members.size());
+  });
+  if (groups.empty()) return std::nullopt;
+  const auto& [group, members] = *std::ranges::max_element(
+      groups, {}, [](const auto& item) { return RankOf(*item.first); });
+  return Quarantine{members, CountSpaced(*group), group->crashes.back()};
+}
+
 }  // namespace
 
 SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields) {
@@ -181,24 +226,32 @@
   m_suspect_completions.try_emplace(suspect, LastCompletion(suspect));
 }
 
-void CrashQuarantine::DropOldestCrash(bool confirmed) {
+void CrashQuarantine::DropOldestCrashes(bool confirmed) {
   const auto is_alike = [confirmed](const auto& item) {
     return item.second.confirmed == confirmed;
   };
-  const auto alike = std::ranges::count_if(m_crashes, is_alike);
-  if (static_cast<std::size_t>(alike) < kMaxCrashes) return;
   const auto rank = [&](const auto& item) {
     const bool explains = std::ranges::any_of(
         item.second.suspects,
         [this](const auto& suspect) { return IsQuarantined(suspect); });
     return std::tuple(!is_alike(item), explains, item.second.at);
   };
-  EraseCrash(std::ranges::min_element(m_crashes, {}, rank));
+  const auto is_full = [&] {
+    std::size_t crashes = 0;
+    std::size_t suspects = 0;
+    for (const auto& item : m_crashes) {
+      if (!is_alike(item)) continue;
+      ++crashes;
+      suspects += item.second.suspects.size();
+    }
+    return crashes >= kMaxCrashes || suspects >= kMaxSuspects;
+  };
+  while (is_full()) EraseCrash(std::ranges::min_element(m_crashes, {}, rank));
 }
 
 void CrashQuarantine::MarkConfirmed(Crash& crash) {
   if (crash.confirmed) return;
-  DropOldestCrash(true);
+  DropOldestCrashes(true);
   crash.confirmed = true;
 }
 
@@ -219,7 +272,7 @@
 CrashQuarantine::BreakOff CrashQuarantine::RecordBreakOff(
     const ServerBoot& boot, const Suspects& suspects, Time now) {
   const bool is_new = !m_crashes.contains(boot);
-  if (is_new) DropOldestCrash(false);
+  if (is_new) DropOldestCrashes(false);
   Crash& crash = m_crashes[boot];
   if (is_new) crash.at = now;
   for (const auto& suspect : suspects) AddSuspect(crash, suspect);
@@ -242,34 +295,6 @@
   EraseCrash(found);
 }
 
-std::optional<Quarantine> CrashQuarantine::FindWorst(
-    const CrashList& unexplained) const {
-  std::map<SuspectId, SuspectGroup> evidence;
-  for (const auto* crash : unexplained) {
-    for (const auto& suspect : crash->second.suspects) {
-      const Time last_completion = LastCompletion(suspect);
-      if (crash->second.at <= last_completion) continue;
-      SuspectGroup& against = evidence[suspect];
-      against.kind = suspect.kind;
-      against.crashes.push_back(crash->second.at);
-      against.completed_before = last_completion.count() > 0;
-    }
-  }
-  std::map<SuspectGroup, Suspects> groups;
-  for (auto& [suspect, group] : evidence) {
-    std::ranges::sort(group.crashes);
-    groups[std::move(group)].push_back(suspect);
-  }
-  std::erase_if(groups, [](const auto& item) {
-    const auto& [group, members] = item;
-    return CountSpaced(group) < CrashesNeeded(group, members.size());
-  });
-  if (groups.empty()) return std::nullopt;
-  const auto& [group, members] = *std::ranges::max_element(
-      groups, {}, [](const auto& item) { return RankOf(item.first); });
-  return Quarantine{members, CountSpaced(group), group.crashes.back()};
-}
-
 CrashQuarantine::CrashList CrashQuarantine::ConfirmedCrashes() const {
   CrashList crashes;
   for (const auto& item : m_crashes) {
@@ -280,11 +305,23 @@
 
 void CrashQuarantine::Recompute() {
   CrashList unexplained = ConfirmedCrashes();
+  SuspectGroups evidence;
+  for (const auto* item : unexplained) {
+    for (const auto& suspect : item->second.suspects)
+      CountCrash(evidence, suspect, item->second.at, LastCompletion(suspect));
+  }
+  EraseWeak(evidence);
+  for (auto& [suspect, group] : evidence) std::ranges::sort(group.crashes);
   m_quarantines.clear();
-  while (auto worst = FindWorst(unexplained)) {
-    std::erase_if(unexplained, [&worst](const auto* crash) {
-      return crash->second.suspects.contains(worst->suspects.front());
+  while (auto worst = FindWorst(evidence)) {
+    std::erase_if(unexplained, [&](const auto* item) {
+      const Crash& crash = item->second;
+      if (!crash.suspects.contains(worst->suspects.front())) return false;
+      for (const auto& suspect : crash.suspects)
+        DiscountCrash(evidence, suspect, crash.at);
+      return true;
     });
+    EraseWeak(evidence);
     m_quarantines.push_back(std::move(*worst));
   }
   std::erase_if(m_trials, [this](const auto& trial) {
