Show that a request left before the crash is suspected of nothing

Servers end 0.3 s after they begin to run the request. Its callers leave after 0.1 s, or their deadline ends after 0.15 s. RecordBreakOff takes only connections that the server ended, so such an attempt is evidence of nothing and the request is never held.

A fix was sketched and not built: remember for some seconds what was left at which boot, and suspect it if that boot then refuses connections. It must tell a refused connection from one that times out: otherwise a cut domain, where requests time out and connections fail at several servers, would put a polled request in quarantine.

Command: python3 -m unittest crashing_request_faults_test (in tests/platform)

--- a/tests/platform/crashing_request_faults_test.py
+++ b/tests/platform/crashing_request_faults_test.py
@@ -368,6 +368,22 @@
             time.sleep(0.6)
         self.assert_budget()
 
+    # Guards against a request that is not blamed as its callers leave before the server ends.
+    def test_request_whose_callers_leave_before_the_crash_is_held(self):
+        self.start(crash_pause_s=0.3)
+        self.repeat_at_all("/once/x", CRASHING, timeout_s=0.1, pause_s=0.4)
+        time.sleep(9)
+        self.stop_callers()
+        self.assert_budget()
+
+    # Guards against the same, where the deadline ends before the server does.
+    def test_request_whose_deadline_ends_before_the_crash_is_held(self):
+        self.start(crash_pause_s=0.3)
+        self.repeat_at_all("/once/x", CRASHING, pause_s=0.4, Cowslipknot_Deadline_Ms="150")
+        time.sleep(9)
+        self.stop_callers()
+        self.assert_budget()
+
 
 class LinkedStoreHandler(fakes.StoreHandler):
     """Tells an instance addresses of the others that lead through links."""
