Count usage by window, with the platform's time until it is due

Cause: two conditions of the test, both when the killed relay holds the lease. 1. usage_due_s was 6. The lease of a killed holder is taken when it has not changed for 4.7 s, as seen by readers who read about once a second: 5.9 s after the kill in a traced run, up to about 7 s. The test added the counts of all calls. Strictness: each window counts once, its repeats must have the same counts, which the test had not checked, and all requests must be counted; the 20 s stay. The failure prints reports and logs. New: test_usage_report_is_repeated_exactly_after_its_holder_died kills the holder at that moment. Command: python3 -m unittest relay_test (in tests/platform)

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -324,6 +324,7 @@
         self.scale = []
         self.down = False
         self.silent = False  # calls are never answered
+        self.on_usage = None  # called with a report before it is answered
         self.server = Server(CloudHandler, self)
 
 
@@ -341,6 +342,8 @@
             self.hold()
             return
         (cloud.usage if self.path == "/usage" else cloud.scale).append(call)
+        if cloud.on_usage and self.path == "/usage":
+            cloud.on_usage(call)
         self.send(200)
 
 
--- a/tests/platform/relay_test.py
+++ b/tests/platform/relay_test.py
@@ -19,6 +19,7 @@
 PAUSE_OF_RELAYS_S = 1.5  # longer than the time-outs of both, one after the other
 SETTLING_MS = 1500  # of calls under way when an instance begins to follow
 STEADY_MS = 4000
+USAGE_DUE_S = 10  # the platform's; a killed holder of the lease is replaced within 7 s
 
 
 class RelayTest(PlatformTestCase):
@@ -38,7 +39,8 @@
         link = fakes.Server(fakes.StoreHandler, self.store)
         self.addCleanup(link.stop)
         self.links[name] = link
-        gateway = self.start_gateway(name=name, store_address=link.address)
+        gateway = self.start_gateway(name=name, store_address=link.address,
+                                     bounds={"usage_due_s": USAGE_DUE_S})
         self.gateways.append(gateway)
         return gateway
 
@@ -273,8 +275,48 @@
             if number == 1:
                 relay.child.kill()
                 relay.child.wait()
-        eventually(lambda: sum(call["counts"].get("tenant1", 0)
-                               for call in self.cloud.usage) == sent)
+        self.assert_usage_reported(sent)
+
+    def assert_usage_reported(self, sent):
+        """Waits until the windows' reports count all requests. A report may be repeated
+        exactly, which the platform ignores."""
+        def counted():
+            by_window = {}
+            for call in list(self.cloud.usage):
+                counts = by_window.setdefault(call["window"], call["counts"])
+                self.assertEqual(counts, call["counts"], call)
+            return sum(counts.get("tenant1", 0) for counts in by_window.values())
+        try:
+            eventually(lambda: counted() == sent)
+        except AssertionError as error:
+            raise AssertionError(f"{counted()} of {sent} counted: {self.cloud.usage}"
+                                 f"{self.history()}") from error
+
+    # Guards against a report that is changed when its holder did not survive its answer.
+    def test_usage_report_is_repeated_exactly_after_its_holder_died(self):
+        eventually(lambda: self.cloud.usage)
+        for gateway in self.gateways:
+            eventually(lambda g=gateway: any(event["name"] == "cluster_clock_set"
+                                             for event in g.log_events()))
+        killed = []
+
+        def kill_holder(call):
+            if killed or not call["counts"]:
+                return
+            killed.append(call)
+            holder = next(gateway for gateway in self.gateways
+                          if gateway.name == call["holder"])
+            holder.child.kill()
+            holder.child.wait()
+        self.cloud.on_usage = kill_holder
+        holder = self.cloud.usage[-1]["holder"]
+        others = [gateway for gateway in self.gateways if gateway.name != holder]
+        for number, gateway in enumerate(others):
+            self.assertEqual(gateway.call("/safe/x", request_id=f"u{number}")[0], 200)
+        eventually(lambda: killed)
+        eventually(lambda: [call for call in self.cloud.usage if call["holder"] != holder
+                            and call["window"] == killed[0]["window"]])
+        self.assert_usage_reported(len(others))
 
     # Guards against instances that follow a relay before they know the shared time, and
     # then count no request.
