--- a/tests/unit/http_client_reuse_test.cc
+++ b/tests/unit/http_client_reuse_test.cc
@@ -1,6 +1,7 @@
 #include <deque>
 
 #include "transport/endpoint.h"
+#include "transport/event_loop.h"
 #include "transport/http_client.h"
 #include "unit_test.h"
 
@@ -38,6 +39,11 @@
     return {kLoopback, m_acceptor.local_endpoint().port()};
   }
   int Connections() const { return m_connections; }
+  /// Adds the answer of a further request, sent after a pause.
+  void Add(std::string answer, Milliseconds pause) {
+    m_answers.push_back(std::move(answer));
+    m_pause = pause;
+  }
 
  private:
   Awaitable<void> Accept() {
@@ -58,6 +64,7 @@
       if (error || m_answers.empty()) co_return;
       const std::string answer = m_answers.front();
       m_answers.pop_front();
+      if (m_pause.count() > 0) co_await SleepFor(m_pause);
       co_await asio::async_write(socket, asio::buffer(answer), kAsTuple);
     }
   }
@@ -65,6 +72,7 @@
   tcp::acceptor m_acceptor;
   std::deque<std::string> m_answers;
   int m_connections = 0;
+  Milliseconds m_pause{0};
 };
 
 Awaitable<void> Send(std::shared_ptr<HttpClient> client, Endpoint server,
@@ -164,3 +172,35 @@
   }
   cr_expect_eq(fixture.client->ConnectionCount(), 0);
 }
+
+namespace {
+
+Awaitable<void> SendAbortable(std::shared_ptr<HttpClient> client,
+                              Endpoint server, CallOptions options,
+                              CallProgress& progress,
+                              Result<HttpResponse>& result) {
+  HttpRequest request(http::verb::post, "/", 11);
+  result = co_await client->Call(std::move(server), std::move(request),
+                                 std::move(options), progress);
+}
+
+}  // namespace
+
+// Guards against a caller that disconnects while its complete answer is written
+// to it: the connection to the server may carry the request of another caller.
+Test(http_client_reuse, the_abort_of_an_answered_call_ends_no_later_call) {
+  Fixture fixture({Refusal("r1")});
+  CallProgress answered;
+  Result<HttpResponse> first = Fail(ResultCode::kInternal);
+  asio::co_spawn(fixture.context,
+                 SendAbortable(fixture.client, fixture.server.Address(),
+                               Identified("r1"), answered, first),
+                 [&](const std::exception_ptr&) { fixture.context.stop(); });
+  fixture.context.run_for(kTimeout);
+  cr_assert(first.has_value());
+  fixture.server.Add(Refusal("r2"), kTimeout / 3);
+  asio::steady_timer disconnect(fixture.context, kTimeout / 6);
+  disconnect.async_wait([&](error_code) { answered.abort(); });
+  cr_expect_eq(fixture.Call(Identified("r2")), 503);
+  cr_expect_eq(fixture.server.Connections(), 1);
+}
