--- a/tests/unit/http_client_reuse_test.cc
+++ b/tests/unit/http_client_reuse_test.cc
@@ -204,3 +204,13 @@
   cr_expect_eq(fixture.Call(Identified("r2")), 503);
   cr_expect_eq(fixture.server.Connections(), 1);
 }
+
+// Guards against a caller that repeats one id and so takes all connections that
+// a server accepts from everyone.
+Test(http_client_reuse, a_repeated_id_piles_up_no_connections) {
+  constexpr int kRepeats = 20;
+  Fixture fixture(std::deque<std::string>(kRepeats, Refusal("r1")));
+  for (int i = 0; i < kRepeats; ++i)
+    cr_expect_eq(fixture.Call(Identified("r1")), 503);
+  cr_expect_leq(fixture.client->ConnectionCount(), 2);
+}
