--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -379,3 +379,50 @@
     cr_expect_not(IsRefused(receiver, {kCommon, kSound}));
   }
 }
+
+namespace {
+
+constexpr Time kContact = seconds(3);
+
+/// Sends the crashing request as a call would that may try `attempts` servers.
+/// Each server crashes `kCrashAfter` after it has begun.
+/// @return when servers crashed
+std::vector<Time> SendCrashing(CrashQuarantine& quarantine, Time now,
+                               int attempts, int& boots) {
+  constexpr Time kCrashAfter = milliseconds(10);
+  std::vector<Time> crashes;
+  const auto verdict = quarantine.Decide({kCrashing}, now, RunTrials).verdict;
+  if (verdict == Verdict::kRefuse) return crashes;
+  std::vector<ServerBoot> pending;
+  for (int i = 0; i < attempts; ++i) {
+    if (i > 0 && !quarantine.MayRetry({kCrashing})) break;
+    now += kCrashAfter;
+    pending.push_back(Boot(++boots));
+    quarantine.RecordBreakOff(pending.back(), {kCrashing}, now);
+    crashes.push_back(now);
+  }
+  for (const auto& boot : pending) quarantine.ConfirmCrash(boot);
+  return crashes;
+}
+
+}  // namespace
+
+// Guards against BUDGET of issue 39 where each call ends several servers at
+// once: their crashes count as one, so more calls are sent than are allowed.
+Test(crash_quarantine, retries_that_crash_at_once_count_against_the_request) {
+  for (const int attempts : {2, 3}) {
+    CrashQuarantine quarantine;
+    std::vector<Time> crashes;
+    int boots = 0;
+    for (Time now = kStart; now < kStart + std::chrono::hours(2);
+         now += milliseconds(3500)) {
+      for (const Time at : SendCrashing(quarantine, now, attempts, boots))
+        crashes.push_back(at);
+    }
+    cr_assert_geq(crashes.size(), 3);
+    const auto later = std::ranges::count_if(
+        crashes, [&](const Time at) { return at > crashes[2] + kContact; });
+    cr_expect_leq(later, 3, "%d attempts: %d later", attempts,
+                  static_cast<int>(later));
+  }
+}
