--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -426,3 +426,24 @@
                   static_cast<int>(later));
   }
 }
+
+// Guards against a table full of evidence in use: the crashes of a further
+// request, which explain nothing yet, displace each other, so that it is never
+// held.
+Test(crash_quarantine, many_quarantines_hide_no_further_crashing_request) {
+  CrashQuarantine quarantine;
+  constexpr int kRequests = 30;
+  for (int request = 0; request < kRequests; ++request) {
+    const auto number = 100 + static_cast<std::uint64_t>(request);
+    for (int i = 0; i < 3; ++i) {
+      const int boot = 3 * request + i;
+      Crash(quarantine, boot, {Request(number)}, kStart + seconds(boot));
+    }
+  }
+  const Time now = kStart + seconds(3 * kRequests);
+  for (int request = 0; request < kRequests; ++request) {
+    const auto number = 100 + static_cast<std::uint64_t>(request);
+    cr_expect(IsRefused(quarantine, {Request(number)}, now), "request %d",
+              request);
+  }
+}
