--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -447,3 +447,18 @@
               request);
   }
 }
+
+// Guards against a request that hides among the parts of its own prompt.
+Test(crash_quarantine, a_request_with_many_harmless_parts_is_refused) {
+  CrashQuarantine quarantine;
+  Suspects suspects;
+  for (std::uint64_t part = 0; part < 300; ++part)
+    suspects.push_back(Part(1000 + part));
+  const Suspects parts = suspects;
+  suspects.push_back(kCrashing);
+  for (int i = 1; i <= 12; ++i) {
+    Crash(quarantine, i, suspects, kStart + seconds(i));
+    quarantine.RecordCompletion(parts, kStart + seconds(i) + milliseconds(1));
+  }
+  cr_expect(IsRefused(quarantine, suspects, kStart + seconds(13)));
+}
