Show that the notice of many crashes cannot be read

A notice of 64 crashes with 256 suspects has 708,898 bytes, more than the 524,288 that are decoded, and counts as empty.

--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -462,3 +462,25 @@
   }
   cr_expect(IsRefused(quarantine, suspects, kStart + seconds(13)));
 }
+
+// Guards against a notice that is too large to be read where many servers with
+// many requests are lost at once.
+Test(crash_quarantine, a_notice_of_many_crashes_can_be_read) {
+  CrashQuarantine sender;
+  std::set<ServerBoot> boots;
+  for (int i = 0; i < 64; ++i) {
+    Suspects suspects;
+    for (int j = 0; j < 256; ++j) {
+      const std::uint64_t value =
+          0xfedcba9800000000 + static_cast<std::uint64_t>(256 * i + j);
+      suspects.push_back(Request(value));
+    }
+    sender.RecordCompletion(suspects, kStart);
+    Crash(sender, i, suspects, kStart + seconds(1));
+    boots.insert(Boot(i));
+  }
+  const Time now = kStart + seconds(2);
+  const std::string text = EncodeCrashEvidence(sender.Export(boots), now);
+  cr_expect_not(DecodeCrashEvidence(text, now).Empty(), "%zu bytes",
+                text.size());
+}
