Show that exchanges end a quarantine

After enough exchanges the last complete answer of a request that was answered once lies after its crashes, and the quarantine ends everywhere.

--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -484,3 +484,26 @@
   cr_expect_not(DecodeCrashEvidence(text, now).Empty(), "%zu bytes",
                 text.size());
 }
+
+// Guards against a quarantine that ends by itself, since each exchange makes
+// the last completed answer a little later.
+Test(crash_quarantine, exchanges_do_not_move_a_completion_past_the_crashes) {
+  CrashQuarantine first;
+  CrashQuarantine second;
+  first.RecordCompletion({kCrashing}, kStart);
+  CrashByRequest(first, 1, 5);
+  Time now = kStart + seconds(6);
+  const auto send = [&now](const CrashQuarantine& from, CrashQuarantine& to) {
+    const std::string text = EncodeCrashEvidence(from.Export(), now);
+    now += std::chrono::microseconds(300);  // on the way
+    to.Merge(DecodeCrashEvidence(text, now));
+  };
+  int exchanges = 0;
+  for (; exchanges < 3600; ++exchanges) {
+    send(first, second);
+    send(second, first);
+    if (first.Active().empty()) break;
+    now += seconds(1);
+  }
+  cr_expect_eq(exchanges, 3600, "it ended after %d", exchanges);
+}
