--- a/tests/platform/copied_refusal_test.py
+++ b/tests/platform/copied_refusal_test.py
@@ -1,13 +1,16 @@
 """Tests a gateway against servers that send the refusal of a request more than once."""
 
+import collections
 import unittest
 
 import fakes
 from configuration_documents import configuration
+from gateway_process import eventually
 from platform_test_case import PlatformTestCase
 
 MAX_TRIES = 12  # of a caller that repeats what was not run
 WAYS = ("at_once", "idle", "late", "split")
+RESTARTS = 3
 STATUSES = (400, 421, 429, 503)
 
 
@@ -18,6 +21,7 @@
         self.backend = self.start_backend("b0")
         self.gateway = self.start_gateway()
         self.sent = 0
+        self.own = []  # ids that are sent once
 
     def call_until_answered(self, request_id, path="/once/x"):
         """Repeats a request with its id while the answer is that it was not run.
@@ -83,6 +87,34 @@
                 self.assertEqual(status, 200)
                 self.assertEqual(self.runs_of(f"second-{when}"), 1)
 
+    # Guards against TWICE within one call, whose caller uses each id once: two entries at one
+    # address, as after a restart of a server, are two servers to the call but one connection.
+    def test_copy_from_an_address_refuses_no_attempt_at_its_next_server(self):
+        other = self.start_backend("b1", zone="z2")
+        self.backend.misdirection = fakes.CopiedRefusal(421)
+        for number in range(RESTARTS):
+            name = f"gone{number}"
+            self.store.put("servers", name, self.backend.registration("plain"))
+            eventually(lambda name=name: self.send_own() or name in self.tried_servers())
+            self.store.delete("servers", name)
+        for request in self.own:
+            runs = self.runs_by_id(self.backend)[request] + self.runs_by_id(other)[request]
+            self.assertLessEqual(runs, 1, self.gateway.history("attempt"))
+
+    def send_own(self):
+        request_id = f"own{len(self.own)}"
+        self.own.append(request_id)
+        self.gateway.call("/once/x", request_id=request_id)
+
+    def tried_servers(self):
+        return {event["server"] for event in self.gateway.log_events()
+                if event["name"] == "attempt_started"}
+
+    @staticmethod
+    def runs_by_id(backend):
+        return collections.Counter(run["headers"]["Cowslipknot-Request-Id"]
+                                   for run in backend.runs)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -426,6 +426,7 @@
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.crashes_on_body = None  # the server ends when it begins to run such a request
         self.on_crash = None  # called then
+        self.misdirection = None  # CopiedRefusal of a request that names another server
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
         self.limit = ""  # requests a second that it names in each answer
@@ -511,6 +512,9 @@
                 self.close_connection = True
                 return
         if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
+            if backend.misdirection:
+                self.send_copied_refusal(backend.misdirection, request)
+                return
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
         now = time.monotonic()
