Show that a request which comes to all instances at once escapes its count

So each wave ends three servers or more and counts as one crash; the third wave comes later than 3 s after the third crash.

Command: python3 -m unittest crashing_request_test (in tests/platform)

--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -18,6 +18,8 @@
 MAX_LATER = 3  # requests that reach servers later than CONTACT_S after the third crash
 RUN_S = 9
 PAUSE_S = 0.25
+WAVES = 5
+WAVE_PAUSE_S = CONTACT_S + 0.5
 LAST_SOUND = 30
 # Of the last sound requests: crashed servers are back, and nothing crashes more of them.
 MIN_SERVED = 0.95
@@ -131,6 +133,22 @@
     def test_unsafe_request_that_crashes_servers_is_kept_from_them(self):
         self.assert_kept_from_servers("/once/x")
 
+    # Guards against BUDGET of issue 39 where the request comes to all instances at once, as
+    # callers do that poll: the crashes of a moment count as one, as if servers were lost together.
+    def test_request_that_comes_to_all_instances_at_once_is_kept_from_servers(self):
+        for _ in range(WAVES):
+            callers = [threading.Thread(target=self.send, args=(gateway, "/safe/x", CRASHING))
+                       for gateway in self.gateways]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            time.sleep(WAVE_PAUSE_S)
+        third = self.servers.crashes[2]
+        later = [at for at in self.servers.arrivals(CRASHING) if at > third + CONTACT_S]
+        self.assertLessEqual(len(later), MAX_LATER,
+                             [round(at - third, 2) for at in self.servers.crashes])
+
 
 if __name__ == "__main__":
     unittest.main()
