--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -431,7 +431,8 @@
         self.crashes_on_body = None  # the server ends when it runs a body that begins so
         self.crash_pause_s = 0.0  # between the beginning of that run and the end
         self.crash_after_events = 0  # of a stream, which are sent before the end
-        self.on_crash = None  # called then with the body
+        self.on_crash = None  # called then with the body, which is empty for a prompt part
+        self.misdirection = None  # CopiedRefusal of a request that names another server
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
         self.limit = ""  # requests a second that it names in each answer
@@ -517,6 +518,9 @@
                 self.close_connection = True
                 return
         if self.headers["Cowslipknot-Expect-Instance"] != backend.name:
+            if backend.misdirection:
+                self.send_copied_refusal(backend.misdirection, request)
+                return
             self.send(421, headers={"Cowslipknot-Request-Id": request})
             return
         now = time.monotonic()
@@ -715,7 +719,7 @@
         self.close_connection = True
         backend.server.kill()
         if backend.on_crash:
-            backend.on_crash()
+            backend.on_crash(b"")
         return True
 
     def stream(self, signed_headers, fault, request):
--- a/tests/platform/prompt_quarantine_test.py
+++ b/tests/platform/prompt_quarantine_test.py
@@ -124,7 +124,7 @@
         """Sends a request that crashes the server to which it comes, and only that one."""
         crashed = []
 
-        def crash():
+        def crash(_):
             crashed.append(True)
             self.set_crashes_on(None)
         for backend in self.backends:
--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -460,3 +460,131 @@
     cr_expect_not(IsRefused(receiver, {kCommon, kSound}));
   }
 }
+
+namespace {
+
+constexpr Time kContact = seconds(3);
+
+/// Sends the crashing request as a call would that may try `attempts` servers.
+/// Each server crashes `kCrashAfter` after it has begun.
+/// @return when servers crashed
+std::vector<Time> SendCrashing(CrashQuarantine& quarantine, Time now,
+                               int attempts, int& boots) {
+  constexpr Time kCrashAfter = milliseconds(10);
+  std::vector<Time> crashes;
+  const auto verdict = quarantine.Decide({kCrashing}, now, RunTrials).verdict;
+  if (verdict == Verdict::kRefuse) return crashes;
+  std::vector<ServerBoot> pending;
+  for (int i = 0; i < attempts; ++i) {
+    if (i > 0 && !quarantine.MayRetry({kCrashing})) break;
+    now += kCrashAfter;
+    pending.push_back(Boot(++boots));
+    quarantine.RecordBreakOff(pending.back(), {kCrashing}, now);
+    crashes.push_back(now);
+  }
+  for (const auto& boot : pending) quarantine.ConfirmCrash(boot);
+  return crashes;
+}
+
+}  // namespace
+
+// Guards against BUDGET of issue 39 where each call ends several servers at
+// once: their crashes count as one, so more calls are sent than are allowed.
+Test(crash_quarantine, retries_that_crash_at_once_count_against_the_request) {
+  for (const int attempts : {2, 3}) {
+    CrashQuarantine quarantine;
+    std::vector<Time> crashes;
+    int boots = 0;
+    for (Time now = kStart; now < kStart + std::chrono::hours(2);
+         now += milliseconds(3500)) {
+      for (const Time at : SendCrashing(quarantine, now, attempts, boots))
+        crashes.push_back(at);
+    }
+    cr_assert_geq(crashes.size(), 3);
+    const auto later = std::ranges::count_if(
+        crashes, [&](const Time at) { return at > crashes[2] + kContact; });
+    cr_expect_leq(later, 3, "%d attempts: %d later", attempts,
+                  static_cast<int>(later));
+  }
+}
+
+// Guards against a table full of evidence in use: the crashes of a further
+// request, which explain nothing yet, displace each other, so that it is never
+// held.
+Test(crash_quarantine, many_quarantines_hide_no_further_crashing_request) {
+  CrashQuarantine quarantine;
+  constexpr int kRequests = 30;
+  for (int request = 0; request < kRequests; ++request) {
+    const auto number = 100 + static_cast<std::uint64_t>(request);
+    for (int i = 0; i < 3; ++i) {
+      const int boot = 3 * request + i;
+      Crash(quarantine, boot, {Request(number)}, kStart + seconds(boot));
+    }
+  }
+  const Time now = kStart + seconds(3 * kRequests);
+  for (int request = 0; request < kRequests; ++request) {
+    const auto number = 100 + static_cast<std::uint64_t>(request);
+    cr_expect(IsRefused(quarantine, {Request(number)}, now), "request %d",
+              request);
+  }
+}
+
+// Guards against a request that hides among the parts of its own prompt.
+Test(crash_quarantine, a_request_with_many_harmless_parts_is_refused) {
+  CrashQuarantine quarantine;
+  Suspects suspects;
+  for (std::uint64_t part = 0; part < 300; ++part)
+    suspects.push_back(Part(1000 + part));
+  const Suspects parts = suspects;
+  suspects.push_back(kCrashing);
+  for (int i = 1; i <= 12; ++i) {
+    Crash(quarantine, i, suspects, kStart + seconds(i));
+    quarantine.RecordCompletion(parts, kStart + seconds(i) + milliseconds(1));
+  }
+  cr_expect(IsRefused(quarantine, suspects, kStart + seconds(13)));
+}
+
+// Guards against a notice that is too large to be read where many servers with
+// many requests are lost at once.
+Test(crash_quarantine, a_notice_of_many_crashes_can_be_read) {
+  CrashQuarantine sender;
+  std::set<ServerBoot> boots;
+  for (int i = 0; i < 64; ++i) {
+    Suspects suspects;
+    for (int j = 0; j < 256; ++j) {
+      const std::uint64_t value =
+          0xfedcba9800000000 + static_cast<std::uint64_t>(256 * i + j);
+      suspects.push_back(Request(value));
+    }
+    sender.RecordCompletion(suspects, kStart);
+    Crash(sender, i, suspects, kStart + seconds(1));
+    boots.insert(Boot(i));
+  }
+  const Time now = kStart + seconds(2);
+  const std::string text = EncodeCrashEvidence(sender.Export(boots), now);
+  cr_expect_not(DecodeCrashEvidence(text, now).Empty(), "%zu bytes",
+                text.size());
+}
+
+// Guards against a quarantine that ends by itself, since each exchange makes
+// the last completed answer a little later.
+Test(crash_quarantine, exchanges_do_not_move_a_completion_past_the_crashes) {
+  CrashQuarantine first;
+  CrashQuarantine second;
+  first.RecordCompletion({kCrashing}, kStart);
+  CrashByRequest(first, 1, 5);
+  Time now = kStart + seconds(6);
+  const auto send = [&now](const CrashQuarantine& from, CrashQuarantine& to) {
+    const std::string text = EncodeCrashEvidence(from.Export(), now);
+    now += std::chrono::microseconds(300);  // on the way
+    to.Merge(DecodeCrashEvidence(text, now));
+  };
+  int exchanges = 0;
+  for (; exchanges < 3600; ++exchanges) {
+    send(first, second);
+    send(second, first);
+    if (first.Active().empty()) break;
+    now += seconds(1);
+  }
+  cr_expect_eq(exchanges, 3600, "it ended after %d", exchanges);
+}
