Let a call abort its connection only while it uses it

Callers saw: an unsafe request got 502, outcome unknown, since another caller had left. Cause: CallProgress::abort kept pointing to the connection after the answer was read whole and the connection was back in the pool. A caller that left while its answer was being written to it closed the connection under the next call. Change: a connection counts who uses it, calls and idle times; an abort of an earlier user does nothing.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -67,6 +67,7 @@
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
   std::shared_ptr<std::size_t> count;
   std::vector<std::uint64_t> carried;  ///< hashes of the requests' ids
+  std::uint64_t owner = 0;             ///< counts its calls and idle times
 };
 
 namespace {
@@ -271,6 +272,7 @@
     connection->buffer.shrink_to_fit();
   connection->stream.expires_never();
   connection->idle_since = std::chrono::steady_clock::now();
+  ++connection->owner;  // the last call can no longer abort it
   idle.push_back(std::move(connection));
 }
 
@@ -343,8 +345,10 @@
     connection =
         std::make_shared<Connection>(m_executor, endpoint, m_connections);
   }
-  progress.abort = [weak = std::weak_ptr<Connection>(connection)] {
-    if (const auto held = weak.lock()) held->stream.close();
+  const std::uint64_t owner = ++connection->owner;
+  progress.abort = [weak = std::weak_ptr<Connection>(connection), owner] {
+    const auto held = weak.lock();
+    if (held && held->owner == owner) held->stream.close();
   };
   if (progress.reused_connection) co_return connection;
   connection->stream.expires_at(std::min(
