Keep no pile of connections that have carried a repeated id

Change: if two or more idle connections are passed over and none is usable, the one that has been idle longest is closed.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -282,8 +282,14 @@
                                                const CallOptions& options) {
   auto& idle = m_idle[endpoint];
   const auto now = std::chrono::steady_clock::now();
+  std::size_t passed_over = 0;
+  std::size_t oldest_passed_over = 0;
   for (std::size_t i = idle.size(); i-- > 0;) {
-    if (idle[i]->HasCarried(options.request_id)) continue;
+    if (idle[i]->HasCarried(options.request_id)) {
+      ++passed_over;
+      oldest_passed_over = i;
+      continue;
+    }
     ConnectionPtr connection = std::move(idle[i]);
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     const auto limit = std::min<std::chrono::milliseconds>(
@@ -291,6 +297,10 @@
     if (now - connection->idle_since > limit) continue;
     if (HasNoPendingInput(connection->stream.socket())) return connection;
   }
+  // An id that is repeated often needs a new connection each time.
+  if (passed_over > 1) {
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(oldest_passed_over));
+  }
   return nullptr;
 }
 
