Count several crashes of a burst against a request

Callers saw: a request that came to all instances at once, or whose calls ended several servers at once, ended more servers than allowed: each burst counted as one crash, as if a domain had been lost. Change: of a burst, one crash counts against a part, as before, and one fewer than a verdict needs against a request, which is at several servers only if it was sent to several. A burst alone still decides nothing. Trials are bounded by all crashes, counted or not.

--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -17,9 +17,9 @@
 constexpr std::size_t kMinCrashesAfterCompletion = 5;
 /// Further crashes that are needed where several requests are suspected alike.
 constexpr std::size_t kCrashesToTellApart = 1;
-/// Crashes within this time of a counted one are not counted, since servers
-/// that are lost together end within it. A suspect that was answered completely
-/// before is common enough to be at many servers, which may also fail in turn.
+/// Crashes within this time count as one burst, since servers that are lost
+/// together end within it. A suspect that was answered completely before is
+/// common enough to be at many servers, which may also fail in turn.
 constexpr Time kCrashSpacing = std::chrono::milliseconds(50);
 constexpr Time kCrashSpacingAfterCompletion = std::chrono::milliseconds(250);
 /// Crashes after which a request with a suspect that was never answered
@@ -66,22 +66,35 @@
   auto operator<=>(const SuspectGroup&) const = default;
 };
 
-std::size_t CountSpaced(const SuspectGroup& group) {
+std::size_t MinCrashes(const SuspectGroup& group) {
+  return group.completed_before ? kMinCrashesAfterCompletion : kMinCrashes;
+}
+
+/// Most crashes of one burst that count. Many requests share a part, so that it
+/// is at all servers of a lost domain; one request is at several only if it is
+/// sent to several, but a burst alone decides nothing.
+std::size_t MaxCountOfBurst(const SuspectGroup& group) {
+  return group.kind == SuspectId::Kind::kRequest ? MinCrashes(group) - 1 : 1;
+}
+
+std::size_t CountCrashes(const SuspectGroup& group) {
   const Time spacing =
       group.completed_before ? kCrashSpacingAfterCompletion : kCrashSpacing;
   std::size_t count = 0;
-  Time last{0};
+  std::size_t in_burst = 0;
+  Time burst{0};
   for (const Time at : group.crashes) {
-    if (count > 0 && at - last < spacing) continue;
-    ++count;
-    last = at;
+    if (in_burst == 0 || at - burst >= spacing) {
+      burst = at;
+      in_burst = 0;
+    }
+    if (++in_burst <= MaxCountOfBurst(group)) ++count;
   }
   return count;
 }
 
 std::size_t CrashesNeeded(const SuspectGroup& group, std::size_t members) {
-  const std::size_t needed =
-      group.completed_before ? kMinCrashesAfterCompletion : kMinCrashes;
+  const std::size_t needed = MinCrashes(group);
   const bool is_ambiguous =
       group.kind == SuspectId::Kind::kRequest && members > 1;
   return is_ambiguous ? needed + kCrashesToTellApart : needed;
@@ -117,7 +130,7 @@
 /// Orders groups by how likely they are the cause. Of equal ones, a request is
 /// held before the parts that it may share with others.
 auto RankOf(const SuspectGroup& group) {
-  return std::tuple(CountSpaced(group), !group.completed_before,
+  return std::tuple(CountCrashes(group), !group.completed_before,
                     group.kind == SuspectId::Kind::kRequest);
 }
 
@@ -130,12 +143,12 @@
     groups[&group].push_back(suspect);
   std::erase_if(groups, [](const auto& item) {
     const auto& [group, members] = item;
-    return CountSpaced(*group) < CrashesNeeded(*group, members.size());
+    return CountCrashes(*group) < CrashesNeeded(*group, members.size());
   });
   if (groups.empty()) return std::nullopt;
   const auto& [group, members] = *std::ranges::max_element(
       groups, {}, [](const auto& item) { return RankOf(*item.first); });
-  return Quarantine{members, CountSpaced(*group), group->crashes.back()};
+  return Quarantine{members, group->crashes.size(), group->crashes.back()};
 }
 
 }  // namespace
@@ -370,12 +383,12 @@
   if (quarantined) return false;
   return std::ranges::none_of(suspects, [this](const SuspectId& suspect) {
     if (LastCompletion(suspect).count() > 0) return false;
-    SuspectGroup against;
+    SuspectGroup against{suspect.kind};
     for (const auto& [boot, crash] : m_crashes) {
       if (crash.suspects.contains(suspect)) against.crashes.push_back(crash.at);
     }
     std::ranges::sort(against.crashes);
-    return CountSpaced(against) >= kCrashesWithoutRetry;
+    return CountCrashes(against) >= kCrashesWithoutRetry;
   });
 }
 
