Leave room for further crashes beside those that explain quarantines

Cause: crashes that explain a quarantine were dropped last, so once they filled the table, each crash of a further request displaced the one before it, and the request was never held. Change: up to 384 of the 512 are kept in favour of others; beyond, the oldest goes first. Test: crash_quarantine/a_full_table_still_holds_the_latest_request, 300 requests.

--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kMaxCrashesOfRequest = 6;
 /// Bounds of the memory used.
 constexpr std::size_t kMaxCrashes = 512;
+/// Of these, as many may be kept in favour of later ones.
+constexpr std::size_t kMaxExplainedCrashes = 384;
 constexpr std::size_t kMaxSuspectsPerCrash = 256;
 constexpr std::size_t kMaxSuspects = 16384;  ///< of all crashes
 constexpr std::size_t kMaxPartCompletions = 4096;
@@ -243,11 +245,19 @@
   const auto is_alike = [confirmed](const auto& item) {
     return item.second.confirmed == confirmed;
   };
-  const auto rank = [&](const auto& item) {
-    const bool explains = std::ranges::any_of(
+  const auto explains = [this](const auto& item) {
+    return std::ranges::any_of(
         item.second.suspects,
         [this](const auto& suspect) { return IsQuarantined(suspect); });
-    return std::tuple(!is_alike(item), explains, item.second.at);
+  };
+  // Without room for others, the crashes of a further request would displace
+  // each other.
+  const auto explaining = std::ranges::count_if(m_crashes, explains);
+  const bool has_room =
+      static_cast<std::size_t>(explaining) <= kMaxExplainedCrashes;
+  const auto rank = [&](const auto& item) {
+    const bool is_kept = has_room && explains(item);
+    return std::tuple(!is_alike(item), is_kept, item.second.at);
   };
   const auto is_full = [&] {
     std::size_t crashes = 0;
--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -529,6 +529,22 @@
   }
 }
 
+// The same where the bound is reached: the oldest quarantine gives way.
+Test(crash_quarantine, a_full_table_still_holds_the_latest_request) {
+  CrashQuarantine quarantine;
+  constexpr int kRequests = 300;
+  for (int request = 0; request < kRequests; ++request) {
+    const auto number = 100 + static_cast<std::uint64_t>(request);
+    for (int i = 0; i < 3; ++i) {
+      const int boot = 3 * request + i;
+      Crash(quarantine, boot, {Request(number)}, kStart + seconds(boot));
+    }
+    cr_assert(IsRefused(quarantine, {Request(number)},
+                        kStart + seconds(3 * request + 3)),
+              "request %d", request);
+  }
+}
+
 // Guards against a request that hides among the parts of its own prompt.
 Test(crash_quarantine, a_request_with_many_harmless_parts_is_refused) {
   CrashQuarantine quarantine;
