Bound the suspects of a crash by kind

Cause: a crash keeps 256 suspects, and those of a request are its parts, then itself. A prompt of 256 parts or more left no room for the request, which was then suspected by nothing. Change: 256 of each kind. The bound of all crashes together is unchanged.

--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -36,8 +36,8 @@
 constexpr std::size_t kMaxCrashes = 512;
 /// Of these, as many may be kept in favour of later ones.
 constexpr std::size_t kMaxExplainedCrashes = 384;
-constexpr std::size_t kMaxSuspectsPerCrash = 256;
-constexpr std::size_t kMaxSuspects = 16384;  ///< of all crashes
+constexpr std::size_t kMaxSuspectsPerCrash = 256;  ///< of each kind
+constexpr std::size_t kMaxSuspects = 16384;        ///< of all crashes
 constexpr std::size_t kMaxPartCompletions = 4096;
 constexpr std::size_t kMaxRequestCompletions = 8192;
 /// Bounds the evidence that is sent at once.
@@ -236,7 +236,9 @@
 }
 
 void CrashQuarantine::AddSuspect(Crash& crash, const SuspectId& suspect) {
-  if (crash.suspects.size() >= kMaxSuspectsPerCrash) return;
+  const auto alike =
+      std::ranges::count(crash.suspects, suspect.kind, &SuspectId::kind);
+  if (static_cast<std::size_t>(alike) >= kMaxSuspectsPerCrash) return;
   crash.suspects.insert(suspect);
   m_suspect_completions.try_emplace(suspect, LastCompletion(suspect));
 }
