Bound the notice of crashes like the other evidence

Cause: a notice held the crashes of a moment with all their suspects, up to 709 KB for 64 servers; others ignore a text above 512 KB, and so the whole notice. Change: the bound of the regular exchange, the latest crashes with 4096 suspects, holds for it too.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -154,7 +154,7 @@
 
   /// Evidence of all confirmed crashes, the latest ones if there are many.
   CrashEvidence Export() const;
-  /// The same for some crashes.
+  /// The same for some servers.
   CrashEvidence Export(const std::set<ServerBoot>& boots) const;
   /// Evidence of the quarantined suspects only.
   CrashEvidence ExportQuarantined() const;
@@ -188,6 +188,8 @@
   void Recompute();
   CrashList ConfirmedCrashes() const;
   CrashEvidence ExportCrashes(const CrashList& crashes) const;
+  /// As many of the latest crashes as others accept at once.
+  CrashEvidence ExportLatest(CrashList crashes) const;
 
   CrashMap m_crashes;
   /// Last completions of the suspects in m_crashes, so that other requests
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -427,8 +427,7 @@
   return evidence;
 }
 
-CrashEvidence CrashQuarantine::Export() const {
-  CrashList crashes = ConfirmedCrashes();
+CrashEvidence CrashQuarantine::ExportLatest(CrashList crashes) const {
   std::ranges::stable_sort(crashes, std::greater(),
                            [](const auto* item) { return item->second.at; });
   std::size_t suspects = 0;
@@ -441,12 +440,16 @@
   return ExportCrashes(crashes);
 }
 
+CrashEvidence CrashQuarantine::Export() const {
+  return ExportLatest(ConfirmedCrashes());
+}
+
 CrashEvidence CrashQuarantine::Export(const std::set<ServerBoot>& boots) const {
   CrashList crashes = ConfirmedCrashes();
   std::erase_if(crashes, [&boots](const auto* item) {
     return !boots.contains(item->first);
   });
-  return ExportCrashes(crashes);
+  return ExportLatest(std::move(crashes));
 }
 
 CrashEvidence CrashQuarantine::ExportQuarantined() const {
