Round the ages of evidence so that exchanges do not move it

Cause: ages are sent in whole milliseconds, rounded down, so a completed answer looked up to a millisecond later at each exchange, and the later time was kept. After 1666 exchanges of two instances it lay past the crashes, and the quarantine ended by itself. Change: ages of completions are rounded up, those of crashes down, of which the earlier is kept.

--- a/src/coordination/crash_evidence_codec.cc
+++ b/src/coordination/crash_evidence_codec.cc
@@ -46,8 +46,14 @@
   return value;
 }
 
-std::int64_t ToAge(Time at, Time now) {
-  return std::chrono::duration_cast<Milliseconds>(now - at).count();
+/// What is received replaces earlier crashes and later completions, so the
+/// rounding must not make a time look so: it would grow with each exchange.
+std::int64_t AgeOfCrash(Time at, Time now) {
+  return std::chrono::floor<Milliseconds>(now - at).count();
+}
+
+std::int64_t AgeOfCompletion(Time sent, Time now) {
+  return std::chrono::ceil<Milliseconds>(now - sent).count();
 }
 
 Time FromAge(const json::value& age, Time now) {
@@ -82,7 +88,7 @@
     json::object encoded;
     encoded["server"] = crash.boot.server.Text();
     encoded["started"] = crash.boot.started_ms;
-    encoded["age_ms"] = ToAge(crash.at, now);
+    encoded["age_ms"] = AgeOfCrash(crash.at, now);
     for (const auto& fields : kKinds) {
       json::array suspects;
       for (const auto& suspect : crash.suspects) {
@@ -99,7 +105,7 @@
     json::object completions;
     for (const auto& [suspect, sent] : evidence.completions) {
       if (suspect.kind != fields.kind) continue;
-      completions[FormatValue(suspect.value)] = ToAge(sent, now);
+      completions[FormatValue(suspect.value)] = AgeOfCompletion(sent, now);
     }
     object[fields.completions] = std::move(completions);
   }
