Withhold a request only after an attempt that may have run

Callers saw: a request was refused although a server was free, when a full server had refused it and two servers had crashed under it earlier. Cause: whether a request may be sent again was asked after each attempt, also after one that a server had refused without running it.

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -124,7 +124,8 @@
       co_await RejectForStop();
       co_return;
     }
-    if (!m_tried_servers.empty() && !co_await MayRepeat()) break;
+    // A refused attempt has crashed nothing.
+    if (m_executed > 0 && !co_await MayRepeat()) break;
     const auto server = co_await AcquireServer();
     if (IsAborted() || TimeLeft().count() == 0) continue;
     if (!server && m_tried_servers.empty()) last = server.error();
