Count no planned end of a server as a crash

Callers saw: a sound long request was refused after three servers that ran it had been replaced. Cause: a server that leaves ends its listener with its connections, which looks like a crash. Change: a broken answer of a server that is known to leave is no evidence. What remains: a server whose registration is removed without a notice.

--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -49,7 +49,10 @@
                           const Error& error) {
   const bool broke_off = end == AttemptOutcome::kFailed && !IsAborted() &&
                          m_progress.first_byte_sent && IsBreakOff(error);
-  if (broke_off) m_worker.Crashes().OnBreakOff(server.entry, m_suspects);
+  // A server that leaves ends as planned, also under a request.
+  const bool is_planned = server.state->IsLeaving();
+  if (broke_off && !is_planned)
+    m_worker.Crashes().OnBreakOff(server.entry, m_suspects);
 }
 
 Awaitable<bool> Call::MayRepeat() {
