Let answers that have no body clear their request

Callers saw: a polled request that is answered 204 was refused after three crashes under it. Cause: 204 and 304 have neither a length nor chunks, so they were taken for answers whose end may be a crash.

--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -16,8 +16,10 @@
                            http::status_class::successful) {
     return ResponseEvidence::kNone;
   }
+  const bool has_no_body = header.result() == http::status::no_content ||
+                           header.result() == http::status::not_modified;
   const bool is_framed =
-      header.find(http::field::content_length) != header.end() ||
+      has_no_body || header.find(http::field::content_length) != header.end() ||
       header.find(http::field::transfer_encoding) != header.end();
   return is_framed ? ResponseEvidence::kHarmless
                    : ResponseEvidence::kHarmlessIfServerRuns;
