--- a/tests/unit/odd_rows_test.cc
+++ b/tests/unit/odd_rows_test.cc
@@ -1,8 +1,8 @@
 #include <rapidcheck.h>
 
 #include "coordination/move_controller.h"
-#include "cowslipknot/coordination/lease.h"
 #include "cowslipknot/coordination/crash_quarantine.h"
+#include "cowslipknot/coordination/lease.h"
 #include "cowslipknot/gateway/usage.h"
 #include "cowslipknot/gateway/version_move.h"
 #include "serve/row_log_filter.h"
