Take a completed answer that comes back from a peer for the same one

Cause: with rounded ages alone, a completion still came back later by the time that its text was under way, 0.3 ms in the test, and moved past the crashes. Before: exchanges_do_not_move_a_completion... failed on (1 of 1). After: passes. Change: a peer's completion replaces a known one if it is later by a second or more, which is twice the timeout of an exchange.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -158,7 +158,8 @@
   CrashEvidence Export(const std::set<ServerBoot>& boots) const;
   /// Evidence of the quarantined suspects only.
   CrashEvidence ExportQuarantined() const;
-  /// Adds the evidence of another instance. Idempotent and commutative.
+  /// Adds the evidence of another instance. Idempotent, and commutative but for
+  /// completions less than a second apart, which count as one.
   void Merge(const CrashEvidence& evidence);
 
   const std::vector<Quarantine>& Active() const { return m_quarantines; }
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -22,6 +22,8 @@
 /// common enough to be at many servers, which may also fail in turn.
 constexpr Time kCrashSpacing = std::chrono::milliseconds(50);
 constexpr Time kCrashSpacingAfterCompletion = std::chrono::milliseconds(250);
+/// Evidence of others is this much older than it says at most.
+constexpr Time kMaxTransferTime = std::chrono::seconds(1);
 /// Crashes after which a request with a suspect that was never answered
 /// completely is not sent to another server.
 constexpr std::size_t kCrashesWithoutRetry = 2;
@@ -475,8 +477,11 @@
     MarkConfirmed(crash);
     for (const auto& suspect : received.suspects) AddSuspect(crash, suspect);
   }
-  for (const auto& [suspect, sent] : evidence.completions)
-    SetCompletion(suspect, sent);
+  for (const auto& [suspect, sent] : evidence.completions) {
+    // Its own completion comes back later by the time of the exchange.
+    const bool is_later = sent >= LastCompletion(suspect) + kMaxTransferTime;
+    if (is_later) SetCompletion(suspect, sent);
+  }
   if (!evidence.Empty()) Recompute();
 }
 
