Test a slow polled request on servers that are killed in turn

The share of served sound requests is no longer printed; the check of it is unchanged.

Command: python3 -m unittest crashing_request_faults_test (in tests/platform)

--- a/tests/platform/crashing_request_faults_test.py
+++ b/tests/platform/crashing_request_faults_test.py
@@ -252,6 +252,19 @@
         self.assert_safe_ones_served(polled)
         self.assert_crashes_confirmed()
 
+    # Guards against the same, where no answer that was sent after a kill is complete before
+    # several more follow.
+    def test_servers_killed_in_turn_do_not_quarantine_a_slow_request(self):
+        self.start(crashes_on_body=None, answer_pause_s=2.7)
+        polled = self.poll()
+        for _ in range(14):
+            self.servers.kill(list(self.servers.running.values())[0])
+            time.sleep(0.5)
+        self.stop_callers()
+        self.assert_crashes_confirmed()
+        self.assert_never_refused(polled)
+        self.assertEqual(self.events("prompt_quarantined"), [])
+
     # Guards against a polled request that is blamed for a domain that is lost.
     def test_servers_of_a_domain_lost_at_once_quarantine_nothing(self):
         self.start(crashes_on_body=None, answer_pause_s=0.1)
@@ -341,18 +354,13 @@
     def test_sound_callers_are_served_while_servers_come_back(self):
         self.start()
         sound = self.repeat_at_all("/safe/s", lambda number: b"sound %d" % number, pause_s=0.03)
-        crashing = self.repeat_at_all("/safe/x", CRASHING)
+        self.repeat_at_all("/safe/x", CRASHING)
         time.sleep(9)
         self.stop_callers()
         self.assert_budget()
-        statuses = [status for caller in sound for status in caller.statuses()]
         third = sorted(self.servers.crashes)[2]
         after = [status for caller in sound
                  for status in caller.statuses(since=third + CONTACT_S)]
-        print(f"\nserved: {statuses.count(200) / len(statuses):.4f} of {len(statuses)}, "
-              f"{after.count(200) / len(after):.4f} of {len(after)} from {CONTACT_S} s after the "
-              f"third crash on; {len(self.servers.crashes)} crashes, "
-              f"{sum(len(caller.answers) for caller in crashing)} crashing requests")
         self.assertEqual(after.count(200), len(after))
 
     # Requests that differ in what is no part of them ------------------------------
