Show that long answers clear a request of no crash meanwhile

A completed answer clears a suspect of crashes before the attempt was sent. Where answers take longer than five servers need to end for another reason, a popular prompt that is at each of them is refused although answers to it are complete all the time. Not built: to let an answer clear crashes until its completion, which trusts that what crashes servers crashes each one.

--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -423,6 +423,17 @@
   }
 }
 
+// Guards against a prompt with long answers that is blamed for servers which
+// end in turn: each answer that is complete was sent before the crashes.
+Test(crash_quarantine, a_long_answer_completed_between_crashes_clears) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 10; ++i) {
+    Crash(quarantine, i, {kSound}, kStart + seconds(i));
+    quarantine.RecordCompletion({kSound}, kStart + seconds(i - 10));
+  }
+  cr_expect_not(IsRefused(quarantine, {kSound}, kStart + seconds(11)));
+}
+
 // Guards against trials at each instance, and against a trial that others take
 // for the end of the quarantine while it runs.
 Test(crash_quarantine, a_trial_under_way_admits_no_other_request) {
