Print which step of the soak left invalid settings in place

The checks are unchanged. Checked by a call with a slow signal: it prints "took [0.0, 1.2, 0.3, 0.0] s", and nothing otherwise. soak_checks_test: 30 of 30.

--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -12,6 +12,7 @@
 SIGNAL_INTERVAL_S = (0.0, 0.2)  # of a series
 START_SIGNALS_S = 0.03  # after the start
 SETTINGS_PAUSE_S = 0.5  # at most, between the two writes of the file
+SLOW_SETTINGS_S = 1.0  # invalid settings that stay longer are reported; a start waits 3 s
 ADDRESS_TAKEN_S = 2.0  # at most
 LOG_SIGNAL_INTERVAL_S = 0.02  # each SIGHUP adds a line to a log that is not read
 DESCRIPTORS = 128  # limit of a process, and for each other instance:
@@ -64,11 +65,20 @@
 
     def bad_settings(self, instance, _):
         path = instance.gateway.settings
+        ends = [time.monotonic()]  # of the steps
         path.write_text("[node]\nname = 7\n", encoding="utf-8")
+        ends.append(time.monotonic())
         instance.send_signal(signal.SIGHUP)
+        ends.append(time.monotonic())
         time.sleep(0.3)
+        ends.append(time.monotonic())
         path.write_text(instance.valid_settings, encoding="utf-8")
+        ends.append(time.monotonic())
         instance.send_signal(signal.SIGHUP)
+        if ends[-1] - ends[0] > SLOW_SETTINGS_S:
+            steps = [round(end - start, 3) for start, end in zip(ends, ends[1:])]
+            print(f"NOTE {instance.name}: invalid settings stayed; write, signal, pause and "
+                  f"write took {steps} s", flush=True)
 
     def signals(self, instance, fault):
         """Sends a series of signals that a process should survive."""
