--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -125,6 +125,8 @@
   void RecordCompletion(const Backend& server);
   void RecordBreakOff(const Backend& server, AttemptOutcome end,
                       const Error& error);
+  /// Whether a server may be sent requests by the latest snapshot.
+  bool IsListed(const Backend& server) const;
   /// Whether the request may be sent to another server after an attempt. Waits
   /// until it is known whether the servers of earlier attempts crashed, if that
   /// decides.
--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -51,12 +51,22 @@
                           const Error& error) {
   const bool broke_off = end == AttemptOutcome::kFailed && !IsAborted() &&
                          m_progress.first_byte_sent && IsBreakOff(error);
-  // A server that leaves ends as planned, also under a request.
-  const bool is_planned = server.state->IsLeaving();
+  // A server that leaves, or has left the registry, ends as planned, also under
+  // a request.
+  const bool is_planned = server.state->IsLeaving() || !IsListed(server);
   if (broke_off && !is_planned)
     m_worker.Crashes().OnBreakOff(server.entry, m_suspects);
 }
 
+bool Call::IsListed(const Backend& server) const {
+  const SnapshotPtr latest = m_worker.GetSnapshot();
+  const auto servers = latest->servers.find(server.entry.service);
+  return servers != latest->servers.end() &&
+         std::ranges::any_of(servers->second, [&server](const auto& listed) {
+           return listed.entry.id == server.entry.id;
+         });
+}
+
 Awaitable<bool> Call::MayRepeat() {
   const CrashGuard& crashes = m_worker.Crashes();
   while (!crashes.MayRetry(m_suspects)) {
