Clear a request of the crashes until its answer is complete

Cause: an answer cleared crashes before it was sent, so a popular request with long answers was held after five crashes of other causes. Why it works: what crashes each server that runs it completes nowhere, so a complete answer clears it up to that moment. Parts of prompts are cleared as before. The test now says when the answer was complete, which it could not; after: passes.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -124,8 +124,9 @@
     Quarantine quarantine;        ///< kTrial and kRefuse: the reason
   };
 
-  /// Records an answer that was completed.
-  void RecordCompletion(const Suspects& suspects, Time sent);
+  /// Records an answer that was completed. It clears a request of all crashes
+  /// until then, and parts of prompts of those before it was sent.
+  void RecordCompletion(const Suspects& suspects, Time sent, Time completed);
   /// What is known of the server whose answer broke off.
   enum class BreakOff : std::uint8_t {
     kNew,        ///< the first one; the caller checks whether it has crashed
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -228,10 +228,12 @@
   });
 }
 
-void CrashQuarantine::RecordCompletion(const Suspects& suspects, Time sent) {
+void CrashQuarantine::RecordCompletion(const Suspects& suspects, Time sent,
+                                       Time completed) {
   bool quarantined = false;
   for (const auto& suspect : suspects) {
-    SetCompletion(suspect, sent);
+    const bool is_request = suspect.kind == SuspectId::Kind::kRequest;
+    SetCompletion(suspect, is_request ? completed : sent);
     quarantined = quarantined || IsQuarantined(suspect);
   }
   if (quarantined) Recompute();
--- a/src/serve/crash_guard.cc
+++ b/src/serve/crash_guard.cc
@@ -117,7 +117,7 @@
 
 void CrashGuard::OnCompleted(const Suspects& suspects,
                              std::chrono::nanoseconds sent) {
-  m_quarantine.RecordCompletion(suspects, sent);
+  m_quarantine.RecordCompletion(suspects, sent, TimeSinceBoot());
   if (!m_logged.empty()) LogChanges();
 }
 
--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -40,6 +40,11 @@
   quarantine.ConfirmCrash(Boot(server));
 }
 
+/// Records an answer that was complete at once.
+void Complete(CrashQuarantine& quarantine, const Suspects& suspects, Time at) {
+  quarantine.RecordCompletion(suspects, at, at);
+}
+
 /// Crashes one second apart by the bad part, the last one at kStart + `count`
 /// seconds.
 void CrashTimes(CrashQuarantine& quarantine, int count) {
@@ -58,7 +63,7 @@
 // their crashes with the prompts that they were answering.
 Test(crash_quarantine, a_part_that_three_crashes_share_is_refused) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon, kOther}, kStart);
+  Complete(quarantine, {kCommon, kOther}, kStart);
   CrashTimes(quarantine, 2);
   cr_expect_not(IsRefused(quarantine, {kCommon, kBad}));
   CrashTimes(quarantine, 3);
@@ -73,7 +78,7 @@
   CrashTimes(quarantine, 3);
   cr_expect(IsRefused(quarantine, {kCommon, kBad}));
   cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
-  quarantine.RecordCompletion({kCommon}, kStart + seconds(4));
+  Complete(quarantine, {kCommon}, kStart + seconds(4));
   cr_expect(IsRefused(quarantine, {kOther, kBad}));
 }
 
@@ -83,14 +88,14 @@
     Crash(quarantine, i, {kCommon, kBad}, kStart + seconds(i));
     Crash(quarantine, i, {kCommon, kOther}, kStart + seconds(i));
   }
-  quarantine.RecordCompletion({kCommon, kOther}, kStart + seconds(2));
+  Complete(quarantine, {kCommon, kOther}, kStart + seconds(2));
   cr_expect(IsRefused(quarantine, {kCommon, kBad}, kStart + seconds(13)));
   cr_expect_not(IsRefused(quarantine, {kCommon, kOther}, kStart + seconds(13)));
 }
 
 Test(crash_quarantine, servers_that_crash_together_condemn_no_common_part) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon}, kStart);
+  Complete(quarantine, {kCommon}, kStart);
   for (int i = 1; i <= 20; ++i)
     Crash(quarantine, i, {kCommon, kOther}, kStart + milliseconds(5 * i));
   cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
@@ -99,7 +104,7 @@
 // Guards against a series of crashes so fast that most of them are not counted.
 Test(crash_quarantine, a_fast_series_of_crashes_counts_in_full) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon}, kStart);
+  Complete(quarantine, {kCommon}, kStart);
   for (int i = 1; i <= 3; ++i)
     Crash(quarantine, i, {kCommon, kBad}, kStart + milliseconds(70 * i));
   cr_expect(IsRefused(quarantine, {kCommon, kBad}));
@@ -125,19 +130,19 @@
 
 Test(crash_quarantine, a_part_that_was_harmless_before_is_refused_later) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon, kBad}, kStart);
+  Complete(quarantine, {kCommon, kBad}, kStart);
   CrashTimes(quarantine, 4);
-  quarantine.RecordCompletion({kCommon}, kStart + seconds(4));
+  Complete(quarantine, {kCommon}, kStart + seconds(4));
   cr_expect_not(IsRefused(quarantine, {kCommon, kBad}));
   CrashTimes(quarantine, 5);
-  quarantine.RecordCompletion({kCommon}, kStart + seconds(5));
+  Complete(quarantine, {kCommon}, kStart + seconds(5));
   cr_expect(IsRefused(quarantine, {kCommon, kBad}));
   cr_expect_not(IsRefused(quarantine, {kCommon}));
 }
 
 Test(crash_quarantine, a_request_that_crashed_two_servers_is_not_retried) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon}, kStart);
+  Complete(quarantine, {kCommon}, kStart);
   quarantine.RecordBreakOff(Boot(1), {kCommon, kBad}, kStart + seconds(1));
   cr_expect(quarantine.MayRetry({kCommon, kBad}));
   quarantine.RecordBreakOff(Boot(2), {kCommon, kBad}, kStart + seconds(2));
@@ -147,9 +152,9 @@
 
 Test(crash_quarantine, a_waiting_request_is_not_sent_after_the_verdict) {
   CrashQuarantine quarantine;
-  quarantine.RecordCompletion({kCommon, kBad}, kStart);
+  Complete(quarantine, {kCommon, kBad}, kStart);
   CrashTimes(quarantine, 5);
-  quarantine.RecordCompletion({kCommon}, kStart + seconds(5));
+  Complete(quarantine, {kCommon}, kStart + seconds(5));
   cr_expect_not(quarantine.MayRetry({kCommon, kBad}));
   cr_expect(quarantine.MayRetry({kCommon, kOther}));
 }
@@ -169,7 +174,7 @@
   Crash(quarantine, 9, parts, second_crash);
   cr_expect(verdict(second_crash + seconds(119)) == Verdict::kRefuse);
   cr_expect(verdict(second_crash + seconds(120)) == Verdict::kTrial);
-  quarantine.RecordCompletion(parts, second_crash + seconds(120));
+  Complete(quarantine, parts, second_crash + seconds(120));
   cr_expect(verdict(second_crash + seconds(121)) == Verdict::kSend);
   cr_expect(quarantine.Active().empty());
 }
@@ -188,7 +193,7 @@
   std::vector<CrashQuarantine> instances(3);
   for (int i = 0; i < 3; ++i)
     Crash(instances[i], i, {kCommon, kBad}, kStart + seconds(i));
-  instances[0].RecordCompletion({kCommon}, kStart + seconds(2));
+  Complete(instances[0], {kCommon}, kStart + seconds(2));
   for (const auto& sender : instances) {
     for (auto& receiver : instances) receiver.Merge(sender.Export());
   }
@@ -201,7 +206,7 @@
 Test(crash_quarantine, evidence_survives_encoding) {
   CrashQuarantine sender;
   CrashTimes(sender, 3);
-  sender.RecordCompletion({kCommon}, kStart + seconds(3));
+  Complete(sender, {kCommon}, kStart + seconds(3));
   const Time now = kStart + seconds(10);
   const std::string text = EncodeCrashEvidence(sender.Export(), now);
   const Time other_clock = seconds(5000);
@@ -301,7 +306,7 @@
   CrashByRequest(quarantine, 1, 4, {kCrashing, kSound});
   cr_expect(IsRefused(quarantine, {kCrashing}));
   cr_expect(IsRefused(quarantine, {kSound}));
-  quarantine.RecordCompletion({kSound}, kStart + seconds(5));
+  Complete(quarantine, {kSound}, kStart + seconds(5));
   cr_expect_not(IsRefused(quarantine, {kSound}));
   cr_expect(IsRefused(quarantine, {kCrashing}));
 }
@@ -310,7 +315,7 @@
   CrashQuarantine quarantine;
   for (int i = 1; i <= 20; ++i) {
     Crash(quarantine, i, {kSound}, kStart + seconds(i));
-    quarantine.RecordCompletion({kSound}, kStart + seconds(i) + seconds(1) / 2);
+    Complete(quarantine, {kSound}, kStart + seconds(i) + seconds(1) / 2);
   }
   cr_expect_not(IsRefused(quarantine, {kSound}, kStart + seconds(21)));
 }
@@ -345,9 +350,9 @@
 Test(crash_quarantine, other_requests_displace_no_evidence) {
   CrashQuarantine quarantine;
   Crash(quarantine, 1, {kCrashing, kSound}, kStart + seconds(1));
-  quarantine.RecordCompletion({kSound}, kStart + seconds(2));
+  Complete(quarantine, {kSound}, kStart + seconds(2));
   for (std::uint64_t i = 0; i < 100000; ++i)
-    quarantine.RecordCompletion({Request(1000 + i)}, kStart + seconds(2));
+    Complete(quarantine, {Request(1000 + i)}, kStart + seconds(2));
   CrashByRequest(quarantine, 3, 4, {kCrashing, kSound});
   cr_expect(IsRefused(quarantine, {kCrashing}));
   cr_expect_not(IsRefused(quarantine, {kSound}));
@@ -410,7 +415,7 @@
   cr_assert(trier.Decide({kCrashing}, trial, RunTrials).verdict ==
             Verdict::kTrial);
   cr_expect(IsRefused(trier, {kCrashing}, trial + seconds(1)));
-  trier.RecordCompletion({kCrashing}, trial);
+  Complete(trier, {kCrashing}, trial);
   other.Merge(trier.Export());
   for (auto* instance : {&trier, &other}) {
     cr_expect_not(IsRefused(*instance, {kCrashing}, trial + seconds(1)));
@@ -429,7 +434,8 @@
   CrashQuarantine quarantine;
   for (int i = 1; i <= 10; ++i) {
     Crash(quarantine, i, {kSound}, kStart + seconds(i));
-    quarantine.RecordCompletion({kSound}, kStart + seconds(i - 10));
+    quarantine.RecordCompletion({kSound}, kStart + seconds(i - 10),
+                                kStart + seconds(i) + milliseconds(500));
   }
   cr_expect_not(IsRefused(quarantine, {kSound}, kStart + seconds(11)));
 }
@@ -461,7 +467,7 @@
 Test(crash_quarantine, evidence_of_requests_survives_encoding) {
   CrashQuarantine sender;
   CrashByRequest(sender, 1, 3, {kCommon, kCrashing, kSound});
-  sender.RecordCompletion({kCommon, kSound}, kStart + seconds(4));
+  Complete(sender, {kCommon, kSound}, kStart + seconds(4));
   const Time now = kStart + seconds(10);
   for (const auto& evidence : {sender.Export(), sender.ExportQuarantined()}) {
     CrashQuarantine receiver;
@@ -566,7 +572,7 @@
   suspects.push_back(kCrashing);
   for (int i = 1; i <= 12; ++i) {
     Crash(quarantine, i, suspects, kStart + seconds(i));
-    quarantine.RecordCompletion(parts, kStart + seconds(i) + milliseconds(1));
+    Complete(quarantine, parts, kStart + seconds(i) + milliseconds(1));
   }
   cr_expect(IsRefused(quarantine, suspects, kStart + seconds(13)));
 }
@@ -583,7 +589,7 @@
           0xfedcba9800000000 + static_cast<std::uint64_t>(256 * i + j);
       suspects.push_back(Request(value));
     }
-    sender.RecordCompletion(suspects, kStart);
+    Complete(sender, suspects, kStart);
     Crash(sender, i, suspects, kStart + seconds(1));
     boots.insert(Boot(i));
   }
@@ -598,7 +604,7 @@
 Test(crash_quarantine, exchanges_do_not_move_a_completion_past_the_crashes) {
   CrashQuarantine first;
   CrashQuarantine second;
-  first.RecordCompletion({kCrashing}, kStart);
+  Complete(first, {kCrashing}, kStart);
   CrashByRequest(first, 1, 5);
   Time now = kStart + seconds(6);
   const auto send = [&now](const CrashQuarantine& from, CrashQuarantine& to) {
