--- a/tests/failure/cluster.py
+++ b/tests/failure/cluster.py
@@ -76,7 +76,7 @@
     def __init__(self, base_port=21000, entries=5, engines=4, plains=2, domains=None,
                  disable=(), policy="predicted", through_forwarder=False,
                  engine_arguments=(), settings_overrides=None, seed=1,
-                 keep_history=True, traffic_threads=1, plain_pool="desks"):
+                 keep_history=True, traffic_threads=1, plain_pool="desks", plain_arguments=()):
         if base_port + PORTS_PER_CLUSTER > FIRST_EPHEMERAL_PORT:
             raise ValueError(f"ports from {base_port} overlap the ephemeral port range")
         self.base_port = base_port
@@ -92,6 +92,7 @@
         self.seed = seed
         self.traffic_threads = traffic_threads
         self.plain_pool = plain_pool
+        self.plain_arguments = list(plain_arguments)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cowslipknot-"))
         self.history_path = self.folder / "history.jsonl" if keep_history else ""
         self.processes = {}
@@ -172,12 +173,13 @@
             "--platform", self.platform_address(), "--history", self.history_path,
             *self.engine_arguments, *extra])
 
-    def start_plain(self, index, incarnation=1):
+    def start_plain(self, index, incarnation=1, extra=()):
         self.start_process(f"plain-{index}", [
             BUILD / "fake_plain_service", "--name", f"plain-{index}",
             "--port", self.base_port + 1900 + index, "--pool", self.plain_pool,
             "--domain", self.domain_of(index), "--incarnation", incarnation,
-            "--platform", self.platform_address(), "--history", self.history_path])
+            "--platform", self.platform_address(), "--history", self.history_path,
+            *self.plain_arguments, *extra])
 
     def settings_text(self, index):
         seeds = ", ".join(f'"{self.advertised_peer_address(i)}"'
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -46,6 +46,7 @@
         m_name(arguments.Text("name")),
         m_history(arguments.Text("history")),
         m_notices(m_name, m_history),
+        m_crash(arguments, m_history),
         m_prefill_rate(arguments.Number("prefill-rate", 8000)),
         m_decode_ms(arguments.Number("decode-ms", 10)),
         m_decode_ms_per_stream(arguments.Number("decode-ms-per-stream", 0.2)),
@@ -269,6 +270,9 @@
     const std::uint64_t silence_epoch = m_silence_epoch;
     bool connected = co_await exchange.BeginStream(std::move(header));
     while (connected && !stream->cancelled) {
+      const bool is_running = stream->produced_tokens > stream->first_token;
+      if (is_running && m_crash.Matches(exchange.Request()))
+        m_crash.Crash(exchange.Request());
       // Connections opened before a silence fault stay open but send no more
       // data.
       while (silence_epoch < m_silence_epoch && !stream->cancelled) {
@@ -337,6 +341,7 @@
   std::string m_name;
   History m_history;
   Notices m_notices;
+  CrashTrigger m_crash;
   double m_prefill_rate;  ///< tokens per second
   double m_decode_ms;
   double m_decode_ms_per_stream;
--- a/tests/fakes/fake_plain_service.cc
+++ b/tests/fakes/fake_plain_service.cc
@@ -1,6 +1,7 @@
 // Fake plain service whose calls are not idempotent. Counts its executions and
-// can drop the response after executing a call, delay or reject calls, or send
-// a response with the request id of the previous request.
+// can drop the response after executing a call, delay or reject calls, send a
+// response with the request id of the previous request, or crash while it
+// executes a call.
 #include "base/endpoint_text.h"
 #include "fake_server.h"
 
@@ -15,6 +16,7 @@
       : m_name(arguments.Text("name")),
         m_history(arguments.Text("history")),
         m_notices(m_name, m_history),
+        m_crash(arguments, m_history),
         m_delay(arguments.Integer("delay-ms", 5)) {}
 
   Awaitable<void> Handle(HttpExchange& exchange) {
@@ -43,6 +45,7 @@
         "execute",
         {{"server", m_name}, {"key", key}, {"id", id}, {"path", path}});
     co_await SleepFor(m_delay);
+    if (m_crash.Matches(exchange.Request())) m_crash.Crash(exchange.Request());
     if (m_lose_every > 0 && m_executions % m_lose_every == 0) {
       exchange.Abort();
       co_return;
@@ -88,6 +91,7 @@
   std::string m_name;
   History m_history;
   Notices m_notices;
+  CrashTrigger m_crash;
   Milliseconds m_delay;
   std::uint64_t m_executions = 0;
   std::uint64_t m_lose_every = 0;
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -1,6 +1,7 @@
 #include "fake_server.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "base/endpoint_text.h"
@@ -83,6 +84,17 @@
   return refusal;
 }
 
+bool CrashTrigger::Matches(const HttpRequest& request) const {
+  return !m_text.empty() &&
+         (request.target().find(m_text) != std::string_view::npos ||
+          request.body().find(m_text) != std::string::npos);
+}
+
+void CrashTrigger::Crash(const HttpRequest& request) {
+  m_history.Write("crash", {{"server", m_server}, {"path", PathOf(request)}});
+  std::_Exit(1);
+}
+
 HttpResponse JsonResponse(const json::value& body) {
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, "application/json");
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -60,6 +60,24 @@
   std::string m_pause_s;
 };
 
+/// Ends this process as a crash while it runs a request with the text of
+/// "--crash-on" in its target or body.
+class CrashTrigger {
+ public:
+  CrashTrigger(const Arguments& arguments, History& history)
+      : m_server(arguments.Text("name")),
+        m_text(arguments.Text("crash-on")),
+        m_history(history) {}
+
+  bool Matches(const HttpRequest& request) const;
+  [[noreturn]] void Crash(const HttpRequest& request);
+
+ private:
+  std::string m_server;
+  std::string m_text;  ///< empty for none
+  History& m_history;
+};
+
 HttpResponse JsonResponse(const boost::json::value& body);
 HttpResponse StatusResponse(http::status status);
 std::string PathOf(const HttpRequest& request);
