Quarantine requests that crash the servers of serve

Callers of an instance of serve saw 502 and lost servers: a request that crashes each server that begins to run it was sent to one after the other, by repeats of one instance and by its caller at the others.

Cause: serve judged servers by their failures, never requests. The decision of the gateway, CrashQuarantine, had no feeder here.

Its feeder is now shared: CrashWatch (out of the gateway's CrashGuard, which only adapts it to PeerLinks) checks a server whose answer broke off, tells peers, exchanges evidence and logs. In serve one CrashWatch is on the control thread; traffic threads report completions in batches and break-offs at once (CrashReports), and hold what it publishes. Each attempt of a plain call, claimed or not, and of a model run, also one taken over from a peer, asks first: a held request is refused with 2008, as not run if nothing was sent, with a Retry-After, and its claim is released.

A repeat waits for the check of the server (50 ms), since a request otherwise ended six servers in 13 ms, which count as one crash. And a server that is back, and crashes again, before the instance list has its new incarnation counts as the next process; it was taken for the process whose crash was known.

Not shown by a case: a run that is taken over from a peer and held.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -148,6 +148,9 @@
   /// completely and that two crashes have in common.
   bool MayRetry(const Suspects& suspects) const;
 
+  /// When a process crashed; nothing if it is not known to have.
+  std::optional<Time> CrashTime(const ServerBoot& boot) const;
+
   /// Whether it is not known yet if a server crashed whose answer to a request
   /// with one of the suspects broke off.
   bool IsCheckPending(const Suspects& suspects) const;
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -332,6 +332,12 @@
   });
 }
 
+std::optional<Time> CrashQuarantine::CrashTime(const ServerBoot& boot) const {
+  const auto found = m_crashes.find(boot);
+  if (found == m_crashes.end() || !found->second.confirmed) return std::nullopt;
+  return found->second.at;
+}
+
 bool CrashQuarantine::IsCheckPending(const Suspects& suspects) const {
   return std::ranges::any_of(m_crashes, [&suspects](const auto& item) {
     const Crash& crash = item.second;
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -45,7 +45,9 @@
   VersionChoice choice;
   ServerSelection selection;
   std::unique_ptr<InFlightGuard> in_flight;
+  std::chrono::nanoseconds sent_at{0};  ///< in TimeSinceBoot()
   SteadyClock::time_point started = SteadyClock::now();
+  bool has_framing = true;  ///< of the response
   bool has_output = false;  ///< the first output was received
   bool slow = false;        ///< the first output came after the route's target
   /// Number of chunks received when the stream was last resumed.
--- a/src/serve/caller_session.cc
+++ b/src/serve/caller_session.cc
@@ -67,9 +67,11 @@
                            FormatLabel("code", Describe(error.code).name));
     HttpResponse response = ErrorResponse(error);
     if (!m_id.Empty()) response.set("X-Request-Id", m_id.Text());
-    const auto delay = error.code == ResultCode::kNoServer
-                           ? RetryDelayOfPause(m_worker, m_service, m_id)
-                           : std::nullopt;
+    auto delay = error.code == ResultCode::kNoServer
+                     ? RetryDelayOfPause(m_worker, m_service, m_id)
+                     : std::nullopt;
+    if (error.code == ResultCode::kPromptQuarantined)
+      delay = co_await m_worker.Crashes().TimeUntilTrial(m_suspects);
     if (delay) {
       response.set(
           http::field::retry_after,
@@ -188,6 +190,8 @@
     }
     m_id = MakeId();
     m_service = found->service;
+    m_suspects =
+        SuspectsOf(m_workspace, found->name, "POST", path, parsed->body);
     if (!m_idempotency_key.empty() && co_await HasBackup()) {
       RunReader reader(m_worker, m_exchange, m_id);
       co_await reader.RedirectToLookup();
@@ -286,6 +290,10 @@
     request.workspace = m_workspace;
     request.route = *route;
     m_service = route->service;
+    m_suspects = SuspectsOf(
+        m_workspace, route->name, m_exchange.Request().method_string(),
+        m_exchange.Request().target(), m_exchange.Request().body());
+    request.suspects = m_suspects;
     request.idempotency_key = m_idempotency_key;
     request.http = m_exchange.Request();
     request.parent = m_span.Context();
@@ -316,6 +324,7 @@
   WorkspaceId m_workspace;
   std::string m_idempotency_key;
   RequestId m_id;
+  Suspects m_suspects;  ///< of a request to servers
   ServiceId m_service;  ///< of the request's route; empty if there is none
 };
 
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -69,6 +69,7 @@
       settings, *m_gossip,
       [this](const Descriptor& descriptor) { StartTakenOverRun(descriptor); });
   m_permits = MakePermitExchange();
+  m_crashes = MakeCrashWatch();
   BuildHooks();
 }
 
@@ -76,6 +77,7 @@
   const auto executor = m_context.get_executor();
   m_hooks.executor = executor;
   BuildPermitHooks();
+  if (!IsDisabled(m_settings, "quarantine")) m_hooks.crashes = m_crashes.get();
   m_hooks.on_leaving_answer = [this, executor](
                                   const ServerId& id, Incarnation incarnation,
                                   std::chrono::nanoseconds read_at) {
@@ -110,6 +112,8 @@
   SpawnLoop(executor, "gossip", [this] { return m_gossip->Run(); });
   SpawnLoop(executor, "poll platform", [this] { return PollPlatform(); });
   SpawnLoop(executor, "step moves", [this] { return StepMoves(); });
+  SpawnLoop(executor, "exchange crash evidence",
+            [this] { return m_crashes->ExchangeEvidence(); });
   const std::size_t descriptors = AvailableDescriptors(kUnlimitedConnections);
   const auto limit = std::make_shared<ConnectionLimit>(
       "peers", DivideDescriptors(descriptors).peers);
@@ -367,6 +371,10 @@
     case wire::Kind::ServerLimits:
       answer = m_permits->Handle(*frame);
       break;
+    case wire::Kind::ServerCrashed:
+    case wire::Kind::ExchangePromptEvidence:
+      answer = m_crashes->Handle(*frame);
+      break;
     default:
       co_return FrameBytes();
   }
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -7,6 +7,7 @@
 #include "coordination/configuration_manager.h"
 #include "coordination/gossip_node.h"
 #include "coordination/move_controller.h"
+#include "serve/crash_watch.h"
 #include "serve/permit_exchange.h"
 #include "serve/request_backups.h"
 #include "serve/worker.h"
@@ -65,6 +66,9 @@
   void BuildHooks();
   std::unique_ptr<PermitExchange> MakePermitExchange();
   void BuildPermitHooks();
+  std::unique_ptr<CrashWatch> MakeCrashWatch();
+  std::vector<Endpoint> PeerAddresses();
+  void PublishQuarantines(const std::vector<Quarantine>& active);
   void PublishSnapshot();
   void OnRecord(const GossipRecord& record, const NodeId& sender);
   bool AcceptsRecord(const GossipRecord& record) const;
@@ -102,6 +106,7 @@
   std::unique_ptr<MoveController> m_moves;
   std::unique_ptr<RequestBackups> m_backups;
   std::unique_ptr<PermitExchange> m_permits;
+  std::unique_ptr<CrashWatch> m_crashes;
   std::shared_ptr<LinkTraffic> m_served_traffic =
       std::make_shared<LinkTraffic>();
   std::mt19937_64 m_random;
--- a/src/serve/crash_guard.h
+++ b/src/serve/crash_guard.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include <functional>
-#include <random>
-
-#include "cowslipknot/coordination/crash_quarantine.h"
 #include "cowslipknot/gateway/settings.h"
 #include "protocol/platform_adapter.h"
+#include "serve/crash_watch.h"
 #include "serve/peer_links.h"
 #include "transport/http_client.h"
 
@@ -17,63 +14,14 @@
 /// @param http  as received from the caller
 Suspects SuspectsOf(const CallerRequest& request, const HttpRequest& http);
 
-/// Feeds the crash quarantine: checks servers whose answers broke off, and
-/// exchanges evidence with the other instances. Used on the traffic thread
-/// only.
-///
-/// Crashes are sent to all peers at once, those of a moment together. Besides,
-/// evidence is exchanged with one random peer at a time, for notices that were
-/// lost and for instances that started since.
-class CrashGuard {
+/// The crash watch of a gateway instance. Used on the traffic thread only.
+class CrashGuard : public CrashWatch {
  public:
   using Peers = std::function<std::vector<Endpoint>()>;
 
   /// @param peers  returns the other instances
-  CrashGuard(PeerLinks& links, asio::any_io_executor executor,
+  CrashGuard(PeerLinks& links, const asio::any_io_executor& executor,
              const Settings& settings, Peers peers);
-
-  /// Whether a request may be sent to a server.
-  /// @return kPromptQuarantined with the reason, if not
-  Result<void> Admit(const RequestId& request, const Suspects& suspects,
-                     Milliseconds& until_trial);
-  bool MayRetry(const Suspects& suspects) const {
-    return m_quarantine.MayRetry(suspects);
-  }
-  bool IsCheckPending(const Suspects& suspects) const {
-    return m_quarantine.IsCheckPending(suspects);
-  }
-  /// Records an answer that was complete.
-  void OnCompleted(const Suspects& suspects, std::chrono::nanoseconds sent);
-  /// Records that a connection ended in the middle of an exchange.
-  void OnBreakOff(const ServerEntry& server, const Suspects& suspects);
-
-  /// The evidence of what is quarantined; empty if nothing is.
-  std::string ExportQuarantined() const;
-  /// Adds evidence of other instances, which is `age` old.
-  void Import(std::string_view text, std::chrono::nanoseconds age);
-
- private:
-  /// All evidence; empty if there is none.
-  std::string Export() const;
-  Awaitable<void> CheckServer(ServerBoot boot, Endpoint address);
-  void AnnounceCrash(const ServerBoot& boot);
-  Awaitable<void> AnnounceCrashes();
-  Awaitable<void> ExchangeEvidence();
-  Awaitable<void> ExchangeWith(const Endpoint& peer);
-  PeerFrame OnNotice(const PeerFrame& frame);
-  bool RunsTrials(const Quarantine& quarantine) const;
-  /// Logs the quarantines that began and ended.
-  void LogChanges();
-
-  PeerLinks& m_links;
-  asio::any_io_executor m_executor;
-  const Settings& m_settings;
-  Peers m_peers;
-  CrashQuarantine m_quarantine;
-  std::set<ServerBoot> m_unannounced;
-  std::set<Suspects> m_logged;  ///< quarantines, as last logged
-  std::chrono::nanoseconds m_started_at;
-  std::mt19937_64 m_random;
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -12,21 +12,11 @@
 /// no server. The end of a body without framing may also be a crash, and a
 /// model server may fail before it begins to answer the prompt.
 bool ShowsHarmless(const http::response_header<>& header, bool is_model_call) {
-  const bool is_framed =
-      header.find(http::field::content_length) != header.end() ||
-      header.find(http::field::transfer_encoding) != header.end();
-  return is_framed &&
+  return HasFraming(header) &&
          (!is_model_call || http::to_status_class(header.result()) ==
                                 http::status_class::successful);
 }
 
-/// Whether the connection ended in the middle of the exchange.
-bool IsBreakOff(const Error& error) {
-  return error.execution == Execution::kUnknown &&
-         (error.code == ResultCode::kBackendFailed ||
-          error.code == ResultCode::kBackendMalformed);
-}
-
 }  // namespace
 
 void Call::OnResponseHeader(const http::response_header<>& header) {
@@ -42,7 +32,9 @@
                           const Error& error) {
   const bool broke_off = end == AttemptOutcome::kFailed && !IsAborted() &&
                          m_progress.first_byte_sent && IsBreakOff(error);
-  if (broke_off) m_worker.Crashes().OnBreakOff(server.entry, m_suspects);
+  if (!broke_off) return;
+  const ServerBoot boot{server.entry.id, server.entry.started_ms};
+  m_worker.Crashes().OnBreakOff(boot, server.entry.address, m_suspects);
 }
 
 Awaitable<bool> Call::MayRepeat() {
--- a/src/serve/model_run.cc
+++ b/src/serve/model_run.cc
@@ -35,6 +35,9 @@
       m_workspace(std::move(workspace)),
       m_route(std::move(route)),
       m_request(std::move(request)),
+      m_suspect(worker.Crashes(), m_id,
+                SuspectsOf(m_workspace, m_route.name, "POST", m_request.path,
+                           m_request.body)),
       m_changed(worker.Context()) {
   m_changed.expires_at(SteadyClock::time_point::max());
 }
@@ -142,6 +145,12 @@
     Finish(std::nullopt);
     co_return;
   }
+  // A held request does not wait for others.
+  const auto may_start = co_await AdmitSuspect();
+  if (!may_start) {
+    Finish(may_start.error());
+    co_return;
+  }
   m_worker.Retries().RecordRequest();
   AdmissionRequest admission;
   admission.workspace = m_workspace;
@@ -168,6 +177,7 @@
   }
   bool sent = false;
   while (!m_finished) {
+    m_broke_off = false;
     auto outcome = co_await RunAttempt(parent);
     if (m_finished) break;
     if (outcome) {
@@ -185,6 +195,14 @@
       Finish(error);
       break;
     }
+    if (m_broke_off) {
+      const auto deadline = m_started + m_route.timeout;
+      const bool may_repeat = co_await m_suspect.MayRepeat(deadline);
+      if (!may_repeat) {
+        Finish(error);
+        break;
+      }
+    }
     if (error.code == ResultCode::kNoServer) m_tried.clear();
     m_worker.Metrics().Add("cowslipknot_retries_total", Labels());
     const bool retry_immediately =
@@ -193,6 +211,19 @@
   }
 }
 
+Awaitable<Result<void>> ModelRun::AdmitSuspect() {
+  auto admitted = co_await m_suspect.Admit();
+  // The instance that it was taken over from may have sent it.
+  if (!admitted && m_taken_over)
+    admitted.error().execution = Execution::kUnknown;
+  co_return admitted;
+}
+
+void ModelRun::RecordFailure(const Attempt& attempt, const Error& error) {
+  if (m_suspect.RecordFailure(attempt.server.record, error, attempt.sent_at))
+    m_broke_off = true;
+}
+
 bool ModelRun::EndsForLackOfServers(const Error& error, bool sent) {
   if (error.code != ResultCode::kNoServer) return false;
   const bool all_pause =
@@ -231,6 +262,8 @@
 
 Awaitable<Result<void>> ModelRun::RunAttempt(const TraceContext& parent) {
   Attempt attempt;
+  const auto admitted = co_await AdmitSuspect();
+  if (!admitted) co_return tl::make_unexpected(admitted.error());
   const auto selected = co_await SelectServer(attempt);
   if (!selected) co_return tl::make_unexpected(selected.error());
   Span span("attempt", parent, m_worker.Random(), m_worker.Hooks().trace);
@@ -242,7 +275,7 @@
   request.set("X-Priority",
               m_route.request_class == RequestClass::kInteractive ? "1" : "0");
   CallProgress progress;
-  const auto sent_at = TimeSinceBoot();
+  attempt.sent_at = TimeSinceBoot();
   auto opened = co_await m_worker.Http().Open(
       attempt.server.record.address, std::move(request),
       IdentifiedCall(attempt.id, m_route.stall_timeout, Reuse::kAllowed,
@@ -253,14 +286,17 @@
     if (progress.reused_connection) {
       m_worker.Http().CloseIdle(attempt.server.record.address);
     }
+    if (progress.first_byte_sent) RecordFailure(attempt, opened.error());
     outcome = tl::make_unexpected(opened.error());
   } else {
+    attempt.has_framing = HasFraming((*opened)->Header());
     m_worker.RecordServerNotices(
         attempt.server, (*opened)->Header(),
-        {attempt.id, sent_at, progress.header_read_at});
+        {attempt.id, attempt.sent_at, progress.header_read_at});
     outcome = CheckEngineHeader((*opened)->Header(), attempt.id, progress);
     if (outcome) outcome = co_await ReadAnswer(attempt, std::move(*opened));
   }
+  if (outcome) m_suspect.RecordCompletion(attempt.sent_at);
   const bool failed = !outcome && !m_cancelled && !m_handed_over;
   const bool lacks_descriptor =
       !outcome && outcome.error().code == ResultCode::kDescriptorsExhausted;
--- a/src/serve/model_run.h
+++ b/src/serve/model_run.h
@@ -65,6 +65,8 @@
   struct Attempt;
 
   Awaitable<void> Execute(TraceContext parent);
+  /// Whether the request may be sent to a server.
+  Awaitable<Result<void>> AdmitSuspect();
   Awaitable<Result<void>> RunAttempt(const TraceContext& parent);
   Awaitable<Result<void>> ReadAnswer(Attempt& attempt,
                                      std::unique_ptr<ResponseStream> stream);
@@ -84,6 +86,8 @@
   /// Whether the run ends because no server can take it soon. One that has
   /// output, or that a peer has accepted, waits for the end of a pause.
   bool EndsForLackOfServers(const Error& error, bool sent);
+  /// Records that a connection may have ended because its server crashed.
+  void RecordFailure(const Attempt& attempt, const Error& error);
   void RecordEvidence(const Attempt& attempt, bool failed);
   void Finish(std::optional<Error> failure);
   void CancelOnEngine(const Attempt& attempt);
@@ -95,12 +99,14 @@
   WorkspaceId m_workspace;
   Route m_route;
   ModelRequest m_request;
+  SuspectRequest m_suspect;
   std::vector<std::string> m_chunks;
   std::string m_finish_reason;
   bool m_finished = false;
   bool m_cancelled = false;
   bool m_handed_over = false;
   bool m_taken_over = false;
+  bool m_broke_off = false;  ///< the connection of the last attempt
   bool m_backed_up = false;
   std::optional<Error> m_failure;
   std::vector<ServerId> m_tried;
--- a/src/serve/model_run_stream.cc
+++ b/src/serve/model_run_stream.cc
@@ -86,6 +86,7 @@
     auto data = co_await stream->Read(m_route.stall_timeout);
     if (!data) {
       if (HasCompleteAnswer()) co_return Result<void>();
+      RecordFailure(attempt, data.error());
       const bool may_reconnect =
           !IsDisabled(m_worker.GetSettings(), "silent_links") &&
           !IsPaused(*attempt.server.load, TimeSinceBoot()) &&
@@ -120,9 +121,12 @@
   }
   if (!HasCompleteAnswer() &&
       !IsDisabled(m_worker.GetSettings(), "completeness")) {
-    co_return Fail(ResultCode::kBackendFailed,
-                   "the response ended before the finish reason",
-                   Execution::kUnknown);
+    const Error error{ResultCode::kBackendFailed,
+                      "the response ended before the finish reason",
+                      Execution::kUnknown};
+    // Without framing, this is how a crash looks.
+    if (!attempt.has_framing) RecordFailure(attempt, error);
+    co_return tl::make_unexpected(error);
   }
   co_return Result<void>();
 }
@@ -158,6 +162,7 @@
       attempt.server.record.address, std::move(request),
       WithTimeout(m_route.stall_timeout, Reuse::kNewOnly), progress);
   if (!opened) co_return tl::make_unexpected(opened.error());
+  attempt.has_framing = HasFraming((*opened)->Header());
   m_worker.RecordServerNotices(attempt.server, (*opened)->Header(),
                                {attempt.id, sent_at, progress.header_read_at});
   const auto checked =
--- a/src/serve/plain_call.cc
+++ b/src/serve/plain_call.cc
@@ -35,12 +35,15 @@
 struct AttemptOutcome {
   Result<HttpResponse> answer;
   CallProgress progress;
+  bool broke_off = false;
 };
 
 class PlainCall {
  public:
   PlainCall(Worker& worker, PlainRequest request)
-      : m_worker(worker), m_request(std::move(request)) {}
+      : m_worker(worker),
+        m_request(std::move(request)),
+        m_suspect(worker.Crashes(), m_request.id, m_request.suspects) {}
 
   Awaitable<Result<HttpResponse>> Run() {
     Result<HttpResponse> outcome = Fail(ResultCode::kInternal);
@@ -120,6 +123,10 @@
       m_worker.Http().CloseIdle(address);
     }
     progress.on_header = nullptr;
+    const bool broke_off =
+        !answer && progress.first_byte_sent &&
+        m_suspect.RecordFailure(choice.server.record, answer.error(),
+                                answered.sent_at);
     const bool refused =
         answer && IsLeavingRefusal(*answer, m_request.id, progress);
     if (refused) {
@@ -138,6 +145,10 @@
                     "response carries the id of another request",
                     Execution::kUnknown);
     }
+    const bool is_pause = asks_for_pause && answer &&
+                          answer->result() == http::status::service_unavailable;
+    if (answer && !is_pause && HasFraming(answer->base()))
+      m_suspect.RecordCompletion(answered.sent_at);
     const bool failed = !answer || answer->result_int() >= 500;
     const bool lacks_descriptor =
         !answer && answer.error().code == ResultCode::kDescriptorsExhausted;
@@ -154,22 +165,30 @@
                 {"server", choice.server.record.id.Text()},
                 {"detail", answer.error().detail}});
     }
-    co_return AttemptOutcome{std::move(answer), progress};
+    co_return AttemptOutcome{std::move(answer), progress, broke_off};
   }
 
   Awaitable<Result<HttpResponse>> RunRepeatable() {
     m_worker.Retries().RecordRequest();
     bool sent = false;
     while (true) {
+      const auto admitted = co_await m_suspect.Admit();
+      if (!admitted) {
+        Error held = admitted.error();
+        if (sent) held.execution = Execution::kUnknown;
+        co_return tl::make_unexpected(held);
+      }
       const auto choice =
           co_await ChooseWithPermit(m_worker, MakeServiceRequest());
       if (!choice && m_tried.empty()) {
         co_return tl::make_unexpected(choice.error());
       }
       Error error;
+      bool broke_off = false;
       if (choice) {
         AttemptOutcome outcome = co_await Attempt(*choice, Reuse::kAllowed);
         if (outcome.answer) co_return std::move(outcome.answer);
+        broke_off = outcome.broke_off;
         sent = sent || outcome.progress.first_byte_sent;
         error = outcome.answer.error();
       } else {
@@ -180,6 +199,10 @@
       const bool stop = TimeLeft().count() == 0 || (!choice && AllPause()) ||
                         IsDisabled(m_worker.GetSettings(), "retry");
       if (stop) co_return tl::make_unexpected(error);
+      if (broke_off) {
+        const bool may_repeat = co_await m_suspect.MayRepeat(Deadline());
+        if (!may_repeat) co_return tl::make_unexpected(error);
+      }
       if (!choice || !m_worker.Retries().TrySpend()) {
         co_await SleepFor(kRetryDelay);
       }
@@ -248,6 +271,11 @@
         FinishClaim(std::move(stored), std::nullopt);
         co_return Fail(ResultCode::kDeadlinePassed);
       }
+      const auto admitted = co_await m_suspect.Admit();
+      if (!admitted) {
+        FinishClaim(std::move(stored), std::nullopt);
+        co_return tl::make_unexpected(admitted.error());
+      }
       const auto choice =
           co_await ChooseWithPermit(m_worker, MakeServiceRequest());
       if (!choice && AllPause()) {
@@ -317,6 +345,7 @@
 
   Worker& m_worker;
   PlainRequest m_request;
+  SuspectRequest m_suspect;
   std::vector<ServerId> m_tried;
   SteadyClock::time_point m_started = SteadyClock::now();
 };
--- a/src/serve/plain_call.h
+++ b/src/serve/plain_call.h
@@ -10,6 +10,7 @@
   WorkspaceId workspace;
   Route route;
   std::string idempotency_key;
+  Suspects suspects;
   HttpRequest http;
   TraceContext parent;
 };
--- a/src/serve/worker.cc
+++ b/src/serve/worker.cc
@@ -36,6 +36,7 @@
       m_http(HttpClient::Create(m_context.get_executor(), kMaxResponse,
                                 ShareOfThread(settings).servers)),
       m_random(settings.seed + index + 1),
+      m_crashes(m_context.get_executor(), hooks.executor, hooks.crashes),
       m_retries(kRetryShare, kRetryReserve),
       m_queue(TokenCount(settings.in_flight_tokens.Count() /
                          settings.traffic_threads)) {
--- a/src/serve/worker.h
+++ b/src/serve/worker.h
@@ -16,6 +16,7 @@
 #include "cowslipknot/coordination/server_limit.h"
 #include "cowslipknot/settings.h"
 #include "cowslipknot/state/fleet.h"
+#include "serve/crash_reports.h"
 #include "serve/row_log_filter.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -31,6 +32,8 @@
 struct ControlHooks {
   asio::any_io_executor executor;  ///< of the control thread
   ClaimWriter* claims = nullptr;   ///< used on `executor` only
+  /// Used on `executor` only; null if crashes are not watched.
+  CrashWatch* crashes = nullptr;
   /// Called once for each server that says in an answer that it is leaving.
   /// @param read_at  when the answer's head was read, in TimeSinceBoot()
   std::function<void(const ServerId&, Incarnation,
@@ -118,6 +121,8 @@
   /// @return whether the request may be sent
   Awaitable<bool> AcquirePermit(ServerView server);
 
+  CrashReports& Crashes() { return m_crashes; }
+
   /// Fills in the length of the longest prefix of the prompt that this thread
   /// has sent before, and the server that it was last sent to.
   void MatchPrefix(RequestCost& cost) const;
@@ -153,6 +158,7 @@
   std::shared_ptr<HttpClient> m_http;
   FleetSnapshotPtr m_snapshot = std::make_shared<FleetSnapshot>();
   std::mt19937_64 m_random;
+  CrashReports m_crashes;
   MetricSet m_metrics;
   RetryBudget m_retries;
   FairQueue m_queue;
--- a/src/state/settings.cc
+++ b/src/state/settings.cc
@@ -17,8 +17,8 @@
 const std::vector<std::string> kPolicies = {"predicted", "round_robin",
                                             "least_outstanding", "affinity"};
 const std::vector<std::string> kMechanisms = {
-    "claims", "retry",     "leaving",  "hand_over",   "completeness",
-    "drain",  "take_back", "revision", "silent_links"};
+    "claims", "retry",     "leaving",  "hand_over",    "completeness",
+    "drain",  "take_back", "revision", "silent_links", "quarantine"};
 
 std::string ReadToken(ObjectReader& reader) {
   std::string token = reader.String("token", true);
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -540,4 +540,6 @@
     "reset_filings": "claims", "die_in_reclaim": "hand_over", "hand_over": "hand_over",
     "planned_stops": "drain", "kill_engine": "retry", "silent_connections": "silent_links",
     "cut_answers": "completeness", "reclaim_domain": "leaving",
-    "leaving_answers": "leaving", "move_bad": "take_back"}
+    "leaving_answers": "leaving", "move_bad": "take_back",
+    "crashing_lookup": "quarantine", "crashing_filing": "quarantine",
+    "crashing_prompt": "quarantine"}
