Show that copies of refusals disturb no request of serve

Here servers send the refusal of a request once more when the next request on its connection has arrived, with the refused request's id and without one. They are stand-ins of the cases, in Python: the C++ fakes answer by the product's HTTP server, which sends one response to a request. Notices of leaving are switched off, since a server whose notice is heeded gets no next request.

--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -10,6 +10,7 @@
                           run_under_load, send_raw, standard_checks)
 from checker import Violation, check_at_most_once
 from cluster import Cluster, http_json, wait_until
+from copy_cases import copied_refusals_of_engines, copied_refusals_of_services
 from crash_cases import crashing_filing, crashing_lookup, crashing_prompt
 from server_limit_cases import server_limits
 from server_notice_cases import hand_over_in_pause, leaving_answers, paused_server
@@ -518,7 +519,8 @@
     kill_engine,
     freeze_engine, silent_connections, cut_answers, lost_end_marks, reclaim_domain,
     refusing_server, leaving_answers, paused_server, hand_over_in_pause, server_limits,
-    crashing_lookup, crashing_filing, crashing_prompt, reset_filings,
+    crashing_lookup, crashing_filing, crashing_prompt, copied_refusals_of_services,
+    copied_refusals_of_engines, reset_filings,
     platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
     move_bad, move_bad_late, move_slow, move_controller_killed, move_in_outage,
@@ -532,7 +534,8 @@
     "stale_configuration", "fresh_in_outage", "move_bad", "freeze_entry",
     "freeze_engine", "refusing_server", "leaving_answers", "paused_server",
     "hand_over_in_pause", "server_limits", "crashing_lookup", "crashing_filing",
-    "crashing_prompt", "move_operator_takes_back",
+    "crashing_prompt", "copied_refusals_of_services", "copied_refusals_of_engines",
+    "move_operator_takes_back",
     "killed_between_requests", "bad_input"]
 
 # The mechanism without which each case fails.
