--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -16,20 +16,12 @@
                            http::status_class::successful) {
     return ResponseEvidence::kNone;
   }
-  const bool has_no_body = header.result() == http::status::no_content ||
-                           header.result() == http::status::not_modified;
-  const bool is_framed =
-      has_no_body || header.find(http::field::content_length) != header.end() ||
-      header.find(http::field::transfer_encoding) != header.end();
-  return is_framed ? ResponseEvidence::kHarmless
-                   : ResponseEvidence::kHarmlessIfServerRuns;
+  return HasFraming(header) ? ResponseEvidence::kHarmless
+                            : ResponseEvidence::kHarmlessIfServerRuns;
 }
 
-/// Whether the connection ended in the middle of the exchange.
-bool IsBreakOff(const Error& error) {
-  return error.execution == Execution::kUnknown &&
-         (error.code == ResultCode::kBackendFailed ||
-          error.code == ResultCode::kBackendMalformed);
+ServerBoot BootOf(const ServerEntry& server) {
+  return {server.id, server.started_ms};
 }
 
 }  // namespace
@@ -43,7 +35,8 @@
   if (m_response_evidence == ResponseEvidence::kHarmless) {
     crashes.OnCompleted(m_suspects, m_attempt_sent);
   } else if (m_response_evidence == ResponseEvidence::kHarmlessIfServerRuns) {
-    crashes.OnUnframedEnd(server.entry, m_suspects, m_attempt_sent);
+    crashes.OnUnframedEnd(BootOf(server.entry), server.entry.address,
+                          m_suspects, m_attempt_sent);
   }
 }
 
@@ -55,7 +48,8 @@
   // a request.
   const bool is_planned = server.state->IsLeaving() || !IsListed(server);
   if (broke_off && !is_planned)
-    m_worker.Crashes().OnBreakOff(server.entry, m_suspects);
+    m_worker.Crashes().OnBreakOff(BootOf(server.entry), server.entry.address,
+                                  m_suspects);
 }
 
 bool Call::IsListed(const Backend& server) const {
