Let servers of the soak send copies of refusals

Callers saw a request run twice (TWICE), and the soak could not: its servers sent each refusal once, and its callers gave each request an id of its own. Servers, or all servers of a service, now refuse requests (503, 429, 421, 400) and send each refusal once or twice more: at once, on the idle connection, when the next request is on it, or half and half. Every second caller repeats what was not executed with the same id, half of these without a wait. Checks: executions and arrivals belong to the call with their id that was under way. So `at_most_once` counts all calls of an id over all servers, and `refusals` holds for each call: a refused one was not executed, whatever became of a later one with its id. Every check that looked up the executions by id now takes those of its call. Tests: each check detects a request that ran twice, or ran although it was refused, beside a repeat that is allowed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 import time
 
 from environment import EVENTS_PER_STREAM, LIMITED_KEY, idle_limit_s, key_of
+from record import NOT_EXECUTED_STATUSES
 
 DEADLINE_MS = 3000
 MEAN_REQUEST_INTERVAL_S = 0.08  # mean time that a caller waits between two requests
@@ -16,6 +17,10 @@
 ABANDONED_SHARE = 0.03  # share of streams that the caller abandons
 PROMPT_TOKENS = 300
 OUTPUT_TOKENS = 40
+MAX_REPEATS = 4  # of a request that was not executed
+REPEAT_PAUSE_S = (0.0, 0.05)
+MAX_RETRY_AFTER_S = DEADLINE_MS / 1000 / 3  # patient callers wait no longer
+OTHER_GATEWAY_SHARE = 0.2  # share of repeats that may go to another gateway
 UNSIZED_REQUEST_TOKENS = 10  # quota cost of a request that does not state its size
 
 KIND_WEIGHTS = {"safe": 25, "once": 25, "open": 10, "stream": 20, "stream1": 8, "probe": 12}
@@ -41,13 +46,21 @@
     answered: float = 0.0  # when the response header was received
     abandoned: float = 0.0  # when the caller closed the connection early; or 0
 
+    def was_refused(self):
+        """Whether the gateway said that the request was not executed and never will be."""
+        return self.whole and self.status in NOT_EXECUTED_STATUSES and not self.signature
+
 
 class Caller:
-    """Sends requests one after the other, on one connection at a time."""
+    """Sends requests one after the other, on one connection at a time. Every second caller
+    repeats those that were not executed, with the same id; half of these do so at once."""
 
     def __init__(self, number, seed, environment, stopped):
         self.rng = random.Random(f"{seed}/{number}")
+        self.repeat_rng = random.Random(f"{seed}/{number}/repeats")
         self.number = number
+        self.max_repeats = MAX_REPEATS if number % 2 == 0 else 0
+        self.max_wait_s = 0 if number % 4 == 0 else MAX_RETRY_AFTER_S
         self.environment = environment
         self.stopped = stopped
         self.calls = []
@@ -61,14 +74,30 @@
         while not self.stopped.is_set():
             self.stopped.wait(self._draw_pause_s())
             kind = self.rng.choices(list(KIND_WEIGHTS), weights=KIND_WEIGHTS.values())[0]
-            self._call(f"c{self.number}-{count}", kind)
+            self._call_until_executed(f"c{self.number}-{count}", kind)
             count += 1
 
+    def _call_until_executed(self, request, kind):
+        call = self._call(request, kind)
+        for _ in range(self.max_repeats):
+            if call is None or not call.was_refused() or self.stopped.is_set():
+                return
+            pause_s = (min(float(call.retry_after or 0), self.max_wait_s)
+                       + self.repeat_rng.uniform(*REPEAT_PAUSE_S))
+            if pause_s > self._max_idle_s() or self.repeat_rng.random() < OTHER_GATEWAY_SHARE:
+                self._disconnect()
+            self.stopped.wait(pause_s)
+            call = self._call(request, kind, call.key)
+
     def _draw_pause_s(self):
         if self.rng.random() < LONG_PAUSE_SHARE:
-            return IDLE_LIMIT_FRACTION * idle_limit_s(self.environment.current_index())
+            return self._max_idle_s()
         return self.rng.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
 
+    def _max_idle_s(self):
+        """For how long an idle connection is kept."""
+        return IDLE_LIMIT_FRACTION * idle_limit_s(self.environment.current_index())
+
     def _connect(self):
         instances = list(self.environment.instances.values())
         ready = [instance for instance in instances if instance.in_rotation]
@@ -94,14 +123,16 @@
             return key_of(max(0, index - 1))
         return key_of(index + 1 if draw < 0.6 else index)
 
-    def _call(self, request, kind):
+    def _call(self, request, kind, key=None):
+        """Returns the call, or None if there was no connection. Draws a key if none is given."""
         try:
             if self.connection is None:
                 self._connect()
         except OSError:
             self._disconnect()
-            return
-        key = "" if kind in ("open", "probe") else self._draw_key()
+            return None
+        if key is None:
+            key = "" if kind in ("open", "probe") else self._draw_key()
         prompt = PROMPT_TOKENS if kind in ("stream", "stream1") else 0
         headers = {"Host": "h.example", "Cowslipknot-Request-Id": request,
                    "Cowslipknot-Deadline-Ms": str(DEADLINE_MS)}
@@ -126,7 +157,7 @@
                 answer.read(1)
                 call.abandoned = time.monotonic()
                 self._disconnect()
-                return
+                return call
             received = answer.read()
             call.whole = True
             call.correct = received == expected_body(kind, body)
@@ -136,6 +167,7 @@
             self._disconnect()
         finally:
             call.ended = time.monotonic()
+        return call
 
 
 def expected_body(kind, body):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,7 +9,8 @@
 
 from limit_checks import check_limited_refusals, check_server_limits
 from record import (
-    FAULT_FREE_PERIOD_S, HARMLESS_FAULTS, INTERRUPTIONS, LINK_FAULTS, PLANNED_STOPS, slot_of)
+    FAULT_FREE_PERIOD_S, HARMLESS_FAULTS, INTERRUPTIONS, LINK_FAULTS, NOT_EXECUTED_STATUSES,
+    PLANNED_STOPS, slot_of)
 
 # A process must not use an older version again this long after it used a newer one.
 VERSION_CHANGE_GRACE_S = 0.25
@@ -20,25 +21,27 @@
 MAX_ATTEMPTS = 2  # max_attempts of the routes
 ROUTE_TIMEOUT_S = 3.0  # timeout_ms of the routes
 ANSWER_GRACE_S = 0.5  # tolerated delay of an answer beyond the timeout
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 PAUSE_GRACE_S = 0.5  # after a 503 with Retry-After, requests may still be under way
 MAX_REQUESTS_IN_PAUSE = 2  # from one gateway
 AT_MOST_ONCE_KINDS = ("once", "stream1")
 
 
 def check_at_most_once(record):
+    """An unsafe request is executed once at most over all servers, also if its caller sent it
+    again, with the same id, after it was not executed."""
     return [f"{request} was executed {len(runs)} times: {runs}"
             for request, runs in record.runs.items()
-            if len(runs) > 1 and record.by_id[request].kind in AT_MOST_ONCE_KINDS]
+            if len(runs) > 1 and record.calls_by_id[request][0].kind in AT_MOST_ONCE_KINDS]
 
 
 def check_refusals(record):
-    """A request that was refused as not executed was not executed."""
+    """A request that was refused as not executed was not executed, unless its caller sent it
+    again before."""
     violations = []
     for call in record.calls:
         refused = call.status in NOT_EXECUTED_STATUSES or call.execution == "not-run"
-        if refused and not call.signature and call.request in record.runs:
-            violations.append(f"{call} was refused but executed: {record.runs[call.request]}")
+        if refused and not call.signature and (runs := record.runs_of(call)):
+            violations.append(f"{call} was refused but executed: {runs}")
     return violations
 
 
@@ -48,7 +51,7 @@
     for call in record.calls:
         if not 200 <= call.status < 300 or not call.whole:
             continue
-        servers = {f"sig-{run['server']}" for run in record.runs.get(call.request, [])}
+        servers = {f"sig-{run['server']}" for run in record.runs_of(call)}
         if not call.correct or call.signature not in servers:
             violations.append(f"{call} has a wrong answer or signature; executed by {servers}")
     return violations
@@ -102,7 +105,7 @@
     acknowledged = {index: done for index, _, done in record.changes}
     for call in record.calls:
         revoked_at = acknowledged.get(record.removed_by.get(call.key))
-        if revoked_at is None or call.request not in record.runs:
+        if revoked_at is None or not record.runs_of(call):
             continue
         if call.sent > revoked_at + record.bounds["revoke_ms"] / 1000:
             violations.append(f"{call} was executed {call.sent - revoked_at:.2f} s after "
@@ -115,8 +118,8 @@
     violations = []
     leaving = dict(record.drains)
     for request, runs in record.runs.items():
-        call = record.by_id[request]
         for run in runs:
+            call = record.call_at(request, run["time"])
             drain_start = leaving.get(run["server"])
             if drain_start is None:
                 continue
@@ -132,14 +135,14 @@
     server nothing after the bound, whatever the store says and whether it responds."""
     passed_on = {}  # (gateway, boot, server): time
     for call in record.calls:
-        for run in record.runs.get(call.request, []):
+        for run in record.runs_of(call):
             if run["leaving"] and call.answered and call.signature == f"sig-{run['server']}":
                 key = (call.gateway, call.boot, run["server"])
                 passed_on[key] = min(passed_on.get(key, call.answered), call.answered)
     violations = []
     for server, arrivals in record.arrivals.items():
         for request, arrived in arrivals:
-            call = record.by_id[request]
+            call = record.call_at(request, arrived)
             told = passed_on.get((call.gateway, call.boot, server))
             if told is None or call.sent <= told + record.bounds["drain_ms"] / 1000:
                 continue
@@ -154,14 +157,14 @@
     violations = []
     for server, pauses in record.pauses.items():
         for request, answered, end in pauses:
-            gateway = record.by_id[request].gateway
+            gateway = record.call_at(request, answered).gateway
             if (record.overlaps_fault({gateway}, answered, end, INTERRUPTIONS)
                     or record.overlaps_fault({slot_of(server)}, answered - PAUSE_GRACE_S, end,
                                              LINK_FAULTS)):
                 continue
             late = [other for other, arrived in record.arrivals[server]
                     if answered + PAUSE_GRACE_S < arrived < end
-                    and record.by_id[other].gateway == gateway]
+                    and record.call_at(other, arrived).gateway == gateway]
             if len(late) > MAX_REQUESTS_IN_PAUSE:
                 violations.append(f"{late} of {gateway} reached {server}, which wanted none "
                                   f"from {answered:.2f} to {end:.2f}")
@@ -209,15 +212,16 @@
         for call in record.calls:
             at_target = target in (call.gateway, "world")
             during = start - FAULT_FREE_PERIOD_S < call.sent < start + record.bounds["stop_s"] + 1
-            interrupted = not call.whole and not call.abandoned and call.request in record.runs
+            runs = record.runs_of(call)
+            interrupted = not call.whole and not call.abandoned and runs
             if not (at_target and during and interrupted):
                 continue
-            servers = {slot_of(run["server"]) for run in record.runs[call.request]}
+            servers = {slot_of(run["server"]) for run in runs}
             excused = any(
                 name in servers | {call.gateway, "world"}
                 and begun <= call.ended and over >= call.sent - FAULT_FREE_PERIOD_S
                 for name, _, begun, over in unplanned_faults)
-            faulty = any(run["fault"] for run in record.runs[call.request])
+            faulty = any(run["fault"] for run in runs)
             # Requests that servers still execute near the end of the stop period may be cut.
             latest_end = start + record.bounds["stop_s"] * 5 / 6
             if not excused and not faulty and call.ended < latest_end:
@@ -232,7 +236,7 @@
         timed_out = call.ended - call.sent > ROUTE_TIMEOUT_S - ANSWER_GRACE_S
         if call.whole or call.abandoned or not call.ended or timed_out:
             continue
-        runs = record.runs.get(call.request, [])
+        runs = record.runs_of(call)
         disturbed = {call.gateway} | {slot_of(run["server"]) for run in runs}
         faulty = any(run["fault"] not in ("", "silent") for run in runs)
         kinds = record.harmful_kinds(disturbed, call.sent - FAULT_FREE_PERIOD_S, call.ended)
@@ -247,9 +251,8 @@
     span = record.bounds["quota_window_s"]
     allowed_tokens = ((record.limit["rate_per_s"] * span + record.limit["burst"])
                       * (1 + record.bounds["quota_overage"]) + record.bounds["quota_slack"])
-    executions = sorted((record.runs[call.request][0]["time"], call.tokens)
-                        for call in record.calls
-                        if call.key == record.limited_key and call.request in record.runs)
+    executions = sorted((runs[0]["time"], call.tokens) for call in record.calls
+                        if call.key == record.limited_key and (runs := record.runs_of(call)))
     window = collections.deque()
     tokens = 0
     for time, size in executions:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -34,6 +34,9 @@
 PROBE_SERVICES = 3
 NAMED_LIMITS = (0.5, 5.0)  # requests a second that a server names
 NAMED_LIMIT_INTERVAL_S = (2.0, 6.0)  # between two changes of it
+MAX_COPIED_REFUSALS = 4  # of a server, in series
+REFUSAL_STATUSES = (400, 421, 429, 503, 503, 503)
+COPY_TIMES = ("at_once", "idle", "late", "late", "split")
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
 
@@ -209,6 +212,8 @@
         with self.fault_period(fault.target, fault.kind):
             if fault.target in self.instances:
                 self._inject_instance_fault(self.instances[fault.target], fault)
+            elif fault.kind == "copied_refusals":
+                self._copy_refusals(fault)
             elif fault.kind == "names_limit":
                 self._name_limits(fault)
             elif fault.target in self.slots:
@@ -247,10 +252,24 @@
         else:
             self._replace_backend(slot, kind)
 
+    def _slots_of(self, target):
+        """The slots that are meant by a slot or a service."""
+        return [slot for slot, service in self.slots.items() if target in (slot, service)]
+
+    def _copy_refusals(self, fault):
+        """The next requests at the target, a slot or all slots of a service, are refused, each
+        more than once."""
+        rng = random.Random(fault.at_s)
+        for slot in self._slots_of(fault.target):
+            self.backends[slot].pending_faults.extend(
+                fakes.CopiedRefusal(rng.choice(REFUSAL_STATUSES), rng.choice(COPY_TIMES),
+                                    rng.choice((1, 2)))
+                for _ in range(rng.randint(1, MAX_COPIED_REFUSALS)))
+
     def _name_limits(self, fault):
         """The target, a slot or all slots of a service, names limits that change."""
         rng = random.Random(fault.at_s)
-        slots = [slot for slot, service in self.slots.items() if fault.target in (slot, service)]
+        slots = self._slots_of(fault.target)
         end = time.monotonic() + fault.for_s
         while (left_s := end - time.monotonic()) > 0:
             for slot in slots:
--- a/tests/soak/limit_checks.py
+++ b/tests/soak/limit_checks.py
@@ -45,7 +45,7 @@
     for call in record.calls:
         if (call.signature == f"sig-{server}" and call.answered < period.end
                 and any(run["server"] == server and run["time"] > period.steps[0][0]
-                        for run in record.runs.get(call.request, []))):
+                        for run in record.runs_of(call))):
             key = (call.gateway, call.boot)
             passed_on[key] = min(passed_on.get(key, call.answered), call.answered)
     return passed_on
@@ -59,7 +59,8 @@
     for server, named in record.limits.items():
         for period in limit_periods(named):
             passed_on = _limits_passed_on(record, server, period)
-            arrivals = [(time, record.by_id[request]) for request, time in record.arrivals[server]
+            arrivals = [(time, record.call_at(request, time))
+                        for request, time in record.arrivals[server]
                         if period.steps[0][0] < time < period.end]
             for last, (end, _) in enumerate(arrivals):
                 start = end - LIMIT_WINDOW_S
@@ -91,7 +92,7 @@
         late = []
         for call in record.calls:
             rejected = (call.kind in KINDS_BY_SERVICE[service] and call.status in (503, 504)
-                        and not call.signature and call.request not in record.runs)
+                        and not call.signature and not record.runs_of(call))
             during = start + LIMIT_CONTACT_S < call.sent and call.ended < end
             if not (rejected and during and record.was_fault_free(call.gateway, call.ended)):
                 continue
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -1,5 +1,6 @@
 """The observations of a soak run, and which faults excuse what."""
 
+import collections
 import dataclasses
 
 # Timing bounds apply to a gateway once it has had no fault for this long.
@@ -7,8 +8,10 @@
 PLANNED_STOPS = {"stop", "signals_stop", "stop_half"}
 INTERRUPTIONS = PLANNED_STOPS | {  # of a gateway process
     "kill", "pause", "kill_all", "signals_start", "settings_rewritten", "address_taken"}
-HARMLESS_FAULTS = {"signals", "log_closed", "log_stalled", "names_limit"}  # excuse nothing
+HARMLESS_FAULTS = {  # excuse nothing
+    "signals", "log_closed", "log_stalled", "names_limit", "copied_refusals"}
 STORE_CUTS = {"store_cut", "store_silent", "store_one_way", "store_reset"}
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 LINK_FAULTS = {"link_cut", "link_silent", "link_one_way", "link_delay", "link_reset"}
 
 
@@ -51,7 +54,20 @@
     probe_services: int
 
     def __post_init__(self):
-        self.by_id = {call.request: call for call in self.calls}
+        self.calls_by_id = collections.defaultdict(list)  # in order of time
+        for call in sorted(self.calls, key=lambda call: call.sent):
+            self.calls_by_id[call.request].append(call)
+
+    def call_at(self, request, moment):
+        """The call with this id that a server got at this moment. A caller repeats a call
+        only after its end, so it is the last one sent until then."""
+        calls = self.calls_by_id[request]
+        return next((call for call in reversed(calls) if call.sent <= moment), calls[0])
+
+    def runs_of(self, call):
+        """The executions of a call, without those of other calls with its id."""
+        return [run for run in self.runs.get(call.request, [])
+                if self.call_at(call.request, run["time"]) is call]
 
     def overlaps_fault(self, targets, start, end, kinds=None):
         """Whether a fault that may do harm, of these kinds if they are given, on any of the
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -25,6 +25,9 @@
 # a seed determines as before.
 NOTICE_FAULT_WEIGHTS = {"says_leaving": 1, "wants_none": 1}
 MEAN_NOTICE_INTERVAL_S = 4.0
+# Refusals that servers send more than once; drawn apart as well.
+COPY_PROBABILITY = 0.7  # that servers do so in a run
+MEAN_COPY_INTERVAL_S = 1.0
 # What ends processes from outside, or keeps them from starting; drawn apart as well.
 PROCESS_FAULT_WEIGHTS = {
     "signals": 3, "signals_stop": 2, "signals_start": 2, "log_closed": 1, "log_stalled": 2,
@@ -102,6 +105,14 @@
                   rng.uniform(0.8, 1.0) * (seconds - at_s)) for at_s in starts]
 
 
+def draw_copies(rng, seconds, targets):
+    """Returns the times at which a server, or all servers of a service, begin to refuse requests
+    and send copies of the refusals."""
+    if rng.random() >= COPY_PROBABILITY:
+        return []
+    return _draw_series(rng, seconds, {"copied_refusals": 1}, MEAN_COPY_INTERVAL_S, targets)
+
+
 def draw_restore(rng, seconds):
     """Returns a restore of the store from a copy that is taken `for_s` before it, or none."""
     if rng.random() >= RESTORE_PROBABILITY:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,13 +26,14 @@
     set_port_range)
 from record import Record
 from schedule import (
-    draw_changes, draw_faults, draw_limits, draw_notices, draw_process_faults, draw_restore)
+    draw_changes, draw_copies, draw_faults, draw_limits, draw_notices, draw_process_faults,
+    draw_restore)
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
 FIRST_PORT = 26000 + PORT_OFFSET  # above the ports of the other tests
 LAST_PORT = 31999 + PORT_OFFSET  # below the ephemeral range
-LIMITED_SERVICES = ["plain", "model"] * 2  # each as likely as two of its servers
+SERVICE_TARGETS = ["plain", "model"] * 2  # each as likely as two of its servers
 SEEDS_PATH = pathlib.Path(__file__).parent / "seeds.txt"
 
 
@@ -137,7 +138,9 @@
             faults += draw_process_faults(random.Random(f"{seed}/processes"), seconds,
                                           environment.names)
             faults += draw_limits(random.Random(f"{seed}/limits"), seconds,
-                                  sorted(environment.slots) + LIMITED_SERVICES)
+                                  sorted(environment.slots) + SERVICE_TARGETS)
+            faults += draw_copies(random.Random(f"{seed}/copies"), seconds,
+                                  sorted(environment.slots) + SERVICE_TARGETS)
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -15,6 +15,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import callers  # noqa: E402
 import checks  # noqa: E402
 import environment  # noqa: E402
 import limit_checks  # noqa: E402
@@ -80,6 +81,38 @@
         self.expect(checks.check_refusals, record([refused]),
                     record([refused], runs={"r1": [run()]}))
 
+    def repeated(self, *calls, times):
+        """A request that its caller sent several times with one id, and its executions."""
+        return record(calls, runs={"r1": [run(f"plain{n}-1", time)
+                                          for n, time in enumerate(times)]})
+
+    # Guards against TWICE of issue 39: a copied refusal made a repeated request run twice.
+    def test_unsafe_request_that_is_repeated_with_its_id_is_executed_once(self):
+        refused = call(kind="once", status=503, signature="")
+        again = call(kind="once", sent=100.2)
+        check = checks.check_at_most_once
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.25, 100.26]))
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.05, 100.25]))
+
+    # Guards against a refusal that is believed because a later call with its id is executed.
+    def test_refusal_of_each_call_with_one_id_is_true(self):
+        refused = call(kind="once", status=503, signature="")
+        again = call(kind="once", sent=100.2)
+        refused_again = call(kind="once", status=503, signature="", sent=100.2)
+        check = checks.check_refusals
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.05]))
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, refused_again, times=[100.25]))
+
+    def test_executions_belong_to_the_call_that_was_under_way(self):
+        first, second = call(status=502, signature=""), call(sent=100.2)
+        repeated = self.repeated(first, second, times=[100.05, 100.25])
+        self.assertEqual([found["time"] for found in repeated.runs_of(first)], [100.05])
+        self.assertEqual([found["time"] for found in repeated.runs_of(second)], [100.25])
+
     def test_answer_is_complete_and_from_the_executing_server(self):
         self.expect(checks.check_answers, record([call()], runs={"r1": [run()]}),
                     record([call()], runs={"r1": [run("plain1-2")]}))
@@ -322,7 +355,44 @@
             self.assertEqual(child.wait(timeout=5), -signal.SIGPIPE)
 
 
+class CallersTest(unittest.TestCase):
+    def call_until_executed(self, number, *statuses):
+        """The ids and keys of the calls that a caller makes when it gets these statuses."""
+        stopped = threading.Event()
+        stopped.set()  # its thread sends nothing
+        caller = callers.Caller(
+            number, 1, types.SimpleNamespace(current_index=lambda: 0), stopped)
+        caller.stopped = threading.Event()
+        answers = [call(status=status, signature="") for status in statuses]
+        made = []
+
+        def answer(request, kind, key=None):
+            made.append((request, key))
+            return answers[len(made) - 1]
+        caller._call = answer
+        caller._call_until_executed("r1", "once")
+        return made
+
+    def test_every_second_caller_repeats_what_was_not_executed(self):
+        first, again = ("r1", None), ("r1", "key-1")
+        for status in (408, 421, 429, 503):
+            self.assertEqual(self.call_until_executed(0, status, 200), [first, again])
+            self.assertEqual(self.call_until_executed(1, status), [first])
+        for status in (200, 400, 500, 502, 504, 0):
+            self.assertEqual(self.call_until_executed(0, status), [first])
+
+
 class FaultsTest(unittest.TestCase):
+    def test_copied_refusals_come_from_all_servers_of_a_service(self):
+        soak_environment = environment.SoakEnvironment(instance_count=1)
+        for slot in soak_environment.slots:
+            soak_environment.backends[slot] = types.SimpleNamespace(pending_faults=[])
+        soak_environment.apply(schedule.Fault(1.0, "copied_refusals", "plain", 1.0))
+        copying = {slot for slot, backend in soak_environment.backends.items()
+                   if any(isinstance(fault, environment.fakes.CopiedRefusal)
+                          for fault in backend.pending_faults)}
+        self.assertEqual(copying, {"plain0", "plain1", "plain2", "plain3"})
+
     # Guards against an overlapping fault that takes the invalid settings for the valid ones.
     def test_overlapping_bad_settings_leave_the_valid_file(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -403,10 +473,13 @@
         limits = [fault for seed in range(8) for fault in schedule.draw_limits(
             random.Random(seed), 30, ["plain"])]
         self.assertTrue(0 < len(limits) < 16)
+        copies = [fault for seed in range(8)
+                  for fault in schedule.draw_copies(random.Random(seed), 30, ["plain"])]
+        self.assertTrue(copies)
         restores = [restore for seed in range(8)
                     for restore in schedule.draw_restore(random.Random(seed), 30)]
         self.assertTrue(0 < len(restores) < 8)
-        for fault in draw(1) + notices + outside + limits + restores:
+        for fault in draw(1) + notices + outside + limits + copies + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
