Let requests crash servers of the soak

Callers saw the servers of a service end one after the other, while one request came again and again; the soak sent no request that could show it. One request of each service (path, caller, body) now comes at any gateway again and again and crashes each server that begins to run it. The server's address refuses connections for 2 s (new modes "down" and "up" of fake_forwarder; before, the link of an ended server accepted, by which no gateway can tell a crash), then a new boot has it. The fake calls `on_crash` before its server ends, so that the address is closed when the connections break. Of the callers' requests 15 in 100 are alike but for their ids, as those of a client that polls. Checks: `crash_budget` allows three requests with the body at servers later than 3 s after its third crash; stops, kills, pauses, cuts from the store and lack of descriptors in the last 3 s excuse a gateway, as in `server_limits`; outages of the store, reloads and faults of servers do not. `sound_requests`: no other request is refused with 2008. Tests: both detect a violation and accept what is allowed; a crashed server returns as a new boot at its address, once, also if another fault replaces it; the caller's request stays alike.

--- a/tests/fakes/fake_forwarder.cc
+++ b/tests/fakes/fake_forwarder.cc
@@ -8,7 +8,10 @@
 //   reset    resets the connections that are open now
 //   one_way  discards what the target sends, for the rest of the connection
 //   delay    forwards each chunk after kDelay
+//   down     resets open connections and refuses new ones, as the address of an
+//            ended process does, until "up", whatever other modes come between
 #include <list>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -29,6 +32,7 @@
   std::string name;
   Endpoint listen;
   Endpoint target;
+  std::optional<tcp::acceptor> acceptor;  ///< none while the link is down
   bool cut = false;
   bool one_way = false;
   bool delayed = false;
@@ -86,11 +90,11 @@
       asio::detached);
 }
 
-Awaitable<void> AcceptConnections(std::shared_ptr<Link> link,
-                                  tcp::acceptor acceptor) {
+Awaitable<void> AcceptConnections(std::shared_ptr<Link> link) {
   const auto executor = co_await asio::this_coro::executor;
-  while (true) {
-    auto [error, accepted] = co_await acceptor.async_accept(kAsTuple);
+  while (link->acceptor) {
+    auto [error, accepted] = co_await link->acceptor->async_accept(kAsTuple);
+    if (error == asio::error::operation_aborted) co_return;
     if (error) continue;
     error_code ignored;
     const std::string source =
@@ -117,6 +121,20 @@
   });
 }
 
+bool Open(asio::io_context& context, const std::shared_ptr<Link>& link) {
+  if (link->acceptor) return true;
+  auto acceptor = Listen(context, link->listen);
+  if (!acceptor) return false;
+  link->acceptor = std::move(*acceptor);
+  asio::co_spawn(context, AcceptConnections(link), asio::detached);
+  return true;
+}
+
+void TakeDown(Link& link) {
+  link.acceptor.reset();
+  CloseConnections(link, "", true);
+}
+
 /// @param source  address whose connections are affected; empty for all
 void SetMode(Link& link, const std::string& source, const std::string& mode) {
   const bool cut = mode == "cut";
@@ -155,16 +173,12 @@
     link->listen = *ParseEndpointText(item.substr(
         listen_separator + 1, target_separator - listen_separator - 1));
     link->target = *ParseEndpointText(item.substr(target_separator + 1));
-    auto acceptor = Listen(context, link->listen);
-    if (!acceptor) return 1;
+    if (!fakes::Open(context, link)) return 1;
     links.push_back(link);
-    asio::co_spawn(context,
-                   fakes::AcceptConnections(link, std::move(*acceptor)),
-                   asio::detached);
   }
   return fakes::RunServer(
       context, static_cast<std::uint16_t>(arguments.Integer("port", 0)),
-      [&links](HttpExchange& exchange) -> Awaitable<void> {
+      [&context, &links](HttpExchange& exchange) -> Awaitable<void> {
         const auto modes = boost::json::parse(exchange.Request().body());
         for (const auto& [name, mode] : modes.as_object()) {
           const std::string key(name);
@@ -175,7 +189,13 @@
               has_source ? key.substr(separator + 1) : key;
           for (const auto& link : links) {
             if (link->name != link_name) continue;
-            fakes::SetMode(*link, source, std::string(mode.as_string()));
+            if (mode == "up") {
+              fakes::Open(context, link);
+            } else if (mode == "down") {
+              fakes::TakeDown(*link);
+            } else {
+              fakes::SetMode(*link, source, std::string(mode.as_string()));
+            }
           }
         }
         co_await exchange.Respond(fakes::JsonResponse(boost::json::object()));
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -425,7 +425,7 @@
         self.pending_faults = []
         self.crashes_on = None  # a prompt part: the server ends when it begins to answer it
         self.crashes_on_body = None  # the server ends when it begins to run such a request
-        self.on_crash = None  # called then
+        self.on_crash = None  # called before that end
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
         self.limit = ""  # requests a second that it names in each answer
@@ -543,9 +543,9 @@
                              "leaving": backend.leaving})
         if body == backend.crashes_on_body:
             self.close_connection = True
-            backend.server.kill()
             if backend.on_crash:
                 backend.on_crash()
+            backend.server.kill()
             return
         if self.late_copy:
             self.send_raw(self.late_copy)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,8 @@
 import threading
 import time
 
-from environment import EVENTS_PER_STREAM, LIMITED_KEY, idle_limit_s, key_of
+from environment import (
+    EVENTS_PER_STREAM, LIMITED_KEY, REPEATING_KEY, crashing_body, idle_limit_s, key_of)
 from record import NOT_EXECUTED_STATUSES
 
 DEADLINE_MS = 3000
@@ -21,6 +22,10 @@
 REPEAT_PAUSE_S = (0.0, 0.05)
 MAX_RETRY_AFTER_S = DEADLINE_MS / 1000 / 3  # patient callers wait no longer
 OTHER_GATEWAY_SHARE = 0.2  # share of repeats that may go to another gateway
+POLLED_SHARE = 0.15  # share of requests that are alike but for their ids
+POLLED_BODY = b"polled"
+CRASHING_CALLERS = 2  # that send the same crashing request
+MEAN_CRASHING_INTERVAL_S = 0.25  # between two requests of one of them
 UNSIZED_REQUEST_TOKENS = 10  # quota cost of a request that does not state its size
 
 KIND_WEIGHTS = {"safe": 25, "once": 25, "open": 10, "stream": 20, "stream1": 8, "probe": 12}
@@ -36,12 +41,14 @@
     key: str
     tokens: int
     sent: float
+    body: bytes = b""
     ended: float = 0.0
     status: int = 0  # 0: no complete response header was received
     whole: bool = False  # the complete body was received
     correct: bool = False
     signature: str = ""
     execution: str = ""
+    result_code: str = ""
     retry_after: str = ""
     answered: float = 0.0  # when the response header was received
     abandoned: float = 0.0  # when the caller closed the connection early; or 0
@@ -58,6 +65,7 @@
     def __init__(self, number, seed, environment, stopped):
         self.rng = random.Random(f"{seed}/{number}")
         self.repeat_rng = random.Random(f"{seed}/{number}/repeats")
+        self.polled_rng = random.Random(f"{seed}/{number}/polled")
         self.number = number
         self.max_repeats = MAX_REPEATS if number % 2 == 0 else 0
         self.max_wait_s = 0 if number % 4 == 0 else MAX_RETRY_AFTER_S
@@ -74,11 +82,15 @@
         while not self.stopped.is_set():
             self.stopped.wait(self._draw_pause_s())
             kind = self.rng.choices(list(KIND_WEIGHTS), weights=KIND_WEIGHTS.values())[0]
-            self._call_until_executed(f"c{self.number}-{count}", kind)
+            polled = kind != "probe" and self.polled_rng.random() < POLLED_SHARE
+            self._call_until_executed(f"c{self.number}-{count}", kind, polled)
             count += 1
 
-    def _call_until_executed(self, request, kind):
-        call = self._call(request, kind)
+    def _call_until_executed(self, request, kind, polled=False):
+        if polled:
+            call = self._call(request, kind, "" if kind == "open" else REPEATING_KEY, POLLED_BODY)
+        else:
+            call = self._call(request, kind)
         for _ in range(self.max_repeats):
             if call is None or not call.was_refused() or self.stopped.is_set():
                 return
@@ -87,7 +99,7 @@
             if pause_s > self._max_idle_s() or self.repeat_rng.random() < OTHER_GATEWAY_SHARE:
                 self._disconnect()
             self.stopped.wait(pause_s)
-            call = self._call(request, kind, call.key)
+            call = self._call(request, kind, call.key, call.body)
 
     def _draw_pause_s(self):
         if self.rng.random() < LONG_PAUSE_SHARE:
@@ -123,8 +135,9 @@
             return key_of(max(0, index - 1))
         return key_of(index + 1 if draw < 0.6 else index)
 
-    def _call(self, request, kind, key=None):
-        """Returns the call, or None if there was no connection. Draws a key if none is given."""
+    def _call(self, request, kind, key=None, body=None):
+        """Returns the call, or None if there was no connection. Draws a key if none is given,
+        and sends a body that no other request has."""
         try:
             if self.connection is None:
                 self._connect()
@@ -142,16 +155,16 @@
             headers["Cowslipknot-Token-Count"] = f"{prompt},{OUTPUT_TOKENS}"
         call = Call(request, kind, self.instance.name, self.instance.boot, key,
                     prompt + OUTPUT_TOKENS if prompt else UNSIZED_REQUEST_TOKENS,
-                    time.monotonic())
+                    time.monotonic(), body or f"body of {request}".encode())
         self.calls.append(call)
-        body = f"body of {request}".encode()
         try:
-            self.connection.request("POST", f"/{kind}/x", body=body, headers=headers)
+            self.connection.request("POST", f"/{kind}/x", body=call.body, headers=headers)
             answer = self.connection.getresponse()
             call.answered = time.monotonic()
             call.status = answer.status
             call.signature = answer.headers["Cowslipknot-Server-Signature"] or ""
             call.execution = answer.headers["X-Execution"] or ""
+            call.result_code = answer.headers["X-Result-Code"] or ""
             call.retry_after = answer.headers["Retry-After"] or ""
             if prompt and call.status == 200 and self.rng.random() < ABANDONED_SHARE:
                 answer.read(1)
@@ -160,7 +173,7 @@
                 return call
             received = answer.read()
             call.whole = True
-            call.correct = received == expected_body(kind, body)
+            call.correct = received == expected_body(kind, call.body)
             if answer.will_close:
                 self._disconnect()
         except (OSError, http.client.HTTPException):
@@ -170,6 +183,28 @@
         return call
 
 
+class CrashingCaller(Caller):
+    """Sends one request that crashes servers again and again, each time to any gateway, for
+    the time of a fault, whose target is the kind of the request."""
+
+    def __init__(self, number, seed, environment, start, fault):
+        self.fault = fault
+        self.begin = start + fault.at_s
+        self.body = crashing_body(environment.service_of(fault.target))
+        super().__init__(number, seed, environment, threading.Event())
+
+    def _run(self):
+        time.sleep(max(0.0, self.begin - time.monotonic()))
+        count = 0
+        with self.environment.fault_period(self.fault.target, self.fault.kind):
+            while time.monotonic() < self.begin + self.fault.for_s:
+                self._call(f"{self.fault.target}{self.number}-{count}", self.fault.target,
+                           REPEATING_KEY, self.body)
+                self._disconnect()
+                count += 1
+                time.sleep(self.rng.expovariate(1 / MEAN_CRASHING_INTERVAL_S))
+
+
 def expected_body(kind, body):
     if kind in ("stream", "stream1"):
         return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n)
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -39,12 +39,19 @@
 COPY_TIMES = ("at_once", "idle", "late", "late", "split")
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
+REPEATING_KEY = "repeating-key"  # never revoked
+CRASHED_SERVER_RETURN_S = 2.0  # time until a server that a request has crashed is back
 
 
 def key_of(version):
     return f"key-{version}"
 
 
+def crashing_body(service):
+    """The body of the requests that crash each server of a service."""
+    return f"crashes {service}".encode()
+
+
 def idle_limit_s(index):
     return IDLE_LIMITS_S[index % len(IDLE_LIMITS_S)]
 
@@ -66,6 +73,7 @@
             *({"name": f"probe{n}", "max_conns": MAX_CONNS}
               for n in range(PROBE_SERVICES))],
         tenants=[tenant("main", key_of(index), key_of(index + 1)),
+                 tenant("repeating", REPEATING_KEY),
                  tenant("limited", LIMITED_KEY, **LIMIT)])
 
 
@@ -83,6 +91,8 @@
         self.generation = 0
         self.fault_periods = []  # (target, kind, start, end)
         self.drains = []  # (server, time at which the store acknowledged it)
+        self.crashes = collections.defaultdict(list)  # body: [time at which it crashed a server]
+        self.returns = []  # threads that start crashed servers anew
         self.limits = collections.defaultdict(list)  # server: [(time, limit named, or 0)]
         self.changes = []  # (index, time begun, time acknowledged)
         self.names = [f"gw{n}" for n in range(instance_count)]
@@ -147,8 +157,11 @@
         self.generation += 1
         backend = fakes.Backend(f"{slot}-{self.generation}", events=EVENTS_PER_STREAM,
                                 event_pause_s=EVENT_INTERVAL_S, port=self.ports[slot])
+        backend.crashes_on_body = crashing_body(self.slots[slot])
+        backend.on_crash = lambda: self._record_crash(slot, backend)
         with self.lock:
             self.backends[slot] = backend
+            self.set_links({slot: "up"})
         self._write_registration(backend.name, self._registration(slot))
 
     def _write_registration(self, name, registration):
@@ -171,6 +184,36 @@
         backend.server.kill() if crash else backend.server.stop()
         return backend
 
+    def _record_crash(self, slot, backend):
+        """A server ends with the request that it begins to run; its address refuses connections,
+        by which gateways tell a crash from a broken link."""
+        with self.lock:
+            if self.backends[slot] is not backend or backend in self.ended_backends:
+                return  # it has already ended
+            self.ended_backends.append(backend)
+            self.set_links({slot: "down"})
+            self.crashes[backend.crashes_on_body].append(time.monotonic())
+            thread = threading.Thread(target=self._return_crashed, args=(slot, backend))
+            self.returns.append(thread)
+            thread.start()
+
+    def _return_crashed(self, slot, backend):
+        """Starts a crashed server anew, unless another fault has replaced it."""
+        begun = min(run["time"] for run in backend.runs if run["body"] == backend.crashes_on_body)
+        with self.fault_period(slot, "request_crash", begun):
+            time.sleep(CRASHED_SERVER_RETURN_S)
+            with self.slot_locks[slot]:
+                if self.backends[slot] is backend:
+                    self._write_registration(backend.name, None)
+                    self._add_backend(slot)
+
+    def wait_until_returned(self):
+        """Waits until the servers that requests have crashed are back."""
+        with self.lock:
+            returns = list(self.returns)
+        for thread in returns:
+            thread.join()
+
     def all_backends(self):
         """Returns the fake servers that run or have stopped."""
         with self.lock:
@@ -201,8 +244,8 @@
 
     # Faults --------------------------------------------------------------
     @contextlib.contextmanager
-    def fault_period(self, target, kind):
-        period = [target, kind, time.monotonic(), float("inf")]
+    def fault_period(self, target, kind, begun=None):
+        period = [target, kind, begun or time.monotonic(), float("inf")]
         self.fault_periods.append(period)
         yield
         period[3] = time.monotonic()
@@ -252,6 +295,11 @@
         else:
             self._replace_backend(slot, kind)
 
+    @staticmethod
+    def service_of(kind):
+        """The service that serves a kind of request."""
+        return next(route["service"] for route in routes() if route["name"] == kind)
+
     def _slots_of(self, target):
         """The slots that are meant by a slot or a service."""
         return [slot for slot, service in self.slots.items() if target in (slot, service)]
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -41,6 +41,7 @@
     arrivals: dict  # server: [(request id, time)]
     pauses: dict  # server: [(request id, time of a 503 with Retry-After, end of that time)]
     limits: dict  # server: [(time, limit that it names from then on, or 0)]
+    crashes: dict  # body: [time at which a request with it crashed a server]
     changes: list  # (index, time begun, time acknowledged)
     usage: list  # usage reports to the cloud in order of arrival
     scale: list  # capacity orders to the cloud in order of arrival
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -37,6 +37,9 @@
 # Limits that servers name for all instances together; drawn apart as well.
 LIMIT_PROBABILITY = 0.5  # that some servers name one in a run
 LIMIT_COUNT = 2
+# Requests that crash the servers that run them; drawn apart as well.
+CRASHING_PROBABILITY = 0.5  # that there is one for a service in a run
+CRASHING_KINDS = {"plain": ("safe", "once"), "model": ("stream", "stream1")}  # by service
 RESTORE_PROBABILITY = 0.5  # that the store is restored from a copy in a run
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
@@ -113,6 +116,18 @@
     return _draw_series(rng, seconds, {"copied_refusals": 1}, MEAN_COPY_INTERVAL_S, targets)
 
 
+def draw_crashing_requests(rng, seconds):
+    """Returns the times for which a request comes again that crashes servers, at most one for
+    each service. They are long, since a bound binds only after three crashes and some seconds."""
+    faults = []
+    for kinds in CRASHING_KINDS.values():
+        if rng.random() < CRASHING_PROBABILITY:
+            at_s = rng.uniform(0, seconds / 6)
+            faults.append(Fault(at_s, "crashing_request", rng.choice(kinds),
+                                rng.uniform(0.8, 1.0) * (seconds - at_s)))
+    return faults
+
+
 def draw_restore(rng, seconds):
     """Returns a restore of the store from a copy that is taken `for_s` before it, or none."""
     if rng.random() >= RESTORE_PROBABILITY:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,15 +19,15 @@
 import time
 import traceback
 
-from callers import CALLER_COUNT, Caller
+from callers import CALLER_COUNT, CRASHING_CALLERS, Caller, CrashingCaller
 from checks import CHECKS, RECOVERY_TIMEOUT_S
 from environment import (
     BOUNDS, LIMIT, LIMITED_KEY, PORT_OFFSET, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
     set_port_range)
 from record import Record
 from schedule import (
-    draw_changes, draw_copies, draw_faults, draw_limits, draw_notices, draw_process_faults,
-    draw_restore)
+    draw_changes, draw_copies, draw_crashing_requests, draw_faults, draw_limits, draw_notices,
+    draw_process_faults, draw_restore)
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
@@ -103,6 +103,7 @@
                   for backend in environment.all_backends()},
         pauses={backend.name: list(backend.pauses)
                 for backend in environment.all_backends()},
+        crashes=dict(environment.crashes),
         limits={name: list(named) for name, named in environment.limits.items()},
         usage=list(environment.cloud.usage),
         scale=list(environment.cloud.scale),
@@ -141,17 +142,25 @@
                                   sorted(environment.slots) + SERVICE_TARGETS)
             faults += draw_copies(random.Random(f"{seed}/copies"), seconds,
                                   sorted(environment.slots) + SERVICE_TARGETS)
+        crashing = [] if quiet else draw_crashing_requests(random.Random(f"{seed}/crashing"),
+                                                           seconds)
         stopped = threading.Event()
         callers = [Caller(number, seed, environment, stopped)
                    for number in range(CALLER_COUNT)]
-        inject_faults(environment, faults, draw_changes(rng, seconds),
-                      time.monotonic() + FAULT_FREE_START_S)
+        start = time.monotonic() + FAULT_FREE_START_S
+        crashing_callers = [CrashingCaller(number, seed, environment, start, fault)
+                            for fault in crashing for number in range(CRASHING_CALLERS)]
+        inject_faults(environment, faults, draw_changes(rng, seconds), start)
+        for caller in crashing_callers:
+            caller.thread.join()
+        environment.wait_until_returned()
+        faults += crashing
         recovered = wait_for_recovery(environment)
         time.sleep(POST_RECOVERY_LOAD_S)
         stopped.set()
         for caller in callers:
             caller.thread.join()
-        record = build_record(environment, callers, recovered)
+        record = build_record(environment, callers + crashing_callers, recovered)
         violations = {name: found for name, check in CHECKS.items()
                       if (found := check(record))}
         if errors:
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -1,5 +1,6 @@
 """Tests that each check of the soak reports a violation and accepts a valid record."""
 
+import http.client
 import os
 import pathlib
 import random
@@ -43,7 +44,7 @@
 
 def record(calls=(), **fields):
     values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
-              "pauses": {}, "limits": {}, "changes": [], "usage": [],
+              "pauses": {}, "limits": {}, "crashes": {}, "changes": [], "usage": [],
               "scale": [], "exits": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
@@ -187,6 +188,51 @@
         self.expect(check, after(100.7, 101.0, 101.9, faults=[("plain0", "link_cut", 99, 101)]),
                     after(100.7, 101.0, 101.9, faults=[("gw0", "store_cut", 99, 101)]))
 
+    def crashing(self, *times, faults=(), crashes=(100.0, 100.1, 100.2), gateway="gw0",
+                 sent_before=0.01):
+        """A request that crashes servers, and when it reaches plain0-1."""
+        calls = [call(f"r{number}", sent=time - sent_before, body=b"crashes", gateway=gateway)
+                 for number, time in enumerate(times)]
+        return record(calls, crashes={b"crashes": list(crashes)}, fault_periods=faults,
+                      arrivals={"plain0-1": [(f"r{number}", time)
+                                             for number, time in enumerate(times)]})
+
+    # Guards against BUDGET of issue 39: a request that crashes the servers that run it went on
+    # to reach servers.
+    def test_request_that_crashed_three_servers_reaches_servers_three_times_more(self):
+        check = checks.check_crash_budget
+        late = (103.3, 104.0, 105.0, 106.0)
+        violating = self.crashing(*late)
+        self.expect(check, self.crashing(*late[1:]), violating)
+        self.expect(check, self.crashing(*late, crashes=(100.0, 100.1)), violating)
+        self.expect(check, self.crashing(*late, crashes=(100.0, 100.1, 100.4)), violating)
+        self.expect(check, self.crashing(103.1, *late[1:]), violating)
+        other = self.crashing(*late)
+        other.calls[0].body = b"sound"
+        self.expect(check, other, violating)
+
+    def test_budget_of_crashing_requests_binds_gateways_in_touch(self):
+        check = checks.check_crash_budget
+        late = (103.3, 104.0, 105.0, 106.0)
+        for kind in ("kill", "pause", "stop", "store_cut", "few_descriptors"):
+            self.expect(check, self.crashing(*late, faults=[("gw0", kind, 100.0, 100.4)]),
+                        self.crashing(*late, faults=[("gw0", kind, 100.0, 100.2)]))
+        for harmless in (("gw1", "kill", 100.0, 106.0), ("gw0", "reload", 100.0, 106.0),
+                         ("world", "store_down", 100.0, 106.0), ("plain0", "crash", 100.0, 106.0)):
+            self.assertNotEqual(check(self.crashing(*late, faults=[harmless])), [])
+        # A slow link holds up what was sent in time.
+        delay = ("plain0", "link_delay", 103.0, 103.5)
+        self.expect(check, self.crashing(*late, faults=[delay], sent_before=0.2),
+                    self.crashing(*late, faults=[delay]))
+
+    def test_sound_requests_are_not_quarantined(self):
+        quarantined = call(status=503, result_code="2008", body=b"crashes")
+        self.expect(checks.check_sound_requests,
+                    record([quarantined], crashes={b"crashes": [100.0]}), record([quarantined]))
+        self.expect(checks.check_sound_requests, record([call(status=503, result_code="2001")]),
+                    record([call(status=503, result_code="2008")],
+                           crashes={b"crashes": [100.0]}))
+
     def load(self, rate, *limits, faults=(), gateways=2, **fields):
         """A server that names its first limit at 100.0 and gets this many requests a second
         until 112.0 from the gateways in turn."""
@@ -366,7 +412,7 @@
         answers = [call(status=status, signature="") for status in statuses]
         made = []
 
-        def answer(request, kind, key=None):
+        def answer(request, kind, key=None, _=None):
             made.append((request, key))
             return answers[len(made) - 1]
         caller._call = answer
@@ -382,7 +428,74 @@
             self.assertEqual(self.call_until_executed(0, status), [first])
 
 
+    def test_crashing_caller_repeats_one_request_during_its_fault(self):
+        made = []
+
+        class Recording(callers.CrashingCaller):
+            def _call(self, request, kind, key=None, body=None):
+                made.append((time.monotonic(), request, kind, key, body))
+
+        soak_environment = environment.SoakEnvironment(instance_count=0)
+        start = time.monotonic()
+        fault = schedule.Fault(0.2, "crashing_request", "stream1", 1.5)
+        caller = Recording(0, 1, soak_environment, start, fault)
+        caller.thread.join()
+        times, ids, *fields = zip(*made)
+        self.assertGreater(len(made), 1)
+        self.assertEqual(len(set(ids)), len(ids))
+        self.assertEqual([set(field) for field in fields],
+                         [{"stream1"}, {environment.REPEATING_KEY}, {b"crashes model"}])
+        self.assertTrue(start + 0.2 <= times[0] and times[-1] < start + 1.7)
+
+
 class FaultsTest(unittest.TestCase):
+    def crashing_environment(self):
+        """An environment with one server and no gateway."""
+        soak_environment = environment.SoakEnvironment(instance_count=0, plains=1, models=0)
+        soak_environment._start_links()
+        self.addCleanup(soak_environment.__exit__)
+        soak_environment._add_backend("plain0")
+        return soak_environment
+
+    def send_crashing(self, soak_environment):
+        server = soak_environment.backends["plain0"].name
+        connection = http.client.HTTPConnection(soak_environment.links["plain0"], timeout=5)
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            connection.request("POST", "/safe/x", body=environment.crashing_body("plain"),
+                               headers={"Cowslipknot-Request-Id": "r1",
+                                        "Cowslipknot-Expect-Instance": server})
+            connection.getresponse()
+
+    def test_crashed_server_returns_as_a_new_one_at_its_address(self):
+        soak_environment = self.crashing_environment()
+        crashed = soak_environment.backends["plain0"]
+        self.send_crashing(soak_environment)
+        address = soak_environment.links["plain0"].split(":")
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(address).close()
+        soak_environment.wait_until_returned()
+        socket.create_connection(address).close()
+        returned = soak_environment.backends["plain0"]
+        self.addCleanup(returned.server.stop)
+        self.assertEqual(returned.server.address, crashed.server.address)
+        self.assertEqual(soak_environment.store.keys("servers"), [returned.name])
+        self.assertEqual(len(soak_environment.crashes[b"crashes plain"]), 1)
+        self.assertEqual(len(soak_environment.runs()["r1"]), 1)
+        (target, kind, begun, over), = soak_environment.fault_periods
+        self.assertEqual((target, kind), ("plain0", "request_crash"))
+        self.assertGreaterEqual(over - begun, environment.CRASHED_SERVER_RETURN_S)
+
+    # Guards against two servers at one address, or none.
+    def test_crashed_server_that_another_fault_replaces_returns_once(self):
+        soak_environment = self.crashing_environment()
+        self.send_crashing(soak_environment)
+        soak_environment.apply(schedule.Fault(0.0, "reborn", "plain0", 0.1))
+        replacement = soak_environment.backends["plain0"]
+        self.addCleanup(replacement.server.stop)
+        soak_environment.wait_until_returned()
+        self.assertIs(soak_environment.backends["plain0"], replacement)
+        self.assertEqual(soak_environment.store.keys("servers"), [replacement.name])
+
     def test_copied_refusals_come_from_all_servers_of_a_service(self):
         soak_environment = environment.SoakEnvironment(instance_count=1)
         for slot in soak_environment.slots:
@@ -476,10 +589,13 @@
         copies = [fault for seed in range(8)
                   for fault in schedule.draw_copies(random.Random(seed), 30, ["plain"])]
         self.assertTrue(copies)
+        crashing = [fault for seed in range(8) for fault in schedule.draw_crashing_requests(
+            random.Random(seed), 30)]
+        self.assertTrue(0 < len(crashing) < 16)
         restores = [restore for seed in range(8)
                     for restore in schedule.draw_restore(random.Random(seed), 30)]
         self.assertTrue(0 < len(restores) < 8)
-        for fault in draw(1) + notices + outside + limits + copies + restores:
+        for fault in draw(1) + notices + outside + limits + copies + crashing + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
