Promise nothing where only the last attempt was refused

What callers saw: 503, with X-Execution "outcome-unknown", for a request that a server had run. 503 promises that a request did not run. Cause: a call that ends without an answer reports the error of its last attempt. That was 3007 (503), though an earlier attempt may have run. Only repeatable requests are sent again after such an attempt, so no request that must run once was concerned (by reading). Change: where an earlier attempt may have run, a result whose status promises the opposite becomes 3002 (502). Not changed: runs of `serve`, which also keep the last error with "outcome-unknown" (model_run.cc, plain_call.cc; by reading). Command: python3 -m unittest server_faults_test (in tests/platform)

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -33,6 +33,12 @@
          beast::iequals(type.substr(0, kEventStream.size()), kEventStream);
 }
 
+/// Whether the status of a result promises that the request did not run.
+bool PromisesNotRun(ResultCode code) {
+  return Describe(code).http_status ==
+         static_cast<std::uint16_t>(http::status::service_unavailable);
+}
+
 /// Ends the tracking of an attempt that has no result.
 class TrackedAttempt {
  public:
@@ -279,6 +285,9 @@
   error.execution = Execution::kUnknown;
   if (TimeLeft().count() == 0 || m_stopped) {
     error.code = ResultCode::kOutcomeUnknown;
+  } else if (PromisesNotRun(error.code)) {
+    // True of the last attempt only.
+    error.code = ResultCode::kBackendFailed;
   }
   RecordDuration();
   LogFailure(error);
--- a/tests/platform/server_faults_test.py
+++ b/tests/platform/server_faults_test.py
@@ -297,6 +297,20 @@
                 self.assertEqual(self.pieces(received), [1, 2, 3, 4, 5])
                 self.assertTrue(complete)
 
+    # Guards against 503, which promises that a request did not run, where one attempt broke off
+    # and the next one was refused.
+    def test_refusal_of_the_last_attempt_promises_nothing_about_earlier_ones(self):
+        for service, path in (("plain", "/safe/x"), ("model", "/stream/x")):
+            with self.subTest(path=path):
+                gateway = self.start(service, [])
+                faults = ["reset"] + ["reject"] * 9
+                for backend in self.backends:
+                    backend.pending_faults = faults  # of the attempts in their order
+                status = gateway.call(path, request_id=f"r-{service}")[0]
+                runs = sum(run["headers"]["Cowslipknot-Request-Id"] == f"r-{service}"
+                           for backend in self.backends for run in backend.runs)
+                self.assertEqual((runs, status), (1, 502), gateway.history("attempt"))
+
     # Guards against taking the repeated refusal of an attempt for the answer to a later
     # attempt of the same request at the same server.
     def test_refusal_that_comes_twice_does_not_answer_the_next_attempt(self):
