--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -431,7 +431,7 @@
         self.crashes_on_body = None  # the server ends when it runs a body that begins so
         self.crash_pause_s = 0.0  # between the beginning of that run and the end
         self.crash_after_events = 0  # of a stream, which are sent before the end
-        self.on_crash = None  # called then with the body, which is empty for a prompt part
+        self.on_crash = None  # called before that with the body, empty for a prompt part
         self.misdirection = None  # CopiedRefusal of a request that names another server
         self.leaving = False  # says so in each answer
         self.retry_after = ""  # of each 503
@@ -624,9 +624,9 @@
                 self.chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
             time.sleep(0.01)  # until the events are read
         self.close_connection = True
-        backend.server.kill()
         if backend.on_crash:
             backend.on_crash(body)
+        backend.server.kill()
 
     def wait_until_disconnected(self, request):
         self.connection.settimeout(10)
@@ -717,9 +717,9 @@
         if not backend.crashes_on or backend.crashes_on not in prompt_parts(self.headers):
             return False
         self.close_connection = True
-        backend.server.kill()
         if backend.on_crash:
             backend.on_crash(b"")
+        backend.server.kill()
         return True
 
     def stream(self, signed_headers, fault, request):
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -34,14 +34,24 @@
 PROBE_SERVICES = 3
 NAMED_LIMITS = (0.5, 5.0)  # requests a second that a server names
 NAMED_LIMIT_INTERVAL_S = (2.0, 6.0)  # between two changes of it
+MAX_COPIED_REFUSALS = 4  # of a server, in series
+REFUSAL_STATUSES = (400, 421, 429, 503, 503, 503)
+COPY_TIMES = ("at_once", "idle", "late", "late", "split")
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
+REPEATING_KEY = "repeating-key"  # never revoked
+CRASHED_SERVER_RETURN_S = 2.0  # time until a server that a request has crashed is back
 
 
 def key_of(version):
     return f"key-{version}"
 
 
+def crashing_body(service):
+    """The body of the requests that crash each server of a service."""
+    return f"crashes {service}".encode()
+
+
 def idle_limit_s(index):
     return IDLE_LIMITS_S[index % len(IDLE_LIMITS_S)]
 
@@ -63,6 +73,7 @@
             *({"name": f"probe{n}", "max_conns": MAX_CONNS}
               for n in range(PROBE_SERVICES))],
         tenants=[tenant("main", key_of(index), key_of(index + 1)),
+                 tenant("repeating", REPEATING_KEY),
                  tenant("limited", LIMITED_KEY, **LIMIT)])
 
 
@@ -80,6 +91,8 @@
         self.generation = 0
         self.fault_periods = []  # (target, kind, start, end)
         self.drains = []  # (server, time at which the store acknowledged it)
+        self.crashes = collections.defaultdict(list)  # body: [time at which it crashed a server]
+        self.returns = []  # threads that start crashed servers anew
         self.limits = collections.defaultdict(list)  # server: [(time, limit named, or 0)]
         self.changes = []  # (index, time begun, time acknowledged)
         self.names = [f"gw{n}" for n in range(instance_count)]
@@ -144,8 +157,11 @@
         self.generation += 1
         backend = fakes.Backend(f"{slot}-{self.generation}", events=EVENTS_PER_STREAM,
                                 event_pause_s=EVENT_INTERVAL_S, port=self.ports[slot])
+        backend.crashes_on_body = crashing_body(self.slots[slot])
+        backend.on_crash = lambda _: self._record_crash(slot, backend)
         with self.lock:
             self.backends[slot] = backend
+            self.set_links({slot: "up"})
         self._write_registration(backend.name, self._registration(slot))
 
     def _write_registration(self, name, registration):
@@ -168,6 +184,36 @@
         backend.server.kill() if crash else backend.server.stop()
         return backend
 
+    def _record_crash(self, slot, backend):
+        """A server ends with the request that it begins to run; its address refuses connections,
+        by which gateways tell a crash from a broken link."""
+        with self.lock:
+            if self.backends[slot] is not backend or backend in self.ended_backends:
+                return  # it has already ended
+            self.ended_backends.append(backend)
+            self.set_links({slot: "down"})
+            self.crashes[backend.crashes_on_body].append(time.monotonic())
+            thread = threading.Thread(target=self._return_crashed, args=(slot, backend))
+            self.returns.append(thread)
+            thread.start()
+
+    def _return_crashed(self, slot, backend):
+        """Starts a crashed server anew, unless another fault has replaced it."""
+        begun = min(run["time"] for run in backend.runs if run["body"] == backend.crashes_on_body)
+        with self.fault_period(slot, "request_crash", begun):
+            time.sleep(CRASHED_SERVER_RETURN_S)
+            with self.slot_locks[slot]:
+                if self.backends[slot] is backend:
+                    self._write_registration(backend.name, None)
+                    self._add_backend(slot)
+
+    def wait_until_returned(self):
+        """Waits until the servers that requests have crashed are back."""
+        with self.lock:
+            returns = list(self.returns)
+        for thread in returns:
+            thread.join()
+
     def all_backends(self):
         """Returns the fake servers that run or have stopped."""
         with self.lock:
@@ -198,8 +244,8 @@
 
     # Faults --------------------------------------------------------------
     @contextlib.contextmanager
-    def fault_period(self, target, kind):
-        period = [target, kind, time.monotonic(), float("inf")]
+    def fault_period(self, target, kind, begun=None):
+        period = [target, kind, begun or time.monotonic(), float("inf")]
         self.fault_periods.append(period)
         yield
         period[3] = time.monotonic()
@@ -209,6 +255,8 @@
         with self.fault_period(fault.target, fault.kind):
             if fault.target in self.instances:
                 self._inject_instance_fault(self.instances[fault.target], fault)
+            elif fault.kind == "copied_refusals":
+                self._copy_refusals(fault)
             elif fault.kind == "names_limit":
                 self._name_limits(fault)
             elif fault.target in self.slots:
@@ -247,10 +295,29 @@
         else:
             self._replace_backend(slot, kind)
 
+    @staticmethod
+    def service_of(kind):
+        """The service that serves a kind of request."""
+        return next(route["service"] for route in routes() if route["name"] == kind)
+
+    def _slots_of(self, target):
+        """The slots that are meant by a slot or a service."""
+        return [slot for slot, service in self.slots.items() if target in (slot, service)]
+
+    def _copy_refusals(self, fault):
+        """The next requests at the target, a slot or all slots of a service, are refused, each
+        more than once."""
+        rng = random.Random(fault.at_s)
+        for slot in self._slots_of(fault.target):
+            self.backends[slot].pending_faults.extend(
+                fakes.CopiedRefusal(rng.choice(REFUSAL_STATUSES), rng.choice(COPY_TIMES),
+                                    rng.choice((1, 2)))
+                for _ in range(rng.randint(1, MAX_COPIED_REFUSALS)))
+
     def _name_limits(self, fault):
         """The target, a slot or all slots of a service, names limits that change."""
         rng = random.Random(fault.at_s)
-        slots = [slot for slot, service in self.slots.items() if fault.target in (slot, service)]
+        slots = self._slots_of(fault.target)
         end = time.monotonic() + fault.for_s
         while (left_s := end - time.monotonic()) > 0:
             for slot in slots:
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -1,5 +1,6 @@
 """Tests that each check of the soak reports a violation and accepts a valid record."""
 
+import http.client
 import os
 import pathlib
 import random
@@ -15,6 +16,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
+import callers  # noqa: E402
 import checks  # noqa: E402
 import environment  # noqa: E402
 import limit_checks  # noqa: E402
@@ -42,7 +44,7 @@
 
 def record(calls=(), **fields):
     values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
-              "pauses": {}, "limits": {}, "changes": [], "usage": [],
+              "pauses": {}, "limits": {}, "crashes": {}, "changes": [], "usage": [],
               "scale": [], "exits": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
@@ -80,6 +82,38 @@
         self.expect(checks.check_refusals, record([refused]),
                     record([refused], runs={"r1": [run()]}))
 
+    def repeated(self, *calls, times):
+        """A request that its caller sent several times with one id, and its executions."""
+        return record(calls, runs={"r1": [run(f"plain{n}-1", time)
+                                          for n, time in enumerate(times)]})
+
+    # Guards against TWICE of issue 39: a copied refusal made a repeated request run twice.
+    def test_unsafe_request_that_is_repeated_with_its_id_is_executed_once(self):
+        refused = call(kind="once", status=503, signature="")
+        again = call(kind="once", sent=100.2)
+        check = checks.check_at_most_once
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.25, 100.26]))
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.05, 100.25]))
+
+    # Guards against a refusal that is believed because a later call with its id is executed.
+    def test_refusal_of_each_call_with_one_id_is_true(self):
+        refused = call(kind="once", status=503, signature="")
+        again = call(kind="once", sent=100.2)
+        refused_again = call(kind="once", status=503, signature="", sent=100.2)
+        check = checks.check_refusals
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, again, times=[100.05]))
+        self.expect(check, self.repeated(refused, again, times=[100.25]),
+                    self.repeated(refused, refused_again, times=[100.25]))
+
+    def test_executions_belong_to_the_call_that_was_under_way(self):
+        first, second = call(status=502, signature=""), call(sent=100.2)
+        repeated = self.repeated(first, second, times=[100.05, 100.25])
+        self.assertEqual([found["time"] for found in repeated.runs_of(first)], [100.05])
+        self.assertEqual([found["time"] for found in repeated.runs_of(second)], [100.25])
+
     def test_answer_is_complete_and_from_the_executing_server(self):
         self.expect(checks.check_answers, record([call()], runs={"r1": [run()]}),
                     record([call()], runs={"r1": [run("plain1-2")]}))
@@ -154,6 +188,51 @@
         self.expect(check, after(100.7, 101.0, 101.9, faults=[("plain0", "link_cut", 99, 101)]),
                     after(100.7, 101.0, 101.9, faults=[("gw0", "store_cut", 99, 101)]))
 
+    def crashing(self, *times, faults=(), crashes=(100.0, 100.1, 100.2), gateway="gw0",
+                 sent_before=0.01):
+        """A request that crashes servers, and when it reaches plain0-1."""
+        calls = [call(f"r{number}", sent=time - sent_before, body=b"crashes", gateway=gateway)
+                 for number, time in enumerate(times)]
+        return record(calls, crashes={b"crashes": list(crashes)}, fault_periods=faults,
+                      arrivals={"plain0-1": [(f"r{number}", time)
+                                             for number, time in enumerate(times)]})
+
+    # Guards against BUDGET of issue 39: a request that crashes the servers that run it went on
+    # to reach servers.
+    def test_request_that_crashed_three_servers_reaches_servers_three_times_more(self):
+        check = checks.check_crash_budget
+        late = (103.3, 104.0, 105.0, 106.0)
+        violating = self.crashing(*late)
+        self.expect(check, self.crashing(*late[1:]), violating)
+        self.expect(check, self.crashing(*late, crashes=(100.0, 100.1)), violating)
+        self.expect(check, self.crashing(*late, crashes=(100.0, 100.1, 100.4)), violating)
+        self.expect(check, self.crashing(103.1, *late[1:]), violating)
+        other = self.crashing(*late)
+        other.calls[0].body = b"sound"
+        self.expect(check, other, violating)
+
+    def test_budget_of_crashing_requests_binds_gateways_in_touch(self):
+        check = checks.check_crash_budget
+        late = (103.3, 104.0, 105.0, 106.0)
+        for kind in ("kill", "pause", "stop", "store_cut", "few_descriptors"):
+            self.expect(check, self.crashing(*late, faults=[("gw0", kind, 100.0, 100.4)]),
+                        self.crashing(*late, faults=[("gw0", kind, 100.0, 100.2)]))
+        for harmless in (("gw1", "kill", 100.0, 106.0), ("gw0", "reload", 100.0, 106.0),
+                         ("world", "store_down", 100.0, 106.0), ("plain0", "crash", 100.0, 106.0)):
+            self.assertNotEqual(check(self.crashing(*late, faults=[harmless])), [])
+        # A slow link holds up what was sent in time.
+        delay = ("plain0", "link_delay", 103.0, 103.5)
+        self.expect(check, self.crashing(*late, faults=[delay], sent_before=0.2),
+                    self.crashing(*late, faults=[delay]))
+
+    def test_sound_requests_are_not_quarantined(self):
+        quarantined = call(status=503, result_code="2008", body=b"crashes")
+        self.expect(checks.check_sound_requests,
+                    record([quarantined], crashes={b"crashes": [100.0]}), record([quarantined]))
+        self.expect(checks.check_sound_requests, record([call(status=503, result_code="2001")]),
+                    record([call(status=503, result_code="2008")],
+                           crashes={b"crashes": [100.0]}))
+
     def load(self, rate, *limits, faults=(), gateways=2, **fields):
         """A server that names its first limit at 100.0 and gets this many requests a second
         until 112.0 from the gateways in turn."""
@@ -322,7 +401,111 @@
             self.assertEqual(child.wait(timeout=5), -signal.SIGPIPE)
 
 
+class CallersTest(unittest.TestCase):
+    def call_until_executed(self, number, *statuses):
+        """The ids and keys of the calls that a caller makes when it gets these statuses."""
+        stopped = threading.Event()
+        stopped.set()  # its thread sends nothing
+        caller = callers.Caller(
+            number, 1, types.SimpleNamespace(current_index=lambda: 0), stopped)
+        caller.stopped = threading.Event()
+        answers = [call(status=status, signature="") for status in statuses]
+        made = []
+
+        def answer(request, kind, key=None, _=None):
+            made.append((request, key))
+            return answers[len(made) - 1]
+        caller._call = answer
+        caller._call_until_executed("r1", "once")
+        return made
+
+    def test_every_second_caller_repeats_what_was_not_executed(self):
+        first, again = ("r1", None), ("r1", "key-1")
+        for status in (408, 421, 429, 503):
+            self.assertEqual(self.call_until_executed(0, status, 200), [first, again])
+            self.assertEqual(self.call_until_executed(1, status), [first])
+        for status in (200, 400, 500, 502, 504, 0):
+            self.assertEqual(self.call_until_executed(0, status), [first])
+
+
+    def test_crashing_caller_repeats_one_request_during_its_fault(self):
+        made = []
+
+        class Recording(callers.CrashingCaller):
+            def _call(self, request, kind, key=None, body=None):
+                made.append((time.monotonic(), request, kind, key, body))
+
+        soak_environment = environment.SoakEnvironment(instance_count=0)
+        start = time.monotonic()
+        fault = schedule.Fault(0.2, "crashing_request", "stream1", 1.5)
+        caller = Recording(0, 1, soak_environment, start, fault)
+        caller.thread.join()
+        times, ids, *fields = zip(*made)
+        self.assertGreater(len(made), 1)
+        self.assertEqual(len(set(ids)), len(ids))
+        self.assertEqual([set(field) for field in fields],
+                         [{"stream1"}, {environment.REPEATING_KEY}, {b"crashes model"}])
+        self.assertTrue(start + 0.2 <= times[0] and times[-1] < start + 1.7)
+
+
 class FaultsTest(unittest.TestCase):
+    def crashing_environment(self):
+        """An environment with one server and no gateway."""
+        soak_environment = environment.SoakEnvironment(instance_count=0, plains=1, models=0)
+        soak_environment._start_links()
+        self.addCleanup(soak_environment.__exit__)
+        soak_environment._add_backend("plain0")
+        return soak_environment
+
+    def send_crashing(self, soak_environment):
+        server = soak_environment.backends["plain0"].name
+        connection = http.client.HTTPConnection(soak_environment.links["plain0"], timeout=5)
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            connection.request("POST", "/safe/x", body=environment.crashing_body("plain"),
+                               headers={"Cowslipknot-Request-Id": "r1",
+                                        "Cowslipknot-Expect-Instance": server})
+            connection.getresponse()
+
+    def test_crashed_server_returns_as_a_new_one_at_its_address(self):
+        soak_environment = self.crashing_environment()
+        crashed = soak_environment.backends["plain0"]
+        self.send_crashing(soak_environment)
+        address = soak_environment.links["plain0"].split(":")
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(address).close()
+        soak_environment.wait_until_returned()
+        socket.create_connection(address).close()
+        returned = soak_environment.backends["plain0"]
+        self.addCleanup(returned.server.stop)
+        self.assertEqual(returned.server.address, crashed.server.address)
+        self.assertEqual(soak_environment.store.keys("servers"), [returned.name])
+        self.assertEqual(len(soak_environment.crashes[b"crashes plain"]), 1)
+        self.assertEqual(len(soak_environment.runs()["r1"]), 1)
+        (target, kind, begun, over), = soak_environment.fault_periods
+        self.assertEqual((target, kind), ("plain0", "request_crash"))
+        self.assertGreaterEqual(over - begun, environment.CRASHED_SERVER_RETURN_S)
+
+    # Guards against two servers at one address, or none.
+    def test_crashed_server_that_another_fault_replaces_returns_once(self):
+        soak_environment = self.crashing_environment()
+        self.send_crashing(soak_environment)
+        soak_environment.apply(schedule.Fault(0.0, "reborn", "plain0", 0.1))
+        replacement = soak_environment.backends["plain0"]
+        self.addCleanup(replacement.server.stop)
+        soak_environment.wait_until_returned()
+        self.assertIs(soak_environment.backends["plain0"], replacement)
+        self.assertEqual(soak_environment.store.keys("servers"), [replacement.name])
+
+    def test_copied_refusals_come_from_all_servers_of_a_service(self):
+        soak_environment = environment.SoakEnvironment(instance_count=1)
+        for slot in soak_environment.slots:
+            soak_environment.backends[slot] = types.SimpleNamespace(pending_faults=[])
+        soak_environment.apply(schedule.Fault(1.0, "copied_refusals", "plain", 1.0))
+        copying = {slot for slot, backend in soak_environment.backends.items()
+                   if any(isinstance(fault, environment.fakes.CopiedRefusal)
+                          for fault in backend.pending_faults)}
+        self.assertEqual(copying, {"plain0", "plain1", "plain2", "plain3"})
+
     # Guards against an overlapping fault that takes the invalid settings for the valid ones.
     def test_overlapping_bad_settings_leave_the_valid_file(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -403,10 +586,16 @@
         limits = [fault for seed in range(8) for fault in schedule.draw_limits(
             random.Random(seed), 30, ["plain"])]
         self.assertTrue(0 < len(limits) < 16)
+        copies = [fault for seed in range(8)
+                  for fault in schedule.draw_copies(random.Random(seed), 30, ["plain"])]
+        self.assertTrue(copies)
+        crashing = [fault for seed in range(8) for fault in schedule.draw_crashing_requests(
+            random.Random(seed), 30)]
+        self.assertTrue(0 < len(crashing) < 16)
         restores = [restore for seed in range(8)
                     for restore in schedule.draw_restore(random.Random(seed), 30)]
         self.assertTrue(0 < len(restores) < 8)
-        for fault in draw(1) + notices + outside + limits + restores:
+        for fault in draw(1) + notices + outside + limits + copies + crashing + restores:
             self.assertLessEqual(fault.at_s + fault.for_s, 30)
 
 
