--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -72,7 +72,8 @@
 /// told them apart.
 struct Quarantine {
   Suspects suspects;
-  std::size_t crashes = 0;
+  std::size_t crashes = 0;        ///< that count: of a burst, only some
+  std::size_t servers_ended = 0;  ///< by all crashes
   std::chrono::nanoseconds last_crash{0};
 
   /// Whether a request with these suspects is held.
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -48,8 +48,9 @@
   std::map<ServiceId, double> busy;
   UsageLedger usage;
   std::string evidence;  ///< about moves, encoded by EncodeEvidence()
-  /// About quarantined prompt parts, encoded by EncodeCrashEvidence(). In the
-  /// lease holder's report only, so that it survives all processes.
+  /// About quarantined requests and prompt parts, encoded by
+  /// EncodeCrashEvidence(). In the lease holder's report only, so that it
+  /// survives all processes.
   std::string prompt_evidence;
 };
 
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -6,22 +6,13 @@
 #include <tuple>
 #include <utility>
 
+#include "coordination/suspect_groups.h"
+
 namespace cowslipknot {
 namespace {
 
 using Time = CrashQuarantine::Time;
 
-/// Crashes that quarantine a suspect: without any completed answer, and of one
-/// that was harmless before.
-constexpr std::size_t kMinCrashes = 3;
-constexpr std::size_t kMinCrashesAfterCompletion = 5;
-/// Further crashes that are needed where several requests are suspected alike.
-constexpr std::size_t kCrashesToTellApart = 1;
-/// Crashes within this time count as one burst, since servers that are lost
-/// together end within it. A suspect that was answered completely before is
-/// common enough to be at many servers, which may also fail in turn.
-constexpr Time kCrashSpacing = std::chrono::milliseconds(50);
-constexpr Time kCrashSpacingAfterCompletion = std::chrono::milliseconds(250);
 /// Evidence of others is this much older than it says at most.
 constexpr Time kMaxTransferTime = std::chrono::seconds(1);
 /// Crashes after which a request with a suspect that was never answered
@@ -55,106 +46,13 @@
 
 bool HasTrialsLeft(const Quarantine& quarantine) {
   return quarantine.suspects.front().kind != SuspectId::Kind::kRequest ||
-         quarantine.crashes < kMaxCrashesOfRequest;
+         quarantine.servers_ended < kMaxCrashesOfRequest;
 }
 
 bool Contains(const Suspects& suspects, const SuspectId& suspect) {
   return std::ranges::find(suspects, suspect) != suspects.end();
 }
 
-/// Suspects that the same crashes speak against.
-struct SuspectGroup {
-  SuspectId::Kind kind = SuspectId::Kind::kPromptPart;
-  std::vector<Time> crashes;  ///< in order
-  bool completed_before = false;
-  auto operator<=>(const SuspectGroup&) const = default;
-};
-
-std::size_t MinCrashes(const SuspectGroup& group) {
-  return group.completed_before ? kMinCrashesAfterCompletion : kMinCrashes;
-}
-
-/// Most crashes of one burst that count. Many requests share a part, so that it
-/// is at all servers of a lost domain; one request is at several only if it is
-/// sent to several, but a burst alone decides nothing.
-std::size_t MaxCountOfBurst(const SuspectGroup& group) {
-  return group.kind == SuspectId::Kind::kRequest ? MinCrashes(group) - 1 : 1;
-}
-
-std::size_t CountCrashes(const SuspectGroup& group) {
-  const Time spacing =
-      group.completed_before ? kCrashSpacingAfterCompletion : kCrashSpacing;
-  std::size_t count = 0;
-  std::size_t in_burst = 0;
-  Time burst{0};
-  for (const Time at : group.crashes) {
-    if (in_burst == 0 || at - burst >= spacing) {
-      burst = at;
-      in_burst = 0;
-    }
-    if (++in_burst <= MaxCountOfBurst(group)) ++count;
-  }
-  return count;
-}
-
-std::size_t CrashesNeeded(const SuspectGroup& group, std::size_t members) {
-  const std::size_t needed = MinCrashes(group);
-  const bool is_ambiguous =
-      group.kind == SuspectId::Kind::kRequest && members > 1;
-  return is_ambiguous ? needed + kCrashesToTellApart : needed;
-}
-
-using SuspectGroups = std::map<SuspectId, SuspectGroup>;
-
-void CountCrash(SuspectGroups& evidence, const SuspectId& suspect, Time at,
-                Time last_completion) {
-  if (at <= last_completion) return;
-  SuspectGroup& against = evidence[suspect];
-  against.kind = suspect.kind;
-  against.crashes.push_back(at);
-  against.completed_before = last_completion.count() > 0;
-}
-
-/// Erases suspects with too few crashes for any verdict.
-void EraseWeak(SuspectGroups& evidence) {
-  std::erase_if(evidence, [](const auto& item) {
-    return item.second.crashes.size() < kMinCrashes;
-  });
-}
-
-/// Takes a crash with a known cause out of what speaks against a suspect.
-void DiscountCrash(SuspectGroups& evidence, const SuspectId& suspect, Time at) {
-  const auto found = evidence.find(suspect);
-  if (found == evidence.end()) return;
-  auto& crashes = found->second.crashes;
-  const auto position = std::ranges::find(crashes, at);
-  if (position != crashes.end()) crashes.erase(position);
-}
-
-/// Orders groups by how likely they are the cause. Of equal ones, a request is
-/// held before the parts that it may share with others.
-auto RankOf(const SuspectGroup& group) {
-  return std::tuple(CountCrashes(group), !group.completed_before,
-                    group.kind == SuspectId::Kind::kRequest);
-}
-
-std::optional<Quarantine> FindWorst(const SuspectGroups& evidence) {
-  const auto is_less = [](const SuspectGroup* a, const SuspectGroup* b) {
-    return *a < *b;
-  };
-  std::map<const SuspectGroup*, Suspects, decltype(is_less)> groups(is_less);
-  for (const auto& [suspect, group] : evidence)
-    groups[&group].push_back(suspect);
-  std::erase_if(groups, [](const auto& item) {
-    const auto& [group, members] = item;
-    return CountCrashes(*group) < CrashesNeeded(*group, members.size());
-  });
-  if (groups.empty()) return std::nullopt;
-  const auto& [group, members] = *std::ranges::max_element(
-      groups, {}, [](const auto& item) { return RankOf(*item.first); });
-  return Quarantine{members, group->crashes.size(), group->crashes.back()};
-}
-
 }  // namespace
 
 SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields) {
@@ -339,10 +237,10 @@
     for (const auto& suspect : item->second.suspects)
       CountCrash(evidence, suspect, item->second.at, LastCompletion(suspect));
   }
-  EraseWeak(evidence);
+  EraseWeakSuspects(evidence);
   for (auto& [suspect, group] : evidence) std::ranges::sort(group.crashes);
   m_quarantines.clear();
-  while (auto worst = FindWorst(evidence)) {
+  while (auto worst = FindLikeliestCause(evidence)) {
     std::erase_if(unexplained, [&](const auto* item) {
       const Crash& crash = item->second;
       if (!crash.suspects.contains(worst->suspects.front())) return false;
@@ -350,7 +248,7 @@
         DiscountCrash(evidence, suspect, crash.at);
       return true;
     });
-    EraseWeak(evidence);
+    EraseWeakSuspects(evidence);
     m_quarantines.push_back(std::move(*worst));
   }
   std::erase_if(m_trials, [this](const auto& trial) {
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -59,7 +59,7 @@
 }
 
 /// The parts that other requests may share: all but the last.
-std::vector<PromptPart> Suspects(const std::vector<PromptPart>& parts) {
+std::vector<PromptPart> SharedParts(const std::vector<PromptPart>& parts) {
   if (parts.empty()) return {};
   return {parts.begin(), parts.end() - 1};
 }
@@ -104,7 +104,7 @@
         m_backends(backends),
         m_context(context),
         m_local_load(MeanLocalLoad(backends, context)),
-        m_shared(Suspects(request.parts)),
+        m_shared(SharedParts(request.parts)),
         m_shared_tokens(TokensOf(m_shared)),
         m_prefix_owner(FindPrefixOwner()) {}
 
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -63,7 +63,7 @@
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
   Awaitable<void> ExchangeReports();
   Awaitable<void> WriteReportsOfFollowers();
-  /// Passes the quarantined prompt parts in the reports on to the traffic
+  /// Passes the evidence of quarantines in the reports on to the traffic
   /// thread, for a process that no peer could tell of them.
   void ImportCrashEvidence();
   /// Exchanges evidence with the other instances directly while a move is
