Send nothing more to the servers of evacuated failure domains

The capacity planner divides an evacuated domain's need among the others. Reports and the fleet command name evacuated domains.

--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -24,6 +24,7 @@
   double busy_servers = 0;  ///< mean number of servers that requests keep busy
   std::uint32_t on_demand = 0;    ///< ready servers that cannot be reclaimed
   std::uint32_t reclaimable = 0;  ///< ready servers that can be reclaimed
+  bool evacuated = false;         ///< its servers get no requests
 };
 
 /// Plans the servers of one service in each failure domain.
@@ -32,7 +33,8 @@
 /// short notice. The planner orders one on-demand server per domain and enough
 /// reclaimable servers that the loss of the reclaimable servers of any one
 /// domain leaves sufficient capacity. While reclaimable servers are
-/// unavailable, on-demand servers replace them.
+/// unavailable, on-demand servers replace them. The other domains take over the
+/// load of an evacuated one, for which nothing is ordered meanwhile.
 ///
 /// Reads no clock: readings of a monotonic clock are arguments.
 /// Single-threaded.
@@ -61,7 +63,9 @@
 
  private:
   struct DomainState {
-    double need = 0;  ///< decaying maximum of the servers required
+    double need = 0;        ///< decaying maximum of the servers required
+    double taken_over = 0;  ///< part of the need of evacuated domains
+    double TotalNeed() const { return need + taken_over; }
     std::optional<std::uint32_t> on_demand_ordered;
     std::optional<std::uint32_t> reclaimable_ordered;
     std::uint32_t previous_reclaimable = 0;  ///< ready at the last Plan()
@@ -76,6 +80,9 @@
   static void DetectReclaim(DomainState& state, const DomainCapacity& capacity,
                             Time now);
   void UpdateNeed(const std::map<DomainId, DomainCapacity>& domains, Time now);
+  /// Divides the need of evacuated domains equally among the others.
+  void DistributeEvacuatedNeed(
+      const std::map<DomainId, DomainCapacity>& domains);
   /// Rounds to whole servers within the service's limits.
   std::uint32_t RoundServers(double servers) const;
   std::uint32_t TargetReclaimable(DomainState& state,
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -28,7 +28,9 @@
 
   // Bounds that the deployment guarantees. A duration that names two events
   // runs from the first to the second.
-  Milliseconds apply_bound{2000};   ///< new configuration until it is in force
+  Milliseconds apply_bound{2000};  ///< new configuration until it is in force
+  /// Order to evacuate a failure domain until its servers get no requests.
+  Milliseconds evacuate_bound{5000};
   Milliseconds revoke_bound{5000};  ///< removed API key until it is rejected
   Milliseconds drain_bound{2000};  ///< leaving server until it gets no requests
   /// Interval at which a backend server renews its registration.
--- a/include/cowslipknot/gateway/usage.h
+++ b/include/cowslipknot/gateway/usage.h
@@ -52,6 +52,8 @@
   /// EncodeCrashEvidence(). In the lease holder's report only, so that it
   /// survives all processes.
   std::string prompt_evidence;
+  /// Failure domains whose servers get no new requests from this instance.
+  std::vector<DomainId> evacuated;
 };
 
 std::string EncodeReport(const InstanceReport& report);
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -55,6 +55,23 @@
   }
 }
 
+void CapacityPlanner::DistributeEvacuatedNeed(
+    const std::map<DomainId, DomainCapacity>& domains) {
+  double evacuated_need = 0;
+  std::size_t others = 0;
+  for (const auto& [domain, capacity] : domains) {
+    if (capacity.evacuated) {
+      evacuated_need += m_states[domain].need;
+    } else {
+      ++others;
+    }
+  }
+  for (const auto& [domain, capacity] : domains) {
+    m_states[domain].taken_over =
+        capacity.evacuated ? 0 : evacuated_need / static_cast<double>(others);
+  }
+}
+
 std::uint32_t CapacityPlanner::RoundServers(double servers) const {
   const double whole =
       std::max(1.0, std::ceil(servers - kIgnoredServerFraction));
@@ -73,7 +90,7 @@
   const double domains =
       static_cast<double>(std::max<std::size_t>(2, m_states.size()));
   const std::uint32_t required =
-      RoundServers(state.need * domains / (domains - 1));
+      RoundServers(state.TotalNeed() * domains / (domains - 1));
   std::uint32_t wanted = required - std::min(required, kMinOnDemandServers);
   if (wanted >= capacity.reclaimable) {
     state.reclaimable_surplus_since.reset();
@@ -90,7 +107,7 @@
 std::uint32_t CapacityPlanner::TargetOnDemand(DomainState& state,
                                               const DomainCapacity& capacity,
                                               Time now) {
-  const std::uint32_t needed = RoundServers(state.need);
+  const std::uint32_t needed = RoundServers(state.TotalNeed());
   const std::uint32_t covered = std::min(needed, capacity.reclaimable);
   const std::uint32_t on_demand =
       std::max(kMinOnDemandServers, needed - covered);
@@ -173,6 +190,7 @@
 void CapacityPlanner::Observe(const std::map<DomainId, DomainCapacity>& domains,
                               Time now) {
   UpdateNeed(domains, now);
+  DistributeEvacuatedNeed(domains);
   for (const auto& [domain, capacity] : domains) {
     DetectReclaim(m_states[domain], capacity, now);
   }
@@ -199,6 +217,7 @@
       m_busy_since && now - *m_busy_since >= kObservationPeriod;
   std::vector<CapacityOrder> orders;
   for (const auto& [domain, capacity] : domains) {
+    if (capacity.evacuated) continue;
     if (observed) {
       PlanDomain(domain, capacity, now, orders);
     } else {
--- a/src/protocol/platform_adapter.h
+++ b/src/protocol/platform_adapter.h
@@ -126,6 +126,9 @@
   std::function<bool(std::string_view key)> is_move_order_key;
   /// @return kInvalidObjects if the bytes are not a valid order
   std::function<Result<MoveOrder>(std::string_view)> decode_move_order;
+  /// The failure domain that the order of such a key evacuates; nothing for
+  /// other keys. An id may be empty, which names no domain.
+  std::function<std::optional<DomainId>(std::string_view key)> evacuated_domain;
   /// The row that reports the state of a move to the operator.
   std::function<StoreRow(const VersionMove&)> encode_move_status;
 
--- a/src/serve/fleet_status.cc
+++ b/src/serve/fleet_status.cc
@@ -31,6 +31,12 @@
   row["as_of_ms"] = report.as_of_ms;
   row["revision"] = report.revision;
   row["stopping"] = report.stopping;
+  if (!report.evacuated.empty()) {
+    json::array evacuated;
+    for (const auto& domain : report.evacuated)
+      evacuated.emplace_back(domain.Text());
+    row["evacuated"] = std::move(evacuated);
+  }
   double demand = 0;
   for (const auto& [workspace, value] : report.demand) demand += value;
   row["demand_per_s"] = static_cast<std::int64_t>(demand);
@@ -109,12 +115,16 @@
   }
   json::object status;
   status["revision"] = 0;
+  json::array evacuated;
   for (const auto& row : configuration_rows->rows) {
+    if (const auto domain = adapter.evacuated_domain(row.key))
+      evacuated.emplace_back(domain->Text());
     if (row.key != adapter.names.configuration_key) continue;
     const auto configuration = adapter.decode_configuration(row.value);
     found.unreadable += configuration ? 0 : 1;
     if (configuration) status["revision"] = configuration->version;
   }
+  status["evacuated"] = std::move(evacuated);
   status["lease"] = std::move(found.lease);
   status["usage_done"] = found.usage_done;
   status["unreadable_rows"] = found.unreadable;
--- a/src/serve/gateway_capacity.cc
+++ b/src/serve/gateway_capacity.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "cowslipknot/events.h"
 #include "serve/gateway_fleet_coordinator.h"
 
@@ -17,6 +19,10 @@
     if (busy != report->busy.end())
       domains[report->domain].busy_servers += busy->second;
   }
+  for (auto& [domain, capacity] : domains) {
+    capacity.evacuated = std::find(m_evacuated.begin(), m_evacuated.end(),
+                                   domain) != m_evacuated.end();
+  }
   return domains;
 }
 
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -137,6 +137,7 @@
 void ControlPlane::ApplyConfiguration(const StoreRows& rows,
                                       bool is_full_read) {
   ApplyMoveOrders(rows, is_full_read);
+  ApplyEvacuations(rows, is_full_read);
   for (const auto& row : rows.rows) {
     if (row.key != m_adapter.names.configuration_key || row.removed) continue;
     auto decoded = m_adapter.decode_configuration(row.value);
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 
+#include "cowslipknot/coordination/evacuation.h"
 #include "cowslipknot/coordination/lease.h"
 #include "cowslipknot/gateway/move_orders.h"
 #include "cowslipknot/gateway/quota.h"
@@ -94,6 +95,13 @@
 
   void ApplyMoveOrders(const StoreRows& rows, bool is_full_read);
   void ApplyConfiguration(const StoreRows& rows, bool is_full_read);
+  /// Applies the orders to evacuate failure domains: gateway_evacuation.cc.
+  void ApplyEvacuations(const StoreRows& rows, bool is_full_read);
+  void LogEvacuations(const std::vector<DomainId>& before) const;
+  /// Whether a registered server may get new requests.
+  bool IsEvacuated(const ServerEntry& entry) const {
+    return m_evacuations.Contains(entry.domain);
+  }
   void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed);
 
   // A configuration that the store lost: gateway_lost_configuration.cc.
@@ -174,6 +182,7 @@
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
   MoveOrders m_move_orders;
+  EvacuationOrders m_evacuations;
   FleetView m_fleet;
   std::uint64_t m_instances_digest = 0;
   std::map<WorkspaceId, double> m_reported_demand;  ///< at this instance
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -113,6 +113,7 @@
   SetOwnEvidence(input.evidence);
   if (!m_evidence.empty()) report.evidence = EncodeEvidence(m_evidence);
   if (HoldsLease()) report.prompt_evidence = input.prompt_evidence;
+  report.evacuated = m_evacuated;
   return report;
 }
 
@@ -305,6 +306,28 @@
   }
 }
 
+void FleetCoordinator::LogEvacuationsInForce() {
+  const auto serving = m_instances.Serving(TimeSinceBoot());
+  std::vector<DomainId> everywhere;
+  for (const auto& domain : m_evacuated) {
+    const bool is_in_force =
+        std::all_of(serving.begin(), serving.end(), [&](const auto* report) {
+          return std::find(report->evacuated.begin(), report->evacuated.end(),
+                           domain) != report->evacuated.end();
+        });
+    if (!is_in_force) continue;
+    everywhere.push_back(domain);
+    const bool is_logged =
+        std::find(m_evacuated_everywhere.begin(), m_evacuated_everywhere.end(),
+                  domain) != m_evacuated_everywhere.end();
+    if (is_logged) continue;
+    LogEvent(Event::kEvacuationInForce,
+             {{"domain", domain.Text()},
+              {"instances", std::to_string(serving.size())}});
+  }
+  m_evacuated_everywhere = std::move(everywhere);
+}
+
 Awaitable<void> FleetCoordinator::RunLeaseHolderTasks(
     ConfigurationPtr configuration, std::vector<ServerEntry> servers) {
   if (!HoldsLease()) {
@@ -312,6 +335,7 @@
       ObserveCapacity(*configuration, servers);
     co_return;
   }
+  LogEvacuationsInForce();
   co_await AdvanceMoves();
   if (m_settings.reports_usage) co_await ReportUsage();
   if (!m_settings.orders_capacity || !configuration) co_return;
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -75,6 +75,10 @@
 
   /// Replaces the active move orders; orders that are absent have ended.
   void SetOrders(std::map<ServiceId, MoveOrder> orders);
+  /// Replaces the failure domains that this instance has evacuated.
+  void SetEvacuated(std::vector<DomainId> domains) {
+    m_evacuated = std::move(domains);
+  }
   /// Returns the moves of the active orders with their state as last read. The
   /// share is 0 if the move was halted.
   std::map<ServiceId, VersionMove> Moves() const;
@@ -143,6 +147,8 @@
                        const std::vector<ServerEntry>& servers);
   std::map<DomainId, DomainCapacity> DomainCapacities(
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
+  /// Logs the failure domains that all serving instances have evacuated.
+  void LogEvacuationsInForce();
   Awaitable<void> AdvanceMoves();
   /// Sums up the evidence of all instances: from their frames, otherwise from
   /// their reports.
@@ -185,6 +191,8 @@
   StorePosition m_usage_done_position;
   bool m_table_read = false;
   std::map<ServiceId, CapacityPlanner> m_planners;
+  std::vector<DomainId> m_evacuated;
+  std::vector<DomainId> m_evacuated_everywhere;  ///< as last logged
 
   /// A move with the position of its row in the store.
   struct StoredMove {
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -258,6 +258,7 @@
                 {"version", entry.version.Text()}});
     }
     states[entry.id] = {entry.started_ms, backend.state};
+    if (IsEvacuated(entry)) continue;
     servers[entry.service].push_back(std::move(backend));
   }
   for (const auto& [id, known] : m_backend_states) {
--- a/src/serve/gateway_store_relay.cc
+++ b/src/serve/gateway_store_relay.cc
@@ -50,7 +50,9 @@
 }  // namespace
 
 Milliseconds StoreRelay::ConfigurationPoll(const Settings& settings) {
-  return Fraction(settings.apply_bound, kConfigurationPollFraction);
+  // Orders to evacuate a domain are rows of the same table.
+  return Fraction(std::min(settings.apply_bound, settings.evacuate_bound),
+                  kConfigurationPollFraction);
 }
 
 Milliseconds StoreRelay::RegistrationsInterval(const Settings& settings) {
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -57,6 +57,8 @@
   });
   sections.Section("bounds", false, [&](ObjectReader& reader) {
     settings.apply_bound = reader.Duration("apply_ms", settings.apply_bound);
+    settings.evacuate_bound =
+        reader.Duration("evacuate_ms", settings.evacuate_bound);
     settings.revoke_bound = reader.Duration("revoke_ms", settings.revoke_bound);
     settings.drain_bound = reader.Duration("drain_ms", settings.drain_bound);
     settings.server_heartbeat =
--- a/src/state/usage.cc
+++ b/src/state/usage.cc
@@ -122,6 +122,12 @@
   if (!report.evidence.empty()) object["evidence"] = report.evidence;
   if (!report.prompt_evidence.empty())
     object["prompt_evidence"] = report.prompt_evidence;
+  if (!report.evacuated.empty()) {
+    json::array evacuated;
+    for (const auto& domain : report.evacuated)
+      evacuated.emplace_back(domain.Text());
+    object["evacuated"] = std::move(evacuated);
+  }
   return json::serialize(object);
 }
 
@@ -160,6 +166,10 @@
             parsed.as_object().if_contains("prompt_evidence")) {
       report.prompt_evidence = std::string(prompts->as_string());
     }
+    if (const auto* evacuated = parsed.as_object().if_contains("evacuated")) {
+      for (const auto& domain : evacuated->as_array())
+        report.evacuated.emplace_back(std::string(domain.as_string()));
+    }
     for (const auto& [window, counts] : parsed.at("usage").as_object()) {
       for (const auto& [workspace, count] :
            CountsFromJson(counts.as_object())) {
