Keep requests to cold servers within what they tolerate

Cause: nothing read for how long a server is cold. Change: the time left that a registration states, and the end of an evacuation of its domain, say until when a server is cold. Until then it has a limit like servers that name one: permits of one granter, at a rate for which granter, substitutes and permits in hand stay within the tolerance in any second. Requests for permits carry for how much longer the server is cold.

--- a/include/cowslipknot/coordination/permit_granter.h
+++ b/include/cowslipknot/coordination/permit_granter.h
@@ -27,6 +27,15 @@
 inline constexpr std::size_t kMaxSubstituteDomains = 3;
 /// Fraction of the limit that all substitutes grant together.
 inline constexpr double kSubstituteFraction = 0.4;
+/// Tokens that the bucket of a granter holds at most for a low limit, and what
+/// the main granter's holds in addition for each request a second of the limit.
+inline constexpr double kMainBurst = 2;
+inline constexpr double kSubstituteBurst = 1;
+inline constexpr double kBurstPerRate = 0.05;
+/// Tokens that the buckets of all granters of a server hold together, for a low
+/// limit.
+inline constexpr double kMaxBurstOfGranters =
+    kMainBurst + kSubstituteBurst * kMaxSubstituteDomains;
 
 /// Selects the main granter of a server. Instances that know of the same
 /// instances agree.
--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -71,6 +71,7 @@
   kLimitAdjusted = 582,
   kLimitUnreadable = 583,
   kPermitGranterUnresponsive = 584,
+  kServerCold = 586,
   kMoveStep = 600,
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -97,11 +97,23 @@
     m_limit = limit;
     if (!limit) m_withheld_until = Time(0);
   }
-  const std::optional<RequestRate>& Limit() const { return m_limit; }
+  /// Records the rate at which the server takes requests until it is warm.
+  void RecordCold(Time until, RequestRate rate) {
+    m_cold_until = until;
+    m_cold_rate = rate;
+  }
+  /// The limit on the requests from all instances together: the lower of the
+  /// one that the server names and the one of a cold server.
+  std::optional<RequestRate> Limit(Time now) const {
+    if (now >= m_cold_until) return m_limit;
+    return std::min(m_cold_rate, m_limit.value_or(m_cold_rate));
+  }
   /// Records that a limited server gets no request until a time, since no
   /// permit is expected before.
   void Withhold(Time until) { m_withheld_until = until; }
-  bool IsWithheld(Time now) const { return m_limit && now < m_withheld_until; }
+  bool IsWithheld(Time now) const {
+    return Limit(now) && now < m_withheld_until;
+  }
   Time WithheldUntil() const { return m_withheld_until; }
   /// Whether the server is ejected.
   bool IsEjected(Time now) const { return now < m_ejected_until; }
@@ -139,6 +151,8 @@
   Time m_ejected_until{0};
   Time m_paused_until{0};
   std::optional<RequestRate> m_limit;
+  Time m_cold_until{0};
+  RequestRate m_cold_rate{0};
   Time m_withheld_until{0};
   bool m_leaving = false;
 };
@@ -148,6 +162,10 @@
   ServerEntry entry;
   bool is_model = false;
   std::shared_ptr<BackendState> state;
+  /// Rate of permits while it is cold; none for a service whose servers take
+  /// all requests from their start.
+  std::optional<RequestRate> cold_rate;
+  std::chrono::nanoseconds cold_until{0};
 };
 
 /// Properties of a request that placement uses.
--- a/include/cowslipknot/gateway/routes.h
+++ b/include/cowslipknot/gateway/routes.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cowslipknot/coordination/warmup.h"
 #include "cowslipknot/ids.h"
 
 /// The configuration of a gateway instance: routes, services and workspaces.
@@ -80,6 +81,7 @@
   TokenCount kv_capacity;             ///< model servers: size of the KV cache
   bool is_model = false;
   std::optional<Scaling> scaling;
+  std::optional<ColdTolerance> cold;  ///< none if servers are never cold
 };
 
 /// Size limits and timeouts for caller connections.
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -23,7 +23,10 @@
   VersionId version;
   std::uint32_t slots = 0;
   ServerState state = ServerState::kReady;
-  Milliseconds warmup_left{0};
+  Milliseconds warmup_left{0};  ///< time until it is warm, as it stated
+  /// Until when it said that it is cold, by the clock of the instance that
+  /// tracks it; set by ServerRegistry.
+  std::chrono::nanoseconds cold_until{0};
   bool reclaimable = false;
   std::int64_t started_ms = 0;  ///< Unix time of its start; identifies restarts
   /// Of its row in the store. Orders what different instances have read.
@@ -32,7 +35,7 @@
 
 /// Whether the difference between two registrations of a server affects
 /// routing.
-bool AffectsRouting(const ServerEntry& left, const ServerEntry& right);
+bool AffectsRouting(const ServerEntry& earlier, const ServerEntry& later);
 
 /// A change of one registration. No entry means that it was removed.
 struct ServerChange {
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -40,6 +40,7 @@
   Milliseconds usage_window{5000};
   /// End of a usage window until its report is due.
   Milliseconds usage_report_timeout{10000};
+  ColdOverage cold_overage;  ///< of requests to a cold server
   QuotaTolerance quota;
   double retry_ratio = 0.2;     ///< retries per request, over all instances
   double retry_slack = 50;      ///< additional retries, over all instances
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -140,6 +140,8 @@
      "a server named a limit that is not a number; the one known is kept"},
     {Event::kPermitGranterUnresponsive, "warn", "permit_granter_unresponsive",
      "the instance that grants requests to a limited server does not respond"},
+    {Event::kServerCold, "info", "server_cold",
+     "a server is cold; requests to it need permits until it is warm"},
     {Event::kMoveStep, "info", "move_step", "a move changed phase or share"},
     {Event::kMoveRolledBack, "warn", "move_taken_back",
      "a move was rolled back on this instance; its new version is not used"},
--- a/src/coordination/permit_granter.cc
+++ b/src/coordination/permit_granter.cc
@@ -9,11 +9,6 @@
 namespace cowslipknot {
 namespace {
 
-/// Tokens that a bucket holds at most, for a low limit, and what is added for
-/// each request a second of the limit.
-constexpr double kMainCapacity = 2;
-constexpr double kSubstituteCapacity = 1;
-constexpr double kCapacityPerRate = 0.05;
 /// Lowest rate of the main granter: without any request the end of a limit
 /// would not be noticed.
 constexpr double kProbesPerSecond = 0.2;
@@ -125,10 +120,10 @@
   // The time until now counts at the rate that was in force.
   Refill(now);
   m_per_s = limit.Count() * share;
-  m_capacity = kSubstituteCapacity;
+  m_capacity = kSubstituteBurst;
   if (role == GranterRole::kMain) {
     m_per_s = std::max(m_per_s, kProbesPerSecond);
-    m_capacity = kMainCapacity + kCapacityPerRate * m_per_s;
+    m_capacity = kMainBurst + kBurstPerRate * m_per_s;
   }
   m_level = std::min(m_level, m_capacity);
   m_next_asks.erase(asker);
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -207,7 +207,7 @@
     const BackendState& state = *backends[i].state;
     if (tried || state.IsLeaving() || state.IsPaused(context.now)) continue;
     if (state.IsWithheld(context.now)) continue;
-    if (request.excludes_limited && state.Limit()) continue;
+    if (request.excludes_limited && state.Limit(context.now)) continue;
     const bool is_ejected = state.IsEjected(context.now);
     (is_ejected ? ejected : usable).push_back(i);
   }
--- a/src/coordination/server_pause.cc
+++ b/src/coordination/server_pause.cc
@@ -73,7 +73,7 @@
   for (const auto& backend : backends) {
     const BackendState& state = *backend.state;
     if (state.IsLeaving()) continue;
-    if (!state.IsPaused(now) && !state.Limit()) return usual;
+    if (!state.IsPaused(now) && !state.Limit(now)) return usual;
     const auto end =
         std::max({now, state.PausedUntil(), state.WithheldUntil()});
     first_end = std::min(first_end.value_or(end), end);
--- a/src/serve/gateway_call_servers.cc
+++ b/src/serve/gateway_call_servers.cc
@@ -30,7 +30,7 @@
                               !server.state->IsEjected(now) &&
                               !server.state->IsLeaving() &&
                               !server.state->IsPaused(now) &&
-                              !server.state->Limit();
+                              !server.state->Limit(now);
                      });
 }
 
@@ -82,7 +82,7 @@
     auto server = ChooseServer();
     // Without a retry the server is not used, so that its permit would be lost.
     const bool needs_permit =
-        server && server->state->Limit() && MaySpendRetry();
+        server && server->state->Limit(TimeSinceBoot()) && MaySpendRetry();
     if (!needs_permit) co_return server;
     ++m_permit_requests;
     const bool permitted = co_await m_worker.Permits().Acquire(server->entry);
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -238,6 +238,13 @@
     backend.entry = entry;
     const Service* service = FindService(entry.service);
     backend.is_model = service != nullptr && service->is_model;
+    if (service != nullptr && service->cold) {
+      const WarmupEvidence evidence{entry.cold_until,
+                                    m_evacuations.EndedAt(entry.domain)};
+      backend.cold_until = ColdUntil(evidence, *service->cold);
+      backend.cold_rate =
+          ColdPermitRate(*service->cold, m_settings.cold_overage);
+    }
     const auto known = m_backend_states.find(entry.id);
     const bool same = known != m_backend_states.end() &&
                       known->second.first == entry.started_ms;
--- a/src/serve/limit_codec.cc
+++ b/src/serve/limit_codec.cc
@@ -10,6 +10,7 @@
 
 /// Sums with clock readings in nanoseconds stay in range.
 constexpr microseconds kMaxAge = std::chrono::days(365);
+constexpr Milliseconds kMaxColdTime = std::chrono::hours(1);
 
 std::uint64_t AgeOf(LimitStatement::Time moment, LimitStatement::Time now) {
   const auto age = std::chrono::duration_cast<microseconds>(now - moment);
@@ -21,7 +22,7 @@
 
 std::unique_ptr<wire::LimitStatementT> PackLimit(
     const ServerStart& start, const LimitStatement& statement,
-    LimitStatement::Time now) {
+    LimitStatement::Time now, LimitStatement::Time cold_until) {
   auto packed = std::make_unique<wire::LimitStatementT>();
   packed->server = start.server.Text();
   packed->started_ms = start.started_ms;
@@ -29,6 +30,10 @@
   packed->per_s = statement.limit.value_or(RequestRate(0)).Count();
   packed->sent_age_us = AgeOf(statement.sent, now);
   packed->read_age_us = AgeOf(statement.read, now);
+  // Rounded up, so that the server never counts as warm too early.
+  const auto cold_left = std::chrono::ceil<Milliseconds>(cold_until - now);
+  packed->cold_left_ms = static_cast<std::uint32_t>(
+      std::clamp(cold_left, Milliseconds(0), kMaxColdTime).count());
   return packed;
 }
 
@@ -38,6 +43,7 @@
   const bool is_in_range =
       !packed.server.empty() && std::isfinite(packed.per_s) &&
       packed.per_s >= 0 && packed.per_s <= kMaxServerLimit.Count() &&
+      packed.cold_left_ms <= kMaxColdTime.count() &&
       packed.sent_age_us <= max_age && packed.read_age_us <= packed.sent_age_us;
   if (!is_in_range) return Fail(ResultCode::kBadFrame, "limit out of range");
   ReceivedLimit received;
@@ -47,6 +53,8 @@
       now - microseconds(static_cast<std::int64_t>(packed.sent_age_us));
   received.statement.read =
       now - microseconds(static_cast<std::int64_t>(packed.read_age_us));
+  if (packed.cold_left_ms > 0)
+    received.cold_until = now + Milliseconds(packed.cold_left_ms);
   return received;
 }
 
--- a/src/serve/limit_codec.h
+++ b/src/serve/limit_codec.h
@@ -18,12 +18,13 @@
 struct ReceivedLimit {
   ServerStart start;
   LimitStatement statement;
+  LimitStatement::Time cold_until{0};  ///< zero if the server is warm
 };
 
-/// Times become ages, since instances share no clock.
+/// Times become ages and times left, since instances share no clock.
 std::unique_ptr<wire::LimitStatementT> PackLimit(
     const ServerStart& start, const LimitStatement& statement,
-    LimitStatement::Time now);
+    LimitStatement::Time now, LimitStatement::Time cold_until = {});
 
 /// @return kBadFrame if a value is out of range
 Result<ReceivedLimit> UnpackLimit(const wire::LimitStatementT& packed,
--- a/src/serve/permit_exchange.cc
+++ b/src/serve/permit_exchange.cc
@@ -158,7 +158,7 @@
       LogEvent(Event::kFrameRejected, {{"detail", received.error().detail}});
       continue;
     }
-    const auto& [start, statement] = *received;
+    const auto& [start, statement, cold_until] = *received;
     Tracked* tracked = statement.limit ? Track(start) : Find(start);
     if (tracked != nullptr) Apply(start, *tracked, statement);
   }
--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -59,6 +59,7 @@
     const bool keeps = KeepsTrack(item->first, item->second);
     item = keeps ? std::next(item) : m_tracked.erase(item);
   }
+  UpdateColdServers();
   std::erase_if(m_returns, [&servers](const auto& item) {
     return !servers.contains(item.first);
   });
@@ -105,10 +106,48 @@
   if (tracked.state != backend.state) {
     tracked.state = backend.state;
     tracked.state->RecordLimit(tracked.statement.limit);
+    if (tracked.cold_rate)
+      tracked.state->RecordCold(tracked.cold_until, *tracked.cold_rate);
   }
   return true;
 }
 
+void ServerPermits::UpdateColdServers() {
+  const auto now = TimeSinceBoot();
+  for (const auto& [server, backend] : m_registered) {
+    if (!backend.cold_rate || now >= backend.cold_until) continue;
+    const ServerStart start{server, backend.entry.started_ms};
+    if (Tracked* tracked = Track(start))
+      ExtendCold(start, *tracked, backend.cold_until);
+  }
+}
+
+void ServerPermits::ExtendCold(const ServerStart& start, Tracked& tracked,
+                               Time until) {
+  const auto now = TimeSinceBoot();
+  if (!tracked.cold_rate || until <= tracked.cold_until || until <= now) return;
+  const bool was_cold = now < tracked.cold_until;
+  tracked.cold_until = until;
+  tracked.state->RecordCold(until, *tracked.cold_rate);
+  if (was_cold) return;
+  LogEvent(
+      Event::kServerCold,
+      {{"server", start.server.Text()},
+       {"cold_ms",
+        std::to_string(std::chrono::ceil<Milliseconds>(until - now).count())},
+       {"permits_per_s", std::to_string(tracked.cold_rate->Count())},
+       {"granter", tracked.main ? tracked.main->Text() : ""}});
+  m_metrics.Add("cowslipknot_cold_servers_total",
+                FormatLabel("service", tracked.service.Text()));
+}
+
+std::optional<RequestRate> ServerPermits::LimitOf(const Tracked& tracked,
+                                                  Time now) {
+  const auto& stated = tracked.statement.limit;
+  if (!tracked.cold_rate || now >= tracked.cold_until) return stated;
+  return std::min(*tracked.cold_rate, stated.value_or(*tracked.cold_rate));
+}
+
 void ServerPermits::TellNewInstances(
     const std::vector<InstanceSummary>& before) {
   const std::set<InstanceSummary> known(before.begin(), before.end());
@@ -151,6 +190,8 @@
                   .service = backend.entry.service,
                   .state = backend.state,
                   .statement = {},
+                  .cold_until = Time(0),
+                  .cold_rate = backend.cold_rate,
                   .granter = PermitGranter(kGranterHandoverDelay),
                   .main = {},
                   .substitute = {},
@@ -240,9 +281,12 @@
       LogEvent(Event::kFrameRejected, {{"detail", received.error().detail}});
       continue;
     }
-    const auto& [start, statement] = *received;
-    Tracked* tracked = statement.limit ? Track(start) : Find(start);
-    if (tracked == nullptr || !Apply(start, *tracked, statement)) continue;
+    const auto& [start, statement, cold_until] = *received;
+    const bool binds = statement.limit || cold_until > now;
+    Tracked* tracked = binds ? Track(start) : Find(start);
+    if (tracked == nullptr) continue;
+    ExtendCold(start, *tracked, cold_until);
+    if (!Apply(start, *tracked, statement)) continue;
     if (tracked->main == m_settings.node) Tell(start, *tracked);
   }
   return PeerFrame();
@@ -251,15 +295,16 @@
 Awaitable<bool> ServerPermits::Acquire(ServerEntry server) {
   const ServerStart start{server.id, server.started_ms};
   Tracked* tracked = Find(start);
-  if (tracked == nullptr || !tracked->statement.limit) co_return true;
-  if (tracked->held.Take(TimeSinceBoot())) co_return true;
+  if (tracked == nullptr) co_return true;
   const auto asked_at = TimeSinceBoot();
-  const bool asks_alone = *tracked->statement.limit <= kMaxSerialLimit;
+  const auto limit = LimitOf(*tracked, asked_at);
+  if (!limit || tracked->held.Take(asked_at)) co_return true;
+  const bool asks_alone = *limit <= kMaxSerialLimit;
   if (asks_alone) tracked->state->Withhold(asked_at + 2 * kAskTimeout);
   const auto answer = co_await AskGranters(start);
   tracked = Find(start);
-  if (tracked == nullptr || !tracked->statement.limit) co_return true;
   const auto now = TimeSinceBoot();
+  if (tracked == nullptr || !LimitOf(*tracked, now)) co_return true;
   if (answer && answer->permits > 0) {
     CountPermit(*tracked, "granted");
     if (asks_alone) tracked->state->Withhold(Time(0));
@@ -304,8 +349,11 @@
 
 Awaitable<std::optional<PermitAnswer>> ServerPermits::AskPeer(
     ServerStart start, Endpoint peer, GranterRole role) {
-  PeerFrame frame = BuildNotice(start, Find(start)->statement);
+  const Tracked& tracked = *Find(start);
+  PeerFrame frame;
   frame.kind = wire::Kind::AskPermit;
+  frame.limits.push_back(
+      PackLimit(start, tracked.statement, TimeSinceBoot(), tracked.cold_until));
   frame.permit_source = role == GranterRole::kSubstitute
                             ? wire::PermitSource::Domain
                             : wire::PermitSource::Main;
@@ -335,12 +383,13 @@
 std::optional<PermitAnswer> ServerPermits::Grant(Tracked& tracked,
                                                  GranterRole role,
                                                  const NodeId& asker) {
-  if (!tracked.statement.limit) return std::nullopt;
+  const auto now = TimeSinceBoot();
+  const auto limit = LimitOf(tracked, now);
+  if (!limit) return std::nullopt;
   double share =
       role == GranterRole::kSubstitute ? SubstituteShare(m_instances) : 1;
   if (!m_settings.peers) share /= static_cast<double>(m_serving.size());
-  return tracked.granter.Ask(role, asker, *tracked.statement.limit, share,
-                             TimeSinceBoot());
+  return tracked.granter.Ask(role, asker, *limit, share, now);
 }
 
 PeerFrame ServerPermits::OnAskPermit(const PeerFrame& frame) {
@@ -351,8 +400,10 @@
   const ServerStart start{ServerId(asked.server), asked.started_ms};
   Tracked* tracked = Find(start);
   if (tracked == nullptr) return answer;
-  const auto& limit = tracked->statement.limit;
-  if (!limit || limit->Count() != asked.per_s) {
+  const auto& stated = tracked->statement.limit;
+  const bool agrees = stated.has_value() == asked.limited &&
+                      (!stated || stated->Count() == asked.per_s);
+  if (!agrees) {
     answer.limits.push_back(
         PackLimit(start, tracked->statement, TimeSinceBoot()));
   }
@@ -369,17 +420,18 @@
 
 std::optional<Milliseconds> ServerPermits::ReturnDelay(
     const ServiceId& service, const std::vector<Backend>& servers) {
+  const auto now = TimeSinceBoot();
   double total = 0;
   for (const auto& server : servers) {
     if (server.state->IsLeaving()) continue;
-    if (!server.state->Limit()) return std::nullopt;
-    total += server.state->Limit()->Count();
+    const auto limit = server.state->Limit(now);
+    if (!limit) return std::nullopt;
+    total += limit->Count();
   }
   const double instances =
       static_cast<double>(std::max<std::size_t>(1, m_instances.size()));
   const RequestRate share(total / instances);
-  return std::chrono::ceil<Milliseconds>(
-      m_returns[service].Join(share, TimeSinceBoot()));
+  return std::chrono::ceil<Milliseconds>(m_returns[service].Join(share, now));
 }
 
 void ServerPermits::CountPermit(const Tracked& tracked, const char* outcome) {
--- a/src/serve/server_permits.h
+++ b/src/serve/server_permits.h
@@ -27,8 +27,9 @@
 };
 
 /// Keeps the requests of all instances to a server within the limit that the
-/// server names. Tracks the limits, obtains permits from the servers' granters,
-/// and grants permits itself. Used on the traffic thread only.
+/// server names, and within what it takes while it is cold. Tracks the limits,
+/// obtains permits from the servers' granters, and grants permits itself. Used
+/// on the traffic thread only.
 class ServerPermits {
  public:
   using Time = std::chrono::nanoseconds;
@@ -64,6 +65,8 @@
     ServiceId service;
     std::shared_ptr<BackendState> state;
     LimitStatement statement;
+    Time cold_until{0};
+    std::optional<RequestRate> cold_rate;
     PermitGranter granter;
     std::optional<NodeId> main;        ///< its main granter
     std::optional<NodeId> substitute;  ///< of this instance's domain
@@ -76,6 +79,14 @@
   Tracked* Track(const ServerStart& start);
   Tracked* Find(const ServerStart& start);
   void AssignGranters(const ServerId& server, Tracked& tracked, Time since);
+  /// The lower of the stated limit and the rate of a cold server; nothing if
+  /// neither binds.
+  static std::optional<RequestRate> LimitOf(const Tracked& tracked, Time now);
+  /// Tracks the servers that are cold.
+  void UpdateColdServers();
+  /// Records until when a server is cold; the latest time that any instance
+  /// knows of counts.
+  void ExtendCold(const ServerStart& start, Tracked& tracked, Time until);
   /// @return whether the server became limited or ceased to be
   bool Apply(const ServerStart& start, Tracked& tracked,
              const LimitStatement& statement);
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -77,6 +77,10 @@
         reader.Number("quota_overage", settings.quota.overage, 0, 1);
     settings.quota.slack =
         reader.Number("quota_slack", settings.quota.slack, 0, kMaxNumber);
+    settings.cold_overage.ratio = reader.Number(
+        "warmup_overage", settings.cold_overage.ratio, 0, kMaxNumber);
+    settings.cold_overage.slack = reader.Number(
+        "warmup_slack", settings.cold_overage.slack, 0, kMaxNumber);
     settings.retry_ratio =
         reader.Number("retry_ratio", settings.retry_ratio, 0, 1);
     settings.retry_slack =
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -18,13 +18,15 @@
 
 }  // namespace
 
-bool AffectsRouting(const ServerEntry& left, const ServerEntry& right) {
-  return left.service != right.service || left.address != right.address ||
-         left.domain != right.domain || left.version != right.version ||
-         left.slots != right.slots || left.state != right.state ||
-         left.started_ms != right.started_ms ||
-         left.reclaimable != right.reclaimable ||
-         (left.warmup_left.count() > 0) != (right.warmup_left.count() > 0);
+bool AffectsRouting(const ServerEntry& earlier, const ServerEntry& later) {
+  return earlier.service != later.service || earlier.address != later.address ||
+         earlier.domain != later.domain || earlier.version != later.version ||
+         earlier.slots != later.slots || earlier.state != later.state ||
+         earlier.started_ms != later.started_ms ||
+         earlier.reclaimable != later.reclaimable ||
+         (earlier.warmup_left.count() > 0) != (later.warmup_left.count() > 0) ||
+         // It has turned cold again.
+         earlier.warmup_left < later.warmup_left;
 }
 
 bool ServerRegistry::IsOutdated(const ServerEntry& entry) const {
@@ -101,6 +103,13 @@
   ServerEntry& entry = registration.entry;
   if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
   const auto known = m_entries.find(entry.id);
+  const bool is_reread = known != m_entries.end() && entry.position.IsKnown() &&
+                         known->second.entry.position == entry.position;
+  if (is_reread) {
+    entry.cold_until = known->second.entry.cold_until;
+  } else if (entry.warmup_left.count() > 0) {
+    entry.cold_until = now + entry.warmup_left;
+  }
   if (IsBroughtBack(entry)) {
     // A further restore writes the row anew, which then lasts as long again.
     const bool waits = known != m_entries.end() &&
