Let the soak evacuate a domain and start servers cold

Two checks: nothing reaches an evacuated domain after the bound, and no cold server gets more than it tolerates in any second, whatever happens to gateways.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 import signal
 
 from crash_checks import check_crash_budget, check_sound_requests
+from domain_checks import check_cold_servers, check_evacuations
 from limit_checks import check_limited_refusals, check_server_limits
 from record import (
     FAULT_FREE_PERIOD_S, HARMLESS_FAULTS, INTERRUPTIONS, LINK_FAULTS, NOT_EXECUTED_STATUSES,
@@ -335,5 +336,6 @@
     check_at_most_once, check_refusals, check_answers, check_attempts,
     check_configuration, check_keys, check_drains, check_leaving_answers,
     check_pauses, check_crash_budget, check_sound_requests, check_server_limits,
+    check_evacuations, check_cold_servers,
     check_limited_refusals, check_duties, check_stops, check_lost, check_limits,
     check_time_limits, check_abandoned, check_own_ends, check_stop_times, check_recovery)}
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -10,6 +10,7 @@
 import time
 import urllib.request
 
+from domain_checks import COLD_RATE, WARMUP_S
 from process_faults import ProcessFaults
 from processes import GatewayInstance, SupervisedGateway, measure_main_cpu_s
 
@@ -19,7 +20,7 @@
     BINARY, PORT_OFFSET, eventually, free_port, set_port_range)
 
 # Bounds in the settings of the gateways, also used by the checks.
-BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
+BOUNDS = {"apply_ms": 3000, "evacuate_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
           "lease_ms": 3000, "usage_window_s": 2, "usage_due_s": 6,
           "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 2000}
 LIMIT = {"rate_per_s": 600, "burst": 3000}  # tokens, of tenant "limited"
@@ -40,6 +41,7 @@
 IDLE_LIMITS_S = (4.0, 1.0, 2.5)  # of callers' connections, by configuration in turn
 LIMITED_KEY = "limited-key"
 REPEATING_KEY = "repeating-key"  # never revoked
+SECOND_DOMAIN = "z2"  # of every second server, in runs with evacuations
 CRASHED_SERVER_RETURN_S = 2.0  # time until a server that a request has crashed is back
 
 
@@ -56,9 +58,10 @@
     return IDLE_LIMITS_S[index % len(IDLE_LIMITS_S)]
 
 
-def configuration_at(index):
+def configuration_at(index, cold=False):
     """The configuration with the given index. Each one revokes a key and points the
-    probe route to another service."""
+    probe route to another service. If servers are `cold` after their start, it says so."""
+    warmup = {"warmup_s": WARMUP_S, "warmup_per_s": COLD_RATE} if cold else {}
     return configuration(
         version=1 + 3 * index,
         limits={"max_header_bytes": 8192, "max_body_bytes": 100000,
@@ -69,7 +72,8 @@
             route("probe", "/probe/", "safe", f"probe{index % PROBE_SERVICES}",
                   public=True)],
         services=[
-            *services(max_conns=MAX_CONNS, slots=MODEL_SERVER_SLOTS),
+            *(service | warmup for service in services(
+                max_conns=MAX_CONNS, slots=MODEL_SERVER_SLOTS)),
             *({"name": f"probe{n}", "max_conns": MAX_CONNS}
               for n in range(PROBE_SERVICES))],
         tenants=[tenant("main", key_of(index), key_of(index + 1)),
@@ -80,7 +84,13 @@
 class SoakEnvironment:
     """All processes and fakes of a soak run, on loopback. Use as a context manager."""
 
-    def __init__(self, instance_count, plains=4, models=3):
+    def __init__(self, instance_count, plains=4, models=3, two_domains=False):
+        """With `two_domains`, every second server is in the second one, and servers are cold
+        after their start."""
+        self.two_domains = two_domains
+        self.evacuated = set()  # domains
+        self.evacuations = []  # (servers, time acknowledged, time taken back)
+        self.cold = []  # (server, time from which it is cold)
         self.store = fakes.Store()
         self.cloud = fakes.Cloud()
         self.lock = threading.Lock()
@@ -162,7 +172,10 @@
         with self.lock:
             self.backends[slot] = backend
             self.set_links({slot: "up"})
-        self._write_registration(backend.name, self._registration(slot))
+        if self.two_domains and self.changes:  # not before the load begins
+            self._register_cold(slot)
+        else:
+            self._write_registration(backend.name, self._registration(slot))
 
     def _write_registration(self, name, registration):
         """Writes a server's registration, or deletes it if there is none."""
@@ -174,8 +187,52 @@
                 self.store.delete("servers", name)
 
     def _registration(self, slot, **fields):
-        return self.backends[slot].registration(self.slots[slot], address=self.links[slot],
-                                                **fields)
+        return self.backends[slot].registration(
+            self.slots[slot], zone=self._domain_of(slot), address=self.links[slot], **fields)
+
+    def _domain_of(self, slot):
+        return SECOND_DOMAIN if self.two_domains and int(slot[-1]) % 2 else "z1"
+
+    def _register_cold(self, slot):
+        self.cold.append((self.backends[slot].name, time.monotonic()))
+        self._write_registration(self.backends[slot].name, self._registration(
+            slot, warmup_left_ms=int(WARMUP_S * 1000)))
+
+    def _evacuate(self, fault):
+        """The operator evacuates a domain; its servers are cold when it returns."""
+        slots = [slot for slot in self.slots if self._domain_of(slot) == fault.target]
+        self._write_order(fault.target, evacuated=True)
+        acknowledged = time.monotonic()
+        time.sleep(fault.for_s)
+        taken_back = time.monotonic()
+        servers = {backend.name for backend in self.all_backends()
+                   if backend.name.rsplit("-", 1)[0] in slots}
+        self.evacuations.append((tuple(sorted(servers)), acknowledged, taken_back))
+        for slot in slots:
+            with self.slot_locks[slot]:
+                if self.registrations.get(self.backends[slot].name):
+                    self._register_cold(slot)
+        self._write_order(fault.target, evacuated=False)
+
+    def _write_order(self, domain, evacuated):
+        """Writes or removes the order to evacuate a domain once the store is available."""
+        while self.store.down or self.store.silent:
+            time.sleep(0.02)
+        with self.rows_lock:
+            if evacuated:
+                self.evacuated.add(domain)
+            else:
+                self.evacuated.discard(domain)
+            self._put_orders()
+
+    def _put_orders(self):
+        if not self.two_domains:
+            return
+        key = f"evacuate/{SECOND_DOMAIN}"
+        if SECOND_DOMAIN in self.evacuated:
+            self.store.put("op", key, {})
+        elif key in self.store.keys("op"):
+            self.store.delete("op", key)
 
     def _stop_backend(self, slot, crash):
         backend = self.backends[slot]
@@ -236,7 +293,7 @@
         with self.rows_lock:
             index = len(self.changes)
             begun = time.monotonic()
-            self.store.put("op", "config", configuration_at(index))
+            self.store.put("op", "config", configuration_at(index, self.two_domains))
             self.changes.append((index, begun, time.monotonic()))
 
     def current_index(self):
@@ -255,6 +312,8 @@
         with self.fault_period(fault.target, fault.kind):
             if fault.target in self.instances:
                 self._inject_instance_fault(self.instances[fault.target], fault)
+            elif fault.kind == "evacuated":
+                self._evacuate(fault)
             elif fault.kind == "copied_refusals":
                 self._copy_refusals(fault)
             elif fault.kind == "names_limit":
@@ -363,7 +422,9 @@
         self.store.restore(copy)
         time.sleep(RESTORE_REWRITE_S)
         with self.rows_lock:
-            self.store.put("op", "config", configuration_at(self.current_index()))
+            self.store.put("op", "config",
+                           configuration_at(self.current_index(), self.two_domains))
+            self._put_orders()
             for name, registration in self.registrations.items():
                 self._write_registration(name, registration)
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -9,7 +9,7 @@
 INTERRUPTIONS = PLANNED_STOPS | {  # of a gateway process
     "kill", "pause", "kill_all", "signals_start", "settings_rewritten", "address_taken"}
 HARMLESS_FAULTS = {  # excuse nothing
-    "signals", "log_closed", "log_stalled", "names_limit", "copied_refusals"}
+    "signals", "log_closed", "log_stalled", "names_limit", "copied_refusals", "evacuated"}
 STORE_CUTS = {"store_cut", "store_silent", "store_one_way", "store_reset"}
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 LINK_FAULTS = {"link_cut", "link_silent", "link_one_way", "link_delay", "link_reset"}
@@ -41,6 +41,8 @@
     arrivals: dict  # server: [(request id, time)]
     pauses: dict  # server: [(request id, time of a 503 with Retry-After, end of that time)]
     limits: dict  # server: [(time, limit that it names from then on, or 0)]
+    evacuations: list  # (servers, time acknowledged, time taken back)
+    cold: list  # (server, time from which it is cold)
     crashes: dict  # body: [time at which a request with it crashed a server]
     changes: list  # (index, time begun, time acknowledged)
     usage: list  # usage reports to the cloud in order of arrival
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -40,6 +40,8 @@
 # Requests that crash the servers that run them; drawn apart as well.
 CRASHING_PROBABILITY = 0.5  # that there is one for a service in a run
 CRASHING_KINDS = {"plain": ("safe", "once"), "model": ("stream", "stream1")}  # by service
+# Evacuations of a failure domain, whose servers are cold when it returns; drawn apart as well.
+EVACUATION_PROBABILITY = 0.4  # that there are any in a run
 RESTORE_PROBABILITY = 0.5  # that the store is restored from a copy in a run
 CONFIGURATION_INTERVAL_S = (2.5, 6.0)
 FAULT_DURATION_S = (0.2, 5.0)
@@ -128,6 +130,15 @@
     return faults
 
 
+def draw_evacuations(rng, seconds, domain):
+    """Returns the times for which a failure domain is evacuated. They are long, since requests
+    may reach it for some seconds."""
+    if rng.random() >= EVACUATION_PROBABILITY:
+        return []
+    at_s = rng.uniform(0, seconds / 4)
+    return [Fault(at_s, "evacuated", domain, rng.uniform(0.4, 0.6) * seconds)]
+
+
 def draw_restore(rng, seconds):
     """Returns a restore of the store from a copy that is taken `for_s` before it, or none."""
     if rng.random() >= RESTORE_PROBABILITY:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,12 +22,12 @@
 from callers import CALLER_COUNT, CRASHING_CALLERS, Caller, CrashingCaller
 from checks import CHECKS, RECOVERY_TIMEOUT_S
 from environment import (
-    BOUNDS, LIMIT, LIMITED_KEY, PORT_OFFSET, PROBE_SERVICES, SoakEnvironment, eventually, key_of,
-    set_port_range)
+    BOUNDS, LIMIT, LIMITED_KEY, PORT_OFFSET, PROBE_SERVICES, SECOND_DOMAIN, SoakEnvironment,
+    eventually, key_of, set_port_range)
 from record import Record
 from schedule import (
-    draw_changes, draw_copies, draw_crashing_requests, draw_faults, draw_limits, draw_notices,
-    draw_process_faults, draw_restore)
+    draw_changes, draw_copies, draw_crashing_requests, draw_evacuations, draw_faults,
+    draw_limits, draw_notices, draw_process_faults, draw_restore)
 
 POST_RECOVERY_LOAD_S = 3.0  # duration of the load after the recovery
 FAULT_FREE_START_S = 4.0  # before the first fault, so that timing bounds apply from it on
@@ -104,6 +104,7 @@
         pauses={backend.name: list(backend.pauses)
                 for backend in environment.all_backends()},
         crashes=dict(environment.crashes),
+        evacuations=list(environment.evacuations), cold=list(environment.cold),
         limits={name: list(named) for name, named in environment.limits.items()},
         usage=list(environment.cloud.usage),
         scale=list(environment.cloud.scale),
@@ -127,7 +128,9 @@
 def run_seed(seed, seconds, instance_count, quiet):
     rng = random.Random(seed)
     errors = collect_thread_errors()
-    with SoakEnvironment(instance_count) as environment:
+    evacuations = [] if quiet else draw_evacuations(random.Random(f"{seed}/evacuations"),
+                                                    seconds, SECOND_DOMAIN)
+    with SoakEnvironment(instance_count, two_domains=bool(evacuations)) as environment:
         eventually(lambda: all(instance.in_rotation
                                for instance in environment.instances.values()))
         faults = [] if quiet else draw_faults(rng, seconds, environment.names,
@@ -142,6 +145,7 @@
                                   sorted(environment.slots) + SERVICE_TARGETS)
             faults += draw_copies(random.Random(f"{seed}/copies"), seconds,
                                   sorted(environment.slots) + SERVICE_TARGETS)
+            faults += evacuations
         crashing = [] if quiet else draw_crashing_requests(random.Random(f"{seed}/crashing"),
                                                            seconds)
         stopped = threading.Event()
--- a/tests/soak/soak_checks_test.py
+++ b/tests/soak/soak_checks_test.py
@@ -18,6 +18,7 @@
 
 import callers  # noqa: E402
 import checks  # noqa: E402
+import domain_checks  # noqa: E402
 import environment  # noqa: E402
 import limit_checks  # noqa: E402
 import processes  # noqa: E402
@@ -27,7 +28,8 @@
 from record import HARMLESS_FAULTS, Exit, Record, Signal  # noqa: E402
 
 BOUNDS = {"apply_ms": 3000, "revoke_ms": 5000, "drain_ms": 3000, "stop_s": 8,
-          "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 100}
+          "evacuate_ms": 3000, "quota_window_s": 8, "quota_overage": 0.1,
+          "quota_slack": 100}
 
 
 def call(request="r1", kind="safe", sent=100.0, **fields):
@@ -44,7 +46,7 @@
 
 def record(calls=(), **fields):
     values = {"runs": {}, "fault_periods": [], "drains": [], "arrivals": {},
-              "pauses": {}, "limits": {}, "crashes": {}, "changes": [], "usage": [],
+              "pauses": {}, "limits": {}, "crashes": {}, "evacuations": [], "cold": [], "changes": [], "usage": [],
               "scale": [], "exits": [], "disconnects": {}, "bounds": BOUNDS,
               "limit": {"rate_per_s": 10, "burst": 20}, "recovered": 1.0,
               "removed_by": {}, "limited_key": "limited-key", "probe_services": 3}
@@ -77,6 +79,27 @@
                     record([cut], fault_periods=[("gw0", "stop", 99.0, 99.5)]),
                     record([cut], fault_periods=[("gw1", "stop", 99.0, 99.5)]))
 
+    def test_evacuated_domain_gets_nothing(self):
+        order = (("plain1-1",), 100.0, 110.0)
+        late = call(sent=104.0)
+        self.expect(
+            domain_checks.check_evacuations,
+            record([call(sent=102.0)], evacuations=[order],
+                   arrivals={"plain1-1": [("r1", 102.05)]}),
+            record([late], evacuations=[order], arrivals={"plain1-1": [("r1", 104.05)]}))
+        self.assertEqual(domain_checks.check_evacuations(record(
+            [late], evacuations=[order], arrivals={"plain1-1": [("r1", 104.05)]},
+            fault_periods=[("gw0", "pause", 101.0, 102.0)])), [])
+
+    def test_cold_server_gets_its_rate(self):
+        def of(count):
+            return record([call()], cold=[("plain1-1", 100.0)], arrivals={
+                "plain1-1": [("r1", 100.5 + number / 100) for number in range(count)]})
+        self.expect(domain_checks.check_cold_servers, of(9), of(10))
+        warm = record([call()], cold=[("plain1-1", 90.0)], arrivals={
+            "plain1-1": [("r1", 100.5)] * 30})
+        self.assertEqual(domain_checks.check_cold_servers(warm), [])
+
     def test_refused_request_is_not_executed(self):
         refused = call(status=503, signature="")
         self.expect(checks.check_refusals, record([refused]),
