End a call in time whose connection brings an endless answer to another one

Cause: the loop that skips an answer to an earlier request asked for no deadline; the timer of the stream does not end reads that complete at once. With little processor time the call lasted longer than its timeout. Change: DiscardBody ends with a timeout once the deadline has passed. The failure was not reproduced on the old code by a second run, so that this was its cause is read from the code.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -125,6 +125,12 @@
       error.message(), execution);
 }
 
+/// Whether a call is over. The timer of a stream does not end reads that
+/// complete at once, so loops of reads ask.
+bool HasPassed(std::chrono::steady_clock::time_point deadline) {
+  return std::chrono::steady_clock::now() >= deadline;
+}
+
 /// Cancels the pending read of a connection after a timeout, without closing
 /// the connection. Ends with the object.
 class ReadTimer {
@@ -175,15 +181,14 @@
       if (error) co_return error;
       const auto kind = http::to_status_class(m_parser->get().result());
       if (kind == http::status_class::informational) {
-        // The timer of the stream does not end reads that complete at once.
-        if (std::chrono::steady_clock::now() >= deadline)
+        if (HasPassed(deadline))
           co_return make_error_code(beast::error::timeout);
         continue;
       }
       if (!options.is_own_response || options.is_own_response(Header()))
         co_return error;
       ++skipped;
-      const error_code discard_error = co_await DiscardBody();
+      const error_code discard_error = co_await DiscardBody(deadline);
       if (discard_error) co_return discard_error;
     }
     co_return make_error_code(http::error::bad_status);
@@ -222,9 +227,12 @@
 
  private:
   /// Reads and discards the body of a response to an earlier call.
-  Awaitable<error_code> DiscardBody() {
+  Awaitable<error_code> DiscardBody(
+      std::chrono::steady_clock::time_point deadline) {
     std::string piece(kReadBufferBytes, '\0');
     while (!m_parser->is_done()) {
+      if (HasPassed(deadline))
+        co_return make_error_code(beast::error::timeout);
       m_parser->get().body().data = piece.data();
       m_parser->get().body().size = piece.size();
       auto [error, size] = co_await http::async_read_some(
