Plan capacity as soon as a reclaim is noticed

Cause: the lease holder planned with its next report, up to a second after it had read that a domain's reclaimable servers leave; boot takes seconds more. Change: ReclaimWatch, pure, finds reclaims in the registrations, and wakes the exchange of reports.

--- a/include/cowslipknot/gateway/capacity_plan.h
+++ b/include/cowslipknot/gateway/capacity_plan.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "cowslipknot/gateway/routes.h"
@@ -27,6 +28,26 @@
   bool evacuated = false;         ///< its servers get no requests
 };
 
+/// Whether the platform has reclaimed servers of a failure domain: several, and
+/// a considerable part of them, are gone at once.
+/// @param before  reclaimable servers that were ready
+/// @param now     those that are ready now
+bool IsReclaim(std::uint32_t before, std::uint32_t now);
+
+/// Notices reclaims as soon as the registrations show them, so that replacement
+/// can be ordered before the next regular plan. Reads no clock.
+class ReclaimWatch {
+ public:
+  using Counts = std::map<std::pair<ServiceId, DomainId>, std::uint32_t>;
+
+  /// @param reclaimable  ready reclaimable servers
+  /// @return whether there was a reclaim since the last call
+  bool Update(Counts reclaimable);
+
+ private:
+  Counts m_known;
+};
+
 /// Plans the servers of one service in each failure domain.
 ///
 /// A reclaimable (spot) server costs less, but the platform may reclaim it at
--- a/src/coordination/capacity_plan.cc
+++ b/src/coordination/capacity_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cowslipknot::gateway {
 namespace {
@@ -27,10 +28,11 @@
 /// Fewer servers must be required for this long before on-demand servers are
 /// released.
 constexpr std::chrono::milliseconds kOnDemandReleaseDelay(8000);
-/// If at least this fraction of a domain's reclaimable servers, and more than
-/// one, disappears between two plans although no fewer were ordered, the
+/// If at least this fraction of a domain's reclaimable servers, and as many as
+/// this, disappear between two plans although no fewer were ordered, the
 /// platform has reclaimed them and offers none there for a while.
 constexpr double kMinReclaimedFraction = 0.25;
+constexpr std::uint32_t kMinReclaimed = 2;
 /// Fewer servers must be required for this long before reclaimable servers are
 /// released. This delay is longer, because reclaimable servers cost only a
 /// fraction of an on-demand server.
@@ -42,6 +44,19 @@
 
 }  // namespace
 
+bool IsReclaim(std::uint32_t before, std::uint32_t now) {
+  if (before < now + kMinReclaimed) return false;
+  return before - now >= kMinReclaimedFraction * before;
+}
+
+bool ReclaimWatch::Update(Counts reclaimable) {
+  const Counts before = std::exchange(m_known, std::move(reclaimable));
+  return std::any_of(before.begin(), before.end(), [this](const auto& item) {
+    const auto now = m_known.find(item.first);
+    return IsReclaim(item.second, now == m_known.end() ? 0 : now->second);
+  });
+}
+
 void CapacityPlanner::UpdateNeed(
     const std::map<DomainId, DomainCapacity>& domains, Time now) {
   const double elapsed =
@@ -135,11 +150,10 @@
 
 void CapacityPlanner::DetectReclaim(DomainState& state,
                                     const DomainCapacity& capacity, Time now) {
-  const auto before = static_cast<double>(state.previous_reclaimable);
-  const double lost = before - capacity.reclaimable;
-  state.previous_reclaimable = capacity.reclaimable;
+  const std::uint32_t before =
+      std::exchange(state.previous_reclaimable, capacity.reclaimable);
   const bool ordered_away = state.reclaimable_ordered.value_or(0) < before;
-  if (ordered_away || lost < 2 || lost < kMinReclaimedFraction * before) return;
+  if (ordered_away || !IsReclaim(before, capacity.reclaimable)) return;
   state.unavailable_until = now + kUnavailableDelay;
   state.reclaimable_ordered = capacity.reclaimable;
 }
--- a/src/serve/gateway_control_plane.cc
+++ b/src/serve/gateway_control_plane.cc
@@ -37,6 +37,7 @@
       m_configuration_cursor{adapter.names.configuration_table},
       m_following_ended(context, SteadyClock::time_point::max()),
       m_lapse_timer(context),
+      m_report_timer(context),
       m_coordinator(settings, adapter),
       m_relay(settings, context.get_executor(), m_coordinator.StartedMs()) {}
 
@@ -285,6 +286,7 @@
   asio::post(m_worker.Context(),
              [this, snapshot] { m_worker.SetSnapshot(snapshot); });
   m_publication_due = false;
+  NoticeReclaims();
 }
 
 Awaitable<std::string> ControlPlane::RenderMetrics() {
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -63,6 +63,11 @@
   Awaitable<void> WatchServers();
   Awaitable<FleetCoordinator::ReportInput> CollectReportInput();
   Awaitable<void> ExchangeReports();
+  /// Waits until the next report is due, or until NoticeReclaims() finds that
+  /// capacity is to be planned.
+  Awaitable<void> WaitForNextReport();
+  /// Plans the capacity soon if the registrations show a reclaim.
+  void NoticeReclaims();
   Awaitable<void> WriteReportsOfFollowers();
   /// Passes the evidence of quarantines in the reports on to the traffic
   /// thread, for a process that no peer could tell of them.
@@ -197,6 +202,9 @@
   bool m_following = false;
   asio::steady_timer m_following_ended;
   asio::steady_timer m_lapse_timer;
+  asio::steady_timer m_report_timer;
+  ReclaimWatch m_reclaims;
+  bool m_plan_due = false;  ///< servers were reclaimed
   /// Relays that did not respond, and when to ask them again.
   std::map<NodeId, std::chrono::nanoseconds> m_relay_retry_at;
   std::uint64_t m_relay_cursor = 0;  ///< in the relay's RegistrationLog
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -184,10 +184,29 @@
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
                                                  m_registry.UsableServers());
     }
-    co_await SleepFor(NextReportDelay());
+    co_await WaitForNextReport();
   }
 }
 
+Awaitable<void> ControlPlane::WaitForNextReport() {
+  if (!std::exchange(m_plan_due, false)) {
+    m_report_timer.expires_after(NextReportDelay());
+    co_await m_report_timer.async_wait(kAsTuple);
+  }
+  m_plan_due = false;
+}
+
+void ControlPlane::NoticeReclaims() {
+  ReclaimWatch::Counts reclaimable;
+  for (const auto& entry : m_registry.UsableServers()) {
+    if (entry.reclaimable) ++reclaimable[{entry.service, entry.domain}];
+  }
+  const bool reclaimed = m_reclaims.Update(std::move(reclaimable));
+  if (!reclaimed || !m_coordinator.HoldsLease()) return;
+  m_plan_due = true;
+  m_report_timer.cancel();
+}
+
 void ControlPlane::ImportCrashEvidence() {
   // Later the instances tell each other.
   if (TimeSinceBoot() - m_started_at > kCrashEvidenceImportPeriod) return;
--- a/tests/unit/evacuated_capacity_test.cc
+++ b/tests/unit/evacuated_capacity_test.cc
@@ -150,3 +150,25 @@
   domains[DomainId("a")].evacuated = true;
   cr_expect(RunPlanner(planner, domains, 30, 40).empty());
 }
+
+// Load pattern: the platform reclaims most servers of a domain, while the
+// others come and go one by one.
+Test(reclaim_watch, notices_servers_of_one_domain_that_are_gone_at_once) {
+  const std::pair<ServiceId, DomainId> west{ServiceId("m"), DomainId("west")};
+  const std::pair<ServiceId, DomainId> east{ServiceId("m"), DomainId("east")};
+  ReclaimWatch watch;
+  cr_expect_not(watch.Update({{west, 51}, {east, 28}}));
+  cr_expect_not(watch.Update({{west, 50}, {east, 28}}));
+  cr_expect(watch.Update({{west, 20}, {east, 28}}));
+  cr_expect_not(watch.Update({{west, 20}, {east, 28}}));
+  cr_expect(watch.Update({{west, 20}}));
+  cr_expect_not(watch.Update({{west, 30}, {east, 4}}));
+}
+
+Test(reclaim_watch, ignores_single_servers_and_small_parts) {
+  cr_expect_not(IsReclaim(1, 0));
+  cr_expect_not(IsReclaim(40, 31));
+  cr_expect(IsReclaim(40, 30));
+  cr_expect(IsReclaim(2, 0));
+  cr_expect_not(IsReclaim(0, 5));
+}
