Mend what the review of evacuation and cold servers found

EvacuationOrders remembers the end of an order. - A server that turned cold again with less time left than its last row said was not noticed. The ends are compared. - Permits may be used up to a connect timeout later than they are taken; the rate allows for it. - After the wait for a permit the evacuation was not checked again. - Reports and orders lacked an evacuated domain if its log line failed. Not a fault: the planner does not count an evacuated domain's load twice, since busy servers are reported by the domain of the instance, which still has its callers. Open: servers that come back under their old registration, and granters that have lost the store.

--- a/include/cowslipknot/coordination/evacuation.h
+++ b/include/cowslipknot/coordination/evacuation.h
@@ -23,7 +23,8 @@
  public:
   using Time = std::chrono::nanoseconds;
 
-  /// Applies the row of an order.
+  /// Applies the row of an order. One that is older than the known end of the
+  /// order, from a relay that lags behind, has no effect.
   /// @return whether the set of evacuated domains changed, as with the others
   bool Put(const DomainId& domain, const StorePosition& position);
   /// Records that the store has no such row at a position. In a later era than
@@ -48,7 +49,11 @@
     std::optional<Time> lost_at;  ///< set while the store has no such row
   };
   std::map<DomainId, Order> m_orders;
-  std::map<DomainId, Time> m_ended_at;
+  struct Ending {
+    StorePosition position;
+    Time at{0};
+  };
+  std::map<DomainId, Ending> m_endings;  ///< the last one of each domain
 };
 
 }  // namespace cowslipknot
--- a/src/coordination/evacuation.cc
+++ b/src/coordination/evacuation.cc
@@ -13,6 +13,11 @@
 
 bool EvacuationOrders::Put(const DomainId& domain,
                            const StorePosition& position) {
+  const auto ending = m_endings.find(domain);
+  const bool is_outdated = ending != m_endings.end() &&
+                           position.era == ending->second.position.era &&
+                           position <= ending->second.position;
+  if (is_outdated) return false;
   const auto [item, is_new] = m_orders.try_emplace(domain);
   Order& order = item->second;
   order.position = std::max(order.position, position);
@@ -32,7 +37,7 @@
     return false;
   }
   m_orders.erase(item);
-  m_ended_at[domain] = now;
+  m_endings[domain] = {position, now};
   return true;
 }
 
@@ -50,7 +55,7 @@
   const auto erased = std::erase_if(m_orders, [&](const auto& item) {
     const auto& [domain, order] = item;
     if (!order.lost_at || now - *order.lost_at < kRewriteGrace) return false;
-    m_ended_at[domain] = now;
+    m_endings[domain] = {order.position, now};
     return true;
   });
   return erased > 0;
@@ -65,9 +70,9 @@
 
 std::optional<EvacuationOrders::Time> EvacuationOrders::EndedAt(
     const DomainId& domain) const {
-  const auto ended = m_ended_at.find(domain);
-  if (ended == m_ended_at.end()) return std::nullopt;
-  return ended->second;
+  const auto ending = m_endings.find(domain);
+  if (ending == m_endings.end()) return std::nullopt;
+  return ending->second.at;
 }
 
 }  // namespace cowslipknot
--- a/src/coordination/warmup.cc
+++ b/src/coordination/warmup.cc
@@ -5,6 +5,12 @@
 #include "cowslipknot/coordination/permit_granter.h"
 
 namespace cowslipknot {
+namespace {
+
+/// From the use of a permit until its request is sent, at most.
+constexpr std::chrono::milliseconds kMaxConnectTime(250);
+
+}  // namespace
 
 WarmupEvidence::Time ColdUntil(const WarmupEvidence& evidence,
                                const ColdTolerance& tolerance) {
@@ -17,10 +23,12 @@
                            const ColdOverage& overage) {
   const double tolerated =
       overage.ratio * tolerance.rate.Count() + overage.slack;
-  // Permits of one second may be used together with those that were granted
-  // within a permit's lifetime before it.
+  // A permit may be used at the end of its lifetime, and the request sent when
+  // its connection is open: those of this time before may be used with those of
+  // one second.
   const double seconds =
-      1 + std::chrono::duration<double>(kPermitLifetime).count();
+      1 +
+      std::chrono::duration<double>(kPermitLifetime + kMaxConnectTime).count();
   const double rate = (tolerated - kMaxBurstOfGranters) /
                       (seconds * (1 + kSubstituteFraction) + kBurstPerRate);
   return RequestRate(std::clamp(rate, 0.0, tolerance.rate.Count()));
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -76,6 +76,9 @@
   /// Whether the request's service has a server that is neither excluded nor
   /// ejected.
   bool HasOtherServer() const;
+  /// Whether a server may still get requests: it has not left since it was
+  /// selected, and its failure domain is not evacuated.
+  bool IsListed(const ServerEntry& server) const;
   /// Returns the servers of the version that the service's move assigns to this
   /// request, or all servers if that version has none.
   const std::vector<Backend>& ServersOfVersion(
--- a/src/serve/gateway_call_servers.cc
+++ b/src/serve/gateway_call_servers.cc
@@ -87,12 +87,24 @@
     ++m_permit_requests;
     const bool permitted = co_await m_worker.Permits().Acquire(server->entry);
     const BackendState& state = *server->state;
-    const bool usable = !state.IsLeaving() && !state.IsPaused(TimeSinceBoot());
+    const bool usable = !state.IsLeaving() &&
+                        !state.IsPaused(TimeSinceBoot()) &&
+                        IsListed(server->entry);
     if (permitted && usable) co_return server;
     m_excluded_servers.push_back(server->entry.id);
   }
 }
 
+bool Call::IsListed(const ServerEntry& server) const {
+  const SnapshotPtr latest = m_worker.GetSnapshot();
+  const auto servers = latest->servers.find(server.service);
+  if (servers == latest->servers.end()) return false;
+  return std::any_of(servers->second.begin(), servers->second.end(),
+                     [&server](const Backend& listed) {
+                       return listed.entry.id == server.id;
+                     });
+}
+
 bool Call::RepeatsRequest() const {
   return !m_tried_servers.empty() && m_reached_server;
 }
--- a/src/serve/gateway_evacuation.cc
+++ b/src/serve/gateway_evacuation.cc
@@ -34,8 +34,8 @@
   if (!changed) return;
   // Set here, so that it is made up for if logging fails for want of memory.
   m_publication_due = true;
-  LogEvacuations(before);
   m_coordinator.SetEvacuated(m_evacuations.Domains());
+  LogEvacuations(before);
   Publish();
 }
 
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -15,6 +15,9 @@
 /// which a registration can lapse.
 constexpr int kSilenceLimitHeartbeats = 4;
 constexpr int kLapseHeartbeats = 2;
+/// By how much the end of a cold time may differ between two registrations,
+/// since one was read sooner after it was written than the other.
+constexpr std::chrono::milliseconds kColdEndTolerance(300);
 
 }  // namespace
 
@@ -26,7 +29,7 @@
          earlier.reclaimable != later.reclaimable ||
          (earlier.warmup_left.count() > 0) != (later.warmup_left.count() > 0) ||
          // It has turned cold again.
-         earlier.warmup_left < later.warmup_left;
+         later.cold_until > earlier.cold_until + kColdEndTolerance;
 }
 
 bool ServerRegistry::IsOutdated(const ServerEntry& entry) const {
--- a/tests/unit/evacuation_test.cc
+++ b/tests/unit/evacuation_test.cc
@@ -96,3 +96,14 @@
   cr_expect(orders.Put(kWest, At(2, 7)));
   cr_expect(orders.Contains(kWest));
 }
+
+// Guards against a domain that stays evacuated at one instance, since a relay
+// that lags behind has listed an order that had ended.
+Test(evacuation, an_order_older_than_its_known_end_is_not_in_force_again) {
+  EvacuationOrders orders;
+  orders.Put(kWest, At(1, 7));
+  orders.Remove(kWest, At(1, 9), kNow);
+  cr_expect_not(orders.Put(kWest, At(1, 7)));
+  cr_expect_not(orders.Contains(kWest));
+  cr_expect(orders.Put(kWest, At(1, 10)));
+}
