Let serve keep its permits in PermitBook too

Change: Control connects a PermitBook with membership, the instance list and ServerLoad; PermitExchange is removed.

--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -68,7 +68,7 @@
   m_backups = std::make_unique<RequestBackups>(
       settings, *m_gossip,
       [this](const Descriptor& descriptor) { StartTakenOverRun(descriptor); });
-  m_permits = MakePermitExchange();
+  m_permits = MakePermitBook();
   m_crashes = MakeCrashWatch();
   BuildHooks();
 }
@@ -131,7 +131,7 @@
   snapshot->domain = m_settings.domain;
   snapshot->servers = m_fleet.Available();
   snapshot->rolled_back = m_moves->RolledBackMoves();
-  m_permits->Update();
+  UpdatePermits();
   snapshot->members = m_gossip->Members().LiveCount();
   snapshot->draining = m_draining;
   snapshot->instances_known = m_instances_known;
@@ -166,7 +166,7 @@
 }
 
 void Control::OnRecord(const GossipRecord& record, const NodeId& sender) {
-  m_permits->Update();
+  UpdatePermits();
   if (record.key == kRevisionKey) {
     m_highest_known_revision =
         std::max(m_highest_known_revision, Revision(record.version));
@@ -310,7 +310,7 @@
     }
     const auto pause = std::chrono::duration_cast<Milliseconds>(
         m_settings.platform_poll_interval * jitter(m_random));
-    m_permits->Update();
+    UpdatePermits();
     co_await SleepFor(pause);
   }
 }
@@ -369,7 +369,7 @@
       break;
     case wire::Kind::AskPermit:
     case wire::Kind::ServerLimits:
-      answer = m_permits->Handle(*frame);
+      answer = HandlePermitFrame(*frame);
       break;
     case wire::Kind::ServerCrashed:
     case wire::Kind::ExchangePromptEvidence:
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -8,7 +8,7 @@
 #include "coordination/gossip_node.h"
 #include "coordination/move_controller.h"
 #include "serve/crash_watch.h"
-#include "serve/permit_exchange.h"
+#include "serve/permit_book.h"
 #include "serve/request_backups.h"
 #include "serve/worker.h"
 
@@ -64,8 +64,14 @@
 
  private:
   void BuildHooks();
-  std::unique_ptr<PermitExchange> MakePermitExchange();
+  std::unique_ptr<PermitBook> MakePermitBook();
   void BuildPermitHooks();
+  /// Applies changes of the instances and of the listed servers to the permits.
+  void UpdatePermits();
+  PeerFrame HandlePermitFrame(const PeerFrame& frame);
+  Awaitable<bool> AcquirePermit(ServerStart start);
+  Awaitable<Result<PeerFrame>> CallPermitInstance(NodeId node, PeerFrame frame);
+  Awaitable<void> TellOfLimit(NodeId node, PeerFrame notice);
   std::unique_ptr<CrashWatch> MakeCrashWatch();
   std::vector<Endpoint> PeerAddresses();
   void PublishQuarantines(const std::vector<Quarantine>& active);
@@ -105,7 +111,7 @@
   std::unique_ptr<ConfigurationManager> m_configuration_manager;
   std::unique_ptr<MoveController> m_moves;
   std::unique_ptr<RequestBackups> m_backups;
-  std::unique_ptr<PermitExchange> m_permits;
+  std::unique_ptr<PermitBook> m_permits;
   std::unique_ptr<CrashWatch> m_crashes;
   std::shared_ptr<LinkTraffic> m_served_traffic =
       std::make_shared<LinkTraffic>();
