Grant limits at half of the tolerated overage

Change: limits refill at their rate and half of the tolerated overage; the other half stays for shares that are not yet in force everywhere.

--- a/src/coordination/quota.cc
+++ b/src/coordination/quota.cc
@@ -15,10 +15,11 @@
 constexpr double kDemandTimeConstantSeconds = 10.0;
 /// Demand is not extrapolated from an observation shorter than this.
 constexpr double kMinDemandSeconds = 1.0;
-/// Fraction of the tolerated slack that is granted as burst. The rest and the
-/// tolerated overage compensate for shares that are not yet in force on all
-/// instances.
+/// Fractions of the tolerated slack that is granted as burst, and of the
+/// tolerated overage that is added to the rate. The rest compensates for shares
+/// that are not yet in force on all instances.
 constexpr double kBurstSlackFraction = 0.75;
+constexpr double kRateOverageFraction = 0.5;
 /// Fraction of a request's cost that must be available when it is granted on
 /// credit.
 constexpr double kMinPaidFraction = 0.2;
@@ -30,6 +31,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// The rate at which a limit is granted, over all instances.
+double GrantedRate(const Workspace& workspace,
+                   const QuotaTolerance& tolerance) {
+  return workspace.rate_per_s * (1 + kRateOverageFraction * tolerance.overage);
+}
+
 Milliseconds TimeToFill(double missing, double rate_per_s) {
   constexpr double kMsPerSecond = 1000;
   return Milliseconds(
@@ -66,7 +73,8 @@
     bucket.level = capacity;
   } else {
     const double elapsed = Seconds(now - bucket.updated);
-    bucket.level += workspace.rate_per_s * share * std::max(0.0, elapsed);
+    bucket.level +=
+        GrantedRate(workspace, m_tolerance) * share * std::max(0.0, elapsed);
   }
   bucket.level = std::min(bucket.level, capacity);
   bucket.updated = now;
@@ -106,7 +114,8 @@
     bucket.level -= cost;
     return Milliseconds(0);
   }
-  return TimeToFill(needed - bucket.level, workspace.rate_per_s * bucket.share);
+  return TimeToFill(needed - bucket.level,
+                    GrantedRate(workspace, m_tolerance) * bucket.share);
 }
 
 std::map<WorkspaceId, double> QuotaLimiter::Demand(Time now) {
@@ -139,7 +148,7 @@
   Pool& pool = found->second;
   const double capacity =
       pool.share * (workspace.burst + kBurstSlackFraction * m_tolerance.slack);
-  const double rate = workspace.rate_per_s * pool.share;
+  const double rate = GrantedRate(workspace, m_tolerance) * pool.share;
   const double elapsed = std::max(0.0, Seconds(now - pool.updated));
   pool.level = std::min(capacity, pool.level + rate * elapsed);
   pool.updated = now;
