Give no permit to a request whose server's process has ended

Cause: a request that waits for a permit while its server's process is replaced was sent without one, to the new process, which may be cold. Change: without the state of the process there is no permit. Before: permit_book/a_request_whose_server_restarts_meanwhile_gets_no_permit failed.

--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -235,7 +235,9 @@
   const auto answer = co_await AskGranters(start);
   tracked = Find(start);
   const auto now = TimeSinceBoot();
-  if (tracked == nullptr || !LimitOf(*tracked, now)) co_return true;
+  // Its process has ended, and the one that follows may be cold.
+  if (tracked == nullptr) co_return false;
+  if (!LimitOf(*tracked, now)) co_return true;
   if (answer && answer->permits > 0) {
     m_hooks.count(start.server, PermitEvent::kGranted);
     if (asks_alone) Withhold(start.server, *tracked, Time(0));
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -250,3 +250,16 @@
   cr_expect_eq(instance.Count(PermitEvent::kColdBegun), 1);
   cr_expect_not(instance.Acquire());
 }
+
+// Guards against a request to a process that has just started, and is cold.
+Test(permit_book, a_request_whose_server_restarts_meanwhile_gets_no_permit) {
+  std::vector<PermitInstance> other{InDomain("b", "east")};
+  BookOfInstance instance(NodeId("a"));
+  instance.Know(other, seconds(5));
+  instance.Book().OnStatement(kStart, Stating(RequestRate(5)));
+  instance.respond = [&instance](const PeerFrame&) {
+    instance.List(PermitServer{kStart.started_ms + 1, {}});
+    return Result<PeerFrame>(Fail(ResultCode::kPeerUnreachable));
+  };
+  cr_expect_not(instance.Acquire());
+}
