Let a server's cold rate become known after its limit

Cause: the rate was kept as it was when the server's state was made. State that a peer's notice makes before the configuration is read has none, so that the server never counted as cold under that start. Change: the rate is taken anew with each list of servers. Before: permit_book/the_rate_of_a_cold_server_may_become_known_later failed.

--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -66,6 +66,7 @@
   }
   if (listed->started_ms != tracked.started_ms) return false;
   tracked.removed_at.reset();
+  tracked.cold_rate = listed->cold_rate;
   Record(server, tracked);
   return true;
 }
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -263,3 +263,13 @@
   };
   cr_expect_not(instance.Acquire());
 }
+
+// Guards against full load on cold servers of which another instance told
+// before the configuration was read.
+Test(permit_book, the_rate_of_a_cold_server_may_become_known_later) {
+  BookOfInstance instance(NodeId("a"));
+  instance.Book().OnStatement(kStart, Stating(RequestRate(5)));
+  instance.List(PermitServer{kStart.started_ms, RequestRate(4)});
+  instance.Book().OnCold(kStart, TimeSinceBoot() + seconds(60));
+  cr_expect(instance.State().cold_rate == RequestRate(4));
+}
