Let no instance end a limit of which it has read nothing

Cause: a request for a permit of a cold server carries a statement also if the asker has read none. Its ages counted from the start of the asker's machine; at a granter whose machine has run for longer, that ended a limit that was last read before then. Change: a statement that was never read has the highest age. Before: server_limit/an_instance_that_has_read_no_statement_ends_no_limit failed. After: server_limit* 8 of 8, warmup 6 of 6.

--- a/src/serve/limit_codec.cc
+++ b/src/serve/limit_codec.cc
@@ -12,7 +12,9 @@
 constexpr microseconds kMaxAge = std::chrono::days(365);
 constexpr Milliseconds kMaxColdTime = std::chrono::hours(1);
 
+/// @param moment  zero if there was none, which is older than any other
 std::uint64_t AgeOf(LimitStatement::Time moment, LimitStatement::Time now) {
+  if (moment.count() == 0) return static_cast<std::uint64_t>(kMaxAge.count());
   const auto age = std::chrono::duration_cast<microseconds>(now - moment);
   return static_cast<std::uint64_t>(
       std::clamp(age, microseconds(0), kMaxAge).count());
--- a/tests/unit/server_limit_test.cc
+++ b/tests/unit/server_limit_test.cc
@@ -112,3 +112,16 @@
   cr_expect_not(is_accepted(
       [](Packed& packed) { packed.read_age_us = packed.sent_age_us + 1; }));
 }
+
+// Guards against a limit that ends by what an instance that has read none says:
+// its ages would count from the start of its machine.
+Test(server_limit, an_instance_that_has_read_no_statement_ends_no_limit) {
+  const auto own_uptime = std::chrono::seconds(5);
+  const auto other_uptime = std::chrono::hours(10);
+  const auto packed = PackLimit({ServerId("s1"), 7}, {}, own_uptime);
+  const auto received = UnpackLimit(*packed, other_uptime);
+  cr_assert(received.has_value());
+  const milliseconds read = other_uptime - std::chrono::seconds(8);
+  cr_expect_not(Supersedes(received->statement, Limited(0, read, read)));
+  cr_expect_not(Supersedes(received->statement, {}));
+}
