Tell askers and new instances of cold servers

Cause: an asker that expected a server to be warm before its granter did went over to full rate then; an instance that starts after a domain's evacuation was not told that its servers are cold. Change: the granter's answer holds a later end of the cold time, and its notice to new instances the cold servers. A difference that a frame's delay explains is not told, or each exchange would add to the end. Before: permit_book/an_asker_learns_for_how_much_longer_a_server_is_cold and new_instances_are_told_of_cold_servers failed.

--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -11,6 +11,9 @@
 /// Delay until a granter that failed, or may not grant yet, is asked again.
 constexpr Milliseconds kFailedGranterBackoff(1000);
 constexpr Milliseconds kNoGranterDelay(500);
+/// An asker is told of a later end of a server's cold time if it differs by
+/// more than what a frame's way adds to it.
+constexpr Milliseconds kToldColdDifference(100);
 /// For how long the limit of a server that is not listed is remembered. A
 /// server may leave the list for a moment.
 constexpr std::chrono::seconds kRemovedServerMemory(60);
@@ -184,14 +187,16 @@
 }
 
 std::optional<PeerFrame> PermitBook::BuildNoticeOfGranted() const {
+  const auto now = TimeSinceBoot();
   PeerFrame frame;
   frame.kind = wire::Kind::ServerLimits;
   for (const auto& [server, tracked] : m_tracked) {
     const bool tells = tracked.granter.Role() == GranterRole::kMain &&
-                       tracked.statement.limit.has_value();
+                       LimitOf(tracked, now).has_value();
     if (!tells) continue;
     frame.limits.push_back(PackLimit({server, tracked.started_ms},
-                                     tracked.statement, TimeSinceBoot()));
+                                     tracked.statement, now,
+                                     tracked.cold_until));
   }
   if (frame.limits.empty()) return std::nullopt;
   return frame;
@@ -332,9 +337,11 @@
   const auto& stated = tracked->statement.limit;
   const bool agrees = stated.has_value() == asked.limited &&
                       (!stated || stated->Count() == asked.per_s);
-  if (!agrees) {
+  const auto now = TimeSinceBoot();
+  const auto asked_cold_until = now + Milliseconds(asked.cold_left_ms);
+  if (!agrees || tracked->cold_until > asked_cold_until + kToldColdDifference) {
     answer.limits.push_back(
-        PackLimit(start, tracked->statement, TimeSinceBoot()));
+        PackLimit(start, tracked->statement, now, tracked->cold_until));
   }
   const GranterRole role = frame.permit_source == wire::PermitSource::Domain
                                ? GranterRole::kSubstitute
--- a/src/serve/permit_book.h
+++ b/src/serve/permit_book.h
@@ -106,8 +106,8 @@
   /// Handles AskPermit and ServerLimits frames.
   PeerFrame Handle(const PeerFrame& frame);
 
-  /// A notice of the limits of the servers whose main granter this instance is;
-  /// nothing if there are none.
+  /// A notice of the limited and cold servers whose main granter this instance
+  /// is; nothing if there are none.
   std::optional<PeerFrame> BuildNoticeOfGranted() const;
   const std::vector<PermitInstance>& Granters() const { return m_granters; }
 
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -273,3 +273,37 @@
   instance.Book().OnCold(kStart, TimeSinceBoot() + seconds(60));
   cr_expect(instance.State().cold_rate == RequestRate(4));
 }
+
+// Guards against an asker that takes a server for warm before its granter does.
+Test(permit_book, an_asker_learns_for_how_much_longer_a_server_is_cold) {
+  BookOfInstance granter(NodeId("a"));
+  BookOfInstance asker(NodeId("b"));
+  asker.respond = [&granter](const PeerFrame& frame) {
+    return Result<PeerFrame>(granter.Book().Handle(frame));
+  };
+  for (auto* instance : {&granter, &asker}) {
+    instance->Know({InDomain("a", "west")}, seconds(5));
+    instance->List(PermitServer{kStart.started_ms, RequestRate(4)});
+  }
+  const auto until = TimeSinceBoot() + seconds(60);
+  granter.Book().OnCold(kStart, until);
+  asker.Book().OnCold(kStart, until - seconds(30));
+  asker.Acquire();
+  cr_expect_geq(asker.State().cold_until.count(), until.count());
+}
+
+// Guards against full load from an instance that starts after the evacuation of
+// a domain, and reads registrations from before its servers restarted.
+Test(permit_book, new_instances_are_told_of_cold_servers) {
+  BookOfInstance instance(NodeId("a"));
+  instance.Know({InDomain("a", "west")}, seconds(5));
+  instance.List(PermitServer{kStart.started_ms, RequestRate(4)});
+  cr_expect_not(instance.Book().BuildNoticeOfGranted().has_value());
+  instance.Book().OnCold(kStart, TimeSinceBoot() + seconds(60));
+  const auto notice = instance.Book().BuildNoticeOfGranted();
+  cr_assert(notice.has_value());
+  BookOfInstance started(NodeId("b"));
+  started.List(PermitServer{kStart.started_ms, RequestRate(4)});
+  started.Book().Handle(*notice);
+  cr_expect_eq(started.Count(PermitEvent::kColdBegun), 1);
+}
