--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -37,7 +37,7 @@
         {std::move(granters), TimeSinceBoot() - age, voids_roles, fraction});
   }
   void List(std::optional<PermitServer> server) {
-    m_server = std::move(server);
+    m_server = server;
     m_book.UpdateServers();
   }
   bool Acquire(const ServerStart& start = kStart) {
