Evacuate failure domains in serve by the operator's commands

Cause: only gateway evacuated failure domains; the operator of serve instances could only stop single instances.

Bad input gets 1001, 4011 or 4012. `apply` carries the orders over from its base revision, and reads that first if the instance doesn't have it. `status` shows the orders.

--- a/include/cowslipknot/result.h
+++ b/include/cowslipknot/result.h
@@ -47,6 +47,8 @@
   kMoveDecided = 4008,
   kHistoryLost = 4009,
   kAddressUnavailable = 4010,
+  kUnknownDomain = 4011,
+  kNotEvacuated = 4012,
   kPeerUnreachable = 5001,
   kBadFrame = 5002,
   kFrameTooLarge = 5003,
--- a/include/cowslipknot/state/configuration.h
+++ b/include/cowslipknot/state/configuration.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cowslipknot/ids.h"
@@ -10,12 +11,14 @@
 
 namespace cowslipknot {
 
-/// The published configuration: the objects and the state of each move.
+/// The published configuration: the objects, the state of each move and the
+/// operators' orders.
 struct Configuration {
   Revision revision;
   std::string objects_text;  ///< TOML, as applied
   ObjectSet objects;         ///< parsed from objects_text
   std::map<MoveId, MoveState> moves;
+  std::set<DomainId> evacuated;  ///< their servers get no new requests
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -101,8 +101,9 @@
   /// A listed server; nothing if there is none of this id.
   std::optional<ServerView> Find(const ServerId& id) const;
 
-  /// Servers that may take new work, by pool.
-  std::map<PoolId, std::vector<ServerView>> Available() const;
+  /// Servers that may take new work, by pool: none of the evacuated domains.
+  std::map<PoolId, std::vector<ServerView>> Available(
+      const std::set<DomainId>& evacuated = {}) const;
 
  private:
   std::map<ServerId, InstanceRecord> m_records;
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -259,6 +259,26 @@
                           changed->at("revision").to_number<std::uint64_t>());
 }
 
+int RunEvacuate(const Options& options) {
+  if (options.arguments.size() != 1) {
+    return PrintUsageError("evacuate requires DOMAIN");
+  }
+  const std::string& domain = options.arguments.front();
+  const bool confirmed =
+      options.end ||
+      Confirm(options, "Send nothing more to the servers of " + domain + "?");
+  if (!confirmed) return kExitFailed;
+  OperatorClient client(options);
+  json::object body;
+  body["domain"] = domain;
+  body["action"] = options.end ? "end" : "begin";
+  const auto changed = client.Post("/v1/evacuations", body);
+  if (!changed) return PrintError(changed.error());
+  std::cout << "accepted as revision " << changed->at("revision") << "\n";
+  return WaitUntilInForce(options,
+                          changed->at("revision").to_number<std::uint64_t>());
+}
+
 int RunDrain(const Options& options) {
   if (!Confirm(options, "Stop the instance at " + options.server + "?")) {
     return kExitFailed;
@@ -318,6 +338,10 @@
       {"move",
        {RunMove,
         "start|watch|take-back NAME  start, watch or take back a move"}},
+      {"evacuate",
+       {RunEvacuate,
+        "DOMAIN [--end]  send nothing more to the servers of a failure domain, "
+        "or end that"}},
       {"drain", {RunDrain, "stop the instance gracefully"}},
       {"codes", {RunCodes, "list result codes"}},
       {"events", {RunEvents, "list log events"}},
@@ -332,7 +356,7 @@
   }
   std::cout << "\noptions: --server HOST:PORT --token TOKEN "
                "--output table|json --wait-ms N\n"
-               "         --yes --config FILE --check --help --version\n";
+               "         --yes --config FILE --check --end --help --version\n";
   return kExitOk;
 }
 
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -81,10 +81,12 @@
       return kExitUnreachable;
     case ResultCode::kRevisionConflict:
     case ResultCode::kMoveDecided:
+    case ResultCode::kNotEvacuated:
       return kExitConflict;
     case ResultCode::kInvalidObjects:
     case ResultCode::kInvalidSettings:
     case ResultCode::kMalformedRequest:
+    case ResultCode::kUnknownDomain:
       return kExitInvalid;
     case ResultCode::kNotInForce:
       return kExitNotInForce;
--- a/src/cli/options.cc
+++ b/src/cli/options.cc
@@ -16,6 +16,7 @@
   kOutput,
   kWait,
   kCheck,
+  kEnd,
   kYes,
   kHelp,
   kVersion,
@@ -28,6 +29,7 @@
     {"output", required_argument, nullptr, kOutput},
     {"wait-ms", required_argument, nullptr, kWait},
     {"check", no_argument, nullptr, kCheck},
+    {"end", no_argument, nullptr, kEnd},
     {"yes", no_argument, nullptr, kYes},
     {"help", no_argument, nullptr, kHelp},
     {"version", no_argument, nullptr, kVersion},
@@ -74,6 +76,9 @@
     case kCheck:
       options.check = true;
       return true;
+    case kEnd:
+      options.end = true;
+      return true;
     case kYes:
       options.yes = true;
       return true;
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -21,6 +21,7 @@
   OutputFormat output = OutputFormat::kTable;
   Milliseconds wait_timeout{10000};  ///< for a revision or a move
   bool check = false;
+  bool end = false;  ///< of an evacuation
   bool yes = false;
   bool help = false;
   bool version = false;
--- a/src/cli/print.cc
+++ b/src/cli/print.cc
@@ -75,6 +75,11 @@
   std::cout << "\n";
   PrintTable(status.at("servers").as_array(),
              {"server", "pool", "domain", "takes_new_work", "in_flight"});
+  const json::array& evacuated = status.at("evacuated").as_array();
+  if (!evacuated.empty()) {
+    std::cout << "\nevacuated\n";
+    PrintTable(evacuated, {"domain", "servers", "in_flight"});
+  }
   const json::array& moves = status.at("moves").as_array();
   if (moves.empty()) return;
   std::cout << "\n";
--- a/src/serve/choose_for_service.cc
+++ b/src/serve/choose_for_service.cc
@@ -1,5 +1,6 @@
 #include <xxhash.h>
 
+#include "cowslipknot/coordination/evacuation_request.h"
 #include "cowslipknot/coordination/server_pause.h"
 #include "serve/attempt.h"
 
@@ -74,7 +75,10 @@
       choice = Choose(worker, request, Candidates::kAll);
     if (!choice) co_return choice;
     const bool permitted = co_await worker.AcquirePermit(choice->server);
-    if (permitted) co_return choice;
+    // An order may have come into force while the permit was awaited.
+    const bool evacuated = EvacuatedDomains(worker.Snapshot().configuration)
+                               .contains(choice->server.record.domain);
+    if (permitted && !evacuated) co_return choice;
     ++denied;
     // A server that was not withheld meanwhile must not be asked for again.
     request.tried.push_back(choice->server.record.id);
--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -62,7 +62,10 @@
   m_gossip = std::make_unique<GossipNode>(settings, m_context.get_executor(),
                                           std::move(hooks));
   m_configuration_manager = std::make_unique<ConfigurationManager>(
-      settings, *m_platform, *m_rows, [this] { PublishSnapshot(); });
+      settings, *m_platform, *m_rows, [this] {
+        PublishSnapshot();
+        LogEvacuations();
+      });
   m_moves = std::make_unique<MoveController>(
       settings, *m_platform, *m_rows, *m_gossip, *m_configuration_manager);
   m_backups = std::make_unique<RequestBackups>(
@@ -129,7 +132,8 @@
   auto snapshot = std::make_shared<FleetSnapshot>();
   snapshot->configuration = m_configuration_manager->Current();
   snapshot->domain = m_settings.domain;
-  snapshot->servers = m_fleet.Available();
+  snapshot->servers =
+      m_fleet.Available(EvacuatedDomains(snapshot->configuration));
   snapshot->rolled_back = m_moves->RolledBackMoves();
   m_permits->Update();
   snapshot->members = m_gossip->Members().LiveCount();
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -7,6 +7,7 @@
 #include "coordination/configuration_manager.h"
 #include "coordination/gossip_node.h"
 #include "coordination/move_controller.h"
+#include "cowslipknot/coordination/evacuation_request.h"
 #include "serve/crash_watch.h"
 #include "serve/permit_exchange.h"
 #include "serve/request_backups.h"
@@ -61,6 +62,9 @@
   /// Queries each live instance for the revision in force there. Instances that
   /// do not answer are left out.
   Awaitable<std::map<NodeId, Revision>> CollectRevisions();
+  /// Publishes a revision that evacuates a failure domain, or ends that.
+  /// @return the revision in force already if it changes nothing
+  Awaitable<Result<Revision>> ChangeEvacuations(EvacuationRequest request);
 
  private:
   void BuildHooks();
@@ -70,6 +74,7 @@
   std::vector<Endpoint> PeerAddresses();
   void PublishQuarantines(const std::vector<Quarantine>& active);
   void PublishSnapshot();
+  void LogEvacuations();
   void OnRecord(const GossipRecord& record, const NodeId& sender);
   bool AcceptsRecord(const GossipRecord& record) const;
   void MarkLeaving(const ServerId& id, Incarnation incarnation);
@@ -115,6 +120,7 @@
   bool m_instances_known = false;
   bool m_platform_reachable = true;
   bool m_draining = false;
+  std::set<DomainId> m_evacuated;     ///< as logged
   Revision m_highest_known_revision;  ///< announced by this instance's peers
   bool m_fetching_configuration = false;
   std::function<void()> m_reclaim_handler;
--- a/src/serve/operator_api.cc
+++ b/src/serve/operator_api.cc
@@ -58,7 +58,8 @@
   return members;
 }
 
-json::array DescribeServers(const Fleet& fleet) {
+json::array DescribeServers(const Fleet& fleet,
+                            const std::set<DomainId>& evacuated) {
   std::map<ServerId, std::uint64_t> in_flight;
   for (const auto& [pool, servers] : fleet.Available()) {
     for (const auto& server : servers) {
@@ -68,18 +69,40 @@
   json::array rows;
   for (const auto& [id, record] : fleet.Records()) {
     if (record.kind == "entry") continue;
+    const bool takes_new_work =
+        in_flight.contains(id) && !evacuated.contains(record.domain);
     json::object row;
     row["server"] = id.Text();
     row["kind"] = record.kind;
     row["pool"] = record.pool.Text();
     row["domain"] = record.domain.Text();
-    row["takes_new_work"] = in_flight.contains(id);
+    row["takes_new_work"] = takes_new_work;
     row["in_flight"] = in_flight.contains(id) ? in_flight[id] : 0;
     rows.push_back(std::move(row));
   }
   return rows;
 }
 
+/// How many servers of each evacuated failure domain are listed, and how many
+/// requests of this instance they still run.
+json::array DescribeEvacuations(const Fleet& fleet,
+                                const std::set<DomainId>& evacuated) {
+  json::array rows;
+  for (const auto& domain : evacuated) {
+    std::uint64_t servers = 0;
+    std::uint64_t in_flight = 0;
+    for (const auto& [id, record] : fleet.Records()) {
+      if (record.kind == "entry" || record.domain != domain) continue;
+      ++servers;
+      in_flight += fleet.Find(id)->load->in_flight;
+    }
+    rows.push_back({{"domain", domain.Text()},
+                    {"servers", servers},
+                    {"in_flight", in_flight}});
+  }
+  return rows;
+}
+
 json::array DescribeMoves(Control& control) {
   json::array rows;
   const auto& current = control.GetConfigurationManager().Current();
@@ -138,7 +161,10 @@
   status["holds_lease"] = m_control.Moves().HoldsLease();
   status["held_requests"] = m_control.Backups().HeldCount();
   status["members"] = DescribeMembers(m_control, revisions);
-  status["servers"] = DescribeServers(m_control.GetFleet());
+  const auto& evacuated =
+      EvacuatedDomains(m_control.GetConfigurationManager().Current());
+  status["servers"] = DescribeServers(m_control.GetFleet(), evacuated);
+  status["evacuated"] = DescribeEvacuations(m_control.GetFleet(), evacuated);
   status["moves"] = DescribeMoves(m_control);
   co_return json::serialize(status);
 }
@@ -171,14 +197,24 @@
     co_return ErrorResponse(Error{ResultCode::kInvalidObjects, detail});
   }
   next.objects = std::move(*parsed);
-  const auto& current = m_control.GetConfigurationManager().Current();
+  auto& manager = m_control.GetConfigurationManager();
+  // What is carried over must be that of the base.
+  if (manager.CurrentRevision() < base) {
+    const bool polled = co_await manager.Poll();
+    if (manager.CurrentRevision() < base) {
+      co_return ErrorResponse(Error{polled ? ResultCode::kRevisionConflict
+                                           : ResultCode::kPlatformUnavailable,
+                                    "the base revision was not found"});
+    }
+  }
+  const auto current = manager.Current();
   if (current) {
+    next.evacuated = current->evacuated;
     for (const auto& [name, state] : current->moves) {
       if (next.objects.moves.contains(name)) next.moves[name] = state;
     }
   }
-  const auto published = co_await m_control.GetConfigurationManager().Publish(
-      base, std::move(next));
+  const auto published = co_await manager.Publish(base, std::move(next));
   co_return RevisionResponse(published);
 }
 
@@ -201,6 +237,26 @@
   co_return ErrorResponse(Error{ResultCode::kNoRoute, path});
 }
 
+Awaitable<HttpResponse> OperatorApi::ChangeEvacuations(
+    const HttpRequest& request) {
+  EvacuationRequest change;
+  std::string action;
+  try {
+    const json::value body = json::parse(request.body());
+    change.domain = DomainId(std::string(body.at("domain").as_string()));
+    action = std::string(body.at("action").as_string());
+  } catch (const std::exception& error) {
+    co_return ErrorResponse(Error{ResultCode::kMalformedRequest, error.what()});
+  }
+  if (action != "begin" && action != "end") {
+    co_return ErrorResponse(
+        Error{ResultCode::kMalformedRequest, "action '" + action + "'"});
+  }
+  if (action == "end") change.action = EvacuationAction::kEnd;
+  co_return RevisionResponse(
+      co_await m_control.ChangeEvacuations(std::move(change)));
+}
+
 Awaitable<HttpResponse> OperatorApi::MetricsResponse() {
   const MetricSet metrics = co_await m_control.CollectMetrics();
   HttpResponse response(http::status::ok, 11);
@@ -226,6 +282,9 @@
     m_drain();
     co_return JsonOkResponse("{\"draining\":true}");
   }
+  if (path == "/v1/evacuations" && request.method() == http::verb::post) {
+    co_return co_await ChangeEvacuations(request);
+  }
   if (path.starts_with(kMovesPath)) {
     co_return co_await ChangeMove(path, request);
   }
--- a/src/serve/operator_api.h
+++ b/src/serve/operator_api.h
@@ -18,6 +18,7 @@
   Awaitable<HttpResponse> ApplyObjects(const HttpRequest& request);
   Awaitable<HttpResponse> ChangeMove(const std::string& path,
                                      const HttpRequest& request);
+  Awaitable<HttpResponse> ChangeEvacuations(const HttpRequest& request);
   Awaitable<HttpResponse> MetricsResponse();
   Awaitable<std::string> StatusJson();
   std::string ObjectsJson() const;
--- a/src/state/configuration.cc
+++ b/src/state/configuration.cc
@@ -44,9 +44,15 @@
   for (const auto& [name, state] : configuration.moves) {
     moves[name.Text()] = EncodeMove(state);
   }
-  const json::object encoded = {{"revision", configuration.revision.Count()},
-                                {"objects", configuration.objects_text},
-                                {"moves", moves}};
+  json::object encoded = {{"revision", configuration.revision.Count()},
+                          {"objects", configuration.objects_text},
+                          {"moves", moves}};
+  if (!configuration.evacuated.empty()) {
+    json::array domains;
+    for (const auto& domain : configuration.evacuated)
+      domains.emplace_back(domain.Text());
+    encoded["evacuated"] = std::move(domains);
+  }
   return json::serialize(encoded);
 }
 
@@ -62,6 +68,11 @@
       configuration.moves[MoveId(std::string(name))] =
           DecodeMove(move.as_object());
     }
+    if (const json::value* domains = encoded.if_contains("evacuated")) {
+      for (const auto& domain : domains->as_array())
+        configuration.evacuated.insert(
+            DomainId(std::string(domain.as_string())));
+    }
   } catch (const std::exception& error) {
     return Fail(ResultCode::kInvalidObjects, error.what());
   }
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -54,10 +54,11 @@
   return ServerView{known->second, m_loads.at(id)};
 }
 
-std::map<PoolId, std::vector<ServerView>> Fleet::Available() const {
+std::map<PoolId, std::vector<ServerView>> Fleet::Available(
+    const std::set<DomainId>& evacuated) const {
   std::map<PoolId, std::vector<ServerView>> available;
   for (const auto& [id, record] : m_records) {
-    if (record.kind == "entry") continue;
+    if (record.kind == "entry" || evacuated.contains(record.domain)) continue;
     if (m_leaving.contains(LeavingKey(id, record.incarnation))) continue;
     available[record.pool].push_back({record, m_loads.at(id)});
   }
