Take no part of an answer for all of it when the upload was not received

Cause: a server answered an upload with a 200 that has no length, ended its side and reset the connection before it had received the request. An upload that the socket holds is written at once, so no write failed; the read found the end of stream, behind which the kernel reports no reset, and the part was forwarded as a complete answer, by gateway and serve. Without the end of stream the reset was seen already, also while a write was pending: such calls failed before, too.

Change: the client checks at the end of a body that ends with its connection that the peer has acknowledged the request and has not reset the connection. A whole answer of this kind that a server sends before it has received the request fails, too: nothing tells it from a part. An answer of this kind that is cut by an end of stream after the whole request was received still can't be told from a whole one.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,5 +1,7 @@
 #include "transport/http_client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -106,6 +108,19 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Whether the peer of a connection that ended has received all that was sent
+/// to it, and has not reset the connection. Reading alone doesn't tell: after
+/// an end of stream, the kernel reports no reset.
+bool HasReceivedAll(tcp::socket& socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  int unacknowledged = 0;
+  const int handle = socket.native_handle();
+  return ::getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+         error == 0 && ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged == 0;
+}
+
 tl::unexpected<Error> MakeCallError(error_code error,
                                     const CallProgress& progress) {
   const Execution execution =
@@ -216,6 +231,12 @@
         co_return piece;
       }
     }
+    if (EndsWithConnection() && m_connection &&
+        !HasReceivedAll(m_connection->stream.socket())) {
+      co_return Fail(ResultCode::kBackendFailed,
+                     "the connection ended before the request was received",
+                     Execution::kUnknown);
+    }
     ReleaseConnection();
     co_return std::string();
   }
--- a/tests/failure/cases.py
+++ b/tests/failure/cases.py
@@ -12,6 +12,7 @@
 from cluster import Cluster, http_json, wait_until
 from copy_cases import copied_refusals_of_engines, copied_refusals_of_services
 from crash_cases import crashing_filing, crashing_lookup, crashing_prompt
+from early_answer_cases import early_answers
 from evacuation_cases import evacuated_by_isolated, evacuated_domains
 from server_limit_cases import server_limits
 from server_notice_cases import hand_over_in_pause, leaving_answers, paused_server
@@ -522,7 +523,7 @@
     refusing_server, leaving_answers, paused_server, hand_over_in_pause, server_limits,
     crashing_lookup, crashing_filing, crashing_prompt, copied_refusals_of_services,
     copied_refusals_of_engines, reset_filings,
-    evacuated_domains, evacuated_by_isolated,
+    early_answers, evacuated_domains, evacuated_by_isolated,
     platform_outage, lost_answers, cut_domain, operator_race,
     stale_configuration, fresh_in_outage, killed_between_requests, bad_input, move_good,
     move_bad, move_bad_late, move_slow, move_controller_killed, move_in_outage,
@@ -537,7 +538,7 @@
     "freeze_engine", "refusing_server", "leaving_answers", "paused_server",
     "hand_over_in_pause", "server_limits", "crashing_lookup", "crashing_filing",
     "crashing_prompt", "copied_refusals_of_services", "copied_refusals_of_engines",
-    "move_operator_takes_back", "evacuated_domains", "evacuated_by_isolated",
+    "move_operator_takes_back", "early_answers", "evacuated_domains", "evacuated_by_isolated",
     "killed_between_requests", "bad_input"]
 
 # The mechanism without which each case fails.
