Take no status outside 100 to 599 for an answer

Cause: a server in trouble answered with the status 000. The parser takes any three digits, and gateway and serve forwarded 000, 099, 600 and 999 to the caller; calls of the store and of peers used the same client.

Change: the client fails such a call as malformed (3003), outcome unknown, also if it was the answer to an earlier call on the connection.

Measured on the code before: early_answer_test failed in all 8 subtests of the statuses (000 and 099 reached the caller as 000); early_answers failed in 6 of 6 answers. After: both passed; the unit test of the client passed (not run on the code before).

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -81,6 +81,8 @@
 constexpr double kIdleTimeoutFraction = 0.7;
 /// Responses to earlier calls that are skipped before the call fails.
 constexpr int kMaxSkippedResponses = 4;
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
 
 /// Returns how long a connection may idle in the pool, from the timeout that
 /// the peer announces.
@@ -188,6 +190,9 @@
       auto [error, size] = co_await http::async_read_header(
           m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
       if (error) co_return error;
+      const unsigned status = m_parser->get().result_int();
+      if (status < kLowestStatus || status > kHighestStatus)
+        co_return make_error_code(http::error::bad_status);
       const auto kind = http::to_status_class(m_parser->get().result());
       if (kind == http::status_class::informational) {
         // The timer of the stream does not end reads that complete at once.
--- a/tests/failure/early_answer_cases.py
+++ b/tests/failure/early_answer_cases.py
@@ -1,4 +1,5 @@
-"""Failure case in which servers answer uploads before they have received them, and break off."""
+"""Failure case in which servers answer uploads before they have received them, and with what is no
+answer."""
 
 import http.client
 import socket
@@ -21,7 +22,7 @@
     """Answers each request once it has read its head, and ends the connection.
 
     By the request's path: "reset" sends a part of a 200 that has no length and resets the
-    connection, "half" ends its side first.
+    connection, "half" ends its side first, and a number is sent as the status of an answer.
     """
 
     def __init__(self):
@@ -57,6 +58,10 @@
         lines = received.split(b"\r\n")
         request = next(line for line in lines if line.lower().startswith(b"x-request-id"))
         end = lines[0].split(b" ")[1].rsplit(b"/", 1)[1]
+        if end.isdigit():
+            connection.sendall(b"HTTP/1.1 " + end + b" Odd\r\n" + request
+                               + b"\r\nContent-Length: 3\r\n\r\nodd")
+            return
         connection.sendall(b"HTTP/1.1 200 OK\r\n" + request + b"\r\n\r\na part")
         if end == b"half":
             connection.shutdown(socket.SHUT_WR)
@@ -65,8 +70,8 @@
 
 
 def early_answers(options, seed):
-    """A server answers uploads with a part of a 200 and resets the connection. No caller
-    gets that as an answer, and none is told that nothing ran."""
+    """A server answers uploads with a part of a 200 and resets the connection, or with a status
+    that is none. No caller gets that as an answer, and none is told that nothing ran."""
     def send(cluster, path, size, key):
         headers = {**AUTH_HEADERS, "Idempotency-Key": key}
         try:
@@ -89,8 +94,8 @@
         violations = []
         answers = {}
         for kind in ("filings", "lookups"):
-            for end in ("reset", "half"):
-                for size in SIZES:
+            for end in ("reset", "half", "000", "099", "600"):
+                for size in (1,) if end.isdigit() else SIZES:
                     before = server.requests
                     status, execution = send(cluster, f"/{kind}/{end}", size,
                                              f"{kind}-{end}-{size}")
--- a/tests/platform/early_answer_test.py
+++ b/tests/platform/early_answer_test.py
@@ -1,5 +1,5 @@
-"""Tests a gateway against servers that answer an upload before they have read it, and break
-off."""
+"""Tests a gateway against servers that answer an upload before they have read it, and break off
+or answer what is no answer."""
 
 import http.client
 import socket
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+import fakes
 from configuration_documents import configuration
 from gateway_process import eventually
 from platform_test_case import PlatformTestCase
@@ -111,6 +112,22 @@
                         self.assertNotIn(status, (408, 421, 429, 503))
             self.store.delete("servers", "early")
 
+    # Guards against a status that is none, which a caller gets as an answer.
+    def test_answer_without_a_status_of_the_protocol_is_none(self):
+        backends = [self.start_backend("b1"), self.start_backend("b2")]
+        eventually(lambda: self.call("/safe/x", b"")[0] == 200)
+        for status in (b"000", b"099", b"600", b"999"):
+            answer = (b"HTTP/1.1 " + status + b" Odd\r\nCowslipknot-Request-Id: {id}\r\n"
+                      b"Cowslipknot-Server-Signature: sig\r\nContent-Length: 3\r\n\r\nodd")
+            for path in ("/once/x", "/safe/x"):
+                with self.subTest(status=status, path=path):
+                    for backend in backends:
+                        backend.pending_faults = [fakes.RawAnswer(answer)]
+                    self.assertIn(self.call(path, b"")[0], (500, 502, 504))
+                    self.assertLess(sum(len(backend.pending_faults) for backend in backends), 2)
+                    for backend in backends:
+                        backend.pending_faults = []
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -234,3 +234,33 @@
   cr_expect_eq(call.error->code, ResultCode::kDescriptorsExhausted);
   cr_expect_eq(unbounded->ConnectionCount(), 0);
 }
+
+namespace {
+
+Awaitable<void> AnswerOnce(tcp::acceptor& acceptor, std::string response) {
+  tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::array<char, 4096> bytes;
+  co_await socket.async_read_some(asio::buffer(bytes), kAsTuple);
+  co_await asio::async_write(socket, asio::buffer(response), kAsTuple);
+}
+
+}  // namespace
+
+// Guards against a status that is none, which a caller would get as an answer.
+Test(http_client, a_status_outside_the_protocol_is_no_answer) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    asio::io_context context;
+    auto acceptor = ListenOnLoopback(context, 1);
+    asio::co_spawn(
+        context,
+        AnswerOnce(acceptor,
+                   "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"),
+        asio::detached);
+    const auto client =
+        HttpClient::Create(context.get_executor(), kMaxResponse);
+    const CallEnd call = CallAndRun(context, client, AddressOf(acceptor));
+    cr_assert(call.error.has_value(), "%s", status.c_str());
+    cr_expect_eq(call.error->code, ResultCode::kBackendMalformed);
+    cr_expect_eq(call.error->execution, Execution::kUnknown);
+  }
+}
