--- a/src/serve/control.cc
+++ b/src/serve/control.cc
@@ -62,7 +62,10 @@
   m_gossip = std::make_unique<GossipNode>(settings, m_context.get_executor(),
                                           std::move(hooks));
   m_configuration_manager = std::make_unique<ConfigurationManager>(
-      settings, *m_platform, *m_rows, [this] { PublishSnapshot(); });
+      settings, *m_platform, *m_rows, [this] {
+        PublishSnapshot();
+        LogEvacuations();
+      });
   m_moves = std::make_unique<MoveController>(
       settings, *m_platform, *m_rows, *m_gossip, *m_configuration_manager);
   m_backups = std::make_unique<RequestBackups>(
@@ -129,7 +132,8 @@
   auto snapshot = std::make_shared<FleetSnapshot>();
   snapshot->configuration = m_configuration_manager->Current();
   snapshot->domain = m_settings.domain;
-  snapshot->servers = m_fleet.Available();
+  snapshot->servers =
+      m_fleet.Available(EvacuatedDomains(snapshot->configuration));
   snapshot->rolled_back = m_moves->RolledBackMoves();
   UpdatePermits();
   snapshot->members = m_gossip->Members().LiveCount();
@@ -383,27 +387,4 @@
   co_return EncodeFrame(answer);
 }
 
-Awaitable<MetricSet> Control::CollectMetrics() {
-  MetricSet sum;
-  for (const auto& worker : m_workers) {
-    auto copy = [](Worker& source) -> Awaitable<MetricSet> {
-      co_return source.Metrics();
-    };
-    sum.Merge(co_await RunOn(worker->Executor(), copy(*worker)));
-  }
-  const LinkTraffic& called = m_gossip->Traffic();
-  sum.Add("cowslipknot_peer_bytes_total", FormatLabel("direction", "sent"),
-          called.sent + m_served_traffic->sent);
-  sum.Add("cowslipknot_peer_bytes_total", FormatLabel("direction", "received"),
-          called.received + m_served_traffic->received);
-  sum.Add("cowslipknot_platform_calls_total", FormatLabel("kind", "read"),
-          m_platform->CallCounts().reads);
-  sum.Add("cowslipknot_platform_calls_total", FormatLabel("kind", "write"),
-          m_platform->CallCounts().writes);
-  sum.Add("cowslipknot_platform_failures_total", "",
-          m_platform->CallCounts().failures);
-  AddFailureCounts(sum);
-  co_return sum;
-}
-
 }  // namespace cowslipknot
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,5 +1,7 @@
 #include "transport/http_client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -79,6 +81,8 @@
 constexpr double kIdleTimeoutFraction = 0.7;
 /// Responses to earlier calls that are skipped before the call fails.
 constexpr int kMaxSkippedResponses = 4;
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
 
 /// Returns how long a connection may idle in the pool, from the timeout that
 /// the peer announces.
@@ -106,6 +110,19 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Whether the peer of a connection that ended has received all that was sent
+/// to it, and has not reset the connection. Reading alone doesn't tell: after
+/// an end of stream, the kernel reports no reset.
+bool HasReceivedAll(tcp::socket& socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  int unacknowledged = 0;
+  const int handle = socket.native_handle();
+  return ::getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+         error == 0 && ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged == 0;
+}
+
 tl::unexpected<Error> MakeCallError(error_code error,
                                     const CallProgress& progress) {
   const Execution execution =
@@ -179,6 +196,9 @@
       auto [error, size] = co_await http::async_read_header(
           m_connection->stream, m_connection->buffer, *m_parser, kAsTuple);
       if (error) co_return error;
+      const unsigned status = m_parser->get().result_int();
+      if (status < kLowestStatus || status > kHighestStatus)
+        co_return make_error_code(http::error::bad_status);
       const auto kind = http::to_status_class(m_parser->get().result());
       if (kind == http::status_class::informational) {
         if (HasPassed(deadline))
@@ -221,6 +241,12 @@
         co_return piece;
       }
     }
+    if (EndsWithConnection() && m_connection &&
+        !HasReceivedAll(m_connection->stream.socket())) {
+      co_return Fail(ResultCode::kBackendFailed,
+                     "the connection ended before the request was received",
+                     Execution::kUnknown);
+    }
     ReleaseConnection();
     co_return std::string();
   }
