Let granters that have lost the store grant nothing for cold servers

Cause: the bound on cold servers holds also for instances that are cut off. A main granter that had lost the store went on granting beside the one that the others had chosen since; instances without frames granted from a bucket each; and a server that starts again under its known registration counted as warm until its new row was read. Where the system doesn't tell what is unacknowledged, a whole answer without a length counts as received.

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -115,6 +115,7 @@
     return Limit(now) && now < m_withheld_until;
   }
   Time WithheldUntil() const { return m_withheld_until; }
+  Time EjectedUntil() const { return m_ejected_until; }
   /// Whether the server is ejected.
   bool IsEjected(Time now) const { return now < m_ejected_until; }
 
@@ -165,6 +166,7 @@
   /// Rate of permits while it is cold; none for a service whose servers take
   /// all requests from their start.
   std::optional<RequestRate> cold_rate;
+  Milliseconds cold_duration{0};  ///< from its start until it is warm
   std::chrono::nanoseconds cold_until{0};
 };
 
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -102,7 +102,10 @@
   if (server_to_blame) server.state->RecordFailure(TimeSinceBoot());
   const bool unreachable = error.code == ResultCode::kConnectFailed ||
                            error.code == ResultCode::kBackendTimeout;
-  if (unreachable) server.state->RecordUnreachable(TimeSinceBoot());
+  if (unreachable) {
+    server.state->RecordUnreachable(TimeSinceBoot());
+    m_worker.Permits().OnUnreachable(server);
+  }
   LogEvent(Event::kAttemptFailed,
            {{"request", m_request.id.Text()},
             {"server", server.entry.id.Text()},
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -156,6 +156,8 @@
   void RelayServers();
   /// Summarizes the reports and passes the result on to followers.
   void RefreshFleet();
+  /// Tells the traffic thread that the set of instances was read.
+  void OnInstancesRead();
   /// Applies a change of the fleet, or new demand once it is due.
   void UpdateFromFleet();
   void UpdateQuotaLenders();
--- a/src/serve/gateway_relay_follower.cc
+++ b/src/serve/gateway_relay_follower.cc
@@ -217,6 +217,7 @@
     }
   }
   m_fleet = std::move(fleet);
+  OnInstancesRead();
   std::optional<std::vector<StoreRow>> moves;
   const StorePosition moves_position = UnpackPosition(update.moves_position);
   if (moves_position != m_relay_moves_position) {
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -74,10 +74,17 @@
 
 void ControlPlane::RefreshFleet() {
   m_fleet = m_coordinator.Summarize();
+  OnInstancesRead();
   m_relay.OnFleet(m_fleet, m_coordinator.MoveRows(),
                   m_coordinator.ReportedWindow());
 }
 
+void ControlPlane::OnInstancesRead() {
+  asio::post(m_worker.Context(), [this, now = TimeSinceBoot()] {
+    m_worker.Permits().OnInstancesRead(now);
+  });
+}
+
 void ControlPlane::UpdateFromFleet() {
   const std::uint64_t digest = DigestInstances(m_fleet.serving);
   const bool changed = digest != m_instances_digest;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -242,6 +242,7 @@
       const WarmupEvidence evidence{entry.cold_until,
                                     m_evacuations.EndedAt(entry.domain)};
       backend.cold_until = ColdUntil(evidence, *service->cold);
+      backend.cold_duration = service->cold->duration;
       backend.cold_rate =
           ColdPermitRate(*service->cold, m_settings.cold_overage);
     }
--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -321,6 +321,9 @@
   const auto now = TimeSinceBoot();
   const auto limit = LimitOf(tracked, now);
   if (!limit) return std::nullopt;
+  const bool is_cold = tracked.cold_rate && now < tracked.cold_until;
+  if (is_cold && m_hooks.knows_instances && !m_hooks.knows_instances())
+    return std::nullopt;
   const double share =
       role == GranterRole::kSubstitute ? SubstituteShare(m_granters) : 1;
   return tracked.granter.Ask(role, asker, *limit, share * m_fraction, now);
--- a/src/serve/permit_book.h
+++ b/src/serve/permit_book.h
@@ -76,6 +76,10 @@
     /// with the same state when servers are applied.
     std::function<void(const ServerId&, const PermitState&)> record;
     std::function<void(const ServerId&, PermitEvent)> count;
+    /// Whether the instances were read so lately that no other one can have
+    /// taken over this one's roles; may be empty. Else nothing is granted for
+    /// cold servers, whose bound holds also while this instance is cut off.
+    std::function<bool()> knows_instances;
   };
 
   struct Identity {
--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -69,6 +69,11 @@
   hooks.count = [this](const ServerId& id, PermitEvent event) {
     Count(id, event);
   };
+  hooks.knows_instances = [this] {
+    // Without frames, each instance would grant from a bucket of its own.
+    if (!m_settings.peers && m_serving.size() > 1) return false;
+    return TimeSinceBoot() - m_instances_read_at < PermitBook::kHandOver;
+  };
   return hooks;
 }
 
@@ -128,6 +133,13 @@
   if (notice) m_links.Broadcast(added, *notice);
 }
 
+void ServerPermits::OnUnreachable(const Backend& server) {
+  if (!server.cold_rate) return;
+  // It may start at the end of the ejection, and register as cold later.
+  const Time until = server.state->EjectedUntil() + 2 * server.cold_duration;
+  m_book.OnCold({server.entry.id, server.entry.started_ms}, until);
+}
+
 void ServerPermits::OnStatement(const Backend& server,
                                 const LimitStatement& statement) {
   m_book.OnStatement({server.entry.id, server.entry.started_ms}, statement);
--- a/src/serve/server_permits.h
+++ b/src/serve/server_permits.h
@@ -39,6 +39,13 @@
   void Update(const KnownInstances& instances,
               const std::map<ServiceId, std::vector<Backend>>& servers);
 
+  /// Records that the set of instances was read, also if it did not change.
+  void OnInstancesRead(Time at) { m_instances_read_at = at; }
+
+  /// Takes a server that can't be reached for a cold one until it must have
+  /// registered again: it may start under the registration that is known.
+  void OnUnreachable(const Backend& server);
+
   /// Applies what a server's answer said of its limit.
   void OnStatement(const Backend& server, const LimitStatement& statement);
 
@@ -79,6 +86,7 @@
   std::map<NodeId, Endpoint> m_addresses;  ///< of the other instances
   std::vector<Endpoint> m_peers;
   std::map<ServerId, Backend> m_registered;
+  Time m_instances_read_at{0};
   std::map<ServiceId, ReturnQueue> m_returns;
   RowLogFilter m_odd_limits;
 };
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -112,15 +112,18 @@
 
 /// Whether the peer of a connection that ended has received all that was sent
 /// to it, and has not reset the connection. Reading alone doesn't tell: after
-/// an end of stream, the kernel reports no reset.
+/// an end of stream, the kernel reports no reset. Where the system doesn't tell
+/// how much is unacknowledged, all counts as received.
 bool HasReceivedAll(tcp::socket& socket) {
   int error = 0;
   socklen_t size = sizeof(error);
-  int unacknowledged = 0;
   const int handle = socket.native_handle();
-  return ::getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
-         error == 0 && ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 &&
-         unacknowledged == 0;
+  if (::getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+      error != 0) {
+    return false;
+  }
+  int unacknowledged = 0;
+  return ::ioctl(handle, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
 }
 
 tl::unexpected<Error> MakeCallError(error_code error,
@@ -257,8 +260,7 @@
       std::chrono::steady_clock::time_point deadline) {
     std::string piece(kReadBufferBytes, '\0');
     while (!m_parser->is_done()) {
-      if (HasPassed(deadline))
-        co_return make_error_code(beast::error::timeout);
+      if (HasPassed(deadline)) co_return make_error_code(beast::error::timeout);
       m_parser->get().body().data = piece.data();
       m_parser->get().body().size = piece.size();
       auto [error, size] = co_await http::async_read_some(
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -62,6 +62,7 @@
     asio::steady_timer(m_context, duration).wait();
   }
   void ForgetState() { m_state = PermitState(); }
+  void SetKnowsInstances(bool knows) { m_knows_instances = knows; }
 
   PermitBook& Book() { return m_book; }
   const PermitState& State() const { return m_state; }
@@ -89,12 +90,14 @@
     hooks.count = [this](const ServerId&, PermitEvent event) {
       ++m_counts[event];
     };
+    hooks.knows_instances = [this] { return m_knows_instances; };
     return hooks;
   }
 
   asio::io_context m_context;
   std::optional<PermitServer> m_server = PermitServer{kStart.started_ms, {}};
   PermitState m_state;
+  bool m_knows_instances = true;
   int m_asked = 0;
   int m_told = 0;
   std::map<PermitEvent, int> m_counts;
@@ -307,3 +310,17 @@
   started.Book().Handle(*notice);
   cr_expect_eq(started.Count(PermitEvent::kColdBegun), 1);
 }
+
+// Guards against two main granters of a cold server: one that has lost the
+// store, and the one that the others have chosen since.
+Test(permit_book, a_granter_that_has_lost_the_others_grants_no_cold_server) {
+  BookOfInstance instance(NodeId("a"));
+  instance.Know({InDomain("a", "west")}, seconds(5));
+  instance.List(PermitServer{kStart.started_ms, RequestRate(8)});
+  instance.Book().OnCold(kStart, TimeSinceBoot() + seconds(3));
+  instance.SetKnowsInstances(false);
+  cr_expect_eq(instance.CountAcquired(5), 0);
+  instance.SetKnowsInstances(true);
+  instance.Wait(milliseconds(300));
+  cr_expect_gt(instance.CountAcquired(5), 0);
+}
