Refuse the least urgent first while a service lacks room

Cause: full servers refuse whom they meet, whatever the urgency, and what they queue is late; refused callers return after 400 ms, wherever, and are refused again.

Change: ShedLevel (pure) is the share of each priority that an instance refuses, by the refusals and late first events of its own attempts; instances average their levels by one small frame to one random peer every 250 ms while it isn't 0 (ShareShortage). The least urgent priority goes first and none is refused more than three quarters. ReturnPlan (pure) spreads the returns over tenths of a second within a share of what the instance gets served; a caller that can't be on time returns after a quarter to a third of its time, so that its age is known then, is refused by at most a half and sent behind those that can be on time. RoomWatch feeds both. On only with admission.sheds_under_shortage (false by default) and for services whose routes differ in priority. Refusals are code 2003, before quota is charged and any server is asked.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -72,6 +72,8 @@
   kLimitUnreadable = 583,
   kPermitGranterUnresponsive = 584,
   kServerCold = 586,
+  kShortageBegan = 590,
+  kShortageEnded = 591,
   kMoveStep = 600,
   kMoveRolledBack = 601,
   kLeaseTaken = 602,
--- a/include/cowslipknot/gateway/settings.h
+++ b/include/cowslipknot/gateway/settings.h
@@ -23,6 +23,8 @@
   Endpoint cloud;
   bool reports_usage = false;
   bool orders_capacity = false;
+  /// Refuses less urgent requests to services that lack room.
+  bool sheds_under_shortage = false;
   ByteCount max_memory{256 << 20};             ///< limit for this process
   std::uint32_t max_descriptors = 0x7fffffff;  ///< besides RLIMIT_NOFILE
 
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -24,6 +24,9 @@
 constexpr Milliseconds kResumeRetryDelay(200);
 /// Largest (least urgent) priority value that model servers support.
 constexpr std::uint32_t kMaxPriority = 9;
+/// By how much a request is less urgent than others of its route that can still
+/// be on time.
+constexpr std::uint32_t kLatePriorityOffset = 5;
 
 /// Whether a response is a stream of events or does not state what it is.
 bool MayHoldEvents(const http::response_header<>& header) {
@@ -67,6 +70,7 @@
   m_route = admission.route;
   m_workspace = admission.workspace;
   m_retry_after = admission.retry_after;
+  m_age = admission.age;
   m_deadline = m_started + admission.response_timeout;
   if (admission.rejection) {
     co_await Reject(*admission.rejection);
@@ -104,7 +108,10 @@
   if (m_workspace != nullptr) fields.workspace = m_workspace->name;
   fields.time_left = TimeLeft();
   if (IsModelCall()) {
-    fields.priority = std::min(kMaxPriority, m_route->priority);
+    const bool waits =
+        m_worker.Room().WaitsBehind(*m_route, server.entry.service, m_age);
+    fields.priority = std::min(
+        kMaxPriority, m_route->priority + (waits ? kLatePriorityOffset : 0));
   }
   fields.last_event_id =
       m_events.LastId() ? m_events.LastId() : m_request.last_event_id;
@@ -168,6 +175,7 @@
   if (server.is_model) {
     m_worker.AnnouncePrompt(server.entry.id, m_placement.uncached);
   }
+  m_room_attempt.emplace(m_worker.Room(), *m_route, server.entry.service);
   LogAttempt(server);
   m_worker.Metrics().Add("cowslipknot_attempts_total",
                          FormatLabel("route", m_route->name.Text()));
@@ -204,6 +212,7 @@
   if (use == ResponseUse::kRefusal) {
     error =
         Error{ResultCode::kBackendRefused, std::to_string(header.result_int())};
+    m_room_attempt->OnRefused();
     co_await DiscardBody(**opened);
     m_progress.abort = nullptr;
     RecordAttemptFailure(server, error);
@@ -221,6 +230,7 @@
     end = co_await ForwardEvents(server, **opened, guard, error);
     RecordStreamLoad(server, started);
   } else {
+    m_room_attempt->OnFirstEvent();
     end = co_await ForwardResponse(server, **opened, error);
   }
   m_progress.abort = nullptr;
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -164,6 +164,8 @@
   SteadyClock::time_point m_started = SteadyClock::now();
   SteadyClock::time_point m_deadline{};
   Milliseconds m_retry_after{0};
+  Milliseconds m_age{0};  ///< since the caller's first attempt
+  std::optional<RoomWatch::Attempt> m_room_attempt;  ///< the latest
   CallProgress m_progress;
   Placement m_placement;
   MoveId m_move_key;  ///< undecided move of the service; empty if none
--- a/src/serve/gateway_call_servers.cc
+++ b/src/serve/gateway_call_servers.cc
@@ -110,6 +110,10 @@
   const auto servers =
       latest->servers.find(PickService(*m_route, RequestHash()));
   if (servers == latest->servers.end()) return kNoServerRetryDelay;
+  const RequestAge age{m_age + ElapsedSince(m_started), TimeLeft()};
+  const auto planned =
+      m_worker.Room().ReturnDelay(*m_route, servers->first, age);
+  if (planned) return *planned;
   const Milliseconds earliest =
       m_worker.Permits()
           .ReturnDelay(servers->first, servers->second)
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -151,6 +151,7 @@
       first = false;
       meter = StreamGapMeter(m_route->max_event_gap, SteadyClock::now());
       guard.OnFirstEvent();
+      m_room_attempt->OnFirstEvent();
       if (!m_start_recorded) RecordRequestStart();
     }
     const std::string events = m_events.Feed(*chunk);
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -60,6 +60,9 @@
       m_permits(m_links, m_context.get_executor(), settings, m_metrics),
       m_crashes(m_links, m_context.get_executor(), settings,
                 [this] { return m_snapshot->peers; }),
+      m_room(
+          m_links, m_context.get_executor(), settings, m_metrics,
+          [this] { return m_snapshot->peers; }, [this] { return Draw(); }),
       m_retries(settings.retry_ratio * kRetryRatioFraction,
                 RetryReserve(settings)),
       m_random(XXH3_64bits(settings.node.Text().data(),
@@ -81,6 +84,7 @@
       m_backend_states[server.entry.id] = server.state;
   }
   m_permits.Update(m_snapshot->known_instances, m_snapshot->servers);
+  m_room.Update(m_snapshot->configuration);
   for (const auto& [workspace, share] : m_snapshot->quota_shares) {
     m_quota.SetShare(workspace, share);
   }
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -20,6 +20,7 @@
 #include "protocol/platform_adapter.h"
 #include "serve/crash_guard.h"
 #include "serve/quota_peers.h"
+#include "serve/room_watch.h"
 #include "serve/server_permits.h"
 #include "serve/stop_schedule.h"
 #include "transport/http_server.h"
@@ -79,6 +80,7 @@
   QuotaPeers& GetQuotaPeers() { return m_quota_peers; }
   ServerPermits& Permits() { return m_permits; }
   CrashGuard& Crashes() { return m_crashes; }
+  RoomWatch& Room() { return m_room; }
   UsageLedger& Usage() { return m_usage; }
   LoadMeter& Load() { return m_load; }
   RetryBudget& Retries() { return m_retries; }
@@ -157,6 +159,7 @@
   QuotaPeers m_quota_peers;
   ServerPermits m_permits;
   CrashGuard m_crashes;
+  RoomWatch m_room;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
   UsageLedger m_usage;
   LoadMeter m_load;
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -1,5 +1,7 @@
 #include "serve/request_admission.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace cowslipknot::gateway {
@@ -76,6 +78,21 @@
          until_trial);
 }
 
+/// Rejects a request that a service without room should not get. One that
+/// resumes a stream has been served in part.
+void CheckRoom(Worker& worker, AdmissionResult& admission) {
+  const CallerRequest& request = admission.request;
+  if (request.last_event_id) return;
+  const ServiceId& service = PickService(
+      *admission.route,
+      XXH3_64bits(request.id.Text().data(), request.id.Text().size()));
+  const auto retry_after = worker.Room().Refuse(
+      *admission.route, service, {admission.age, admission.response_timeout});
+  if (!retry_after) return;
+  Reject(admission, ResultCode::kTargetUnreachable, service.Text(),
+         *retry_after);
+}
+
 Awaitable<void> Charge(Worker& worker, AdmissionResult& admission) {
   if (admission.workspace == nullptr) co_return;
   const Milliseconds wait =
@@ -118,8 +135,11 @@
   const Milliseconds timeout = admission.route->timeout;
   const Milliseconds deadline = admission.request.deadline.value_or(timeout);
   admission.response_timeout = std::min(deadline - kAnswerMargin, timeout);
+  // Callers state in each attempt what is left of their time.
+  admission.age = KnownAge(timeout, deadline);
   Authorize(worker, *snapshot.configuration, admission);
   if (!admission.rejection) CheckStop(worker, admission);
+  if (!admission.rejection) CheckRoom(worker, admission);
   if (!admission.rejection) CheckSuspects(worker, admission);
   if (!admission.rejection) co_await Charge(worker, admission);
   co_return admission;
--- a/src/serve/request_admission.h
+++ b/src/serve/request_admission.h
@@ -18,8 +18,9 @@
   const Route* route = nullptr;
   const Workspace* workspace = nullptr;  ///< null on public routes
   Milliseconds response_timeout{0};      ///< time until the response is due
-  std::optional<Error> rejection;        ///< set when it is not admitted
-  Milliseconds retry_after{0};  ///< when a retry may succeed; zero: never
+  Milliseconds age{0};  ///< since the caller's first attempt, as far as known
+  std::optional<Error> rejection;  ///< set when it is not admitted
+  Milliseconds retry_after{0};     ///< when a retry may succeed; zero: never
 };
 
 /// Parses a request, looks up its route and workspace, and charges its cost to
--- a/src/state/gateway_settings.cc
+++ b/src/state/gateway_settings.cc
@@ -47,6 +47,9 @@
 }
 
 void ReadLimitsAndBounds(SectionReader& sections, Settings& settings) {
+  sections.Section("admission", false, [&](ObjectReader& reader) {
+    settings.sheds_under_shortage = reader.Flag("sheds_under_shortage", false);
+  });
   sections.Section("limits", false, [&](ObjectReader& reader) {
     settings.max_memory =
         ByteCount(static_cast<std::uint64_t>(
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -86,7 +86,7 @@
 
     def __init__(self, store, cloud, name="gw1", usage_window_s=1,
                  store_address=None, domain="z1", bounds=None, port=None,
-                 memory_mb=256):
+                 memory_mb=256, sheds=False):
         self.name = name
         self.paused = False  # by a signal of the test
         self.port = port or free_port()
@@ -114,6 +114,8 @@
 address = "{cloud.server.address}"
 reports_usage = true
 orders_capacity = true
+[admission]
+sheds_under_shortage = {str(sheds).lower()}
 [limits]
 memory_mb = {memory_mb}
 [bounds]
--- a/tests/unit/gateway_state_test.cc
+++ b/tests/unit/gateway_state_test.cc
@@ -484,3 +484,20 @@
               text.c_str());
   }
 }
+
+Test(gateway_settings, requests_are_refused_under_shortage_only_if_asked_for) {
+  const auto silent = gateway::ParseSettings(kSettings, "f");
+  cr_assert(silent.has_value());
+  cr_expect_not(silent->sheds_under_shortage);
+  const auto asked = gateway::ParseSettings(
+      std::string(kSettings) + "[admission]\nsheds_under_shortage = true\n",
+      "f");
+  cr_assert(asked.has_value());
+  cr_expect(asked->sheds_under_shortage);
+  const auto wrong = gateway::ParseSettings(
+      std::string(kSettings) +
+          "[admission]\nsheds_under_shortage = 2\nother = 1\n",
+      "f");
+  cr_assert_not(wrong.has_value());
+  cr_expect_eq(wrong.error().size(), 2u);
+}
