Tell why a stream ended late

Cause: a stream whose first event is timely may still end late, and neither its log lines nor the metrics tell whether the server paused, a link or the instance held its events, or it was resumed.

--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -105,6 +105,8 @@
      "a server refused a request and asked for none for a while"},
     {Event::kPauseAdjusted, "warn", "pause_adjusted",
      "a server asked for no requests for a time that is not usable as stated"},
+    {Event::kStreamLate, "info", "stream_late",
+     "a complete stream missed a target of its route, with the cause"},
     {Event::kServerChecked, "info", "server_checked",
      "a server whose answer broke off was checked for a crash"},
     {Event::kPromptQuarantined, "warn", "prompt_quarantined",
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cowslipknot/gateway/response_use.h"
+#include "cowslipknot/gateway/stream_delay.h"
 #include "cowslipknot/gateway/stream_stall.h"
 #include "protocol/event_splitter.h"
 #include "serve/gateway_worker.h"
@@ -137,6 +138,8 @@
   void LogAttempt(const Backend& server) const;
   void RecordDuration();
   void LogDone(const char* outcome);
+  /// Counts and logs why a stream missed its route's targets, if it did.
+  void RecordLateness(const Backend& server);
   void LogFailure(const Error& error);
   /// Logs that a stream waits for a silent server.
   void LogStall(const Backend& server, Milliseconds silence);
@@ -177,6 +180,7 @@
   MemoryReservation m_event_memory;  ///< of a partial event
   MemoryReservation m_body_memory;   ///< of responses
   bool m_stall_logged = false;       ///< since the last complete event
+  StreamDelayMeter m_delays{m_started};
   std::optional<HttpResponse> m_last_answer;
   bool m_reached_server = false;  ///< request bytes may have reached a server
   bool m_streaming = false;
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -72,6 +72,26 @@
             {"after_ms", std::to_string(ElapsedSince(m_started).count())}});
 }
 
+void Call::RecordLateness(const Backend& server) {
+  const StreamDelays& delays = m_delays.Delays();
+  const LateCause cause = FindLateCause(*m_route, delays);
+  if (cause == LateCause::kNone) return;
+  const std::string label(Describe(cause));
+  m_worker.Metrics().Add("cowslipknot_late_streams_total",
+                         FormatLabel("route", m_route->name.Text()) + "," +
+                             FormatLabel("cause", label));
+  LogEvent(Event::kStreamLate,
+           {{"request", m_request.id.Text()},
+            {"server", server.entry.id.Text()},
+            {"cause", label},
+            {"before_send_ms", std::to_string(delays.before_send.count())},
+            {"before_first_ms", std::to_string(delays.before_first.count())},
+            {"server_pause_ms", std::to_string(delays.server_pause.count())},
+            {"link_pause_ms", std::to_string(delays.link_pause.count())},
+            {"resume_pause_ms", std::to_string(delays.resume_pause.count())},
+            {"held_ms", std::to_string(delays.held.count())}});
+}
+
 void Call::LogFailure(const Error& error) {
   LogEvent(
       Event::kRequestFailed,
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -157,6 +157,8 @@
     const bool complete_event = m_events.FieldEventCount() > events_seen;
     if (complete_event) {
       m_stall_logged = false;
+      m_delays.OnEvents(m_events.FieldEventCount() - events_seen,
+                        SteadyClock::now());
       events_seen = m_events.FieldEventCount();
       m_worker.Evidence().OnEvents(
           m_tracked_attempt, events_seen - events_before, TimeSinceBoot());
@@ -182,6 +184,7 @@
       error = Error{ResultCode::kInternal, "caller closed the connection"};
       co_return AttemptOutcome::kFailed;
     }
+    if (complete_event) m_delays.OnWritten(SteadyClock::now());
     if (m_events.IsOutOfOrder()) {
       error = Error{ResultCode::kBackendMalformed, "event out of order"};
       RecordAttemptFailure(server, error);
@@ -207,6 +210,7 @@
   }
   const bool sent = co_await m_exchange.EndStream();
   if (sent) {
+    RecordLateness(server);
     LogDone("ok");
   } else {
     LogResponseNotSent();
