--- a/tests/unit/shed_level_test.cc
+++ b/tests/unit/shed_level_test.cc
@@ -203,6 +203,7 @@
     }
   }
   std::vector<double> last;
+  last.reserve(levels.size());
   for (auto& level : levels) last.push_back(level.Update(kNow + seconds(2)));
   const auto [lowest, highest] = std::minmax_element(last.begin(), last.end());
   cr_expect_gt(*lowest, 0);
