--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -321,6 +321,6 @@
   instance.SetKnowsInstances(false);
   cr_expect_eq(instance.CountAcquired(5), 0);
   instance.SetKnowsInstances(true);
-  instance.Wait(milliseconds(300));
+  instance.Wait(milliseconds(1100));  // until it asks itself again
   cr_expect_gt(instance.CountAcquired(5), 0);
 }
