--- a/review/harness2.py
+++ b/review/harness2.py
@@ -170,6 +170,7 @@
 
 def run_case(folder, case):
     """Runs a case with a record; returns the exit code of its script."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # of the script's time limit
     record = Record(folder)
     record.line(f"trouble: {'yes' if TROUBLE else 'no'}")
     try:
