--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,13 @@
-"""A request crashes the servers that begin to run it; its callers leave before a server ends."""
+"""All processes of the system are killed and start again; then one part of a prompt crashes
+servers, before any stream that has begun since then can be complete."""
 
-import http.client
+import asyncio
 import pathlib
+import random
+import signal
+import socket
+import struct
 import sys
-import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,98 +15,260 @@
 sys.path.insert(0, str(HERE.parents[1] / "tests" / "platform"))
 import harness2 as harness  # noqa: E402
 from configuration_documents import configuration, route, services, tenant  # noqa: E402
-from crashing_servers import CRASHING, CrashingServers  # noqa: E402
 
-GATEWAYS = 3
-SERVERS = 12
+GATEWAYS = 5
+SERVERS = 18
+SLOTS = 32  # of a server; what comes beyond is refused
+BACK_AFTER_S = 3.0  # a crashed server is back as a new process at its address
 CONTACT_S = 3.0
-ALLOWED = 3  # requests that reach servers later than CONTACT_S after the third crash
-OBJECTIVE_MS = 300
-LEAVE_S = OBJECTIVE_MS / 2 / 1000  # the callers' patience, half of the objective
-CRASH_S = 0.2  # after a server has begun to run the request
-DEADLINE_MS = 3000
-PAUSE_S = 0.4  # between two requests of a caller
-RUN_S = 15.0
+CRASHES = 5  # after which BUDGET counts
+ALLOWED = 3
+REQUESTS_PER_S = 40
+DEADLY_SHARE = 0.05
+FIRST_PARTS = 2  # of one of which each prompt begins
+SUBJECTS = 320
+EVENTS = 64
+EVENT_PAUSE_S = 0.22
+STREAM_S = EVENTS * EVENT_PAUSE_S
+DEADLINE_MS = 15000
+QUIET_S = STREAM_S + 6.0  # streams are completed before the processes are killed
+DOWN_S = 0.5
+DEADLY_AFTER_S = 3.0  # since all instances are ready again
+DEADLY_S = 22.0
+DEADLY_PART = "deadbea7"
 
 
-class Caller:
-    """Repeats one request at one gateway."""
+class Server:
+    """A model server on one address, with all its processes."""
 
-    def __init__(self, gateway, record, name, body, patience_s):
-        self.gateway = gateway
+    def __init__(self, number, pool):
+        self.number = number
+        self.pool = pool
+        self.boot = 0
+        self.listener = None
+        self.port = 0
+        self.connections = set()
+        self.running = 0
+
+    @property
+    def name(self):
+        return f"m{self.number}-{self.boot}"
+
+    async def start(self):
+        self.boot += 1
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port,
+                                                   backlog=256)
+        self.port = self.listener.sockets[0].getsockname()[1]
+        self.pool.store.put("servers", self.name, {
+            "service": "model", "address": f"127.0.0.1:{self.port}", "zone": "z1",
+            "version": "v1", "slots": SLOTS, "state": "ready", "warmup_left_ms": 0, "seq": 1,
+            "born": int(time.time() * 1000)})
+
+    async def crash(self):
+        name = self.name
+        self.running = 0
+        self.listener.close()
+        self.listener = None
+        for writer in list(self.connections):
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        await asyncio.sleep(BACK_AFTER_S)
+        self.pool.store.delete("servers", name)
+        await self.start()
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        boot = self.boot
+        try:
+            while self.listener and boot == self.boot:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = {name.strip().lower(): value.strip() for name, _, value in
+                          (line.partition(":") for line in head.split("\r\n")[1:])}
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                await self.answer(writer, fields)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the connection or the case has ended
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    async def answer(self, writer, fields):
+        request = fields["cowslipknot-request-id"]
+        same = f"Cowslipknot-Request-Id: {request}\r\n"
+        if fields.get("cowslipknot-expect-instance") != self.name:
+            writer.write(f"HTTP/1.1 421 Misdirected\r\n{same}Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return
+        if self.running >= SLOTS:
+            writer.write(f"HTTP/1.1 503 Full\r\n{same}Cowslipknot-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return
+        self.running += 1
+        boot = self.boot
+        try:
+            await self.run(writer, fields, request, same)
+        finally:
+            if boot == self.boot and self.listener:
+                self.running -= 1
+
+    async def run(self, writer, fields, request, same):
+        deadly = f"{DEADLY_PART}:" in fields.get("cowslipknot-prefix-hash", "")
+        self.pool.record.line(f"server {self.name} runs {request}{' and ends' if deadly else ''}")
+        if deadly:
+            self.pool.deadly_arrivals.append((time.monotonic(), request))
+        await asyncio.sleep(0.05)  # until the first token
+        if deadly:
+            if self.listener:
+                self.pool.crashes.append(time.monotonic())
+                self.pool.tasks.append(asyncio.create_task(self.crash()))
+            raise OSError("crashed")
+        writer.write(f"HTTP/1.1 200 OK\r\n{same}Cowslipknot-Server-Signature: sig\r\n"
+                     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     .encode())
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+class Pool:
+    def __init__(self, store, record):
+        self.store = store
+        self.record = record
+        self.crashes = []
+        self.deadly_arrivals = []  # (time, request)
+        self.tasks = []
+        self.servers = [Server(number, self) for number in range(SERVERS)]
+
+
+class Traffic:
+    """Callers that each send one request on a new connection and don't come back."""
+
+    def __init__(self, gateways, record):
+        self.gateways = gateways
         self.record = record
-        self.name = name
-        self.body = body
-        self.patience_s = patience_s
-        self.statuses = []  # 0: it has left, or the connection ended
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self.run, daemon=True)
-        self.thread.start()
-
-    def run(self):
+        self.draws = random.Random(46)
+        self.deadly_from = float("inf")
+        self.outcomes = []  # (when it ended, whether it has the deadly part, outcome)
+        self.tasks = set()
+
+    def make_parts(self, count, deadly):
+        parts = [f"a{self.draws.randrange(FIRST_PARTS)}:119",
+                 f"{0xb000 + self.draws.randrange(SUBJECTS):x}:79"]
+        parts += [f"{DEADLY_PART}:60"] if deadly else []
+        parts.append(f"{count + (1 << 24):x}:40")  # the request's own
+        return ",".join(parts)
+
+    async def send(self):
         count = 0
-        while not self.stopped.is_set():
+        while True:
             count += 1
-            request = f"{self.name}-{count}"
-            status = self.send(request)
-            self.statuses.append(status)
-            self.record.line(f"caller: {request} at {self.gateway.name} got {status or 'nothing'}")
-            self.stopped.wait(PAUSE_S)
-
-    def send(self, request):
-        connection = http.client.HTTPConnection(*self.gateway.callers, timeout=self.patience_s)
+            deadly = (time.monotonic() > self.deadly_from
+                      and self.draws.random() < DEADLY_SHARE)
+            request = f"{'deadly' if deadly else 'sound'}-{count}"
+            task = asyncio.create_task(self.call(
+                self.draws.choice(self.gateways), request, self.make_parts(count, deadly),
+                deadly))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.draws.expovariate(REQUESTS_PER_S))
+
+    async def call(self, gateway, request, parts, deadly):
+        outcome = "nothing"
         try:
-            connection.request("POST", "/once/x", body=self.body, headers={
-                "Host": "h.example", "Cowslipknot-Request-Id": request,
-                "Authorization": "Token key1", "Cowslipknot-Deadline-Ms": str(DEADLINE_MS)})
-            answer = connection.getresponse()
-            answer.read()
-            return answer.status
-        except (http.client.HTTPException, OSError):
-            return 0
-        finally:
-            connection.close()
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                reader, writer = await asyncio.open_connection(*gateway.callers)
+                try:
+                    body = request.encode()
+                    writer.write((
+                        f"POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
+                        f"Cowslipknot-Request-Id: {request}\r\nAuthorization: Token key1\r\n"
+                        f"Cowslipknot-Deadline-Ms: {DEADLINE_MS}\r\nCowslipknot-Model: m\r\n"
+                        f"Cowslipknot-Token-Count: 628,{EVENTS * 5}\r\n"
+                        f"Cowslipknot-Prefix-Hash: {parts}\r\nConnection: close\r\n"
+                        f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+                    answer = await reader.read()
+                    outcome = answer[9:12].decode() or "nothing"
+                    if outcome == "200" and not answer.endswith(b"0\r\n\r\n"):
+                        outcome = "200, cut"
+                finally:
+                    writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass
+        self.outcomes.append((time.monotonic(), deadly, outcome))
+        self.record.line(f"caller: {request} at {gateway.name} got {outcome}")
 
-    def stop(self):
-        self.stopped.set()
-        self.thread.join()
+    async def stop(self, sender):
+        tasks = [sender, *self.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def run(installation, record):
-    installation.store.put("op", "config", configuration(
-        route_list=[route("once", "/once/", "unsafe", "plain", max_attempts=1,
-                          timeout_ms=DEADLINE_MS, slo_ms=OBJECTIVE_MS)],
-        services=services(max_conns=96), tenants=[tenant("tenant1", "key1")]))
-    servers = CrashingServers(installation.store, SERVERS, crash_pause_s=CRASH_S)
-    try:
-        gateways = [installation.add_gateway(f"gw{number}") for number in range(GATEWAYS)]
-        for gateway in gateways:
-            gateway.wait_until_ready()
-        time.sleep(CONTACT_S)
-        patience_s = LEAVE_S if harness.TROUBLE else DEADLINE_MS / 1000
-        callers = [Caller(gateway, record, f"crashing{number}", CRASHING, patience_s)
-                   for number, gateway in enumerate(gateways)]
-        sound = Caller(gateways[0], record, "sound", b"sound", DEADLINE_MS / 1000)
-        time.sleep(RUN_S)
-        for caller in [*callers, sound]:
-            caller.stop()
-    finally:
-        servers.stop()
-    for run_ in sorted((run_ for backend in servers.backends for run_ in backend.runs),
-                       key=lambda run_: run_["time"]):
-        ended = " and ends" if run_["body"].startswith(CRASHING) else ""
-        record.line(f"at {run_['time'] - record.started:.3f} a server ran "
-                    f"{run_['headers']['Cowslipknot-Request-Id']}{ended}")
-    crashes = sorted(servers.crashes)
-    late = [] if len(crashes) < 3 else [
-        at for at in servers.arrivals(CRASHING) if at > crashes[2] + CONTACT_S]
-    summary = (f"{len(crashes)} servers crashed; {len(late)} requests later than {CONTACT_S} s "
-               f"after the third crash, allowed {ALLOWED}; {sound.statuses.count(200)} of "
-               f"{len(sound.statuses)} sound requests served")
+async def kill_all(gateways, record):
+    for gateway in gateways:
+        gateway.send_signal(signal.SIGKILL)
+    record.line("all instances are killed")
+    for gateway in gateways:
+        gateway.child.wait()
+    await asyncio.sleep(DOWN_S)
+    for gateway in gateways:
+        gateway.start()
+    for gateway in gateways:
+        await asyncio.to_thread(gateway.wait_until_ready)
+    record.line("all instances are ready again")
+
+
+async def play(installation, record):
+    asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+    pool = Pool(installation.store, record)
+    for server in pool.servers:
+        await server.start()
+    gateways = [installation.add_gateway(f"gw{number}") for number in range(GATEWAYS)]
+    for gateway in gateways:
+        await asyncio.to_thread(gateway.wait_until_ready)
+    await asyncio.sleep(2)  # until they know each other
+    traffic = Traffic(gateways, record)
+    sender = asyncio.create_task(traffic.send())
+    await asyncio.sleep(QUIET_S)
+    if harness.TROUBLE:
+        await kill_all(gateways, record)
+    ready_again = time.monotonic()
+    traffic.deadly_from = ready_again + DEADLY_AFTER_S
+    await asyncio.sleep(DEADLY_AFTER_S + DEADLY_S)
+    await traffic.stop(sender)
+    for task in pool.tasks:
+        task.cancel()
+    crashes = sorted(pool.crashes)
+    late = []
+    if len(crashes) >= CRASHES:
+        since = max(crashes[CRASHES - 1], ready_again) + CONTACT_S
+        late = [request for at, request in pool.deadly_arrivals if at > since]
+    sound = [outcome for at, deadly, outcome in traffic.outcomes
+             if not deadly and at > traffic.deadly_from]
+    summary = (f"{len(crashes)} servers crashed; {len(late)} requests with the part reached "
+               f"servers too late, allowed {ALLOWED}; {sound.count('200')} of {len(sound)} "
+               "sound requests served")
     record.line(summary)
     print(summary)
     return harness.BROKEN if len(late) > ALLOWED else harness.HELD
 
 
+def run(installation, record):
+    document = configuration(
+        route_list=[route("stream", "/stream/", "streaming", "model", max_attempts=1,
+                          timeout_ms=DEADLINE_MS, slo_ms=400, itl_target_ms=300, sticky=True)],
+        services=services(max_conns=230, slots=SLOTS), tenants=[tenant("tenant1", "key1")])
+    document["services"][1]["engine"]["kv_capacity"] = 558872
+    installation.store.put("op", "config", document)
+    return asyncio.run(play(installation, record))
+
+
 if __name__ == "__main__":
     sys.exit(harness.run_case(HERE, run))
