Break off all answers of a crashed stand-in server

Cause: kill() of the stand-in servers says that it resets all open connections, but a Python socket is closed only after the files that its handler made of it, so that a thread that was answering went on. In tests a crash ended only the request that had caused it. Change: the descriptor itself is closed, with a reset. Command: cd tests/platform && python3 -m unittest crashing_request_faults_test

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -8,6 +8,7 @@
 import http.server
 import io
 import json
+import os
 import socket
 import struct
 import threading
@@ -306,7 +307,8 @@
         linger = struct.pack("ii", 1, 0)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         connection.shutdown(socket.SHUT_RD)  # unblocks a thread in recv
-        connection.close()
+        # close() would wait until the handler has closed its files.
+        os.close(connection.detach())
     except OSError:
         pass  # already closed
 
