Use one type for the process of a backend server

Change: ServerBoot (evidence of crashes) and ServerStart (limits) were the same; ServerBoot moves to ids.h, since what is known of processes will be kept by it. No behaviour changes.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -39,13 +39,6 @@
 ///                the same order
 SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields);
 
-/// One process of a backend server.
-struct ServerBoot {
-  ServerId server;
-  std::int64_t started_ms = 0;
-  auto operator<=>(const ServerBoot&) const = default;
-};
-
 /// What an instance tells the others. Times are in TimeSinceBoot() of the
 /// instance that holds the object.
 struct CrashEvidence {
--- a/include/cowslipknot/ids.h
+++ b/include/cowslipknot/ids.h
@@ -61,6 +61,13 @@
 /// A uniformly distributed random number in [0, 1).
 using UnitDraw = double;
 
+/// One process of a backend server.
+struct ServerBoot {
+  ServerId server;
+  std::int64_t started_ms = 0;  ///< Unix time, or what else orders the starts
+  auto operator<=>(const ServerBoot&) const = default;
+};
+
 /// A TCP endpoint; `host` is a numeric IP address.
 struct Endpoint {
   std::string host;
--- a/src/serve/control.h
+++ b/src/serve/control.h
@@ -73,7 +73,7 @@
   /// Applies changes of the instances and of the listed servers to the permits.
   void UpdatePermits();
   PeerFrame HandlePermitFrame(const PeerFrame& frame);
-  Awaitable<bool> AcquirePermit(ServerStart start);
+  Awaitable<bool> AcquirePermit(ServerBoot start);
   Awaitable<Result<PeerFrame>> CallPermitInstance(NodeId node, PeerFrame frame);
   Awaitable<void> TellOfLimit(NodeId node, PeerFrame notice);
   std::unique_ptr<CrashWatch> MakeCrashWatch();
--- a/src/serve/control_permits.cc
+++ b/src/serve/control_permits.cc
@@ -8,7 +8,7 @@
 namespace cowslipknot {
 namespace {
 
-ServerStart MakeServerStart(const ServerId& id, Incarnation incarnation) {
+ServerBoot MakeServerBoot(const ServerId& id, Incarnation incarnation) {
   return {id, static_cast<std::int64_t>(incarnation.Count())};
 }
 
@@ -31,7 +31,7 @@
       [this](const ServerId& id) -> std::optional<PermitServer> {
     const auto server = m_fleet.Find(id);
     if (!server) return std::nullopt;
-    const ServerStart start = MakeServerStart(id, server->record.incarnation);
+    const ServerBoot start = MakeServerBoot(id, server->record.incarnation);
     return PermitServer{start.started_ms, std::nullopt};
   };
   hooks.record = [this](const ServerId& id, const PermitState& state) {
@@ -64,7 +64,7 @@
   return m_permits->Handle(frame);
 }
 
-Awaitable<bool> Control::AcquirePermit(ServerStart start) {
+Awaitable<bool> Control::AcquirePermit(ServerBoot start) {
   UpdatePermits();
   co_return co_await m_permits->Acquire(std::move(start));
 }
@@ -89,14 +89,14 @@
                                    const ServerId& id, Incarnation incarnation,
                                    const LimitStatement& statement) {
     asio::post(executor,
-               [this, start = MakeServerStart(id, incarnation), statement] {
+               [this, start = MakeServerBoot(id, incarnation), statement] {
                  m_permits->OnStatement(start, statement);
                });
   };
   m_hooks.acquire_permit = [this](ServerId id,
                                   Incarnation incarnation) -> Awaitable<bool> {
     co_return co_await RunOn(m_hooks.executor,
-                             AcquirePermit(MakeServerStart(id, incarnation)));
+                             AcquirePermit(MakeServerBoot(id, incarnation)));
   };
   m_hooks.claims = m_claims.get();
 }
--- a/src/serve/limit_codec.cc
+++ b/src/serve/limit_codec.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 std::unique_ptr<wire::LimitStatementT> PackLimit(
-    const ServerStart& start, const LimitStatement& statement,
+    const ServerBoot& start, const LimitStatement& statement,
     LimitStatement::Time now, LimitStatement::Time cold_until) {
   auto packed = std::make_unique<wire::LimitStatementT>();
   packed->server = start.server.Text();
--- a/src/serve/limit_codec.h
+++ b/src/serve/limit_codec.h
@@ -9,21 +9,15 @@
 /// Packs statements of servers' limits into frames.
 namespace cowslipknot {
 
-/// A process of a server.
-struct ServerStart {
-  ServerId server;
-  std::int64_t started_ms = 0;
-};
-
 struct ReceivedLimit {
-  ServerStart start;
+  ServerBoot start;
   LimitStatement statement;
   LimitStatement::Time cold_until{0};  ///< zero if the server is warm
 };
 
 /// Times become ages and times left, since instances share no clock.
 std::unique_ptr<wire::LimitStatementT> PackLimit(
-    const ServerStart& start, const LimitStatement& statement,
+    const ServerBoot& start, const LimitStatement& statement,
     LimitStatement::Time now, LimitStatement::Time cold_until = {});
 
 /// @return kBadFrame if a value is out of range
--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -74,14 +74,14 @@
   return true;
 }
 
-PermitBook::Tracked* PermitBook::Find(const ServerStart& start) {
+PermitBook::Tracked* PermitBook::Find(const ServerBoot& start) {
   const auto found = m_tracked.find(start.server);
   const bool known =
       found != m_tracked.end() && found->second.started_ms == start.started_ms;
   return known ? &found->second : nullptr;
 }
 
-PermitBook::Tracked* PermitBook::Track(const ServerStart& start) {
+PermitBook::Tracked* PermitBook::Track(const ServerBoot& start) {
   if (Tracked* known = Find(start)) return known;
   const auto listed = m_hooks.find_server(start.server);
   if (!listed || listed->started_ms != start.started_ms) return nullptr;
@@ -131,11 +131,11 @@
   Record(server, tracked);
 }
 
-void PermitBook::OnCold(const ServerStart& start, Time until) {
+void PermitBook::OnCold(const ServerBoot& start, Time until) {
   if (Tracked* tracked = Track(start)) ExtendCold(start, *tracked, until);
 }
 
-void PermitBook::ExtendCold(const ServerStart& start, Tracked& tracked,
+void PermitBook::ExtendCold(const ServerBoot& start, Tracked& tracked,
                             Time until) {
   const auto now = TimeSinceBoot();
   if (!tracked.cold_rate || until <= tracked.cold_until || until <= now) return;
@@ -153,7 +153,7 @@
   m_hooks.count(start.server, PermitEvent::kColdBegun);
 }
 
-bool PermitBook::Apply(const ServerStart& start, Tracked& tracked,
+bool PermitBook::Apply(const ServerBoot& start, Tracked& tracked,
                        const LimitStatement& statement) {
   if (!Supersedes(statement, tracked.statement)) return false;
   const bool was_limited = tracked.statement.limit.has_value();
@@ -170,14 +170,14 @@
   return true;
 }
 
-void PermitBook::OnStatement(const ServerStart& start,
+void PermitBook::OnStatement(const ServerBoot& start,
                              const LimitStatement& statement) {
   Tracked* tracked = statement.limit ? Track(start) : Find(start);
   if (tracked == nullptr) return;
   if (Apply(start, *tracked, statement)) Tell(start, *tracked);
 }
 
-void PermitBook::Tell(const ServerStart& start, const Tracked& tracked) {
+void PermitBook::Tell(const ServerBoot& start, const Tracked& tracked) {
   m_hooks.tell(tracked.main, [start, statement = tracked.statement] {
     PeerFrame frame;
     frame.kind = wire::Kind::ServerLimits;
@@ -229,7 +229,7 @@
   return MakeAnswer();
 }
 
-Awaitable<bool> PermitBook::Acquire(ServerStart start) {
+Awaitable<bool> PermitBook::Acquire(ServerBoot start) {
   Tracked* tracked = Find(start);
   if (tracked == nullptr) co_return true;
   const auto asked_at = TimeSinceBoot();
@@ -259,7 +259,7 @@
 }
 
 Awaitable<std::optional<PermitAnswer>> PermitBook::AskGranters(
-    ServerStart start) {
+    ServerBoot start) {
   Tracked* tracked = Find(start);
   if (tracked->main && TimeSinceBoot() >= tracked->ask_main_from) {
     const NodeId main = *tracked->main;
@@ -274,7 +274,7 @@
   co_return co_await Ask(start, substitute, GranterRole::kSubstitute);
 }
 
-Awaitable<std::optional<PermitAnswer>> PermitBook::Ask(ServerStart start,
+Awaitable<std::optional<PermitAnswer>> PermitBook::Ask(ServerBoot start,
                                                        NodeId granter,
                                                        GranterRole role) {
   if (granter == m_self.node) co_return Grant(*Find(start), role, granter);
@@ -284,7 +284,7 @@
   co_return co_await AskPeer(std::move(start), std::move(granter), role);
 }
 
-Awaitable<std::optional<PermitAnswer>> PermitBook::AskPeer(ServerStart start,
+Awaitable<std::optional<PermitAnswer>> PermitBook::AskPeer(ServerBoot start,
                                                            NodeId peer,
                                                            GranterRole role) {
   const Tracked& tracked = *Find(start);
@@ -334,7 +334,7 @@
   if (frame.limits.size() != 1 || !frame.limits[0]) return answer;
   ApplyFrame(frame);
   const wire::LimitStatementT& asked = *frame.limits[0];
-  const ServerStart start{ServerId(asked.server), asked.started_ms};
+  const ServerBoot start{ServerId(asked.server), asked.started_ms};
   Tracked* tracked = Find(start);
   if (tracked == nullptr) return answer;
   const auto& stated = tracked->statement.limit;
--- a/src/serve/permit_book.h
+++ b/src/serve/permit_book.h
@@ -98,14 +98,14 @@
   void UpdateInstances(PermitInstances instances);
 
   /// Applies what a server's answer said of its limit.
-  void OnStatement(const ServerStart& start, const LimitStatement& statement);
+  void OnStatement(const ServerBoot& start, const LimitStatement& statement);
   /// Applies until when a server is cold; the latest time counts.
-  void OnCold(const ServerStart& start, Time until);
+  void OnCold(const ServerBoot& start, Time until);
 
   /// Obtains a permit to send one request. If there is none, withholds the
   /// server until it is worth asking again.
   /// @return whether the request may be sent
-  Awaitable<bool> Acquire(ServerStart start);
+  Awaitable<bool> Acquire(ServerBoot start);
 
   /// Handles AskPermit and ServerLimits frames.
   PeerFrame Handle(const PeerFrame& frame);
@@ -133,26 +133,26 @@
   /// Connects the state with the server that is listed.
   /// @return false if the server has another process, or is gone for good
   bool KeepsTrack(const ServerId& server, Tracked& tracked) const;
-  Tracked* Find(const ServerStart& start);
+  Tracked* Find(const ServerBoot& start);
   /// The server's state, created when the server is listed and has none.
-  Tracked* Track(const ServerStart& start);
+  Tracked* Track(const ServerBoot& start);
   void AssignGranters(const ServerId& server, Tracked& tracked);
   /// The lower of the stated limit and the rate of a cold server; nothing if
   /// neither binds.
   static std::optional<RequestRate> LimitOf(const Tracked& tracked, Time now);
   void Record(const ServerId& server, const Tracked& tracked) const;
   void Withhold(const ServerId& server, Tracked& tracked, Time until) const;
-  void ExtendCold(const ServerStart& start, Tracked& tracked, Time until);
+  void ExtendCold(const ServerBoot& start, Tracked& tracked, Time until);
   /// @return whether the server became limited or ceased to be
-  bool Apply(const ServerStart& start, Tracked& tracked,
+  bool Apply(const ServerBoot& start, Tracked& tracked,
              const LimitStatement& statement);
-  void Tell(const ServerStart& start, const Tracked& tracked);
+  void Tell(const ServerBoot& start, const Tracked& tracked);
   void ApplyFrame(const PeerFrame& frame);
 
-  Awaitable<std::optional<PermitAnswer>> AskGranters(ServerStart start);
-  Awaitable<std::optional<PermitAnswer>> Ask(ServerStart start, NodeId granter,
+  Awaitable<std::optional<PermitAnswer>> AskGranters(ServerBoot start);
+  Awaitable<std::optional<PermitAnswer>> Ask(ServerBoot start, NodeId granter,
                                              GranterRole role);
-  Awaitable<std::optional<PermitAnswer>> AskPeer(ServerStart start, NodeId peer,
+  Awaitable<std::optional<PermitAnswer>> AskPeer(ServerBoot start, NodeId peer,
                                                  GranterRole role);
   std::optional<PermitAnswer> Grant(Tracked& tracked, GranterRole role,
                                     const NodeId& asker);
--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -150,7 +150,7 @@
 }
 
 Awaitable<bool> ServerPermits::Acquire(ServerEntry server) {
-  ServerStart start{server.id, server.started_ms};
+  ServerBoot start{server.id, server.started_ms};
   co_return co_await m_book.Acquire(std::move(start));
 }
 
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -12,7 +12,7 @@
 using std::chrono::seconds;
 
 const ServerId kServer("s");
-const ServerStart kStart{kServer, 7};
+const ServerBoot kStart{kServer, 7};
 
 PermitInstance InDomain(const char* node, const char* domain) {
   return {NodeId(node), DomainId(domain)};
@@ -40,7 +40,7 @@
     m_server = server;
     m_book.UpdateServers();
   }
-  bool Acquire(const ServerStart& start = kStart) {
+  bool Acquire(const ServerBoot& start = kStart) {
     bool permitted = false;
     asio::co_spawn(
         m_context,
--- a/tests/unit/warmup_test.cc
+++ b/tests/unit/warmup_test.cc
@@ -118,7 +118,7 @@
 }
 
 Test(warmup, an_asker_tells_for_how_much_longer_a_server_is_cold) {
-  const ServerStart start{ServerId("s"), 1};
+  const ServerBoot start{ServerId("s"), 1};
   auto packed = PackLimit(start, {}, kNow, kNow + milliseconds(1500));
   auto received = UnpackLimit(*packed, kNow + seconds(50));
   cr_assert(received.has_value());
