Let answers in progress show which prompt parts crash no server

Cause: only a complete answer counted as evidence that a part is harmless. A process that has just started knows none, and the crashes end the streams that would be the first. Parts that every crashed server was answering, a first part of each template and the crashing one, had the same crashes and became one quarantine, which holds requests with all of them: none. Ruled out: evidence that does not reach the instances; all log the same quarantine. Change: an answer that has been in progress for a second (AnswerProgress; pauses count as 250 ms at most, so that bytes held up on the way show nothing) clears its prompt's parts of crashes before it was sent. Each crash keeps which parts were only in answers in progress for that long; of such a crash only complete answers clear, so that a part that crashes servers late is still found. Instances exchange both. RecentTimes and what belongs to it moved to harmless_answers. Why it works: the crashing part never has such an answer, and sound parts have one a second after servers begin to answer, at servers that are not hit in between.

--- a/include/cowslipknot/coordination/crash_quarantine.h
+++ b/include/cowslipknot/coordination/crash_quarantine.h
@@ -1,44 +1,24 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <initializer_list>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
+#include "cowslipknot/coordination/harmless_answers.h"
+#include "cowslipknot/coordination/suspect_id.h"
 #include "cowslipknot/ids.h"
 
 /// Finds what crashes the backend servers that run it, parts of prompts and
 /// whole requests, and keeps requests with it from the servers.
 namespace cowslipknot {
 
-/// What a server may have crashed on.
-struct SuspectId {
-  enum class Kind : std::uint8_t {
-    kPromptPart,  ///< a part of a prompt that several requests may have
-    kRequest,     ///< a request that its caller may repeat
-  };
-  Kind kind = Kind::kPromptPart;
-  std::uint64_t value = 0;
-  auto operator<=>(const SuspectId&) const = default;
-};
-
-/// All suspects of one request.
-using Suspects = std::vector<SuspectId>;
-
-/// The suspect that a request is as a whole.
-/// @param fields  all that stays the same when its caller repeats it, always in
-///                the same order
-SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields);
-
 /// What an instance tells the others. Times are in TimeSinceBoot() of the
 /// instance that holds the object.
 struct CrashEvidence {
@@ -48,13 +28,19 @@
     ServerBoot boot;
     Time at{0};
     std::set<SuspectId> suspects;
+    /// Those of which no answer had just begun.
+    std::set<SuspectId> in_progress;
   };
   std::vector<Crash> crashes;
   /// When the latest request with a suspect was sent whose answer was
   /// completed.
   std::map<SuspectId, Time> completions;
+  /// The same for answers that AnswerProgress found harmless.
+  std::map<SuspectId, Time> progress;
 
-  bool Empty() const { return crashes.empty() && completions.empty(); }
+  bool Empty() const {
+    return crashes.empty() && completions.empty() && progress.empty();
+  }
 };
 
 /// Suspects that several crashes have in common and that no completed answer
@@ -73,26 +59,7 @@
   bool Holds(const Suspects& request) const;
 };
 
-/// Times at which things were last used. Forgets the longest unused ones.
-class RecentTimes {
- public:
-  using Time = std::chrono::nanoseconds;
-  /// @param capacity  the latest ones that are kept at least
-  explicit RecentTimes(std::size_t capacity) : m_capacity(capacity) {}
-
-  /// Zero if unknown.
-  Time Get(std::uint64_t key) const;
-  /// Keeps the later of two times.
-  void Set(std::uint64_t key, Time time);
-
- private:
-  std::size_t m_capacity;
-  /// When the first map is full it replaces the second one.
-  std::unordered_map<std::uint64_t, Time> m_latest;
-  std::unordered_map<std::uint64_t, Time> m_older;
-};
-
-/// Decides which requests may be sent, from crashes and completed answers.
+/// Decides which requests may be sent, from crashes and harmless answers.
 ///
 /// A crash ends all requests of a server, most of which did not cause it. A
 /// suspect is judged by the crashes since its last completed answer, the one
@@ -105,8 +72,6 @@
  public:
   using Time = std::chrono::nanoseconds;
 
-  CrashQuarantine();
-
   enum class Verdict : std::uint8_t {
     kSend,
     kTrial,  ///< send this one request to learn whether it still crashes
@@ -121,6 +86,10 @@
   /// Records an answer that was completed. It clears a request of all crashes
   /// until then, and parts of prompts of those before it was sent.
   void RecordCompletion(const Suspects& suspects, Time sent, Time completed);
+  /// Records an answer that AnswerProgress found harmless. It clears parts of
+  /// prompts of crashes before it was sent under answers that had just begun.
+  /// Requests are not cleared, which may still crash their server.
+  void RecordProgress(const Suspects& suspects, Time sent);
   /// What is known of the server whose answer broke off.
   enum class BreakOff : std::uint8_t {
     kNew,        ///< the first one; the caller checks whether it has crashed
@@ -130,7 +99,7 @@
   /// Records an answer that broke off. ConfirmCrash() or DiscardCrash() follows
   /// the first one of a server.
   BreakOff RecordBreakOff(const ServerBoot& boot, const Suspects& suspects,
-                          Time now);
+                          Time now, AnswerStage stage = AnswerStage::kBegun);
   void ConfirmCrash(const ServerBoot& boot);
   void DiscardCrash(const ServerBoot& boot);
 
@@ -167,18 +136,16 @@
   struct Crash {
     Time at{0};
     std::set<SuspectId> suspects;
+    std::set<SuspectId> in_progress;  ///< as in CrashEvidence
     bool confirmed = false;
   };
   using CrashMap = std::map<ServerBoot, Crash>;
   using CrashList = std::vector<const CrashMap::value_type*>;
 
-  /// Zero if no answer to a request with the suspect is known to be complete.
-  Time LastCompletion(const SuspectId& suspect) const;
-  void SetCompletion(const SuspectId& suspect, Time sent);
-  RecentTimes& CompletionsOf(SuspectId::Kind kind);
-  const RecentTimes& CompletionsOf(SuspectId::Kind kind) const;
+  /// Until when a suspect is cleared of crashes such as this one.
+  Time ClearedUntil(const SuspectId& suspect, const Crash& crash) const;
   bool IsQuarantined(const SuspectId& suspect) const;
-  void AddSuspect(Crash& crash, const SuspectId& suspect);
+  void AddSuspect(Crash& crash, const SuspectId& suspect, AnswerStage stage);
   /// Makes room for another crash, confirmed or not. Break-offs that turn out
   /// to be no crashes displace none.
   void DropOldestCrashes(bool confirmed);
@@ -191,11 +158,8 @@
   CrashEvidence ExportLatest(CrashList crashes) const;
 
   CrashMap m_crashes;
-  /// Last completions of the suspects in m_crashes, so that other requests
-  /// cannot displace them.
-  std::map<SuspectId, Time> m_suspect_completions;
-  RecentTimes m_part_completions;
-  RecentTimes m_request_completions;
+  HarmlessAnswers m_completions;
+  HarmlessAnswers m_progress;
   std::vector<Quarantine> m_quarantines;
   std::map<Suspects, Time> m_trials;  ///< when the last one was sent
 };
--- a/src/coordination/crash_evidence_codec.cc
+++ b/src/coordination/crash_evidence_codec.cc
@@ -23,6 +23,9 @@
 constexpr KindFields kKinds[] = {
     {SuspectId::Kind::kPromptPart, "parts", "completions"},
     {SuspectId::Kind::kRequest, "requests", "request_completions"}};
+/// Of parts only. Instances of earlier versions neither send nor read these.
+constexpr const char* kPartsInProgress = "parts_in_progress";
+constexpr const char* kProgress = "progress";
 
 /// Bounds on what is accepted from others.
 constexpr std::size_t kMaxTextBytes = 512 << 10;
@@ -64,6 +67,43 @@
   return std::max(Time(1), now - std::min<Time>(elapsed, now));
 }
 
+using SentTimes = std::map<SuspectId, Time>;
+
+json::object EncodeSentTimes(const SentTimes& times, SuspectId::Kind kind,
+                             Time now) {
+  json::object encoded;
+  for (const auto& [suspect, sent] : times) {
+    if (suspect.kind != kind) continue;
+    encoded[FormatValue(suspect.value)] = AgeOfCompletion(sent, now);
+  }
+  return encoded;
+}
+
+void DecodeSentTimes(const json::object& object, const char* field,
+                     SuspectId::Kind kind, Time now, SentTimes& times) {
+  const auto* encoded = object.if_contains(field);
+  if (encoded == nullptr) return;
+  for (const auto& [suspect, age] : encoded->as_object())
+    times[{kind, ParseValue(suspect)}] = FromAge(age, now);
+}
+
+json::array EncodeSuspects(const std::set<SuspectId>& suspects,
+                           SuspectId::Kind kind) {
+  json::array encoded;
+  for (const auto& suspect : suspects) {
+    if (suspect.kind == kind) encoded.emplace_back(FormatValue(suspect.value));
+  }
+  return encoded;
+}
+
+void DecodeSuspects(const json::object& object, const char* field,
+                    SuspectId::Kind kind, std::set<SuspectId>& suspects) {
+  const auto* encoded = object.if_contains(field);
+  if (encoded == nullptr) return;
+  for (const auto& suspect : encoded->as_array())
+    suspects.insert({kind, ParseValue(suspect.as_string())});
+}
+
 CrashEvidence::Crash DecodeCrash(const json::value& encoded, Time now) {
   CrashEvidence::Crash crash;
   crash.boot.server = ServerId(std::string(encoded.at("server").as_string()));
@@ -71,12 +111,11 @@
     throw std::invalid_argument("server id");
   crash.boot.started_ms = encoded.at("started").to_number<std::int64_t>();
   crash.at = FromAge(encoded.at("age_ms"), now);
-  for (const auto& fields : kKinds) {
-    const auto* suspects = encoded.as_object().if_contains(fields.of_crash);
-    if (suspects == nullptr) continue;
-    for (const auto& suspect : suspects->as_array())
-      crash.suspects.insert({fields.kind, ParseValue(suspect.as_string())});
-  }
+  const json::object& object = encoded.as_object();
+  for (const auto& fields : kKinds)
+    DecodeSuspects(object, fields.of_crash, fields.kind, crash.suspects);
+  DecodeSuspects(object, kPartsInProgress, SuspectId::Kind::kPromptPart,
+                 crash.in_progress);
   return crash;
 }
 
@@ -89,26 +128,20 @@
     encoded["server"] = crash.boot.server.Text();
     encoded["started"] = crash.boot.started_ms;
     encoded["age_ms"] = AgeOfCrash(crash.at, now);
-    for (const auto& fields : kKinds) {
-      json::array suspects;
-      for (const auto& suspect : crash.suspects) {
-        if (suspect.kind != fields.kind) continue;
-        suspects.emplace_back(FormatValue(suspect.value));
-      }
-      encoded[fields.of_crash] = std::move(suspects);
-    }
+    for (const auto& fields : kKinds)
+      encoded[fields.of_crash] = EncodeSuspects(crash.suspects, fields.kind);
+    encoded[kPartsInProgress] =
+        EncodeSuspects(crash.in_progress, SuspectId::Kind::kPromptPart);
     crashes.push_back(std::move(encoded));
   }
   json::object object;
   object["crashes"] = std::move(crashes);
   for (const auto& fields : kKinds) {
-    json::object completions;
-    for (const auto& [suspect, sent] : evidence.completions) {
-      if (suspect.kind != fields.kind) continue;
-      completions[FormatValue(suspect.value)] = AgeOfCompletion(sent, now);
-    }
-    object[fields.completions] = std::move(completions);
+    object[fields.completions] =
+        EncodeSentTimes(evidence.completions, fields.kind, now);
   }
+  object[kProgress] =
+      EncodeSentTimes(evidence.progress, SuspectId::Kind::kPromptPart, now);
   return json::serialize(object);
 }
 
@@ -119,15 +152,13 @@
     const json::value parsed = json::parse(text);
     for (const auto& crash : parsed.at("crashes").as_array())
       evidence.crashes.push_back(DecodeCrash(crash, now));
+    const json::object& object = parsed.as_object();
     for (const auto& fields : kKinds) {
-      const auto* completions =
-          parsed.as_object().if_contains(fields.completions);
-      if (completions == nullptr) continue;
-      for (const auto& [suspect, age] : completions->as_object()) {
-        evidence.completions[{fields.kind, ParseValue(suspect)}] =
-            FromAge(age, now);
-      }
+      DecodeSentTimes(object, fields.completions, fields.kind, now,
+                      evidence.completions);
     }
+    DecodeSentTimes(object, kProgress, SuspectId::Kind::kPromptPart, now,
+                    evidence.progress);
   } catch (const std::exception&) {
     return CrashEvidence();
   }
--- a/src/coordination/crash_quarantine.cc
+++ b/src/coordination/crash_quarantine.cc
@@ -1,7 +1,5 @@
 #include "cowslipknot/coordination/crash_quarantine.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -31,8 +29,6 @@
 constexpr std::size_t kMaxExplainedCrashes = 384;
 constexpr std::size_t kMaxSuspectsPerCrash = 256;  ///< of each kind
 constexpr std::size_t kMaxSuspects = 16384;        ///< of all crashes
-constexpr std::size_t kMaxPartCompletions = 4096;
-constexpr std::size_t kMaxRequestCompletions = 8192;
 /// Bounds the evidence that is sent at once.
 constexpr std::size_t kMaxExportedSuspects = 4096;
 
@@ -55,16 +51,6 @@
 
 }  // namespace
 
-SuspectId IdentifyRequest(std::initializer_list<std::string_view> fields) {
-  std::uint64_t hash = 0;
-  for (const auto field : fields) {
-    // The length keeps fields apart that are alike when joined.
-    const std::uint64_t seed = hash + field.size();
-    hash = XXH3_64bits_withSeed(field.data(), field.size(), seed);
-  }
-  return {SuspectId::Kind::kRequest, hash};
-}
-
 bool Quarantine::Holds(const Suspects& request) const {
   const auto has = [&request](const SuspectId& suspect) {
     return Contains(request, suspect);
@@ -74,50 +60,13 @@
              : std::ranges::all_of(suspects, has);
 }
 
-Time RecentTimes::Get(std::uint64_t key) const {
-  Time last{0};
-  for (const auto* times : {&m_latest, &m_older}) {
-    const auto found = times->find(key);
-    if (found != times->end()) last = std::max(last, found->second);
-  }
-  return last;
-}
-
-void RecentTimes::Set(std::uint64_t key, Time time) {
-  if (m_latest.size() >= m_capacity && !m_latest.contains(key))
-    m_older = std::exchange(m_latest, {});
-  Time& last = m_latest[key];
-  last = std::max(last, time);
-}
-
-CrashQuarantine::CrashQuarantine()
-    : m_part_completions(kMaxPartCompletions),
-      m_request_completions(kMaxRequestCompletions) {}
-
-RecentTimes& CrashQuarantine::CompletionsOf(SuspectId::Kind kind) {
-  return kind == SuspectId::Kind::kRequest ? m_request_completions
-                                           : m_part_completions;
-}
-
-const RecentTimes& CrashQuarantine::CompletionsOf(SuspectId::Kind kind) const {
-  return kind == SuspectId::Kind::kRequest ? m_request_completions
-                                           : m_part_completions;
-}
-
-Time CrashQuarantine::LastCompletion(const SuspectId& suspect) const {
-  const auto found = m_suspect_completions.find(suspect);
-  return found != m_suspect_completions.end()
-             ? found->second
-             : CompletionsOf(suspect.kind).Get(suspect.value);
-}
-
-void CrashQuarantine::SetCompletion(const SuspectId& suspect, Time sent) {
-  const auto found = m_suspect_completions.find(suspect);
-  if (found != m_suspect_completions.end()) {
-    found->second = std::max(found->second, sent);
-  } else {
-    CompletionsOf(suspect.kind).Set(suspect.value, sent);
-  }
+Time CrashQuarantine::ClearedUntil(const SuspectId& suspect,
+                                   const Crash& crash) const {
+  const Time completed = m_completions.Get(suspect);
+  // Progress shows nothing of what crashes servers later in an answer.
+  return crash.in_progress.contains(suspect)
+             ? completed
+             : std::max(completed, m_progress.Get(suspect));
 }
 
 bool CrashQuarantine::IsQuarantined(const SuspectId& suspect) const {
@@ -131,18 +80,35 @@
   bool quarantined = false;
   for (const auto& suspect : suspects) {
     const bool is_request = suspect.kind == SuspectId::Kind::kRequest;
-    SetCompletion(suspect, is_request ? completed : sent);
+    m_completions.Set(suspect, is_request ? completed : sent);
     quarantined = quarantined || IsQuarantined(suspect);
   }
   if (quarantined) Recompute();
 }
 
-void CrashQuarantine::AddSuspect(Crash& crash, const SuspectId& suspect) {
+void CrashQuarantine::RecordProgress(const Suspects& suspects, Time sent) {
+  bool quarantined = false;
+  for (const auto& suspect : suspects) {
+    if (suspect.kind != SuspectId::Kind::kPromptPart) continue;
+    m_progress.Set(suspect, sent);
+    quarantined = quarantined || IsQuarantined(suspect);
+  }
+  if (quarantined) Recompute();
+}
+
+void CrashQuarantine::AddSuspect(Crash& crash, const SuspectId& suspect,
+                                 AnswerStage stage) {
+  if (crash.suspects.contains(suspect)) {
+    if (stage == AnswerStage::kBegun) crash.in_progress.erase(suspect);
+    return;
+  }
   const auto alike =
       std::ranges::count(crash.suspects, suspect.kind, &SuspectId::kind);
   if (static_cast<std::size_t>(alike) >= kMaxSuspectsPerCrash) return;
   crash.suspects.insert(suspect);
-  m_suspect_completions.try_emplace(suspect, LastCompletion(suspect));
+  if (stage == AnswerStage::kInProgress) crash.in_progress.insert(suspect);
+  m_completions.Pin(suspect);
+  m_progress.Pin(suspect);
 }
 
 void CrashQuarantine::DropOldestCrashes(bool confirmed) {
@@ -190,19 +156,19 @@
       return item.second.suspects.contains(suspect);
     });
     if (is_kept) continue;
-    const Time last = LastCompletion(suspect);
-    m_suspect_completions.erase(suspect);
-    if (last.count() > 0) SetCompletion(suspect, last);
+    m_completions.Unpin(suspect);
+    m_progress.Unpin(suspect);
   }
 }
 
 CrashQuarantine::BreakOff CrashQuarantine::RecordBreakOff(
-    const ServerBoot& boot, const Suspects& suspects, Time now) {
+    const ServerBoot& boot, const Suspects& suspects, Time now,
+    AnswerStage stage) {
   const bool is_new = !m_crashes.contains(boot);
   if (is_new) DropOldestCrashes(false);
   Crash& crash = m_crashes[boot];
   if (is_new) crash.at = now;
-  for (const auto& suspect : suspects) AddSuspect(crash, suspect);
+  for (const auto& suspect : suspects) AddSuspect(crash, suspect, stage);
   if (is_new) return BreakOff::kNew;
   if (!crash.confirmed) return BreakOff::kPending;
   Recompute();
@@ -234,8 +200,9 @@
   CrashList unexplained = ConfirmedCrashes();
   SuspectGroups evidence;
   for (const auto* item : unexplained) {
-    for (const auto& suspect : item->second.suspects)
-      CountCrash(evidence, suspect, item->second.at, LastCompletion(suspect));
+    const Crash& crash = item->second;
+    for (const auto& suspect : crash.suspects)
+      CountCrash(evidence, suspect, crash.at, ClearedUntil(suspect, crash));
   }
   EraseWeakSuspects(evidence);
   for (auto& [suspect, group] : evidence) std::ranges::sort(group.crashes);
@@ -296,10 +263,12 @@
       });
   if (quarantined) return false;
   return std::ranges::none_of(suspects, [this](const SuspectId& suspect) {
-    if (LastCompletion(suspect).count() > 0) return false;
+    if (m_completions.Get(suspect).count() > 0) return false;
     SuspectGroup against{suspect.kind};
     for (const auto& [boot, crash] : m_crashes) {
-      if (crash.suspects.contains(suspect)) against.crashes.push_back(crash.at);
+      const bool counts = crash.suspects.contains(suspect) &&
+                          crash.at > ClearedUntil(suspect, crash);
+      if (counts) against.crashes.push_back(crash.at);
     }
     std::ranges::sort(against.crashes);
     return CountCrashes(against) >= kCrashesWithoutRetry;
@@ -325,11 +294,14 @@
 CrashEvidence CrashQuarantine::ExportCrashes(const CrashList& crashes) const {
   CrashEvidence evidence;
   for (const auto* item : crashes) {
+    const Crash& crash = item->second;
     evidence.crashes.push_back(
-        {item->first, item->second.at, item->second.suspects});
-    for (const auto& suspect : item->second.suspects) {
-      const Time last = LastCompletion(suspect);
-      if (last.count() > 0) evidence.completions[suspect] = last;
+        {item->first, crash.at, crash.suspects, crash.in_progress});
+    for (const auto& suspect : crash.suspects) {
+      const Time completed = m_completions.Get(suspect);
+      const Time progressed = m_progress.Get(suspect);
+      if (completed.count() > 0) evidence.completions[suspect] = completed;
+      if (progressed.count() > 0) evidence.progress[suspect] = progressed;
     }
   }
   return evidence;
@@ -362,16 +334,20 @@
 
 CrashEvidence CrashQuarantine::ExportQuarantined() const {
   CrashEvidence evidence = ExportCrashes(ConfirmedCrashes());
+  const auto is_other = [this](const SuspectId& suspect) {
+    return !IsQuarantined(suspect);
+  };
+  const auto is_of_other = [&is_other](const auto& item) {
+    return is_other(item.first);
+  };
   for (auto& crash : evidence.crashes) {
-    std::erase_if(crash.suspects, [this](const auto& suspect) {
-      return !IsQuarantined(suspect);
-    });
+    std::erase_if(crash.suspects, is_other);
+    std::erase_if(crash.in_progress, is_other);
   }
   std::erase_if(evidence.crashes,
                 [](const auto& crash) { return crash.suspects.empty(); });
-  std::erase_if(evidence.completions, [this](const auto& completion) {
-    return !IsQuarantined(completion.first);
-  });
+  std::erase_if(evidence.completions, is_of_other);
+  std::erase_if(evidence.progress, is_of_other);
   return evidence;
 }
 
@@ -381,13 +357,21 @@
     Crash& crash = m_crashes[received.boot];
     crash.at = is_new ? received.at : std::min(crash.at, received.at);
     MarkConfirmed(crash);
-    for (const auto& suspect : received.suspects) AddSuspect(crash, suspect);
-  }
-  for (const auto& [suspect, sent] : evidence.completions) {
-    // Its own completion comes back later by the time of the exchange.
-    const bool is_later = sent >= LastCompletion(suspect) + kMaxTransferTime;
-    if (is_later) SetCompletion(suspect, sent);
+    for (const auto& suspect : received.suspects) {
+      const bool in_progress = received.in_progress.contains(suspect);
+      AddSuspect(crash, suspect,
+                 in_progress ? AnswerStage::kInProgress : AnswerStage::kBegun);
+    }
   }
+  const auto merge = [](HarmlessAnswers& known, const auto& received) {
+    for (const auto& [suspect, sent] : received) {
+      // Its own time comes back later by the time of the exchange.
+      const bool is_later = sent >= known.Get(suspect) + kMaxTransferTime;
+      if (is_later) known.Set(suspect, sent);
+    }
+  };
+  merge(m_completions, evidence.completions);
+  merge(m_progress, evidence.progress);
   if (!evidence.Empty()) Recompute();
 }
 
--- a/src/serve/crash_watch.cc
+++ b/src/serve/crash_watch.cc
@@ -129,6 +129,12 @@
   if (!m_logged.empty()) LogChanges();
 }
 
+void CrashWatch::OnProgress(const Suspects& suspects,
+                            std::chrono::nanoseconds sent) {
+  m_quarantine.RecordProgress(suspects, sent);
+  if (!m_logged.empty()) LogChanges();
+}
+
 void CrashWatch::OnUnframedEnd(const ServerBoot& boot, const Endpoint& address,
                                const Suspects& suspects,
                                std::chrono::nanoseconds sent) {
@@ -157,9 +163,9 @@
 }
 
 void CrashWatch::OnBreakOff(const ServerBoot& boot, const Endpoint& address,
-                            const Suspects& suspects) {
+                            const Suspects& suspects, AnswerStage stage) {
   const auto known =
-      m_quarantine.RecordBreakOff(boot, suspects, TimeSinceBoot());
+      m_quarantine.RecordBreakOff(boot, suspects, TimeSinceBoot(), stage);
   if (known == CrashQuarantine::BreakOff::kNew) {
     Spawn(m_executor, "check server", CheckServer(boot, address));
   } else if (known == CrashQuarantine::BreakOff::kConfirmed) {
--- a/src/serve/crash_watch.h
+++ b/src/serve/crash_watch.h
@@ -75,6 +75,8 @@
   std::optional<Milliseconds> TimeUntilTrial(const Suspects& suspects);
   /// Records an answer that was complete.
   void OnCompleted(const Suspects& suspects, std::chrono::nanoseconds sent);
+  /// Records an answer in progress that AnswerProgress found harmless.
+  void OnProgress(const Suspects& suspects, std::chrono::nanoseconds sent);
   /// Records an answer that ended with its connection. It was complete if the
   /// server still runs.
   void OnUnframedEnd(const ServerBoot& boot, const Endpoint& address,
@@ -86,7 +88,8 @@
                           const Suspects& suspects,
                           std::chrono::nanoseconds sent);
   void OnBreakOff(const ServerBoot& boot, const Endpoint& address,
-                  const Suspects& suspects);
+                  const Suspects& suspects,
+                  AnswerStage stage = AnswerStage::kBegun);
 
   /// The evidence of what is quarantined; empty if nothing is.
   std::string ExportQuarantined() const;
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -189,6 +189,7 @@
   };
   const auto started = SteadyClock::now();
   m_attempt_sent = TimeSinceBoot();
+  m_answer_progress = AnswerProgress();
   m_delays.OnSent(started);
   m_tracked_attempt = TrackAttempt(server);
   const TrackedAttempt tracked(m_worker.Evidence(), m_tracked_attempt);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -127,6 +127,8 @@
   // Evidence about crashes: gateway_call_crashes.cc.
   void OnResponseHeader(const http::response_header<>& header);
   void RecordCompletion(const Backend& server);
+  /// Records that events of the latest attempt's answer were read.
+  void RecordProgress();
   void RecordBreakOff(const Backend& server, AttemptOutcome end,
                       const Error& error);
   /// Whether a server may be sent requests by the latest snapshot.
@@ -195,6 +197,7 @@
   Suspects m_suspects;
   std::chrono::nanoseconds m_attempt_sent{0};  ///< in TimeSinceBoot(), latest
   ResponseEvidence m_response_evidence = ResponseEvidence::kNone;
+  AnswerProgress m_answer_progress;  ///< of the latest attempt
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -40,6 +40,12 @@
   }
 }
 
+void Call::RecordProgress() {
+  const bool is_harmless = m_response_evidence != ResponseEvidence::kNone &&
+                           m_answer_progress.OnReceived(TimeSinceBoot());
+  if (is_harmless) m_worker.Crashes().OnProgress(m_suspects, m_attempt_sent);
+}
+
 void Call::RecordBreakOff(const Backend& server, AttemptOutcome end,
                           const Error& error) {
   const bool broke_off = end == AttemptOutcome::kFailed && !IsAborted() &&
@@ -47,9 +53,12 @@
   // A server that leaves, or has left the registry, ends as planned, also under
   // a request.
   const bool is_planned = server.state->IsLeaving() || !IsListed(server);
-  if (broke_off && !is_planned)
-    m_worker.Crashes().OnBreakOff(BootOf(server.entry), server.entry.address,
-                                  m_suspects);
+  if (!broke_off || is_planned) return;
+  const AnswerStage stage = m_answer_progress.IsHarmless()
+                                ? AnswerStage::kInProgress
+                                : AnswerStage::kBegun;
+  m_worker.Crashes().OnBreakOff(BootOf(server.entry), server.entry.address,
+                                m_suspects, stage);
 }
 
 bool Call::IsListed(const Backend& server) const {
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -158,6 +158,7 @@
     const bool complete_event = m_events.FieldEventCount() > events_seen;
     if (complete_event) {
       m_stall_logged = false;
+      RecordProgress();
       m_delays.OnEvents(m_events.FieldEventCount() - events_seen,
                         SteadyClock::now());
       events_seen = m_events.FieldEventCount();
--- a/tests/unit/crash_quarantine_test.cc
+++ b/tests/unit/crash_quarantine_test.cc
@@ -82,6 +82,91 @@
   cr_expect(IsRefused(quarantine, {kOther, kBad}));
 }
 
+// Guards against BUDGET of review/8: no answer had been completed since the
+// start, so that all parts that the crashed servers had in flight were one
+// quarantine, which held no request.
+Test(crash_quarantine, answers_in_progress_tell_parts_apart) {
+  CrashQuarantine quarantine;
+  for (int i = 1; i <= 3; ++i)
+    Crash(quarantine, i, {kCommon, kOther, kBad}, kStart + seconds(i));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kBad}));
+  quarantine.RecordProgress({kCommon}, kStart + seconds(3));
+  quarantine.RecordProgress({kOther}, kStart + seconds(3));
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect(IsRefused(quarantine, {kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+}
+
+// Guards against sound prompts that are refused since a server crashes for
+// another reason before any answer was complete.
+Test(crash_quarantine, a_first_part_is_not_refused_for_crashes_of_others) {
+  CrashQuarantine quarantine;
+  Crash(quarantine, 100, {kCommon}, kStart);
+  quarantine.RecordProgress({kCommon}, kStart + seconds(1) / 2);
+  CrashTimes(quarantine, 3);
+  cr_expect(IsRefused(quarantine, {kCommon, kBad}));
+  cr_expect_not(IsRefused(quarantine, {kCommon, kOther}));
+}
+
+// Guards against a part that crashes servers only some time after they began to
+// answer: the progress of each answer must not clear it of the crash before.
+Test(crash_quarantine, a_part_that_crashes_servers_late_is_refused) {
+  CrashQuarantine quarantine;
+  CrashQuarantine other;
+  Complete(quarantine, {kCommon}, kStart);
+  for (int i = 1; i <= 5; ++i) {
+    const Time at = kStart + seconds(2 * i);
+    quarantine.RecordProgress({kCommon, kBad}, at - seconds(1));
+    quarantine.RecordBreakOff(Boot(i), {kCommon, kBad}, at,
+                              AnswerStage::kInProgress);
+    quarantine.RecordBreakOff(Boot(i), {kCommon}, at);
+    quarantine.ConfirmCrash(Boot(i));
+    other.Merge(quarantine.Export());
+  }
+  for (auto* instance : {&quarantine, &other}) {
+    cr_expect(IsRefused(*instance, {kCommon, kBad}, kStart + seconds(11)));
+    cr_expect_not(IsRefused(*instance, {kCommon}, kStart + seconds(11)));
+  }
+}
+
+Test(crash_quarantine, an_answer_in_progress_clears_no_request) {
+  CrashQuarantine quarantine;
+  const SuspectId request{SuspectId::Kind::kRequest, 7};
+  for (int i = 1; i <= 3; ++i)
+    Crash(quarantine, i, {request}, kStart + seconds(i));
+  quarantine.RecordProgress({request}, kStart + seconds(4));
+  cr_expect(IsRefused(quarantine, {request}));
+}
+
+Test(crash_quarantine, progress_of_other_instances_counts) {
+  CrashQuarantine sender;
+  CrashQuarantine receiver;
+  for (auto* instance : {&sender, &receiver}) {
+    for (int i = 1; i <= 3; ++i)
+      Crash(*instance, i, {kCommon, kOther, kBad}, kStart + seconds(i));
+  }
+  sender.RecordProgress({kCommon, kOther}, kStart + seconds(3));
+  cr_expect_not(IsRefused(receiver, {kCommon, kBad}));
+  receiver.Merge(sender.Export());
+  cr_expect(IsRefused(receiver, {kCommon, kBad}));
+}
+
+Test(answer_progress, an_answer_is_harmless_once_after_a_second) {
+  AnswerProgress progress;
+  int shown = 0;
+  for (int i = 0; i <= 20; ++i)
+    shown += progress.OnReceived(kStart + milliseconds(100 * i)) ? 1 : 0;
+  cr_expect_eq(shown, 1);
+}
+
+// A process that was paused reads what arrived before a crash after it.
+Test(answer_progress, a_long_pause_does_not_make_an_answer_harmless) {
+  AnswerProgress progress;
+  cr_expect_not(progress.OnReceived(kStart));
+  cr_expect_not(progress.OnReceived(kStart + seconds(30)));
+  cr_expect_not(progress.OnReceived(kStart + seconds(60)));
+}
+
 Test(crash_quarantine, requests_that_ran_beside_the_cause_are_not_refused) {
   CrashQuarantine quarantine;
   for (int i = 1; i <= 12; ++i) {
@@ -234,7 +319,12 @@
       piece.crashes.push_back(
           {Boot(*rc::gen::inRange(0, 5)),
            kStart + seconds(*rc::gen::inRange(0, 20)),
-           {Part(*rc::gen::inRange<std::uint64_t>(1, 5)), kBad}});
+           {Part(*rc::gen::inRange<std::uint64_t>(1, 5)), kBad},
+           {}});
+      if (*rc::gen::arbitrary<bool>())
+        piece.crashes.back().in_progress.insert(kBad);
+      piece.progress[Part(*rc::gen::inRange<std::uint64_t>(1, 5))] =
+          kStart + seconds(*rc::gen::inRange(0, 20));
       piece.completions[Part(*rc::gen::inRange<std::uint64_t>(1, 5))] =
           kStart + seconds(*rc::gen::inRange(0, 20));
       pieces.push_back(piece);
