Keep what is known of a server while its registration is missing

Cause: what an instance learns of a server was kept with its entry in the list, not with its process. ControlPlane::BuildBackends() dropped the BackendState of each server that was missing once: pause, leaving notice, limit, ejection, failures, lag. The same cause elsewhere: Fleet::Remove() in serve; PermitBook, which kept limits and cold times for 60 s and learned none while the entry was missing; notices that a server leaves, which were dropped for a server that is not listed. Ruled out: a comparison of start times that fails; the entry that comes back has the same one. Change: UnlistedServers keeps states by process, at most 4,096, until a later process of the server or another one at its address is listed. PermitBook tracks processes and keeps up to 1,024 that are not listed, while a limit or cold time binds. The prefix cache model, the large part of a state, is freed while a server is not listed, so that memory stays bounded. A registration without a start time names no process; its state ends with it, as before. Why it works: id and start name the process, and the state is found by them whatever becomes of the entry; a new process has another start. Not covered: a crash under a request while the entry is missing counts as a planned end.

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -30,6 +30,8 @@
  public:
   explicit PrefixCacheModel(TokenCount capacity) : m_capacity(capacity) {}
 
+  TokenCount Capacity() const { return m_capacity; }
+
   /// Counts the tokens of the leading parts that are cached.
   TokenCount Match(const std::vector<PromptPart>& parts) const;
   /// Inserts the parts of a prompt, or marks them as recently used.
@@ -133,6 +135,8 @@
   double FailureShare() const { return m_failure_share; }
   double TokensPerMs() const { return m_tokens_per_ms; }
   const PrefixCacheModel& Cache() const { return m_cache; }
+  /// Frees the memory of the prefix cache model.
+  void ForgetPrompts() { m_cache = PrefixCacheModel(m_cache.Capacity()); }
 
  private:
   double DecayedLag(Time now) const;
--- a/include/cowslipknot/state/fleet.h
+++ b/include/cowslipknot/state/fleet.h
@@ -12,6 +12,7 @@
 
 #include "cowslipknot/ids.h"
 #include "cowslipknot/state/configuration.h"
+#include "cowslipknot/state/unlisted_servers.h"
 
 /// An entry instance's view of the backend servers and of its peers.
 namespace cowslipknot {
@@ -79,6 +80,9 @@
 /// The servers of the instance list and which of them are leaving. Leaving
 /// marks merge monotonically: a marked incarnation stays marked until a newer
 /// one is listed, or until many servers were removed after it.
+///
+/// What was learned of a server stays known while its row is missing: the row
+/// of the same process may come back.
 class Fleet {
  public:
   /// Applies rows of the instance list; ignores rows of an older incarnation.
@@ -108,6 +112,7 @@
  private:
   std::map<ServerId, InstanceRecord> m_records;
   std::map<ServerId, std::shared_ptr<ServerLoad>> m_loads;
+  UnlistedServers<std::shared_ptr<ServerLoad>> m_unlisted_loads;
   std::set<std::string> m_leaving;
   /// Marks whose servers were removed, the oldest first.
   std::deque<std::string> m_marks_of_removed;
--- a/src/serve/control_permits.cc
+++ b/src/serve/control_permits.cc
@@ -34,9 +34,12 @@
     const ServerBoot start = MakeServerBoot(id, server->record.incarnation);
     return PermitServer{start.started_ms, std::nullopt};
   };
-  hooks.record = [this](const ServerId& id, const PermitState& state) {
-    const auto server = m_fleet.Find(id);
-    if (!server) return;
+  hooks.record = [this](const ServerBoot& process, const PermitState& state) {
+    const auto server = m_fleet.Find(process.server);
+    const bool is_listed =
+        server &&
+        MakeServerBoot(process.server, server->record.incarnation) == process;
+    if (!is_listed) return;
     server->load->limited = state.limit.has_value();
     server->load->withheld_until_ns = state.withheld_until.count();
   };
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -9,6 +9,7 @@
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/response_time_bound.h"
 #include "cowslipknot/gateway/server_registry.h"
+#include "cowslipknot/state/unlisted_servers.h"
 #include "serve/gateway_fleet_coordinator.h"
 #include "serve/gateway_store_relay.h"
 #include "serve/gateway_worker.h"
@@ -77,6 +78,14 @@
   Awaitable<void> ExchangeMoveEvidence();
   void OnMoveEvidence(const PeerFrame& frame);
 
+  /// A registered server's process, and what this instance learned of it.
+  struct KnownBackend {
+    ServerBoot process;
+    Endpoint address;
+    std::shared_ptr<BackendState> state;
+  };
+  using KnownBackends = std::map<ServerId, KnownBackend>;
+
   // Following a relay: gateway_relay_follower.cc.
   /// Follows the domain's relays while there are any and this instance is none.
   Awaitable<void> FollowRelays();
@@ -169,6 +178,11 @@
   /// Delay until this instance's next report.
   Milliseconds NextReportDelay() const;
   std::map<ServiceId, std::vector<Backend>> BuildBackends();
+  /// What is known of a registered server's process.
+  KnownBackend FindOrCreateBackend(const ServerEntry& entry,
+                                   const Service* service);
+  /// Keeps what is known of servers that are no longer registered.
+  void KeepUnregistered(const KnownBackends& registered);
   const Service* FindService(const ServiceId& name) const;
 
   const Settings& m_settings;
@@ -183,8 +197,8 @@
   /// Start of the process, or when it last noticed a restore.
   std::chrono::nanoseconds m_ask_since = TimeSinceBoot();
   ServerRegistry m_registry;
-  std::map<ServerId, std::pair<std::int64_t, std::shared_ptr<BackendState>>>
-      m_backend_states;  ///< by id, with the server's start time
+  KnownBackends m_backends;
+  UnlistedServers<std::shared_ptr<BackendState>> m_unregistered_backends;
   std::map<WorkspaceId, DelayedShare> m_quota_shares;
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -230,9 +230,52 @@
   m_relay.OnRegistrations(m_registry.UsableServers(), m_servers_position);
 }
 
+ControlPlane::KnownBackend ControlPlane::FindOrCreateBackend(
+    const ServerEntry& entry, const Service* service) {
+  const ServerBoot process{entry.id, entry.started_ms};
+  const auto known = m_backends.find(entry.id);
+  if (known != m_backends.end() && known->second.process == process)
+    return {process, entry.address, known->second.state};
+  LogEvent(Event::kServerRegistered,
+           {{"server", entry.id.Text()},
+            {"service", entry.service.Text()},
+            {"address", FormatEndpoint(entry.address)},
+            {"domain", entry.domain.Text()},
+            {"version", entry.version.Text()}});
+  m_unregistered_backends.OnListed(process, entry.address);
+  if (auto kept = m_unregistered_backends.Take(process))
+    return {process, entry.address, std::move(*kept)};
+  const double memory = service == nullptr
+                            ? 0
+                            : static_cast<double>(service->kv_capacity.Count());
+  const TokenCount cache(
+      static_cast<std::uint64_t>(memory * kPrefixCacheFraction));
+  return {process, entry.address, std::make_shared<BackendState>(cache)};
+}
+
+void ControlPlane::KeepUnregistered(const KnownBackends& registered) {
+  std::vector<std::shared_ptr<BackendState>> kept;
+  for (const auto& [id, known] : m_backends) {
+    const auto listed = registered.find(id);
+    if (listed == registered.end())
+      LogEvent(Event::kServerGone, {{"server", id.Text()}});
+    const bool is_listed =
+        listed != registered.end() && listed->second.process == known.process;
+    if (is_listed) continue;
+    m_unregistered_backends.Add(known.process, known.address, known.state);
+    kept.push_back(known.state);
+  }
+  if (kept.empty()) return;
+  for (const auto& [id, listed] : registered)
+    m_unregistered_backends.OnListed(listed.process, listed.address);
+  asio::post(m_worker.Context(), [kept] {
+    for (const auto& state : kept) state->ForgetPrompts();
+  });
+}
+
 std::map<ServiceId, std::vector<Backend>> ControlPlane::BuildBackends() {
   std::map<ServiceId, std::vector<Backend>> servers;
-  decltype(m_backend_states) states;
+  KnownBackends registered;
   for (const auto& entry : m_registry.UsableServers()) {
     Backend backend;
     backend.entry = entry;
@@ -246,35 +289,14 @@
       backend.cold_rate =
           ColdPermitRate(*service->cold, m_settings.cold_overage);
     }
-    const auto known = m_backend_states.find(entry.id);
-    const bool same = known != m_backend_states.end() &&
-                      known->second.first == entry.started_ms;
-    if (same) {
-      backend.state = known->second.second;
-    } else {
-      const double memory =
-          service == nullptr
-              ? 0
-              : static_cast<double>(service->kv_capacity.Count());
-      backend.state = std::make_shared<BackendState>(TokenCount(
-          static_cast<std::uint64_t>(memory * kPrefixCacheFraction)));
-      LogEvent(Event::kServerRegistered,
-               {{"server", entry.id.Text()},
-                {"service", entry.service.Text()},
-                {"address", FormatEndpoint(entry.address)},
-                {"domain", entry.domain.Text()},
-                {"version", entry.version.Text()}});
-    }
-    states[entry.id] = {entry.started_ms, backend.state};
+    KnownBackend known = FindOrCreateBackend(entry, service);
+    backend.state = known.state;
+    registered[entry.id] = std::move(known);
     if (IsEvacuated(entry)) continue;
     servers[entry.service].push_back(std::move(backend));
   }
-  for (const auto& [id, known] : m_backend_states) {
-    if (!states.contains(id)) {
-      LogEvent(Event::kServerGone, {{"server", id.Text()}});
-    }
-  }
-  m_backend_states = std::move(states);
+  KeepUnregistered(registered);
+  m_backends = std::move(registered);
   return servers;
 }
 
--- a/src/serve/permit_book.cc
+++ b/src/serve/permit_book.cc
@@ -14,9 +14,8 @@
 /// An asker is told of a later end of a server's cold time if it differs by
 /// more than what a frame's way adds to it.
 constexpr Milliseconds kToldColdDifference(100);
-/// For how long the limit of a server that is not listed is remembered. A
-/// server may leave the list for a moment.
-constexpr std::chrono::seconds kRemovedServerMemory(60);
+/// Processes that are tracked while they are not listed.
+constexpr std::size_t kMaxUnlisted = 1024;
 /// Up to this limit, one request asks for a permit at a time. Others would
 /// mostly be denied, and all would wait for a granter that does not respond.
 constexpr RequestRate kMaxSerialLimit(20);
@@ -43,6 +42,20 @@
     const bool keeps = KeepsTrack(item->first, item->second);
     item = keeps ? std::next(item) : m_tracked.erase(item);
   }
+  DropLongestUnlisted();
+}
+
+void PermitBook::DropLongestUnlisted() {
+  const auto is_unlisted = [](const auto& item) {
+    return item.second.unlisted_at.has_value();
+  };
+  auto unlisted = std::ranges::count_if(m_tracked, is_unlisted);
+  for (; unlisted > static_cast<std::ptrdiff_t>(kMaxUnlisted); --unlisted) {
+    m_tracked.erase(
+        std::ranges::min_element(m_tracked, {}, [](const auto& item) {
+          return item.second.unlisted_at.value_or(Time::max());
+        }));
+  }
 }
 
 void PermitBook::UpdateInstances(PermitInstances instances) {
@@ -53,52 +66,57 @@
   if (instances.granters == m_granters) return;
   m_granters = std::move(instances.granters);
   m_roles_since = instances.since;
-  for (auto& [server, tracked] : m_tracked) {
+  for (auto& [start, tracked] : m_tracked) {
     if (instances.voids_roles)
       tracked.granter.SetRole(GranterRole::kNone, m_roles_since);
-    AssignGranters(server, tracked);
+    AssignGranters(start.server, tracked);
   }
 }
 
-bool PermitBook::KeepsTrack(const ServerId& server, Tracked& tracked) const {
+bool PermitBook::KeepsTrack(const ServerBoot& start, Tracked& tracked) const {
   const auto now = TimeSinceBoot();
-  const auto listed = m_hooks.find_server(server);
-  if (!listed) {
-    tracked.removed_at = tracked.removed_at.value_or(now);
-    return now - *tracked.removed_at < kRemovedServerMemory;
+  const auto listed = m_hooks.find_server(start.server);
+  if (listed && listed->started_ms == start.started_ms) {
+    tracked.unlisted_at.reset();
+    tracked.cold_rate = listed->cold_rate;
+    Record(start, tracked);
+    return true;
   }
-  if (listed->started_ms != tracked.started_ms) return false;
-  tracked.removed_at.reset();
-  tracked.cold_rate = listed->cold_rate;
-  Record(server, tracked);
-  return true;
+  if (listed && listed->started_ms > start.started_ms) return false;
+  tracked.unlisted_at = tracked.unlisted_at.value_or(now);
+  return tracked.statement.limit || now < tracked.cold_until;
 }
 
 PermitBook::Tracked* PermitBook::Find(const ServerBoot& start) {
-  const auto found = m_tracked.find(start.server);
-  const bool known =
-      found != m_tracked.end() && found->second.started_ms == start.started_ms;
-  return known ? &found->second : nullptr;
+  const auto found = m_tracked.find(start);
+  return found == m_tracked.end() ? nullptr : &found->second;
 }
 
 PermitBook::Tracked* PermitBook::Track(const ServerBoot& start) {
   if (Tracked* known = Find(start)) return known;
   const auto listed = m_hooks.find_server(start.server);
-  if (!listed || listed->started_ms != start.started_ms) return nullptr;
-  Tracked tracked{.started_ms = start.started_ms,
-                  .statement = {},
+  if (listed && listed->started_ms > start.started_ms) return nullptr;
+  const bool is_listed = listed && listed->started_ms == start.started_ms;
+  Tracked tracked{.statement = {},
                   .cold_until = Time(0),
-                  .cold_rate = listed->cold_rate,
+                  .cold_rate = {},
                   .withheld_until = Time(0),
                   .granter = PermitGranter(kHandOver),
                   .main = {},
                   .substitute = {},
                   .held = {},
                   .ask_main_from = Time(0),
-                  .removed_at = {}};
+                  .unlisted_at = {}};
+  if (is_listed) {
+    tracked.cold_rate = listed->cold_rate;
+  } else {
+    tracked.unlisted_at = TimeSinceBoot();
+  }
   AssignGranters(start.server, tracked);
-  return &m_tracked.insert_or_assign(start.server, std::move(tracked))
-              .first->second;
+  Tracked* created =
+      &m_tracked.emplace(start, std::move(tracked)).first->second;
+  DropLongestUnlisted();
+  return created;
 }
 
 void PermitBook::AssignGranters(const ServerId& server, Tracked& tracked) {
@@ -116,19 +134,19 @@
   return std::min(*tracked.cold_rate, stated.value_or(*tracked.cold_rate));
 }
 
-void PermitBook::Record(const ServerId& server, const Tracked& tracked) const {
+void PermitBook::Record(const ServerBoot& start, const Tracked& tracked) const {
   PermitState state;
   state.limit = tracked.statement.limit;
   state.cold_until = tracked.cold_until;
   state.cold_rate = tracked.cold_rate;
   state.withheld_until = tracked.withheld_until;
-  m_hooks.record(server, state);
+  m_hooks.record(start, state);
 }
 
-void PermitBook::Withhold(const ServerId& server, Tracked& tracked,
+void PermitBook::Withhold(const ServerBoot& start, Tracked& tracked,
                           Time until) const {
   tracked.withheld_until = until;
-  Record(server, tracked);
+  Record(start, tracked);
 }
 
 void PermitBook::OnCold(const ServerBoot& start, Time until) {
@@ -138,11 +156,12 @@
 void PermitBook::ExtendCold(const ServerBoot& start, Tracked& tracked,
                             Time until) {
   const auto now = TimeSinceBoot();
-  if (!tracked.cold_rate || until <= tracked.cold_until || until <= now) return;
+  if (until <= tracked.cold_until || until <= now) return;
   const bool was_cold = now < tracked.cold_until;
   tracked.cold_until = until;
-  Record(start.server, tracked);
-  if (was_cold) return;
+  Record(start, tracked);
+  // The rate becomes known when the process is listed.
+  if (was_cold || !tracked.cold_rate) return;
   LogEvent(
       Event::kServerCold,
       {{"server", start.server.Text()},
@@ -159,7 +178,7 @@
   const bool was_limited = tracked.statement.limit.has_value();
   tracked.statement = statement;
   if (!statement.limit) tracked.withheld_until = Time(0);
-  Record(start.server, tracked);
+  Record(start, tracked);
   if (was_limited == statement.limit.has_value()) return false;
   LogEvent(was_limited ? Event::kServerLimitEnded : Event::kServerLimited,
            {{"server", start.server.Text()},
@@ -190,13 +209,12 @@
   const auto now = TimeSinceBoot();
   PeerFrame frame;
   frame.kind = wire::Kind::ServerLimits;
-  for (const auto& [server, tracked] : m_tracked) {
+  for (const auto& [start, tracked] : m_tracked) {
     const bool tells = tracked.granter.Role() == GranterRole::kMain &&
                        LimitOf(tracked, now).has_value();
     if (!tells) continue;
-    frame.limits.push_back(PackLimit({server, tracked.started_ms},
-                                     tracked.statement, now,
-                                     tracked.cold_until));
+    frame.limits.push_back(
+        PackLimit(start, tracked.statement, now, tracked.cold_until));
   }
   if (frame.limits.empty()) return std::nullopt;
   return frame;
@@ -237,7 +255,7 @@
   if (!limit || tracked->held.Take(asked_at)) co_return true;
   const bool asks_alone = *limit <= kMaxSerialLimit;
   // The main granter, then the substitute.
-  if (asks_alone) Withhold(start.server, *tracked, asked_at + 2 * kAskTimeout);
+  if (asks_alone) Withhold(start, *tracked, asked_at + 2 * kAskTimeout);
   const auto answer = co_await AskGranters(start);
   tracked = Find(start);
   const auto now = TimeSinceBoot();
@@ -246,7 +264,7 @@
   if (!LimitOf(*tracked, now)) co_return true;
   if (answer && answer->permits > 0) {
     m_hooks.count(start.server, PermitEvent::kGranted);
-    if (asks_alone) Withhold(start.server, *tracked, Time(0));
+    if (asks_alone) Withhold(start, *tracked, Time(0));
     tracked->held.Add(answer->permits, asked_at);
     if (tracked->held.Take(now)) co_return true;
   }
@@ -254,7 +272,7 @@
   if (answer && answer->permits == 0)
     m_hooks.count(start.server, PermitEvent::kDenied);
   const Time delay = answer ? Time(answer->wait) : Time(kNoGranterDelay);
-  Withhold(start.server, *tracked, now + delay);
+  Withhold(start, *tracked, now + delay);
   co_return false;
 }
 
--- a/src/serve/permit_book.h
+++ b/src/serve/permit_book.h
@@ -72,9 +72,10 @@
         tell;
     /// The process of a server that is listed now; nothing if there is none.
     std::function<std::optional<PermitServer>(const ServerId&)> find_server;
-    /// Records the state of a server for the selection of servers. Called again
-    /// with the same state when servers are applied.
-    std::function<void(const ServerId&, const PermitState&)> record;
+    /// Records the state of a server for the selection of servers, if its
+    /// process is listed. Called again with the same state when servers are
+    /// applied.
+    std::function<void(const ServerBoot&, const PermitState&)> record;
     std::function<void(const ServerId&, PermitEvent)> count;
     /// Whether the instances were read so lately that no other one can have
     /// taken over this one's roles; may be empty. Else nothing is granted for
@@ -91,8 +92,9 @@
 
   PermitBook(Identity identity, Hooks hooks);
 
-  /// Applies changes of the listed servers. State of servers that are no longer
-  /// listed is removed.
+  /// Applies changes of the listed servers. The state of a process that is not
+  /// listed is kept, since it may be listed again, until a later process of its
+  /// server is listed or nothing that is known of it binds any more.
   void UpdateServers();
   /// Applies a new set of instances.
   void UpdateInstances(PermitInstances instances);
@@ -117,7 +119,6 @@
 
  private:
   struct Tracked {
-    std::int64_t started_ms = 0;
     LimitStatement statement;
     Time cold_until{0};
     std::optional<RequestRate> cold_rate;
@@ -127,21 +128,25 @@
     std::optional<NodeId> substitute;  ///< of this instance's domain
     HeldPermits held;
     Time ask_main_from{0};
-    std::optional<Time> removed_at;  ///< if the server is not listed
+    std::optional<Time> unlisted_at;  ///< if the process is not listed
   };
+  using TrackedServers = std::map<ServerBoot, Tracked>;
 
-  /// Connects the state with the server that is listed.
-  /// @return false if the server has another process, or is gone for good
-  bool KeepsTrack(const ServerId& server, Tracked& tracked) const;
+  /// Connects the state with the process that is listed.
+  /// @return false if the process has ended, or nothing known of it binds
+  bool KeepsTrack(const ServerBoot& start, Tracked& tracked) const;
+  /// Bounds the number of processes that are not listed.
+  void DropLongestUnlisted();
   Tracked* Find(const ServerBoot& start);
-  /// The server's state, created when the server is listed and has none.
+  /// The process's state, created if it has none.
+  /// @return null if a later process of the server is listed
   Tracked* Track(const ServerBoot& start);
   void AssignGranters(const ServerId& server, Tracked& tracked);
   /// The lower of the stated limit and the rate of a cold server; nothing if
   /// neither binds.
   static std::optional<RequestRate> LimitOf(const Tracked& tracked, Time now);
-  void Record(const ServerId& server, const Tracked& tracked) const;
-  void Withhold(const ServerId& server, Tracked& tracked, Time until) const;
+  void Record(const ServerBoot& start, const Tracked& tracked) const;
+  void Withhold(const ServerBoot& start, Tracked& tracked, Time until) const;
   void ExtendCold(const ServerBoot& start, Tracked& tracked, Time until);
   /// @return whether the server became limited or ceased to be
   bool Apply(const ServerBoot& start, Tracked& tracked,
@@ -164,7 +169,7 @@
   double m_fraction = 1;
   /// When the set of instances last changed; a role may date from then.
   Time m_roles_since{0};
-  std::map<ServerId, Tracked> m_tracked;  ///< limited or cold, now or before
+  TrackedServers m_tracked;  ///< limited or cold, now or before
   std::map<NodeId, Time> m_backoff_until;
 };
 
--- a/src/serve/server_permits.cc
+++ b/src/serve/server_permits.cc
@@ -58,9 +58,10 @@
     if (server == nullptr) return std::nullopt;
     return PermitServer{server->entry.started_ms, server->cold_rate};
   };
-  hooks.record = [this](const ServerId& id, const PermitState& state) {
-    const Backend* server = FindServer(id);
-    if (server == nullptr) return;
+  hooks.record = [this](const ServerBoot& process, const PermitState& state) {
+    const Backend* server = FindServer(process.server);
+    if (server == nullptr || server->entry.started_ms != process.started_ms)
+      return;
     server->state->RecordLimit(state.limit);
     if (state.cold_rate)
       server->state->RecordCold(state.cold_until, *state.cold_rate);
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -5,6 +5,10 @@
 
 constexpr std::size_t kMaxMarksOfRemoved = 4096;
 
+ServerBoot ProcessOf(const InstanceRecord& row) {
+  return {row.id, static_cast<std::int64_t>(row.incarnation.Count())};
+}
+
 }  // namespace
 
 std::string LeavingKey(const ServerId& server, Incarnation incarnation) {
@@ -20,7 +24,10 @@
     if (is_newer) {
       if (known != m_records.end())
         m_leaving.erase(LeavingKey(row.id, known->second.incarnation));
-      m_loads[row.id] = std::make_shared<ServerLoad>();
+      const ServerBoot process = ProcessOf(row);
+      m_unlisted_loads.OnListed(process, row.address);
+      m_loads[row.id] = m_unlisted_loads.Take(process).value_or(
+          std::make_shared<ServerLoad>());
     }
     m_records[row.id] = row;
     if (row.leaving) m_leaving.insert(LeavingKey(row.id, row.incarnation));
@@ -31,6 +38,8 @@
   const auto known = m_records.find(id);
   if (known == m_records.end()) return;
   std::string mark = LeavingKey(id, known->second.incarnation);
+  m_unlisted_loads.Add(ProcessOf(known->second), known->second.address,
+                       m_loads.at(id));
   m_records.erase(known);
   m_loads.erase(id);
   // A list that names the server again does not end its leaving.
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -159,7 +159,13 @@
                                      std::int64_t started_ms, Time now,
                                      const StorePosition& position) {
   const auto known = m_entries.find(id);
-  if (known == m_entries.end()) return false;
+  if (known == m_entries.end()) {
+    // A source that lags behind may list it as ready once more.
+    const auto ending = m_endings.find(id);
+    if (ending == m_endings.end() || ending->second.position < position)
+      RememberEnding(id, {position, started_ms});
+    return false;
+  }
   ServerEntry& entry = known->second.entry;
   const bool ready = entry.state == ServerState::kReady;
   if (!ready || entry.started_ms != started_ms) return false;
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -255,3 +255,14 @@
     RC_ASSERT(follower.UsableServers().size() == rows.size());
   }));
 }
+
+// Guards against a leaving server that a source which lags behind lists anew,
+// where the notice came while its registration was missing.
+Test(server_registry, a_notice_of_leaving_holds_for_a_server_not_listed) {
+  ServerRegistry registry = MakeRegistry();
+  cr_expect_not(registry.OnServerLeaving(ServerId("a"), 7, kNow, In(1, 95)));
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 90)), {}}}, kNow);
+  cr_expect(registry.UsableServers().empty());
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 96)), {}}}, kNow);
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+}
--- a/tests/unit/permit_book_test.cc
+++ b/tests/unit/permit_book_test.cc
@@ -84,7 +84,7 @@
     };
     hooks.tell = [this](const auto&, const auto&) { ++m_told; };
     hooks.find_server = [this](const ServerId&) { return m_server; };
-    hooks.record = [this](const ServerId&, const PermitState& state) {
+    hooks.record = [this](const ServerBoot&, const PermitState& state) {
       m_state = state;
     };
     hooks.count = [this](const ServerId&, PermitEvent event) {
@@ -235,6 +235,30 @@
   cr_expect(instance.State().limit == RequestRate(5));
 }
 
+// Guards against a limit that is dropped since the server's registration was
+// missing when its answer was read.
+Test(permit_book, a_limit_that_is_named_while_unlisted_binds_later) {
+  BookOfInstance instance(NodeId("a"));
+  instance.List(std::nullopt);
+  instance.Book().OnStatement(kStart, Stating(RequestRate(5)));
+  instance.Book().OnCold(kStart, TimeSinceBoot() + seconds(60));
+  instance.List(std::nullopt);
+  instance.List(PermitServer{kStart.started_ms, RequestRate(4)});
+  cr_expect(instance.State().limit == RequestRate(5));
+  cr_expect_gt(instance.State().cold_until.count(), TimeSinceBoot().count());
+  cr_expect_not(instance.Acquire());
+}
+
+Test(permit_book, a_former_process_that_is_listed_gets_no_limit_of_the_later) {
+  BookOfInstance instance(NodeId("a"));
+  instance.Book().OnStatement(kStart, Stating(RequestRate(5)));
+  instance.ForgetState();
+  instance.List(PermitServer{kStart.started_ms - 1, {}});
+  cr_expect_not(instance.State().limit.has_value());
+  instance.List(PermitServer{kStart.started_ms, {}});
+  cr_expect(instance.State().limit == RequestRate(5));
+}
+
 Test(permit_book, a_new_process_of_a_server_has_no_limit) {
   BookOfInstance instance(NodeId("a"));
   instance.Book().OnStatement(kStart, Stating(RequestRate(5)));
