End the ejection of a server whose registration comes back

Cause: an ejection says that a server could not be reached, and was kept with the rest of its state. Change: the return of a registration ends the ejection, and nothing else that is known, in gateway and serve.

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -82,6 +82,12 @@
   /// Records that the server could not be reached or stopped responding. It is
   /// ejected for a time that doubles with each failure in a row, up to a limit.
   void RecordUnreachable(Time now);
+  /// Records that the server is registered again after its registration was
+  /// missing. It runs, so that it is no longer ejected.
+  void RecordReturn() {
+    m_ejected_until = Time(0);
+    m_consecutive_unreachable = 0;
+  }
   /// Records that the server said that it is shutting down.
   /// @return true the first time
   bool RecordLeaving() { return !std::exchange(m_leaving, true); }
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -243,8 +243,10 @@
             {"domain", entry.domain.Text()},
             {"version", entry.version.Text()}});
   m_unregistered_backends.OnListed(process, entry.address);
-  if (auto kept = m_unregistered_backends.Take(process))
-    return {process, entry.address, std::move(*kept)};
+  if (const auto kept = m_unregistered_backends.Take(process)) {
+    asio::post(m_worker.Context(), [state = *kept] { state->RecordReturn(); });
+    return {process, entry.address, *kept};
+  }
   const double memory = service == nullptr
                             ? 0
                             : static_cast<double>(service->kv_capacity.Count());
--- a/src/state/fleet.cc
+++ b/src/state/fleet.cc
@@ -9,6 +9,12 @@
   return {row.id, static_cast<std::int64_t>(row.incarnation.Count())};
 }
 
+/// A server that is listed again runs.
+void EndEjection(ServerLoad& load) {
+  load.consecutive_failures = 0;
+  load.ejected_until_ms = 0;
+}
+
 }  // namespace
 
 std::string LeavingKey(const ServerId& server, Incarnation incarnation) {
@@ -26,8 +32,9 @@
         m_leaving.erase(LeavingKey(row.id, known->second.incarnation));
       const ServerBoot process = ProcessOf(row);
       m_unlisted_loads.OnListed(process, row.address);
-      m_loads[row.id] = m_unlisted_loads.Take(process).value_or(
-          std::make_shared<ServerLoad>());
+      const auto kept = m_unlisted_loads.Take(process);
+      if (kept) EndEjection(**kept);
+      m_loads[row.id] = kept.value_or(std::make_shared<ServerLoad>());
     }
     m_records[row.id] = row;
     if (row.leaving) m_leaving.insert(LeavingKey(row.id, row.incarnation));
--- a/tests/unit/gateway_server_pause_test.cc
+++ b/tests/unit/gateway_server_pause_test.cc
@@ -128,3 +128,18 @@
   backends[1].state->RecordLeaving();
   cr_expect_geq(CallerRetryDelay(backends, kNow, kUsual, 0.5).count(), 2000);
 }
+
+// Guards against a server that is left out after its registration is back,
+// since it could not be reached while it was missing.
+Test(server_pause, a_return_ends_an_ejection_and_no_pause) {
+  auto backends = MakeBackends(2);
+  for (const auto& backend : backends) {
+    for (int i = 0; i < 4; ++i) backend.state->RecordUnreachable(kNow);
+    backend.state->RecordReturn();
+    cr_expect_not(backend.state->IsEjected(kNow));
+  }
+  backends[0].state->RecordPause(kNow + std::chrono::seconds(1));
+  backends[0].state->RecordReturn();
+  cr_expect(backends[0].state->IsPaused(kNow));
+  cr_expect_not(backends[1].state->IsPaused(kNow));
+}
--- a/tests/unit/unlisted_servers_test.cc
+++ b/tests/unit/unlisted_servers_test.cc
@@ -85,10 +85,13 @@
   fleet.Apply({MakeRecord("s", 5)});
   fleet.Find(ServerId("s"))->load->paused_until_ns = 99;
   for (int i = 0; i < 3; ++i) {
+    fleet.Find(ServerId("s"))->load->ejected_until_ms = 99;
     fleet.Remove(ServerId("s"));
     cr_expect_not(fleet.Find(ServerId("s")).has_value());
     fleet.Apply({MakeRecord("s", 5)});
-    cr_expect_eq(fleet.Find(ServerId("s"))->load->paused_until_ns.load(), 99);
+    const auto server = fleet.Find(ServerId("s"));
+    cr_expect_eq(server->load->paused_until_ns.load(), 99);
+    cr_expect_eq(server->load->ejected_until_ms.load(), 0, "it runs");
   }
 }
 
