--- a/review/harness3.py
+++ b/review/harness3.py
@@ -139,12 +139,28 @@
     def __init__(self):
         self.rows = {}
         self.version = 0
+        self.era = 0  # rises with each restore from a copy
+        self.is_away = False  # answers 503, which means that nothing was done
         self.changed = asyncio.Event()
         self.address = ""
 
     async def start(self):
         self.server, self.address = await start_listener(self._serve)
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, its versions are given out
+        again."""
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era += 1
+        self._notify()
+
+    def get(self, table, key):
+        value = self.rows.get((table, key), (None, 0))[0]
+        return None if value is None else json.loads(value)
+
     def put(self, table, key, document):
         self._write(table, key, json.dumps(document).encode())
         self._notify()
@@ -192,6 +208,8 @@
         url = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(url.query))
         table = query.get("table", "")
+        if self.is_away:
+            return 503, {}
         if url.path == "/-/rows-tx":
             return self._transact(json.loads(request.body)), self._render([])
         if url.path == "/-/rows-get":
@@ -202,7 +220,12 @@
         if url.path != "/-/rows-feed":
             return 404, {}
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        era = self.era
         while True:
+            if self.is_away:
+                return 503, {}
+            if self.era != era or int(query["since_rev"]) > self.version:
+                return 410, {}
             keys = [key for name, key in self.rows
                     if name == table and self.rows[(name, key)][1] > int(query["since_rev"])]
             left = deadline - time.monotonic()
@@ -218,7 +241,7 @@
         while True:
             request = await read_message(reader)
             status, document = await self._answer(request)
-            writer.write(encode_answer(status, "Store", {"Store-Era": 0,
+            writer.write(encode_answer(status, "Store", {"Store-Era": self.era,
                                                          "Content-Type": "application/json"},
                                        json.dumps(document).encode()))
             await writer.drain()
@@ -245,13 +268,15 @@
 class Server:
     """A plain service. A case overrides `answer`, which has the connection's writer."""
 
-    def __init__(self, record, name, service, zone="nl-west-a"):
+    def __init__(self, record, name, service, zone="nl-west-a", version="v1"):
         self.record = record
         self.name = name
         self.service = service
         self.zone = zone
+        self.connections = []
         self.runs = []  # ids of the requests that began to run, in order
-        self.state = "ready"
+        self.version = version
+        self.state = "ready"  # or draining, or gone
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.address = ""
@@ -259,10 +284,17 @@
     async def start(self):
         self.listener, self.address = await start_listener(self._serve)
 
+    def stop(self):
+        """Ends at once: accepts no connection and closes those that it has."""
+        self.state = "gone"
+        self.listener.close()
+        for connection in list(self.connections):
+            connection["writer"].transport.abort()
+
     def registration(self):
         self.seq += 1
         return {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": 6, "state": self.state, "warmup_left_ms": 0,
+                "version": self.version, "slots": 6, "state": self.state, "warmup_left_ms": 0,
                 "seq": self.seq, "born": self.born}
 
     def signed(self, request):
@@ -292,20 +324,33 @@
 
     async def _serve(self, reader, writer):
         connection = {"writer": writer, "reader": reader}
-        while not connection.get("closed"):
-            request = await read_message(reader)
-            self.record.add("server_got", server=self.name, id=request.id,
-                            request=request.start_line)
-            await self.answer(request, connection)
-            await writer.drain()
+        self.connections.append(connection)
+        try:
+            while not connection.get("closed"):
+                request = await read_message(reader)
+                self.record.add("server_got", server=self.name, id=request.id,
+                                request=request.start_line)
+                await self.answer(request, connection)
+                await writer.drain()
+        finally:
+            self.connections.remove(connection)
 
 
 async def keep_registered(store, servers):
-    """Writes the registrations as the servers' heartbeats do, until it is cancelled."""
+    """Writes the registrations as the servers' heartbeats do, and removes those of servers that
+    were silent for three heartbeats, until it is cancelled."""
+    silent = {}
     while True:
-        for server in servers:
-            if server.state != "gone":
-                store.put("servers", server.name, server.registration())
+        if not store.is_away:
+            for server in servers:
+                if server.state != "gone":
+                    store.put("servers", server.name, server.registration())
+                elif store.get("servers", server.name) is None:
+                    silent.pop(server.name, None)
+                else:
+                    silent[server.name] = silent.get(server.name, 0) + 1
+                    if silent[server.name] > 3:
+                        store.remove("servers", server.name)
         await asyncio.sleep(HEARTBEAT_S)
 
 
@@ -468,12 +513,15 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def send(self, method, path, request_id, body=b"", deadline_ms=2500, fields=None):
+    async def send(self, method, path, request_id, body=b"", deadline_ms=2500, fields=None,
+                   key=KEY):
         if self.writer is None:
             await self.connect()
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}",
                  f"Cowslipknot-Request-Id: {request_id}",
-                 f"Cowslipknot-Deadline-Ms: {deadline_ms}", f"Authorization: Token {KEY}"]
+                 f"Cowslipknot-Deadline-Ms: {deadline_ms}"]
+        if key:
+            lines.append(f"Authorization: Token {key}")
         lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
         if method in ("POST", "PUT"):
             lines.append(f"Content-Length: {len(body)}")
