--- a/review/harness3.py
+++ b/review/harness3.py
@@ -118,8 +118,8 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def start_listener(handle):
-    """Starts a listener at a free port. @return the server and its address"""
+async def start_listener(handle, port=0):
+    """Starts a listener, at a free port unless one is given. @return the server and its address"""
 
     async def serve(reader, writer):
         try:
@@ -127,9 +127,10 @@
         except (OSError, EOFError, asyncio.CancelledError):
             pass  # the peer has left, or the case ends
         finally:
-            writer.close()
+            if not asyncio.get_running_loop().is_closed():
+                writer.close()
 
-    server = await asyncio.start_server(serve, LOOPBACK, 0, limit=1 << 23, backlog=512)
+    server = await asyncio.start_server(serve, LOOPBACK, port, limit=1 << 23, backlog=512)
     return server, f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
 
 
