Keep routes closed if a configuration lists no workspace

Cause: whether keys are required was derived from the number of workspaces, so that an empty list counted as none. Evidence: with an empty list and no other change, requests without a key get 200. Ruled out: a late application of the removal (the former configuration refused requests without a key with 401, and these are served as well).

--- a/include/cowslipknot/gateway/routes.h
+++ b/include/cowslipknot/gateway/routes.h
@@ -98,10 +98,10 @@
   std::map<ServiceId, Service> services;
   std::map<WorkspaceId, Workspace> workspaces;
   std::unordered_map<std::string, WorkspaceId> api_keys;
+  /// Whether requests require an API key; those of public routes never do. A
+  /// configuration may require keys and list none.
+  bool requires_keys = false;
   CallerLimits limits;
-
-  /// Whether requests require an API key. Public routes never do.
-  bool HasWorkspaces() const { return !workspaces.empty(); }
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -120,6 +120,10 @@
   /// Whether the configuration was confirmed recently enough that no API key
   /// has been removed for longer than Settings::revoke_bound.
   bool KeysAreFresh() const;
+  /// Whether the configuration was ever confirmed in this process.
+  bool HasConfirmedConfiguration() const {
+    return m_confirmed_at.load().count() != 0;
+  }
   /// Records that the configuration was current at `confirmed` in
   /// TimeSinceBoot().
   void OnConfigurationConfirmed(std::chrono::nanoseconds confirmed) {
--- a/src/serve/request_admission.cc
+++ b/src/serve/request_admission.cc
@@ -47,7 +47,7 @@
 
 void Authorize(Worker& worker, const Configuration& configuration,
                AdmissionResult& admission) {
-  if (!configuration.HasWorkspaces() || admission.route->is_public) return;
+  if (!configuration.requires_keys || admission.route->is_public) return;
   if (!worker.KeysAreFresh()) {
     Reject(admission, ResultCode::kNoConfiguration, kNotConfirmedDetail,
            kNoConfigurationRetryDelay);
@@ -114,7 +114,9 @@
     co_return admission;
   }
   admission.request = std::move(*request);
-  if (!snapshot.configuration) {
+  // Until the other instances have been asked, a restored store may have given
+  // this process an earlier configuration, which requires fewer keys.
+  if (!snapshot.configuration || !worker.HasConfirmedConfiguration()) {
     Reject(admission, ResultCode::kNoConfiguration, {},
            kNoConfigurationRetryDelay);
     co_return admission;
