Decide no move against the only servers that are left

Cause: the new lease holder found the order undecided in the copy and its time over, and rolled it back for want of results. It asked neither whether servers of the old version are left (the lost decision had stopped them) nor whether the order is still there. Evidence: move_step "too little evidence in time" after the restore; the platform then ends the new servers. Each disruption alone is borne, since the store or an instance still has the decision. Ruled out: a decision that instances keep but don't pass on (none of them is left). Why this works: a final step passes CheckServers(), which asks for running servers of the version that stays. What counts as running (ServerRegistry::RunningServers()) excludes registrations that a restored store has brought back, until their row is written again or has outlived the silence after which it would be removed. An order must have been read in the current era. If only the new version is left and its results are good, the move is done late in place of being rolled back. The same check guards the opposite decision.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -81,6 +81,7 @@
   kLeaseLost = 603,
   kMoveHalted = 604,
   kMoveEvidence = 605,
+  kMoveDecisionHeld = 606,
   kUsageReported = 610,
   kUsageNotAccepted = 611,
   kCapacityOrdered = 612,
--- a/include/cowslipknot/gateway/server_registry.h
+++ b/include/cowslipknot/gateway/server_registry.h
@@ -127,6 +127,10 @@
 
   /// Ready servers, including lapsed ones, ordered by id.
   std::vector<ServerEntry> UsableServers() const;
+  /// The ready servers that are known to run, on which a decision that can't be
+  /// undone may rely. The registration of a server that has ended stays in the
+  /// store for some heartbeats, and a restored store may bring it back.
+  std::vector<ServerEntry> RunningServers(Time now) const;
   std::size_t Size() const { return m_entries.size(); }
 
  private:
@@ -134,6 +138,9 @@
     ServerEntry entry;
     std::optional<Time> lapsed_until;
     std::optional<Time> unused_until;  ///< brought back by a restore
+    /// When the server is known to run, if its row lasts until then. Sooner
+    /// once the row is written again.
+    Time runs_from{0};
     bool IsUsable() const {
       return entry.state == ServerState::kReady && !unused_until;
     }
@@ -146,6 +153,11 @@
 
   bool Remove(const ServerId& id, Time now, const StorePosition& position);
   bool Put(const ServerEntry& registered, Time now);
+  /// When a server whose row was read is known to run.
+  Time RunsFrom(const ServerEntry& entry, Time now) const;
+  /// After this time without a write a row was surely removed, with a margin
+  /// for late heartbeats and reads.
+  Time PresumedRunningAfter() const { return m_silence_limit * 3 / 2; }
   void RememberEnding(const ServerId& id, const Ending& ending);
   void RememberLeaving(const ServerId& id, std::int64_t started_ms);
   bool IsKnownToLeave(const ServerEntry& entry) const;
--- a/include/cowslipknot/gateway/version_move.h
+++ b/include/cowslipknot/gateway/version_move.h
@@ -42,6 +42,9 @@
 /// ones, that of the earlier origin was decided first.
 bool IsFurther(const VersionMove& known, const VersionMove& stored);
 
+/// Whether a phase is the end of a move.
+bool IsFinished(MovePhase phase);
+
 /// Whether the new version is neither in use nor rolled back.
 bool IsUndecided(const VersionMove& move);
 
@@ -84,6 +87,27 @@
                                    const MoveEvidence& evidence, WallTime now,
                                    const ExposureBound& bound = {});
 
+/// Which versions of a service have servers that run.
+struct RunningVersions {
+  bool has_old = false;  ///< any version but the new one
+  bool has_new = false;
+};
+
+/// Checks a step against the servers that run. The end of a move can't be
+/// undone: the platform stops the servers of the version that it decides
+/// against, and a decision that the store has lost may have stopped the others
+/// before.
+///
+/// A move is done only while servers of the new version run, and rolled back
+/// only while others do. If only the new version is left, a move that was not
+/// decided in time is done once the results are good.
+/// @param next  the step by the evidence
+/// @return the step to take; nothing if the move stays undecided for now
+std::optional<MoveState> CheckServers(const VersionMove& move,
+                                      const MoveState& next,
+                                      const MoveEvidence& evidence,
+                                      const RunningVersions& running);
+
 /// Describes a regression of the new version, on one route or over all routes.
 /// @return the reason to roll back, or an empty string
 std::string FindRegression(const MoveOrder& order,
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -160,6 +160,8 @@
      "decided"},
     {Event::kMoveEvidence, "info", "move_evidence",
      "results of the old and new version so far, over all instances"},
+    {Event::kMoveDecisionHeld, "warn", "move_decision_held",
+     "a move stays undecided, since its decision might leave no server"},
     {Event::kUsageReported, "info", "usage_reported",
      "the usage report of a window was accepted"},
     {Event::kUsageNotAccepted, "warn", "usage_not_accepted",
--- a/src/coordination/version_move.cc
+++ b/src/coordination/version_move.cc
@@ -109,6 +109,11 @@
          RateExcess(sum.old_slow, sum.new_slow) < kSlowExcessShare / 2;
 }
 
+/// Whether the results suffice to give the new version all requests.
+bool IsProvenGood(const MoveEvidence& evidence) {
+  return CountNewAnswers(evidence) >= kMinAnswers && LooksGood(evidence);
+}
+
 /// The share that the new version may have until the full one, given what has
 /// been sent.
 double PartialShare(const VersionMove& move, const MoveEvidence& evidence,
@@ -130,12 +135,12 @@
   return std::min(usable / until_full, kMaxPartialShare);
 }
 
+}  // namespace
+
 bool IsFinished(MovePhase phase) {
   return phase == MovePhase::kDone || phase == MovePhase::kRolledBack;
 }
 
-}  // namespace
-
 bool IsSameOrder(const MoveOrder& known, const MoveOrder& order) {
   const bool same_content = known.service == order.service &&
                             known.to == order.to &&
@@ -231,8 +236,7 @@
   const std::string regression = FindRegression(move.order, evidence);
   if (!regression.empty()) return RolledBack(next, regression);
   const double elapsed = ElapsedFraction(move, now);
-  const bool good =
-      CountNewAnswers(evidence) >= kMinAnswers && LooksGood(evidence);
+  const bool good = IsProvenGood(evidence);
   const bool watching = next.phase == MovePhase::kWatching;
   if (watching && elapsed >= kFinishFraction && good) {
     next.phase = MovePhase::kDone;
@@ -256,6 +260,22 @@
   return next;
 }
 
+std::optional<MoveState> CheckServers(const VersionMove& move,
+                                      const MoveState& next,
+                                      const MoveEvidence& evidence,
+                                      const RunningVersions& running) {
+  if (next.phase == MovePhase::kDone && !running.has_new) return std::nullopt;
+  if (next.phase != MovePhase::kRolledBack || running.has_old) return next;
+  const bool is_regressed = !FindRegression(move.order, evidence).empty();
+  if (!running.has_new || is_regressed || !IsProvenGood(evidence))
+    return std::nullopt;
+  MoveState done = move.state;
+  done.phase = MovePhase::kDone;
+  done.share = 1;
+  done.reason = "only servers of the new version are left";
+  return done;
+}
+
 bool RoutesToNewVersion(const VersionMove& move, std::uint64_t hash,
                         bool repeat) {
   const double share = move.state.share;
--- a/src/serve/gateway_fleet_coordinator.cc
+++ b/src/serve/gateway_fleet_coordinator.cc
@@ -329,17 +329,17 @@
 }
 
 Awaitable<void> FleetCoordinator::RunLeaseHolderTasks(
-    ConfigurationPtr configuration, std::vector<ServerEntry> servers) {
+    ConfigurationPtr configuration, FleetServers servers) {
   if (!HoldsLease()) {
     if (m_settings.orders_capacity && configuration)
-      ObserveCapacity(*configuration, servers);
+      ObserveCapacity(*configuration, servers.usable);
     co_return;
   }
   LogEvacuationsInForce();
-  co_await AdvanceMoves();
+  co_await AdvanceMoves(std::move(servers.running));
   if (m_settings.reports_usage) co_await ReportUsage();
   if (!m_settings.orders_capacity || !configuration) co_return;
-  co_await OrderCapacity(std::move(configuration), std::move(servers));
+  co_await OrderCapacity(std::move(configuration), std::move(servers.usable));
 }
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_fleet_coordinator.h
+++ b/src/serve/gateway_fleet_coordinator.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "base/clock.h"
 #include "cowslipknot/coordination/lease.h"
@@ -68,10 +69,14 @@
   FleetView Summarize() const {
     return SummarizeReports(m_instances.Serving(TimeSinceBoot()));
   }
+  /// Ready servers; see ServerRegistry.
+  struct FleetServers {
+    std::vector<ServerEntry> usable;
+    std::vector<ServerEntry> running;
+  };
   /// Performs the due tasks if this instance holds the lease.
-  /// @param servers  ready servers
   Awaitable<void> RunLeaseHolderTasks(ConfigurationPtr configuration,
-                                      std::vector<ServerEntry> servers);
+                                      FleetServers servers);
 
   /// Replaces the active move orders; orders that are absent have ended.
   void SetOrders(std::map<ServiceId, MoveOrder> orders);
@@ -149,7 +154,17 @@
       const ServiceId& service, const std::vector<ServerEntry>& servers) const;
   /// Logs the failure domains that all serving instances have evacuated.
   void LogEvacuationsInForce();
-  Awaitable<void> AdvanceMoves();
+  /// @param servers  that run
+  Awaitable<void> AdvanceMoves(std::vector<ServerEntry> servers);
+  /// The next state of a move; nothing if its state doesn't change. A decision
+  /// waits for the order to be read in the store's current era, and for servers
+  /// of the version in whose favor it is.
+  std::optional<MoveState> DecideNextState(const VersionMove& move,
+                                           const MoveOrder& order, WallTime now,
+                                           const RunningVersions& running);
+  /// Logs once that a move stays undecided for want of servers or of its order.
+  void LogHeldDecision(const VersionMove& move, const MoveState& decision,
+                       const std::string& detail);
   /// Sums up the evidence of all instances: from their frames, otherwise from
   /// their reports.
   MoveEvidence SumEvidence(const VersionMove& move) const;
@@ -210,6 +225,7 @@
   std::map<MoveId, MoveEvidence> m_evidence;  ///< seen by this instance
   std::map<NodeId, std::map<MoveId, MoveEvidence>> m_peer_evidence;
   std::map<MoveId, std::string> m_halted;  ///< by MoveKey(), with the reason
+  std::set<MoveId> m_held;  ///< moves whose decision is held, as logged
 };
 
 }  // namespace cowslipknot::gateway
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -13,6 +13,16 @@
 constexpr std::uint64_t kHaltRecord = 0;
 constexpr std::uint64_t kMoveRecord = 1;
 
+RunningVersions FindRunningVersions(const MoveOrder& order,
+                                    const std::vector<ServerEntry>& servers) {
+  RunningVersions running;
+  for (const auto& server : servers) {
+    if (server.service != order.service) continue;
+    (server.version == order.to ? running.has_new : running.has_old) = true;
+  }
+  return running;
+}
+
 std::string DescribeCounts(const RequestCounts& counts) {
   return std::to_string(counts.bad) + "/" + std::to_string(counts.total);
 }
@@ -22,12 +32,13 @@
 void FleetCoordinator::SetOrders(std::map<ServiceId, MoveOrder> orders) {
   m_move_orders = std::move(orders);
   m_peer_evidence.clear();
-  const auto moves = Moves();
-  std::erase_if(m_halted, [&moves](const auto& item) {
-    return std::none_of(moves.begin(), moves.end(), [&](auto& move) {
-      return MoveKey(move.second) == item.first;
-    });
+  std::set<MoveId> active;
+  for (const auto& [service, move] : Moves()) active.insert(MoveKey(move));
+  std::erase_if(m_halted, [&active](const auto& item) {
+    return !active.contains(item.first);
   });
+  std::erase_if(
+      m_held, [&active](const MoveId& move) { return !active.contains(move); });
 }
 
 void FleetCoordinator::ApplyMoveRows(const std::vector<StoreRow>& rows) {
@@ -217,12 +228,44 @@
   }
 }
 
-Awaitable<void> FleetCoordinator::AdvanceMoves() {
+void FleetCoordinator::LogHeldDecision(const VersionMove& move,
+                                       const MoveState& decision,
+                                       const std::string& detail) {
+  if (!m_held.insert(MoveKey(move)).second) return;
+  LogEvent(Event::kMoveDecisionHeld,
+           {{"move", MoveKey(move).Text()},
+            {"phase", std::string(MovePhaseName(decision.phase))},
+            {"reason", decision.reason},
+            {"detail", detail}});
+}
+
+std::optional<MoveState> FleetCoordinator::DecideNextState(
+    const VersionMove& move, const MoveOrder& order, WallTime now,
+    const RunningVersions& running) {
+  if (!IsUndecided(move)) return std::nullopt;
+  const MoveEvidence evidence = SumEvidence(move);
+  LogEvidence(move, evidence);
+  const ExposureBound bound{m_settings.exposure_share,
+                            m_settings.exposure_slack};
+  const auto halted = m_halted.find(MoveKey(move));
+  const auto next = halted == m_halted.end()
+                        ? NextState(move, evidence, now, bound)
+                        : RolledBack(move.state, halted->second);
+  if (!next || !IsFinished(next->phase)) return next;
+  if (order.revision.era < m_era) {
+    LogHeldDecision(move, *next, "the restored store may lack the order");
+    return std::nullopt;
+  }
+  const auto checked = CheckServers(move, *next, evidence, running);
+  if (!checked) LogHeldDecision(move, *next, "no server would be left");
+  return checked;
+}
+
+Awaitable<void> FleetCoordinator::AdvanceMoves(
+    std::vector<ServerEntry> servers) {
   const auto now = SharedNowMs();
   if (!now) co_return;
   const auto orders = m_move_orders;
-  const ExposureBound bound{m_settings.exposure_share,
-                            m_settings.exposure_slack};
   for (const auto& [service, order] : orders) {
     const auto stored = m_moves.find(service);
     StoredMove next;
@@ -232,17 +275,13 @@
       const VersionMove move = *known;
       next.move.origin = move.origin;
       next.move.state = move.state;
-      const MoveEvidence evidence = SumEvidence(move);
-      if (IsUndecided(move)) LogEvidence(move, evidence);
-      const auto state = NextState(move, evidence, WallTime(*now), bound);
-      const auto halted = m_halted.find(MoveKey(move));
+      const auto state = DecideNextState(move, order, WallTime(*now),
+                                         FindRunningVersions(order, servers));
       // Written anew also for another era, whose store may lack the status.
       const bool is_written = known == &stored->second.move &&
                               stored->second.is_stored &&
                               move.order.revision == order.revision;
-      if (halted != m_halted.end() && IsUndecided(move)) {
-        next.move.state = RolledBack(move.state, halted->second);
-      } else if (state) {
+      if (state) {
         next.move.state = *state;
       } else if (is_written) {
         continue;
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -188,8 +188,11 @@
       UpdateFromFleet();
       ImportCrashEvidence();
       AskPeersForConfiguration();
+      FleetCoordinator::FleetServers servers;
+      servers.usable = m_registry.UsableServers();
+      servers.running = m_registry.RunningServers(TimeSinceBoot());
       co_await m_coordinator.RunLeaseHolderTasks(m_configuration,
-                                                 m_registry.UsableServers());
+                                                 std::move(servers));
     }
     co_await WaitForNextReport();
   }
--- a/src/state/server_registry.cc
+++ b/src/state/server_registry.cc
@@ -92,6 +92,20 @@
   return OnServerLeaving(id, started_ms, now);
 }
 
+ServerRegistry::Time ServerRegistry::RunsFrom(const ServerEntry& entry,
+                                              Time now) const {
+  const Time presumed = now + PresumedRunningAfter();
+  const auto known = m_entries.find(entry.id);
+  if (known == m_entries.end()) return presumed;
+  const ServerEntry& former = known->second.entry;
+  const bool is_comparable = former.started_ms == entry.started_ms &&
+                             former.position.era == entry.position.era;
+  if (!is_comparable) return presumed;
+  const bool is_written_again = former.position < entry.position;
+  return is_written_again ? std::min(now, known->second.runs_from)
+                          : known->second.runs_from;
+}
+
 bool ServerRegistry::Put(const ServerEntry& registered, Time now) {
   // Holds for the process, also if a peer's notice has a later position.
   // Without a start time, a later process could not be told apart.
@@ -102,7 +116,8 @@
   // The copy lacks the later process, so that this counts as a removal.
   if (IsOfFormerProcess(registered))
     return Remove(registered.id, now, registered.position);
-  Registration registration{registered, std::nullopt, std::nullopt};
+  Registration registration{registered, std::nullopt, std::nullopt,
+                            RunsFrom(registered, now)};
   ServerEntry& entry = registration.entry;
   if (IsKnownToLeave(entry)) entry.state = ServerState::kDraining;
   const auto known = m_entries.find(entry.id);
@@ -216,8 +231,12 @@
       m_silence_limit * kLapseHeartbeats / kSilenceLimitHeartbeats;
   const bool may_have_lapsed = m_failed_read_sent && m_read_sent &&
                                sent - *m_read_sent >= shortest_outage;
-  if (may_have_lapsed)
+  if (may_have_lapsed) {
     m_grace_until = *m_failed_read_sent + m_reregistration_grace;
+    for (auto& [id, known] : m_entries)
+      known.runs_from =
+          std::max(known.runs_from, sent + PresumedRunningAfter());
+  }
   m_failed_read_sent.reset();
   m_read_sent = sent;
 }
@@ -275,4 +294,14 @@
   return usable;
 }
 
+std::vector<ServerEntry> ServerRegistry::RunningServers(Time now) const {
+  std::vector<ServerEntry> running;
+  for (const auto& [id, known] : m_entries) {
+    const bool runs =
+        known.IsUsable() && !known.lapsed_until && now >= known.runs_from;
+    if (runs) running.push_back(known.entry);
+  }
+  return running;
+}
+
 }  // namespace cowslipknot::gateway
--- a/tests/unit/gateway_restored_registry_test.cc
+++ b/tests/unit/gateway_restored_registry_test.cc
@@ -266,3 +266,54 @@
   registry.Apply({{ServerId("a"), MakeServer("a", In(1, 96)), {}}}, kNow);
   cr_expect_eq(registry.UsableServers().size(), 1u);
 }
+
+// Guards against a decision in favor of servers that have ended: a restored
+// store lists them until it has missed their heartbeats.
+Test(restored_registry, a_server_is_known_to_run_once_its_row_is_written) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(2, 80)), MakeServer("b", In(2, 81))},
+                   kNow, In(2, 90));
+  cr_expect_eq(registry.UsableServers().size(), 2u);
+  cr_expect(registry.RunningServers(kNow).empty());
+  registry.Apply({{ServerId("b"), MakeServer("b", In(2, 92))}}, kNow);
+  const auto running = registry.RunningServers(kNow);
+  cr_assert_eq(running.size(), 1u);
+  cr_expect_eq(running.front().id.Text(), "b");
+  cr_expect_eq(registry.RunningServers(kNow + kSilenceLimit).size(), 1u);
+  cr_expect_eq(registry.RunningServers(kNow + 2 * kSilenceLimit).size(), 2u,
+               "not removed in spite of its silence");
+}
+
+Test(restored_registry, a_restore_leaves_open_which_servers_run) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 85))}}, kNow);
+  cr_expect_eq(registry.RunningServers(kNow).size(), 1u);
+  registry.Replace({MakeServer("a", In(2, 82))}, kNow, In(2, 84));
+  cr_expect_eq(registry.UsableServers().size(), 1u);
+  cr_expect(registry.RunningServers(kNow).empty());
+}
+
+Test(restored_registry, an_outage_of_the_store_leaves_open_which_servers_run) {
+  ServerRegistry registry = MakeRegistry();
+  registry.OnRead(kNow);
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 85))}}, kNow);
+  const Time back = kNow + std::chrono::seconds(6);
+  registry.OnReadFailed(back - std::chrono::seconds(1));
+  registry.OnRead(back);
+  registry.Replace({MakeServer("a", In(1, 85))}, back, In(1, 86));
+  cr_expect(registry.RunningServers(back).empty());
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 88))}}, back);
+  cr_expect_eq(registry.RunningServers(back).size(), 1u);
+}
+
+Test(restored_registry, a_new_process_is_not_known_to_run_by_a_former_row) {
+  ServerRegistry registry = MakeRegistry();
+  registry.Replace({MakeServer("a", In(1, 80))}, kNow, In(1, 80));
+  registry.Apply({{ServerId("a"), MakeServer("a", In(1, 85))}}, kNow);
+  registry.Apply(
+      {{ServerId("a"), MakeServer("a", In(1, 90), ServerState::kReady, 8)}},
+      kNow);
+  cr_expect(registry.RunningServers(kNow).empty());
+}
--- a/tests/unit/gateway_version_move_test.cc
+++ b/tests/unit/gateway_version_move_test.cc
@@ -128,6 +128,70 @@
   cr_expect(RoutesToNewVersion(move, 0, true));
 }
 
+namespace {
+
+MoveEvidence MakeEvidence(RequestCounts old_errors, RequestCounts new_errors) {
+  RouteEvidence seen;
+  seen.old_errors = old_errors;
+  seen.new_errors = new_errors;
+  return {{RouteId("r"), seen}};
+}
+
+MoveState Finished(MovePhase phase) {
+  MoveState state = MakeMove().state;
+  state.phase = phase;
+  return state;
+}
+
+const MoveEvidence kGood = MakeEvidence({}, {60, 0});
+const MoveEvidence kBad = MakeEvidence({200, 0}, {60, 40});
+
+}  // namespace
+
+// Guards against a decision that leaves a service without servers.
+Test(version_move, is_done_only_while_the_new_version_runs) {
+  const MoveState done = Finished(MovePhase::kDone);
+  for (const bool has_old : {false, true}) {
+    cr_expect_not(
+        CheckServers(MakeMove(), done, kGood, {has_old, false}).has_value());
+    const auto next = CheckServers(MakeMove(), done, kGood, {has_old, true});
+    cr_assert(next.has_value());
+    cr_expect_eq(next->phase, MovePhase::kDone);
+  }
+}
+
+Test(version_move, is_rolled_back_only_while_the_old_version_runs) {
+  const MoveState rolled_back = Finished(MovePhase::kRolledBack);
+  for (const bool has_new : {false, true}) {
+    const auto next =
+        CheckServers(MakeMove(), rolled_back, kGood, {true, has_new});
+    cr_assert(next.has_value());
+    cr_expect_eq(next->phase, MovePhase::kRolledBack);
+  }
+  cr_expect_not(
+      CheckServers(MakeMove(), rolled_back, kGood, {false, false}).has_value());
+  cr_expect_not(
+      CheckServers(MakeMove(), rolled_back, {}, {false, true}).has_value());
+  cr_expect_not(
+      CheckServers(MakeMove(), rolled_back, kBad, {false, true}).has_value());
+}
+
+Test(version_move, is_done_late_if_only_a_good_new_version_is_left) {
+  const auto next = CheckServers(MakeMove(), Finished(MovePhase::kRolledBack),
+                                 kGood, {false, true});
+  cr_assert(next.has_value());
+  cr_expect_eq(next->phase, MovePhase::kDone);
+  cr_expect_float_eq(next->share, 1, 1e-9);
+}
+
+Test(version_move, other_steps_need_no_servers) {
+  MoveState raised = MakeMove().state;
+  raised.share = 0.3;
+  const auto next = CheckServers(MakeMove(), raised, {}, {});
+  cr_assert(next.has_value());
+  cr_expect_float_eq(next->share, 0.3, 1e-9);
+}
+
 Test(version_move, round_trips_through_its_encoding) {
   VersionMove move = MakeMove();
   move.state.reason = "why";
