Keep what a new process says before its registration is read

Cause: an answer counted for the process that was listed when its request was sent, and what was learned went with that process as the next one was listed. The same held for limits, leaving notices, waits, answers that are read after the listing, and for crashes: a second one under one listed process was dropped as a copy of the first. Evidence: server_paused, then server_registered of the same id, then attempts at it in its pause. Ruled out: a later answer that overwrites the pause (none comes in between). Why this works: connections end with their process. An answer on a connection opened after one that the server ended unannounced, or after a refused one, and that has not ended so itself, is of the next process; its notices are applied to that process's state once it is listed (earlier_notices_applied). Start times, whose clocks may differ, decide only without such evidence or clearly against it. Crashes use the rule that serve had.

--- a/include/cowslipknot/events.h
+++ b/include/cowslipknot/events.h
@@ -55,6 +55,7 @@
   kResponseSkipped = 515,
   kServerPaused = 516,
   kPauseAdjusted = 517,
+  kEarlierNoticesApplied = 518,
   kStreamLate = 519,
   kServerChecked = 520,
   kPromptQuarantined = 521,
--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "cowslipknot/gateway/process_notices.h"
 #include "cowslipknot/gateway/server_registry.h"
 #include "cowslipknot/ids.h"
 #include "cowslipknot/result.h"
@@ -51,8 +52,9 @@
  public:
   using Time = std::chrono::nanoseconds;
 
-  /// @param cache  capacity of the server's prefix cache
-  explicit BackendState(TokenCount cache);
+  /// @param cache   capacity of the server's prefix cache
+  /// @param listed  when the server's process was first listed
+  explicit BackendState(TokenCount cache, Time listed = Time(0));
 
   /// Records that a request was sent.
   /// @param uncached  prompt tokens to compute
@@ -63,8 +65,11 @@
   /// @param sent       identifier returned by RecordSent()
   /// @param work       estimated tokens computed before the first event
   /// @param predicted  predicted time to the first event, in milliseconds
-  void RecordFirstEvent(std::uint64_t sent, TokenCount uncached,
-                        TokenCount work, double predicted, Time now);
+  /// @return how much longer it took, in milliseconds
+  double RecordFirstEvent(std::uint64_t sent, TokenCount uncached,
+                          TokenCount work, double predicted, Time now);
+  /// Records that a request waited longer than predicted for its first event.
+  void RecordExcessWait(double excess_ms, Time now);
   /// Records that a request ended before its first event, or that a call
   /// without events ended.
   void RecordNotStarted(std::uint64_t sent, TokenCount uncached);
@@ -141,6 +146,8 @@
   double FailureShare() const { return m_failure_share; }
   double TokensPerMs() const { return m_tokens_per_ms; }
   const PrefixCacheModel& Cache() const { return m_cache; }
+  /// What answers said, by which a later process of the server is told apart.
+  ProcessNotices& Notices() { return m_notices; }
   /// Frees the memory of the prefix cache model.
   void ForgetPrompts() { m_cache = PrefixCacheModel(m_cache.Capacity()); }
 
@@ -148,6 +155,7 @@
   double DecayedLag(Time now) const;
 
   PrefixCacheModel m_cache;
+  ProcessNotices m_notices;
   std::uint64_t m_queue = 0;  ///< tokens of requests without a first event
   std::uint64_t m_sent = 0;   ///< requests sent; the latest identifier
   std::map<std::uint64_t, Time> m_waiting;  ///< identifier to time sent
--- a/include/cowslipknot/state/unlisted_servers.h
+++ b/include/cowslipknot/state/unlisted_servers.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
@@ -51,6 +52,18 @@
     return state;
   }
 
+  /// The state of the latest process before this one of the same server, at the
+  /// same address; nothing if it is not known.
+  std::optional<State> FindFormer(const ServerBoot& process,
+                                  const Endpoint& address) const {
+    const auto later = m_processes.lower_bound(process);
+    if (later == m_processes.begin()) return std::nullopt;
+    const auto& [former, item] = *std::prev(later);
+    const bool is_same =
+        former.server == process.server && item.address == address;
+    return is_same ? std::optional<State>(item.state) : std::nullopt;
+  }
+
   /// Forgets the processes that have ended, given that this one is listed.
   void OnListed(const ServerBoot& process, const Endpoint& address) {
     const auto [first, last] = m_by_address.equal_range(address);
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -105,6 +105,8 @@
      "a server refused a request and asked for none for a while"},
     {Event::kPauseAdjusted, "warn", "pause_adjusted",
      "a server asked for no requests for a time that is not usable as stated"},
+    {Event::kEarlierNoticesApplied, "info", "earlier_notices_applied",
+     "a server's process is listed; what its answers said before binds"},
     {Event::kStreamLate, "info", "stream_late",
      "a complete stream missed a target of its route, with the cause"},
     {Event::kServerChecked, "info", "server_checked",
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -246,8 +246,8 @@
   }
 }
 
-BackendState::BackendState(TokenCount cache)
-    : m_cache(cache), m_tokens_per_ms(kInitialTokensPerMs) {}
+BackendState::BackendState(TokenCount cache, Time listed)
+    : m_cache(cache), m_notices(listed), m_tokens_per_ms(kInitialTokensPerMs) {}
 
 std::uint64_t BackendState::RecordSent(TokenCount uncached,
                                        const std::vector<PromptPart>& parts,
@@ -263,22 +263,28 @@
   m_waiting.erase(sent);
 }
 
-void BackendState::RecordFirstEvent(std::uint64_t sent, TokenCount uncached,
-                                    TokenCount work, double predicted,
-                                    Time now) {
+void BackendState::RecordExcessWait(double excess_ms, Time now) {
+  m_lag_ms = DecayedLag(now);
+  m_lag_ms += kLagWeight * (excess_ms - m_lag_ms);
+  m_lag_updated = now;
+}
+
+double BackendState::RecordFirstEvent(std::uint64_t sent, TokenCount uncached,
+                                      TokenCount work, double predicted,
+                                      Time now) {
   const auto waiting = m_waiting.find(sent);
   const double took =
       waiting == m_waiting.end() ? 0 : Ms(now - waiting->second);
   RecordNotStarted(sent, uncached);
   ++m_running;
-  m_lag_ms = DecayedLag(now);
-  m_lag_ms += kLagWeight * (std::max(0.0, took - predicted) - m_lag_ms);
-  m_lag_updated = now;
-  if (work.Count() < kMinWorkTokens || took <= 0) return;
+  const double excess = std::max(0.0, took - predicted);
+  RecordExcessWait(excess, now);
+  if (work.Count() < kMinWorkTokens || took <= 0) return excess;
   const double observed = static_cast<double>(work.Count()) / took;
   m_tokens_per_ms += kRateWeight * (observed - m_tokens_per_ms);
   m_tokens_per_ms =
       std::clamp(m_tokens_per_ms, kMinTokensPerMs, kMaxTokensPerMs);
+  return excess;
 }
 
 void BackendState::RecordRemotePrompt(TokenCount uncached, Time now) {
--- a/src/serve/crash_watch.cc
+++ b/src/serve/crash_watch.cc
@@ -152,14 +152,15 @@
 
 void CrashWatch::OnBreakOffOfListed(ServerBoot boot, const Endpoint& address,
                                     const Suspects& suspects,
-                                    std::chrono::nanoseconds sent) {
+                                    std::chrono::nanoseconds sent,
+                                    AnswerStage stage) {
   // A server that is back may not be listed with its new incarnation yet.
   const auto crashed_before = [&] {
     const auto crashed = m_quarantine.CrashTime(boot);
     return crashed && sent > *crashed + kCheckDelay;
   };
   while (crashed_before()) ++boot.started_ms;
-  OnBreakOff(boot, address, suspects);
+  OnBreakOff(boot, address, suspects, stage);
 }
 
 void CrashWatch::OnBreakOff(const ServerBoot& boot, const Endpoint& address,
--- a/src/serve/crash_watch.h
+++ b/src/serve/crash_watch.h
@@ -86,7 +86,8 @@
   /// @param sent  when the request was sent
   void OnBreakOffOfListed(ServerBoot boot, const Endpoint& address,
                           const Suspects& suspects,
-                          std::chrono::nanoseconds sent);
+                          std::chrono::nanoseconds sent,
+                          AnswerStage stage = AnswerStage::kBegun);
   void OnBreakOff(const ServerBoot& boot, const Endpoint& address,
                   const Suspects& suspects,
                   AnswerStage stage = AnswerStage::kBegun);
--- a/src/serve/gateway_call.h
+++ b/src/serve/gateway_call.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cowslipknot/gateway/response_use.h"
+#include "cowslipknot/gateway/server_pause.h"
 #include "cowslipknot/gateway/stream_delay.h"
 #include "cowslipknot/gateway/stream_stall.h"
 #include "protocol/event_splitter.h"
@@ -152,10 +153,19 @@
   /// Starts to compare the attempt with others of its route, as evidence for an
   /// undecided move of the service.
   std::uint64_t TrackAttempt(const Backend& server);
+  /// Times of the latest attempt, whose answer is read now.
+  AnswerTimes AttemptTimes() const;
   /// Records what a response says of its server's state.
   void RecordServerNotices(const Backend& server,
                            const http::response_header<>& header);
-  void RecordLimit(const Backend& server, const BackendResponse& response);
+  void RecordFirstEvent(const Backend& server, InFlightRequestGuard& guard);
+  /// Returns what a response says of its server's limit; nothing if it says
+  /// nothing that is usable.
+  std::optional<LimitStatement> ReadLimit(const Backend& server,
+                                          const BackendResponse& response);
+  void LogOddLimit(const Backend& server, const BackendResponse& response);
+  void LogPause(const Backend& server, double stated_s,
+                const ServerPause& pause);
   void RecordRequestStart();
   /// Adds the prompt's estimated prefill time to the service's load.
   void RecordPromptLoad(const Backend& server);
--- a/src/serve/gateway_call_crashes.cc
+++ b/src/serve/gateway_call_crashes.cc
@@ -52,13 +52,15 @@
                          m_progress.first_byte_sent && IsBreakOff(error);
   // A server that leaves, or has left the registry, ends as planned, also under
   // a request.
-  const bool is_planned = server.state->IsLeaving() || !IsListed(server);
+  const Backend process = m_worker.ProcessOf(server, AttemptTimes());
+  const bool is_planned = process.state->IsLeaving() || !IsListed(process);
   if (!broke_off || is_planned) return;
   const AnswerStage stage = m_answer_progress.IsHarmless()
                                 ? AnswerStage::kInProgress
                                 : AnswerStage::kBegun;
-  m_worker.Crashes().OnBreakOff(BootOf(server.entry), server.entry.address,
-                                m_suspects, stage);
+  m_worker.Crashes().OnBreakOffOfListed(BootOf(process.entry),
+                                        process.entry.address, m_suspects,
+                                        m_attempt_sent, stage);
 }
 
 bool Call::IsListed(const Backend& server) const {
--- a/src/serve/gateway_call_metrics.cc
+++ b/src/serve/gateway_call_metrics.cc
@@ -168,21 +168,25 @@
                          ElapsedMsSince(begun) / batch_slots, TimeSinceBoot());
 }
 
-void Call::RecordLimit(const Backend& server, const BackendResponse& response) {
+std::optional<LimitStatement> Call::ReadLimit(const Backend& server,
+                                              const BackendResponse& response) {
   LimitStatement statement;
   statement.sent = m_attempt_sent;
   statement.read = m_progress.header_read_at;
   if (!response.limit_per_s) {
     // Only the process that ran the request says that there is no limit.
-    if (response.is_signed) m_worker.Permits().OnStatement(server, statement);
-    return;
+    if (!response.is_signed) return std::nullopt;
+    return statement;
   }
   const auto reading = BoundLimit(*response.limit_per_s);
-  if (reading) {
-    statement.limit = reading->limit;
-    m_worker.Permits().OnStatement(server, statement);
-  }
-  if (reading && !reading->is_adjusted) return;
+  if (!reading || reading->is_adjusted) LogOddLimit(server, response);
+  if (!reading) return std::nullopt;
+  statement.limit = reading->limit;
+  return statement;
+}
+
+void Call::LogOddLimit(const Backend& server, const BackendResponse& response) {
+  const auto reading = BoundLimit(*response.limit_per_s);
   if (!m_worker.Permits().ShouldLogOddLimit(server.entry.id)) return;
   LogEvent(reading ? Event::kLimitAdjusted : Event::kLimitUnreadable,
            {{"server", server.entry.id.Text()},
@@ -190,22 +194,49 @@
             {"stated_per_s", std::to_string(*response.limit_per_s)}});
 }
 
+AnswerTimes Call::AttemptTimes() const {
+  AnswerTimes times;
+  times.opened = m_progress.connection_opened_at;
+  times.sent = std::max(m_attempt_sent, times.opened);
+  times.read = TimeSinceBoot();
+  return times;
+}
+
 void Call::RecordServerNotices(const Backend& server,
                                const http::response_header<>& header) {
   const auto response = m_worker.GetAdapter().decode_backend_response(header);
-  if (response.is_leaving) {
-    m_worker.OnLeavingResponse(server, m_progress.header_read_at);
+  ProcessNotice notice;
+  notice.times = AttemptTimes();
+  const Backend process = m_worker.ProcessOf(server, notice.times);
+  notice.is_leaving = response.is_leaving;
+  notice.limit = ReadLimit(process, response);
+  if (response.retry_after_s) {
+    const ServerPause pause = BoundPause(*response.retry_after_s);
+    notice.paused_until = TimeSinceBoot() + pause.length;
+    LogPause(process, *response.retry_after_s, pause);
   }
-  RecordLimit(server, response);
-  if (!response.retry_after_s) return;
-  const ServerPause pause = BoundPause(*response.retry_after_s);
-  server.state->RecordPause(TimeSinceBoot() + pause.length);
+  m_worker.ApplyNotice(process, notice);
+  process.state->Notices().Add(notice);
+}
+
+void Call::RecordFirstEvent(const Backend& server,
+                            InFlightRequestGuard& guard) {
+  ProcessNotice notice;
+  notice.excess_wait_ms = guard.OnFirstEvent();
+  notice.times = AttemptTimes();
+  server.state->Notices().Add(notice);
+  m_room_attempt->OnFirstEvent();
+  if (!m_start_recorded) RecordRequestStart();
+}
+
+void Call::LogPause(const Backend& server, double stated_s,
+                    const ServerPause& pause) {
   m_worker.Metrics().Add("cowslipknot_server_pauses_total",
                          FormatLabel("service", server.entry.service.Text()));
   LogEvent(pause.is_adjusted ? Event::kPauseAdjusted : Event::kServerPaused,
            {{"server", server.entry.id.Text()},
             {"request", m_request.id.Text()},
-            {"stated_s", std::to_string(*response.retry_after_s)},
+            {"stated_s", std::to_string(stated_s)},
             {"pause_ms", std::to_string(pause.length.count())},
             {"age_ms", FormatAgeMs(m_progress.header_read_at)}});
 }
--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -181,6 +181,10 @@
   /// What is known of a registered server's process.
   KnownBackend FindOrCreateBackend(const ServerEntry& entry,
                                    const Service* service);
+  /// The state of the process before this one at its address; null if there is
+  /// none known.
+  std::shared_ptr<BackendState> FindFormerState(const ServerBoot& process,
+                                                const Endpoint& address) const;
   /// Keeps what is known of servers that are no longer registered.
   void KeepUnregistered(const KnownBackends& registered);
   const Service* FindService(const ServiceId& name) const;
--- a/src/serve/gateway_response.cc
+++ b/src/serve/gateway_response.cc
@@ -150,9 +150,7 @@
     if (first) {
       first = false;
       meter = StreamGapMeter(m_route->max_event_gap, SteadyClock::now());
-      guard.OnFirstEvent();
-      m_room_attempt->OnFirstEvent();
-      if (!m_start_recorded) RecordRequestStart();
+      RecordFirstEvent(server, guard);
     }
     const std::string events = m_events.Feed(*chunk);
     const bool complete_event = m_events.FieldEventCount() > events_seen;
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -242,6 +242,7 @@
             {"address", FormatEndpoint(entry.address)},
             {"domain", entry.domain.Text()},
             {"version", entry.version.Text()}});
+  const auto former = FindFormerState(process, entry.address);
   m_unregistered_backends.OnListed(process, entry.address);
   if (const auto kept = m_unregistered_backends.Take(process)) {
     asio::post(m_worker.Context(), [state = *kept] { state->RecordReturn(); });
@@ -252,7 +253,27 @@
                             : static_cast<double>(service->kv_capacity.Count());
   const TokenCount cache(
       static_cast<std::uint64_t>(memory * kPrefixCacheFraction));
-  return {process, entry.address, std::make_shared<BackendState>(cache)};
+  auto state = std::make_shared<BackendState>(cache, TimeSinceBoot());
+  if (former) {
+    Backend listed;
+    listed.entry = entry;
+    listed.state = state;
+    asio::post(m_worker.Context(), [this, former, listed] {
+      m_worker.ApplyEarlierNotices(*former, listed);
+    });
+  }
+  return {process, entry.address, std::move(state)};
+}
+
+std::shared_ptr<BackendState> ControlPlane::FindFormerState(
+    const ServerBoot& process, const Endpoint& address) const {
+  const auto known = m_backends.find(process.server);
+  if (known == m_backends.end())
+    return m_unregistered_backends.FindFormer(process, address)
+        .value_or(nullptr);
+  const bool is_former =
+      known->second.process < process && known->second.address == address;
+  return is_former ? known->second.state : nullptr;
 }
 
 void ControlPlane::KeepUnregistered(const KnownBackends& registered) {
--- a/src/serve/gateway_worker.cc
+++ b/src/serve/gateway_worker.cc
@@ -2,6 +2,10 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
+#include "cowslipknot/events.h"
+
 namespace cowslipknot::gateway {
 namespace {
 
@@ -36,6 +40,19 @@
          (kMinInstances + kUnseenInstances);
 }
 
+/// Whether an entry is of a later process of the same server, at its address.
+bool IsLater(const ServerEntry& entry, const ServerEntry& former) {
+  return entry.id == former.id && entry.address == former.address &&
+         entry.started_ms > former.started_ms;
+}
+
+/// When a server started, in TimeSinceBoot(), as far as the clocks agree.
+std::chrono::nanoseconds StartOf(const ServerEntry& entry) {
+  constexpr Milliseconds kMaxAge = std::chrono::days(365);
+  const Milliseconds age(NowWall().Count() - entry.started_ms);
+  return TimeSinceBoot() - std::clamp(age, -kMaxAge, kMaxAge);
+}
+
 }  // namespace
 
 Worker::Worker(const Settings& settings, const PlatformAdapter& adapter)
@@ -71,6 +88,13 @@
     m_metrics.Add("cowslipknot_connection_limit_total",
                   FormatLabel("action", Describe(action)));
   });
+  m_http->SetLossObserver(
+      [this](const Endpoint& address, std::chrono::nanoseconds opened_at) {
+        const auto found = m_states_by_address.find(address);
+        if (found == m_states_by_address.end()) return;
+        if (const auto state = found->second.lock())
+          state->Notices().RecordLost(opened_at);
+      });
   m_links.SetHandler(wire::Kind::PromptSent, [this](const PeerFrame& frame) {
     return OnPromptSent(frame);
   });
@@ -80,9 +104,13 @@
   m_snapshot = std::move(snapshot);
   m_backend_states.clear();
   for (const auto& [service, servers] : m_snapshot->servers) {
-    for (const auto& server : servers)
+    for (const auto& server : servers) {
       m_backend_states[server.entry.id] = server.state;
+      m_states_by_address[server.entry.address] = server.state;
+    }
   }
+  std::erase_if(m_states_by_address,
+                [](const auto& item) { return item.second.expired(); });
   m_permits.Update(m_snapshot->known_instances, m_snapshot->servers);
   m_room.Update(m_snapshot->configuration);
   for (const auto& [workspace, share] : m_snapshot->quota_shares) {
@@ -124,6 +152,41 @@
   }
 }
 
+Backend Worker::ProcessOf(const Backend& server,
+                          const AnswerTimes& times) const {
+  const auto servers = m_snapshot->servers.find(server.entry.service);
+  if (servers == m_snapshot->servers.end()) return server;
+  const auto listed =
+      std::ranges::find_if(servers->second, [&server](const Backend& other) {
+        return other.entry.id == server.entry.id;
+      });
+  if (listed == servers->second.end() || !IsLater(listed->entry, server.entry))
+    return server;
+  const bool is_of_listed = server.state->Notices().IsOfNext(
+      times, StartOf(listed->entry), TimeSinceBoot());
+  return is_of_listed ? *listed : server;
+}
+
+void Worker::ApplyNotice(const Backend& server, const ProcessNotice& notice) {
+  if (notice.is_leaving) OnLeavingResponse(server, notice.times.read);
+  if (notice.limit) m_permits.OnStatement(server, *notice.limit);
+  if (notice.paused_until) server.state->RecordPause(*notice.paused_until);
+  if (notice.excess_wait_ms)
+    server.state->RecordExcessWait(*notice.excess_wait_ms, notice.times.read);
+}
+
+void Worker::ApplyEarlierNotices(BackendState& former, const Backend& server) {
+  m_http->CloseEndedIdle(server.entry.address);
+  const auto notices =
+      former.Notices().OfNext(StartOf(server.entry), TimeSinceBoot());
+  if (notices.empty()) return;
+  LogEvent(Event::kEarlierNoticesApplied,
+           {{"server", server.entry.id.Text()},
+            {"notices", std::to_string(notices.size())},
+            {"age_ms", FormatAgeMs(notices.front().times.read)}});
+  for (const auto& notice : notices) ApplyNotice(server, notice);
+}
+
 bool Worker::MayEndBeforeStop(const Route& route, Milliseconds until_limit) {
   const auto until_end = m_stop.TimeLeft();
   if (!until_end) return true;
--- a/src/serve/gateway_worker.h
+++ b/src/serve/gateway_worker.h
@@ -117,6 +117,15 @@
   void OnLeavingResponse(const Backend& server,
                          std::chrono::nanoseconds read_at);
 
+  /// The server as listed now if an answer is of that process, although the
+  /// request was sent to the former one's address and id; else `server`.
+  Backend ProcessOf(const Backend& server, const AnswerTimes& times) const;
+  /// Applies what an answer said or showed of its server.
+  void ApplyNotice(const Backend& server, const ProcessNotice& notice);
+  /// Applies to a process, once it is listed, what its answers said before.
+  /// @param former  state of the process that was listed before it
+  void ApplyEarlierNotices(BackendState& former, const Backend& server);
+
   /// Whether the configuration was confirmed recently enough that no API key
   /// has been removed for longer than Settings::revoke_bound.
   bool KeysAreFresh() const;
@@ -165,6 +174,8 @@
   CrashGuard m_crashes;
   RoomWatch m_room;
   std::unordered_map<ServerId, std::shared_ptr<BackendState>> m_backend_states;
+  /// Of the processes that were listed last at each address.
+  std::map<Endpoint, std::weak_ptr<BackendState>> m_states_by_address;
   UsageLedger m_usage;
   LoadMeter m_load;
   RetryBudget m_retries;
--- a/src/serve/in_flight_request_guard.h
+++ b/src/serve/in_flight_request_guard.h
@@ -29,10 +29,12 @@
     }
   }
 
-  void OnFirstEvent() {
+  /// @return how much longer than predicted it took, in milliseconds
+  double OnFirstEvent() {
     m_first_event_received = true;
-    m_state->RecordFirstEvent(m_sent, m_placement.uncached, m_placement.work,
-                              m_placement.first_event_ms, TimeSinceBoot());
+    return m_state->RecordFirstEvent(
+        m_sent, m_placement.uncached, m_placement.work,
+        m_placement.first_event_ms, TimeSinceBoot());
   }
 
  private:
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -65,6 +65,7 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   Endpoint endpoint;
+  std::chrono::nanoseconds opened_at{0};  ///< in TimeSinceBoot()
   std::chrono::steady_clock::time_point idle_since;
   std::chrono::milliseconds idle_timeout = kDefaultIdleTimeout;
   std::shared_ptr<std::size_t> count;
@@ -101,13 +102,29 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(limit);
 }
 
-/// Whether nothing has arrived on an idle connection. Bytes would belong to no
-/// call, and end of stream means that the peer has closed it.
-bool HasNoPendingInput(tcp::socket& socket) {
+/// What has arrived on an idle connection.
+enum class IdleInput : std::uint8_t {
+  kNone,
+  kBytes,  ///< that belong to no call
+  kEnd,    ///< the peer has closed or reset the connection
+};
+
+IdleInput FindIdleInput(tcp::socket& socket) {
   char byte = 0;
   const auto received = ::recv(socket.native_handle(), &byte, sizeof(byte),
                                MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (received > 0) return IdleInput::kBytes;
+  const bool is_open =
+      received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_open ? IdleInput::kNone : IdleInput::kEnd;
+}
+
+/// Whether an error of a connection says that the peer has ended it.
+bool IsEndByPeer(error_code error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe ||
+         error == http::error::end_of_stream ||
+         error == http::error::partial_message;
 }
 
 /// Whether the peer of a connection that ended has received all that was sent
@@ -235,6 +252,8 @@
       if (error && timer.Expired()) error = beast::error::timeout;
       const std::size_t filled = kReadBufferBytes - m_parser->get().body().size;
       if (error && error != http::error::need_buffer) {
+        const auto client = m_client.lock();
+        if (client) client->OnConnectionError(*m_connection, error);
         CallProgress progress;
         progress.first_byte_sent = true;
         co_return MakeCallError(error, progress);
@@ -312,7 +331,33 @@
   idle.push_back(std::move(connection));
 }
 
-void HttpClient::CloseIdle(const Endpoint& endpoint) { m_idle.erase(endpoint); }
+bool HttpClient::IsUsable(Connection& connection) const {
+  const IdleInput input = FindIdleInput(connection.stream.socket());
+  if (input == IdleInput::kEnd && m_on_lost)
+    m_on_lost(connection.endpoint, connection.opened_at);
+  return input == IdleInput::kNone;
+}
+
+void HttpClient::OnConnectionError(const Connection& connection,
+                                   error_code error) const {
+  if (m_on_lost && IsEndByPeer(error))
+    m_on_lost(connection.endpoint, connection.opened_at);
+}
+
+void HttpClient::CloseEndedIdle(const Endpoint& endpoint) {
+  const auto idle = m_idle.find(endpoint);
+  if (idle == m_idle.end()) return;
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(idle->second, [&](const ConnectionPtr& connection) {
+    const auto idle_for = now - connection->idle_since;
+    return idle_for > connection->idle_timeout || !IsUsable(*connection);
+  });
+}
+
+void HttpClient::CloseIdle(const Endpoint& endpoint) {
+  CloseEndedIdle(endpoint);
+  m_idle.erase(endpoint);
+}
 
 HttpClient::ConnectionPtr HttpClient::TakeIdle(const Endpoint& endpoint,
                                                const CallOptions& options) {
@@ -328,10 +373,11 @@
     }
     ConnectionPtr connection = std::move(idle[i]);
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
-    const auto limit = std::min<std::chrono::milliseconds>(
-        options.max_idle, connection->idle_timeout);
-    if (now - connection->idle_since > limit) continue;
-    if (HasNoPendingInput(connection->stream.socket())) return connection;
+    const auto idle_for = now - connection->idle_since;
+    // A peer may close a connection after the time that it announces.
+    if (idle_for > connection->idle_timeout) continue;
+    if (IsUsable(*connection) && idle_for <= options.max_idle)
+      return connection;
   }
   // An id that is repeated often needs a new connection each time.
   if (passed_over > 1) {
@@ -364,9 +410,12 @@
     co_return FailForShortage(endpoint, error.message());
   }
   if (error) {
+    if (m_on_lost && error == asio::error::connection_refused)
+      m_on_lost(endpoint, TimeSinceBoot());
     co_return Fail(ResultCode::kConnectFailed,
                    FormatEndpoint(endpoint) + ": " + error.message());
   }
+  connection->opened_at = TimeSinceBoot();
   connection->stream.socket().set_option(tcp::no_delay(true), error);
   if (!ResetOnClose(connection->stream.socket())) {
     co_return Fail(ResultCode::kConnectFailed,
@@ -422,11 +471,15 @@
     co_return Fail(ResultCode::kDeadlinePassed, "while connecting");
   }
   progress.first_byte_sent = true;
+  progress.connection_opened_at = connection->opened_at;
   connection->RecordRequest(options.request_id);
   connection->stream.expires_at(deadline);
   auto [error, size] =
       co_await http::async_write(connection->stream, request, kAsTuple);
-  if (error) co_return MakeCallError(error, progress);
+  if (error) {
+    OnConnectionError(*connection, error);
+    co_return MakeCallError(error, progress);
+  }
   co_return connection;
 }
 
@@ -437,11 +490,15 @@
   auto sent =
       co_await SendRequest(endpoint, request, options, deadline, progress);
   if (!sent) co_return tl::make_unexpected(sent.error());
+  const ConnectionPtr connection = *sent;
   auto stream = std::make_unique<PooledResponseStream>(
       weak_from_this(), std::move(*sent), m_max_response,
       !options.request_id.empty());
   const error_code error = co_await stream->ReadHeader(options, deadline);
-  if (error) co_return MakeCallError(error, progress);
+  if (error) {
+    OnConnectionError(*connection, error);
+    co_return MakeCallError(error, progress);
+  }
   progress.response_started = true;
   progress.header_read_at = TimeSinceBoot();
   if (progress.on_header) progress.on_header(stream->Header());
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -26,6 +26,8 @@
   bool first_byte_sent = false;    ///< request bytes may have been sent
   bool reused_connection = false;  ///< the connection came from the pool
   bool response_started = false;
+  /// When the connection in use was opened, in TimeSinceBoot().
+  std::chrono::nanoseconds connection_opened_at{0};
   /// When the response header was read, in TimeSinceBoot().
   std::chrono::nanoseconds header_read_at{0};
 };
@@ -110,8 +112,19 @@
       Endpoint endpoint, HttpRequest request, CallOptions options,
       CallProgress& progress);
 
+  /// Called with the endpoint of a connection that the peer ended without
+  /// having announced it, and when that connection was opened; also when the
+  /// peer refuses one. Must not use the client.
+  using LossObserver =
+      std::function<void(const Endpoint&, std::chrono::nanoseconds opened_at)>;
+  void SetLossObserver(LossObserver observer) {
+    m_on_lost = std::move(observer);
+  }
+
   /// Closes idle connections to an endpoint.
   void CloseIdle(const Endpoint& endpoint);
+  /// Closes the idle connections to an endpoint that the peer has ended.
+  void CloseEndedIdle(const Endpoint& endpoint);
 
   /// Open connections, also idle ones.
   std::size_t ConnectionCount() const { return *m_connections; }
@@ -120,6 +133,8 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   /// Adds a connection to the pool.
   void ReturnToPool(ConnectionPtr connection);
+  /// Reports a connection that failed, if the peer ended it.
+  void OnConnectionError(const Connection& connection, error_code error) const;
 
  private:
   HttpClient(asio::any_io_executor executor, ByteCount max_response,
@@ -140,6 +155,9 @@
   /// Closes the connection that has been idle longest.
   /// @return false if none is idle
   bool CloseLongestIdle();
+  /// Whether an idle connection may be used. Reports one that the peer has
+  /// ended.
+  bool IsUsable(Connection& connection) const;
   ConnectionPtr TakeIdle(const Endpoint& endpoint, const CallOptions& options);
   Awaitable<Result<ConnectionPtr>> SendRequest(const Endpoint& endpoint,
                                                HttpRequest& request,
@@ -152,6 +170,7 @@
   std::size_t m_max_connections;
   std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
   std::map<Endpoint, std::deque<ConnectionPtr>> m_idle;
+  LossObserver m_on_lost;
 };
 
 }  // namespace cowslipknot
