Tell instances that have lost the store of leaving servers

Cause, as far as shown: notices of leaving servers went to the instances that report to the store. One that has lost the store is dropped from these after revoke_ms and a second, serves on, and was told nothing; on its return it keeps lapsed registrations for up to 2 s. Why this works: whoever tells others of a leaving server tells those, too, that reported within the last minute (SilentPeers). A notice of a server's end needs no store. Command: python3 -m unittest silent_instance_test (in tests/platform)

--- a/src/serve/gateway_control_plane.h
+++ b/src/serve/gateway_control_plane.h
@@ -9,6 +9,7 @@
 #include "cowslipknot/gateway/quota.h"
 #include "cowslipknot/gateway/response_time_bound.h"
 #include "cowslipknot/gateway/server_registry.h"
+#include "cowslipknot/gateway/silent_peers.h"
 #include "cowslipknot/state/unlisted_servers.h"
 #include "serve/gateway_fleet_coordinator.h"
 #include "serve/gateway_store_relay.h"
@@ -155,6 +156,9 @@
   /// Notifies instances that have started since the last call of servers that
   /// said in a response to this instance that they are leaving.
   void NotifyNewInstances();
+  /// Tells the other instances, also silent ones, of leaving servers.
+  void BroadcastLeaving(std::shared_ptr<const PeerFrame> frame);
+  void UpdateSilentPeers();
   /// Handles the notices of such responses to other instances.
   void OnLeavingResponsesOfPeers(const std::vector<GossipRecord>& servers);
   void SetStoreReachable(bool reachable, const std::string& detail);
@@ -206,6 +210,7 @@
   std::map<WorkspaceId, DelayedShare> m_quota_shares;
   std::map<WorkspaceId, LenderStatus> m_lender_statuses;
   ResponseTimeBound m_response_time_bound;
+  SilentPeers m_silent_peers;
   MoveOrders m_move_orders;
   EvacuationOrders m_evacuations;
   FleetView m_fleet;
--- a/src/serve/gateway_reports.cc
+++ b/src/serve/gateway_reports.cc
@@ -89,7 +89,10 @@
   const std::uint64_t digest = DigestInstances(m_fleet.serving);
   const bool changed = digest != m_instances_digest;
   m_instances_digest = digest;
-  if (changed) NotifyNewInstances();
+  if (changed) {
+    NotifyNewInstances();
+    UpdateSilentPeers();
+  }
   if (m_fleet.serving.size() != m_serving_instances) {
     m_serving_instances = m_fleet.serving.size();
     LogEvent(Event::kInstancesKnown,
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -77,13 +77,28 @@
                          }));
   }
   const auto frame = BuildLeavingNotice({{server, started_ms}});
-  asio::post(m_worker.Context(), [this, frame] {
-    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
-  });
+  BroadcastLeaving(frame);
   RelayServers();
   Publish();
 }
 
+void ControlPlane::BroadcastLeaving(std::shared_ptr<const PeerFrame> frame) {
+  asio::post(m_worker.Context(), [this, frame = std::move(frame),
+                                  silent = m_silent_peers.Addresses()] {
+    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
+    m_worker.Links().Broadcast(silent, *frame);
+  });
+}
+
+void ControlPlane::UpdateSilentPeers() {
+  std::set<Endpoint> reporting;
+  for (const auto& instance : m_fleet.serving) {
+    if (instance.peers && instance.peers != m_settings.peers)
+      reporting.insert(*instance.peers);
+  }
+  m_silent_peers.Update(std::move(reporting), TimeSinceBoot());
+}
+
 void ControlPlane::NotifyNewInstances() {
   const std::set<InstanceSummary> serving(m_fleet.serving.begin(),
                                           m_fleet.serving.end());
@@ -131,9 +146,7 @@
   auto frame = std::make_shared<PeerFrame>();
   frame->kind = wire::Kind::ServersLeaving;
   AddRecords(*frame, records);
-  asio::post(m_worker.Context(), [this, frame] {
-    m_worker.Links().Broadcast(m_worker.GetSnapshot()->peers, *frame);
-  });
+  BroadcastLeaving(frame);
 }
 
 std::vector<ServerEntry> ControlPlane::FindRemovedServers(
