Ask again before a request is sent whether its server may get it

Cause: the choice was checked, the sending was not. This closes the way, whatever the load, for every kind of attempt, since all of them pass one call. Why this works: the control thread marks the state of a server that is no longer registered as ready, or is evacuated, at once (BackendState::SetAvailable()); choices and the last moment before the first byte ask MayGetRequests(), which also knows leaving and pauses. A request that is held back was not sent, and goes to another server.

--- a/include/cowslipknot/gateway/placement.h
+++ b/include/cowslipknot/gateway/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -47,7 +48,7 @@
 };
 
 /// The load, speed and health of a server as estimated by one instance. Used on
-/// the traffic thread only.
+/// the traffic thread only, but for SetAvailable().
 class BackendState {
  public:
   using Time = std::chrono::nanoseconds;
@@ -98,6 +99,15 @@
   bool RecordLeaving() { return !std::exchange(m_leaving, true); }
   /// Whether the server receives no further request.
   bool IsLeaving() const { return m_leaving; }
+  /// Records whether the server may get requests by its registration and by the
+  /// operator's orders. Any thread may call it, so that a server that leaves
+  /// gets no request which waits in the queue of a busy traffic thread.
+  void SetAvailable(bool available) { m_available = available; }
+  /// Whether the server may get a request now, regardless of its load. Asked
+  /// when a server is selected, and again right before the request is sent.
+  bool MayGetRequests(Time now) const {
+    return m_available && !m_leaving && !IsPaused(now);
+  }
   /// Records that the server asked for no requests until a time. A shorter
   /// pause does not end a longer one.
   void RecordPause(Time until) {
@@ -174,6 +184,7 @@
   RequestRate m_cold_rate{0};
   Time m_withheld_until{0};
   bool m_leaving = false;
+  std::atomic<bool> m_available{true};
 };
 
 /// A server that may receive requests.
--- a/src/coordination/placement.cc
+++ b/src/coordination/placement.cc
@@ -205,7 +205,7 @@
     const bool tried = std::find(request.tried.begin(), request.tried.end(),
                                  id) != request.tried.end();
     const BackendState& state = *backends[i].state;
-    if (tried || state.IsLeaving() || state.IsPaused(context.now)) continue;
+    if (tried || !state.MayGetRequests(context.now)) continue;
     if (state.IsWithheld(context.now)) continue;
     if (request.excludes_limited && state.Limit(context.now)) continue;
     const bool is_ejected = state.IsEjected(context.now);
--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -187,6 +187,12 @@
   options.is_own_response = [this](const http::response_header<>& header) {
     return IsOwn(header);
   };
+  // The server may leave while the request waits for a connection.
+  bool is_withheld = false;
+  options.may_send = [&server, &is_withheld] {
+    is_withheld = !server.state->MayGetRequests(TimeSinceBoot());
+    return !is_withheld;
+  };
   const auto started = SteadyClock::now();
   m_attempt_sent = TimeSinceBoot();
   m_answer_progress = AnswerProgress();
@@ -202,7 +208,9 @@
     if (m_progress.reused_connection) {
       m_worker.Http().CloseIdle(server.entry.address);
     }
-    error = opened.error();
+    error = is_withheld ? Error{ResultCode::kBackendRefused,
+                                "takes no requests since it was selected"}
+                        : opened.error();
     if (!IsAborted()) RecordAttemptFailure(server, error);
     co_return m_progress.first_byte_sent ? AttemptOutcome::kFailed
                                          : AttemptOutcome::kNotExecuted;
--- a/src/serve/gateway_call_servers.cc
+++ b/src/serve/gateway_call_servers.cc
@@ -27,9 +27,8 @@
                            std::find(m_excluded_servers.begin(),
                                      m_excluded_servers.end(), server.entry.id);
                        return excluded == m_excluded_servers.end() &&
+                              server.state->MayGetRequests(now) &&
                               !server.state->IsEjected(now) &&
-                              !server.state->IsLeaving() &&
-                              !server.state->IsPaused(now) &&
                               !server.state->Limit(now);
                      });
 }
@@ -87,9 +86,8 @@
     ++m_permit_requests;
     const bool permitted = co_await m_worker.Permits().Acquire(server->entry);
     const BackendState& state = *server->state;
-    const bool usable = !state.IsLeaving() &&
-                        !state.IsPaused(TimeSinceBoot()) &&
-                        IsListed(server->entry);
+    const bool usable =
+        state.MayGetRequests(TimeSinceBoot()) && IsListed(server->entry);
     if (permitted && usable) co_return server;
     m_excluded_servers.push_back(server->entry.id);
   }
--- a/src/serve/gateway_servers.cc
+++ b/src/serve/gateway_servers.cc
@@ -298,6 +298,7 @@
     const bool is_listed =
         listed != registered.end() && listed->second.process == known.process;
     if (is_listed) continue;
+    known.state->SetAvailable(false);
     m_unregistered_backends.Add(known.process, known.address, known.state);
     kept.push_back(known.state);
   }
@@ -328,7 +329,9 @@
     KnownBackend known = FindOrCreateBackend(entry, service);
     backend.state = known.state;
     registered[entry.id] = std::move(known);
-    if (IsEvacuated(entry)) continue;
+    const bool is_evacuated = IsEvacuated(entry);
+    backend.state->SetAvailable(!is_evacuated);
+    if (is_evacuated) continue;
     servers[entry.service].push_back(std::move(backend));
   }
   KeepUnregistered(registered);
--- a/tests/unit/gateway_placement_test.cc
+++ b/tests/unit/gateway_placement_test.cc
@@ -57,6 +57,23 @@
   cr_expect_eq(ChosenServer(MakeRequest(100), backends), "");
 }
 
+// Guards against requests to a server that left while they waited to be sent.
+Test(placement, a_server_that_is_not_available_may_get_no_request) {
+  const std::vector<Backend> backends = {MakeBackend("s0", "a"),
+                                         MakeBackend("s1", "a")};
+  BackendState& left = *backends[0].state;
+  cr_expect(left.MayGetRequests(kStart));
+  left.SetAvailable(false);
+  cr_expect_not(left.MayGetRequests(kStart));
+  cr_expect_eq(ChosenServer(MakeRequest(100), backends), "s1");
+  left.SetAvailable(true);
+  left.RecordPause(kStart + std::chrono::seconds(1));
+  cr_expect_not(left.MayGetRequests(kStart));
+  cr_expect(left.MayGetRequests(kStart + std::chrono::seconds(1)));
+  left.RecordLeaving();
+  cr_expect_not(left.MayGetRequests(kStart + std::chrono::seconds(1)));
+}
+
 Test(placement, a_server_that_cached_the_prefix_is_preferred) {
   const std::vector<Backend> backends = {
       MakeBackend("s0", "a"), MakeBackend("s1", "a"), MakeBackend("s2", "a")};
