--- a/include/cowslipknot/gateway/process_notices.h
+++ b/include/cowslipknot/gateway/process_notices.h
@@ -60,7 +60,7 @@
   /// @param started  its start, by this instance's clock
   /// @param now      when it is listed, or later
   bool IsOfNext(const AnswerTimes& times, Time started, Time now) const;
-  /// The notices of the next process, in the order of their addition.
+  /// The notices of the next process, each kind in the order of addition.
   std::vector<ProcessNotice> OfNext(Time started, Time now) const;
 
   std::size_t Size() const { return m_statements.size() + m_waits.size(); }
