Mend what the linter found, and keep idle connections of a pausing server

Besides, an attempt that is held back before it is sent no longer closes the other idle connections to its server, which are sound.

--- a/src/serve/gateway_call.cc
+++ b/src/serve/gateway_call.cc
@@ -205,7 +205,7 @@
   if (m_progress.first_byte_sent) m_reached_server = true;
   if (!opened) {
     m_progress.abort = nullptr;
-    if (m_progress.reused_connection) {
+    if (m_progress.reused_connection && !is_withheld) {
       m_worker.Http().CloseIdle(server.entry.address);
     }
     error = is_withheld ? Error{ResultCode::kBackendRefused,
--- a/src/serve/gateway_moves.cc
+++ b/src/serve/gateway_moves.cc
@@ -248,15 +248,14 @@
   const ExposureBound bound{m_settings.exposure_share,
                             m_settings.exposure_slack};
   const auto halted = m_halted.find(MoveKey(move));
-  const auto next = halted == m_halted.end()
-                        ? NextState(move, evidence, now, bound)
-                        : RolledBack(move.state, halted->second);
+  auto next = halted == m_halted.end() ? NextState(move, evidence, now, bound)
+                                       : RolledBack(move.state, halted->second);
   if (!next || !IsFinished(next->phase)) return next;
   if (order.revision.era < m_era) {
     LogHeldDecision(move, *next, "the restored store may lack the order");
     return std::nullopt;
   }
-  const auto checked = CheckServers(move, *next, evidence, running);
+  auto checked = CheckServers(move, *next, evidence, running);
   if (!checked) LogHeldDecision(move, *next, "no server would be left");
   return checked;
 }
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -169,25 +169,34 @@
   cr_expect_eq(configuration->limits.body.Count(), 200);
 }
 
+namespace {
+
+/// A configuration with this value of the list of workspaces.
+std::string WithWorkspaces(const std::string& list) {
+  std::string text = R"({"version":1,"route_list":[],"services":[],"tenants":)";
+  text += list;
+  text += '}';
+  return text;
+}
+
+}  // namespace
+
 // Guards against a list of workspaces without any that opens all routes.
 Test(platform_documents, a_list_of_workspaces_requires_keys_also_if_empty) {
-  const std::string kPrefix = R"({"version":1,"route_list":[],"services":[])";
-  const auto open = platform::DecodeConfiguration(kPrefix + "}");
+  const auto open = platform::DecodeConfiguration(R"({"version":1})");
   cr_assert(open.has_value());
   cr_expect_not(open->requires_keys);
-  for (const std::string workspaces :
+  for (const std::string list :
        {"[]", R"([{"name":"t"}])", R"([{"name":"t","api_keys":[]}])",
         R"([{"name":"t","api_keys":[""]}])"}) {
-    const auto closed = platform::DecodeConfiguration(
-        kPrefix + R"(,"tenants":)" + workspaces + "}");
-    cr_assert(closed.has_value(), "%s", workspaces.c_str());
-    cr_expect(closed->requires_keys, "%s", workspaces.c_str());
-    cr_expect(closed->api_keys.empty(), "%s", workspaces.c_str());
+    const auto closed = platform::DecodeConfiguration(WithWorkspaces(list));
+    cr_assert(closed.has_value(), "%s", list.c_str());
+    cr_expect(closed->requires_keys, "%s", list.c_str());
+    cr_expect(closed->api_keys.empty(), "%s", list.c_str());
   }
   for (const std::string unreadable : {"null", "{}", "\"\"", "false"}) {
-    cr_expect_not(platform::DecodeConfiguration(kPrefix + R"(,"tenants":)" +
-                                                unreadable + "}")
-                      .has_value());
+    cr_expect_not(
+        platform::DecodeConfiguration(WithWorkspaces(unreadable)).has_value());
   }
 }
 
